--- /dev/null
+++ b/src/chivetray/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet capacity and maintenance manager."""
--- /dev/null
+++ b/src/chivetray/border/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers and operators."""
--- /dev/null
+++ b/src/chivetray/control.py
@@ -0,0 +1,278 @@
+"""Facade for operators, used by the command line and by programs."""
+
+from __future__ import annotations
+
+import dataclasses
+import getpass
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TypeVar
+
+import anyio
+from returns.result import Failure, Result
+
+from chivetray.exceptions import ChivetrayError, FaultsError
+from chivetray.fleet.catalog import Catalog, Change
+from chivetray.fleet.checker import CheckedSet, check_files, check_object_set
+from chivetray.fleet.vm_states import ListedVm, VmKind, VmState
+from chivetray.generated.settings import PlatformSettings
+from chivetray.platform import revisions
+from chivetray.platform.client import PlatformClient
+from chivetray.platform.revisions import HistoryItem
+from chivetray.platform.vm_list import read_vm_changes
+from chivetray.results import ResultCode
+
+WAIT_POLL_S = 0.1
+CALL_TIMEOUT_S = 5.0
+
+Value = TypeVar("Value")
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """A published revision.
+
+    :ivar changed: whether the set differs from the revision before
+    :ivar missing: live entries that do not report the revision
+    """
+
+    number: int
+    changed: bool
+    missing: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class EntryReport:
+    """What one entry says, or why it says nothing."""
+
+    name: str
+    status: dict[str, Any] | None
+    reason: str = ""
+
+
+class Control:
+    """Checks, publishes and looks at sets of objects.
+
+    :param client: client of the platform
+    """
+
+    def __init__(self, client: PlatformClient):
+        self._client = client
+
+    @classmethod
+    def from_url(cls, url: str, timeout_s: float = CALL_TIMEOUT_S) -> Control:
+        """Make a facade for the platform at an URL."""
+        settings = PlatformSettings(url=url, timeout_s=timeout_s)
+        return cls(PlatformClient.from_config(settings))
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    @staticmethod
+    def check(paths: Iterable[Path]) -> CheckedSet:
+        """Check files that form one whole set.
+
+        :raises FaultsError: with every fault that was found
+        """
+        return check_files(paths)
+
+    async def get(self) -> tuple[int, Catalog]:
+        """Return the newest revision's number and objects.
+
+        :raises ChivetrayError: when the platform does not answer
+        """
+        return _unwrap(await revisions.read_catalog(self._client))
+
+    async def diff(self, paths: Iterable[Path]) -> tuple[int, Catalog, Change]:
+        """Return the newest revision and the change that files would make.
+
+        :raises ChivetrayError: when the files have faults, or the platform does
+            not answer
+        """
+        checked = self.check(paths)
+        number, catalog = await self.get()
+        return number, catalog, catalog.difference(checked.catalog)
+
+    async def publish(
+        self,
+        paths: Iterable[Path],
+        expect: int | None = None,
+        wait_s: float | None = None,
+    ) -> Published:
+        """Publish files as the next revision.
+
+        :param expect: revision that the files are based on; another one is a
+            conflict
+        :param wait_s: time in seconds to wait for all live entries
+        :raises ChivetrayError: when the files have faults, another revision came
+            first, or the platform does not answer
+        """
+        number, catalog, change = await self.diff(paths)
+        if expect is not None and expect != number:
+            raise await self._conflict(expect, number)
+        if change.is_empty and number > 0:
+            missing = await self._wait(number, wait_s)
+            return Published(number, False, missing)
+        return await self._publish_change(number, catalog, change, wait_s)
+
+    async def _publish_change(
+        self, number: int, catalog: Catalog, change: Change, wait_s: float | None
+    ) -> Published:
+        newer = catalog.copy()
+        newer.apply(change)
+        faults = check_object_set(newer.to_object_set())
+        if faults:
+            raise FaultsError(faults)
+        result = await revisions.publish_change(
+            self._client, number, catalog, change, getpass.getuser()
+        )
+        if isinstance(result, Failure):
+            error = result.failure()
+            if error.code is ResultCode.REVISION_CONFLICT:
+                raise await self._conflict(number, None)
+            raise error
+        published = result.unwrap()
+        return Published(published, True, await self._wait(published, wait_s))
+
+    async def _conflict(self, base: int, found: int | None) -> ChivetrayError:
+        """Return an error that shows what the other operator changed."""
+        newest, _ = await self.get()
+        items = await self.history(max(1, newest - base))
+        shown = [
+            f"revision {item.number} by {item.author}"
+            for item in items
+            if item.number > base
+        ]
+        changes = await self._describe_since(base)
+        others = ", ".join(shown) or f"revision {found}"
+        message = f"expected revision {base}, but {others} came first: {changes}"
+        return ChivetrayError(ResultCode.REVISION_CONFLICT, message)
+
+    async def _describe_since(self, base: int) -> str:
+        found = _unwrap(await revisions.read_after(self._client, base))
+        names = []
+        for revision in found:
+            if revision.full:
+                names.append("the whole set")
+                continue
+            names += describe_change(Change.from_json(revision.content))
+        return "; ".join(names) or "nothing changed"
+
+    async def _wait(self, number: int, wait_s: float | None) -> list[str]:
+        """Return the entries that do not report a revision in time."""
+        if wait_s is None:
+            return []
+        deadline_s = anyio.current_time() + wait_s
+        while True:
+            reports = await self.status()
+            missing = [
+                report.name
+                for report in reports
+                if report.status is None or report.status["revision"] < number
+            ]
+            if not missing or anyio.current_time() >= deadline_s:
+                return missing
+            await anyio.sleep(WAIT_POLL_S)
+
+    async def history(self, limit: int = 20) -> list[HistoryItem]:
+        """Return the newest revisions, newest first.
+
+        :raises ChivetrayError: when the platform does not answer
+        """
+        return _unwrap(await revisions.read_history(self._client, limit))
+
+    async def entries(self) -> list[ListedVm]:
+        """Return the entries on the VM list that are not gone.
+
+        :raises ChivetrayError: when the platform does not answer
+        """
+        changes = _unwrap(await read_vm_changes(self._client, 0))
+        return [
+            vm
+            for vm in changes.vms
+            if vm.kind is VmKind.ENTRY and vm.state is not VmState.GONE
+        ]
+
+    async def is_ready(self) -> bool:
+        """Return whether the entry at this client's URL is ready."""
+        result = await self._client.get_json("/status")
+        return not isinstance(result, Failure) and bool(result.unwrap()["ready"])
+
+    async def wait_ready(self) -> None:
+        """Return when the entry at this client's URL is ready."""
+        while True:
+            if await self.is_ready():
+                return
+            await anyio.sleep(WAIT_POLL_S)
+
+    async def status(self) -> list[EntryReport]:
+        """Ask every entry for its state.
+
+        :raises ChivetrayError: when the platform does not answer
+        """
+        reports: dict[str, EntryReport] = {}
+
+        async def ask(vm: ListedVm) -> None:
+            reports[vm.name] = await ask_entry(vm)
+
+        entries = await self.entries()
+        async with anyio.create_task_group() as tasks:
+            for vm in entries:
+                tasks.start_soon(ask, vm)
+        return [reports[name] for name in sorted(reports)]
+
+    async def explain(self, name: str) -> dict[str, list[str]]:
+        """Return what every entry knows of an object or a request.
+
+        :raises ChivetrayError: when the platform does not answer, or no entry
+            knows the name
+        """
+        found: dict[str, list[str]] = {}
+        for vm in await self.entries():
+            url = f"http://{vm.address}:{vm.operators_port}"
+            document = await _get_json(url, f"/explain?name={name}")
+            if document and document["lines"]:
+                found[vm.name] = document["lines"]
+        if not found:
+            message = f"no entry knows anything named {name}"
+            raise ChivetrayError(ResultCode.NO_SUCH_OBJECT, message)
+        return found
+
+
+async def ask_entry(vm: ListedVm) -> EntryReport:
+    """Ask one entry for its state."""
+    url = f"http://{vm.address}:{vm.operators_port}"
+    status = await _get_json(url, "/status")
+    if status is None:
+        return EntryReport(vm.name, None, "the entry does not answer")
+    return EntryReport(vm.name, status)
+
+
+async def _get_json(url: str, path: str) -> Any:
+    client = PlatformClient.from_config(PlatformSettings(url=url, timeout_s=2.0))
+    try:
+        result = await client.get_json(path)
+    finally:
+        await client.aclose()
+    return None if isinstance(result, Failure) else result.unwrap()
+
+
+def describe_change(change: Change) -> list[str]:
+    """Return one phrase for each object that a change touches."""
+    phrases = []
+    for item in dataclasses.fields(change.put):
+        objects = getattr(change.put, item.name)
+        if isinstance(objects, list):
+            phrases += [f"{item.name[:-1]} {found.name} put" for found in objects]
+    for kind, names in change.remove.items():
+        phrases += [f"{kind[:-1]} {name} removed" for name in names]
+    return phrases
+
+
+def _unwrap(result: Result[Value, Any]) -> Value:
+    """Return the value of a result or raise its error."""
+    if isinstance(result, Failure):
+        raise result.failure()
+    return result.unwrap()
--- /dev/null
+++ b/src/chivetray/entry.py
@@ -0,0 +1,264 @@
+"""One entry: its parts and its life from start to leave."""
+
+from __future__ import annotations
+
+import signal
+import uuid
+
+import anyio
+from anyio.abc import TaskGroup
+
+from chivetray.border.callers import CallerApp
+from chivetray.border.operators import (
+    EntryStatus,
+    OperatorViews,
+    PeerStatus,
+    create_operators_app,
+)
+from chivetray.config import Config
+from chivetray.events import Event, log_event
+from chivetray.explain import explain_name
+from chivetray.fleet.revision import RevisionState
+from chivetray.fleet.vm_states import ListedVm, VmKind, VmState, VmStates
+from chivetray.metrics import Metrics
+from chivetray.peers.membership import PeerAddress
+from chivetray.peers.node import PeerNode
+from chivetray.platform.client import PlatformClient
+from chivetray.platform.group_writer import GroupWriter
+from chivetray.platform.watcher import PlatformWatcher
+from chivetray.requests.admission import Admission
+from chivetray.requests.balancer import Balancer
+from chivetray.requests.claims import ClaimStore
+from chivetray.requests.connections import EndpointConnections
+from chivetray.requests.handler import RequestHandler
+from chivetray.requests.outliers import OutlierTable
+from chivetray.servers import HttpServer, bind_listener
+
+DRAIN_POLL_S = 0.05
+
+
+class Entry:
+    """An entry process.
+
+    :param config: effective settings
+    """
+
+    def __init__(self, config: Config):
+        self._config = config
+        self._metrics = Metrics()
+        self._revisions = RevisionState()
+        self._states = VmStates()
+        self._node = PeerNode.from_config(
+            config, self._revisions, uuid.uuid4().hex, self._grants_changed
+        )
+        self._client = PlatformClient.from_config(config.platform)
+        self._watcher = PlatformWatcher(
+            self._client,
+            config.platform,
+            self._revisions,
+            self._states,
+            lambda: len(self._node.membership.zone_entries()),
+            self._vms_changed,
+        )
+        self._writer = GroupWriter(
+            self._client, config.claims, self._metrics.rows_written.inc
+        )
+        self._claims = ClaimStore(
+            self._client, self._writer, config.claims, config.entry.name
+        )
+        self._outliers = OutlierTable(config.outliers)
+        self._balancer = Balancer(
+            config.entry.zone, self._node.holder, self._states, self._outliers
+        )
+        self._admission = Admission(self._balancer)
+        self._connections = EndpointConnections(config.requests)
+        handler = RequestHandler(
+            config,
+            self._admission,
+            self._balancer,
+            self._outliers,
+            self._connections,
+            self._claims,
+            self._metrics,
+        )
+        self._callers = CallerApp(
+            config, self._revisions, self._admission, handler, self._metrics
+        )
+        self._leave = anyio.Event()
+        self._ready_logged = False
+
+    @classmethod
+    def from_config(cls, config: Config) -> Entry:
+        """Make an entry."""
+        return cls(config)
+
+    # Life
+
+    async def run(self, handle_signals: bool = True) -> None:
+        """Serve until told to leave; then end the requests in flight and return.
+
+        :raises OSError: when a port cannot be bound
+        """
+        config = self._config
+        address = config.entry.address
+        callers = bind_listener(address, config.listeners.callers_port)
+        operators = bind_listener(address, config.listeners.operators_port)
+        log_event(Event.ENTRY_STARTED, entry=config.entry.name, zone=config.entry.zone)
+        callers_server = HttpServer.from_app(
+            self._callers, config.listeners.callers_tls
+        )
+        operators_server = HttpServer.from_app(
+            create_operators_app(self._views()), config.listeners.operators_tls
+        )
+        async with anyio.create_task_group() as tasks:
+            self._start_tasks(tasks)
+            tasks.start_soon(operators_server.serve_on, operators)
+            if handle_signals:
+                tasks.start_soon(self._receive_signals)
+            tasks.start_soon(self._leave_gracefully, callers_server, operators_server)
+            await callers_server.serve_on(callers)
+            await self._finish(operators_server)
+            tasks.cancel_scope.cancel()
+        log_event(Event.ENTRY_STOPPED, entry=config.entry.name)
+
+    def _start_tasks(self, tasks: TaskGroup) -> None:
+        tasks.start_soon(self._node.run)
+        tasks.start_soon(self._watcher.run)
+        tasks.start_soon(self._writer.run)
+        tasks.start_soon(self._claims.run)
+        tasks.start_soon(self._follow_revisions)
+        tasks.start_soon(self._follow_demand)
+
+    def leave(self) -> None:
+        """Start to leave gracefully."""
+        self._leave.set()
+
+    async def _receive_signals(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                self.leave()
+
+    async def _leave_gracefully(
+        self, callers_server: HttpServer, operators_server: HttpServer
+    ) -> None:
+        """Turn not ready, wait for the balancer to notice, then stop listening."""
+        await self._leave.wait()
+        self._node.leaving = True
+        log_event(Event.ENTRY_LEAVING, entry=self._config.entry.name)
+        await anyio.sleep(self._config.entry.leave_notice_s)
+        callers_server.stop()
+        await anyio.sleep(self._config.entry.leave_limit_s)
+        callers_server.force_exit = True
+
+    async def _finish(self, operators_server: HttpServer) -> None:
+        """Store the last outcomes and close connections."""
+        with anyio.move_on_after(self._config.platform.timeout_s * 2):
+            await self._writer.drain()
+        await self._connections.aclose()
+        operators_server.stop()
+        await self._client.aclose()
+
+    # Changes
+
+    async def _follow_revisions(self) -> None:
+        """Put every new revision in force in all parts."""
+        while True:
+            await self._revisions.wait_change()
+            catalog = self._revisions.catalog
+            self._balancer.set_catalog(catalog)
+            self._admission.set_objects(catalog.services, catalog.teams)
+            self._callers.set_services(catalog.services)
+            self._metrics.revision.set(self._revisions.number)
+            self._admission.dispatch()
+
+    def _vms_changed(self, vms: list[ListedVm]) -> None:
+        """Take over entries and leaving endpoints from the VM list."""
+        for vm in vms:
+            if vm.kind is VmKind.ENDPOINT:
+                if vm.state is VmState.LEAVING:
+                    log_event(Event.ENDPOINT_LEAVING, endpoint=vm.name)
+            elif vm.state is VmState.GONE:
+                self._node.membership.list_gone(vm.name)
+            else:
+                peer = PeerAddress(vm.name, vm.zone, vm.address, vm.peers_port)
+                self._node.membership.list_entry(peer)
+        self._admission.dispatch()
+
+    def _grants_changed(self) -> None:
+        count = len(self._node.membership.zone_entries())
+        self._connections.set_zone_entries(count)
+        self._admission.dispatch()
+        if self.is_ready() and not self._ready_logged:
+            self._ready_logged = True
+            log_event(Event.ENTRY_READY, revision=self._revisions.number)
+
+    async def _follow_demand(self) -> None:
+        """Report waiting requests to the homes of their endpoints."""
+        while True:
+            waiting = self._admission.waiting_by_endpoint()
+            self._node.holder.set_waiting(waiting)
+            if waiting:
+                self._node.request_exchange()
+            await anyio.sleep(DRAIN_POLL_S)
+
+    # Views
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        if self._node.leaving or self._revisions.number == 0:
+            return False
+        now_s = anyio.current_time()
+        services = self._revisions.catalog.services.values()
+        return any(self._balancer.granted_slots(s, now_s) for s in services)
+
+    def status(self) -> EntryStatus:
+        """Return the state for operators."""
+        membership = self._node.membership
+        return EntryStatus(
+            name=membership.name,
+            zone=membership.zone,
+            ready=self.is_ready(),
+            leaving=self._node.leaving,
+            revision=self._revisions.number,
+            platform_answers=self._watcher.answers,
+            in_flight=self._admission.in_flight,
+            waiting=self._admission.waiting,
+            zone_entries=membership.zone_entries(),
+            peers=[
+                PeerStatus(peer.name, peer.zone, peer.revision, peer.leaving)
+                for peer in membership.live()
+            ],
+            ejected=sorted(self._outliers.ejected()),
+            unavailable=sorted(self._states.unavailable()),
+        )
+
+    def _render_metrics(self) -> bytes:
+        metrics = self._metrics
+        metrics.in_flight.set(self._admission.in_flight)
+        metrics.waiting.set(self._admission.waiting)
+        metrics.live_peers.set(len(self._node.membership.live()))
+        metrics.peer_bytes_sent.set(self._node.sent_bytes)
+        return metrics.render()
+
+    def _explain(self, name: str) -> list[str]:
+        finished = self._callers.recent.get(name)
+        if finished is not None:
+            code = finished.code
+            return [
+                f"request {name} of service {finished.service}: "
+                f"{code.number} {code.name}, ran: {code.ran.value}",
+                finished.message,
+                f"decided under revision {finished.revision}",
+            ]
+        return explain_name(
+            name, self._revisions, self._states, self._outliers.ejected()
+        )
+
+    def _views(self) -> OperatorViews:
+        return OperatorViews(
+            is_ready=self.is_ready,
+            status=self.status,
+            metrics=self._render_metrics,
+            explain=self._explain,
+            settings=self._config.describe,
+        )
--- /dev/null
+++ b/src/chivetray/events.py
@@ -0,0 +1,79 @@
+"""Numbered log events, written as JSON lines through eliot."""
+
+from __future__ import annotations
+
+import sys
+from enum import Enum
+from typing import Any, TextIO
+
+import eliot
+
+
+class Event(Enum):
+    """Events: number and meaning."""
+
+    ENTRY_STARTED = (1000, "The entry has started and is not ready yet.")
+    ENTRY_READY = (1001, "The entry has a configuration and accepts requests.")
+    ENTRY_LEAVING = (1002, "The entry was told to stop and takes no new requests.")
+    ENTRY_STOPPED = (1003, "The entry has stopped.")
+    LISTENER_STARTED = (1004, "A listener accepts connections.")
+
+    REVISION_APPLIED = (1100, "A configuration revision is in force.")
+    REVISION_IGNORED = (
+        1101,
+        "A configuration revision is not newer than the one in force.",
+    )
+    REVISION_DAMAGED = (1102, "A configuration revision could not be read.")
+    PLATFORM_LOST = (
+        1110,
+        "The platform does not answer; the configuration stands still.",
+    )
+    PLATFORM_BACK = (1111, "The platform answers again.")
+
+    PEER_CONNECTED = (1200, "A stream to another entry is open.")
+    PEER_LOST = (1201, "Another entry is gone or silent.")
+    PEER_REPLACED = (1202, "Another entry has started anew.")
+    PEER_PROTOCOL_ERROR = (1203, "Another entry sent a message that cannot be read.")
+    HOME_CHANGED = (1210, "The home of endpoints has changed.")
+
+    ENDPOINT_EJECTED = (1300, "An endpoint fails and receives no requests for a while.")
+    ENDPOINT_PROBED = (1301, "An ejected endpoint receives a request on trial.")
+    ENDPOINT_RESTORED = (1302, "An ejected endpoint works again.")
+    EJECTION_WITHHELD = (
+        1303,
+        "An endpoint fails, but ejecting it would break the availability budget.",
+    )
+    ENDPOINT_LEAVING = (1304, "An endpoint is leaving and receives no new requests.")
+
+    REQUEST_REFUSED = (1400, "A request was refused before it ran.")
+    REQUEST_OUTCOME_UNKNOWN = (1401, "A request was sent and its outcome is unknown.")
+    ANSWER_CUT = (
+        1402,
+        "A streamed answer ended early; the caller's connection was closed.",
+    )
+    CLAIM_RESOLVED = (
+        1410,
+        "The outcome of a write to the table service was read back.",
+    )
+    CLAIM_LEFT = (
+        1412,
+        "A claim that may have been written for a refused request will be released.",
+    )
+    CLAIM_RELEASED = (1413, "The claim of a request that was not run was released.")
+    OUTCOME_LOST = (1411, "The answer of a claimed request could not be stored.")
+
+    INVARIANT_BROKEN = (1900, "An invariant does not hold; this is a defect.")
+
+    def __init__(self, number: int, meaning: str):
+        self.number = number
+        self.meaning = meaning
+
+
+def open_log(stream: TextIO | None = None) -> None:
+    """Send events to a stream, by default to standard error."""
+    eliot.to_file(stream or sys.stderr)
+
+
+def log_event(event: Event, **fields: Any) -> None:
+    """Write one event with its fields."""
+    eliot.log_message(message_type=event.name, number=event.number, **fields)
--- /dev/null
+++ b/src/chivetray/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Objects of the fleet: checking, revisions and states."""
--- /dev/null
+++ b/src/chivetray/fleet/catalog.py
@@ -0,0 +1,171 @@
+"""The configured objects of the fleet, indexed by kind and name."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from pydantic import TypeAdapter
+
+from chivetray.generated import object_models
+from chivetray.generated.objects import (
+    Budget,
+    ObjectSet,
+    Pool,
+    Service,
+    Team,
+    Vm,
+    Wave,
+    Zone,
+)
+
+KINDS = ("zones", "pools", "vms", "services", "budgets", "waves", "teams")
+
+FleetObject = Zone | Pool | Vm | Service | Budget | Wave | Team
+
+_SET_ADAPTER: TypeAdapter[ObjectSet] = TypeAdapter(ObjectSet)
+
+
+@dataclass(slots=True)
+class Change:
+    """Difference between two revisions.
+
+    :ivar put: sets of the objects that are new or changed
+    :ivar remove: names of the removed objects by kind
+    """
+
+    put: ObjectSet
+    remove: dict[str, list[str]] = field(default_factory=dict)
+
+    @classmethod
+    def from_json(cls, content: str) -> Change:
+        """Read a change from canonical JSON.
+
+        :raises ValueError: when the content is not a valid change
+        """
+        document = json.loads(content)
+        put = object_set_from_plain(document["put"])
+        return cls(put=put, remove=document["remove"])
+
+    def to_json(self) -> str:
+        """Return canonical JSON."""
+        document = {"put": dataclasses.asdict(self.put), "remove": self.remove}
+        return json.dumps(
+            document, sort_keys=True, separators=(",", ":"), default=_plain_value
+        )
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the change changes nothing."""
+        return not any(self.remove.values()) and not any(
+            getattr(self.put, kind) for kind in KINDS
+        )
+
+
+def _plain_value(value: Any) -> Any:
+    """Return an enumeration's value, for JSON.
+
+    :raises TypeError: when the value is none
+    """
+    if isinstance(value, Enum):
+        return value.value
+    raise TypeError(f"{type(value).__name__} cannot be written as JSON")
+
+
+def object_set_to_plain(objects: ObjectSet) -> dict[str, Any]:
+    """Return plain data that :func:`object_set_from_plain` reads."""
+    text = json.dumps(dataclasses.asdict(objects), default=_plain_value)
+    plain: dict[str, Any] = json.loads(text)
+    return plain
+
+
+def object_set_from_plain(data: Any) -> ObjectSet:
+    """Validate plain data at the border and return data classes.
+
+    :raises pydantic.ValidationError: when the data does not fit the schema
+    """
+    model = object_models.ObjectSet.model_validate(data)
+    return _SET_ADAPTER.validate_python(model.model_dump(mode="json"))
+
+
+def digest_of(content: str) -> str:
+    """Return the digest under which content is stored."""
+    return hashlib.sha256(content.encode()).hexdigest()
+
+
+@dataclass(slots=True)
+class Catalog:
+    """Objects of one revision by kind and name."""
+
+    zones: dict[str, Zone] = field(default_factory=dict)
+    pools: dict[str, Pool] = field(default_factory=dict)
+    vms: dict[str, Vm] = field(default_factory=dict)
+    services: dict[str, Service] = field(default_factory=dict)
+    budgets: dict[str, Budget] = field(default_factory=dict)
+    waves: dict[str, Wave] = field(default_factory=dict)
+    teams: dict[str, Team] = field(default_factory=dict)
+
+    @classmethod
+    def from_object_set(cls, objects: ObjectSet) -> Catalog:
+        """Index a whole set."""
+        catalog = cls()
+        catalog.put(objects)
+        return catalog
+
+    def put(self, objects: ObjectSet) -> None:
+        """Add objects, or replace those of the same kind and name."""
+        for kind in KINDS:
+            index = getattr(self, kind)
+            for item in getattr(objects, kind):
+                index[item.name] = item
+
+    def apply(self, change: Change) -> None:
+        """Apply a change in place."""
+        for kind, names in change.remove.items():
+            for name in names:
+                getattr(self, kind).pop(name, None)
+        self.put(change.put)
+
+    def copy(self) -> Catalog:
+        """Return a catalog with indexes of its own."""
+        return Catalog(**{kind: dict(getattr(self, kind)) for kind in KINDS})
+
+    def to_object_set(self) -> ObjectSet:
+        """Return all objects as one set, sorted by name."""
+        objects = ObjectSet()
+        for kind in KINDS:
+            setattr(objects, kind, self._sorted(kind))
+        return objects
+
+    def _sorted(self, kind: str) -> list[Any]:
+        index = getattr(self, kind)
+        return [index[name] for name in sorted(index)]
+
+    def difference(self, newer: Catalog) -> Change:
+        """Return the change that leads from this catalog to a newer one."""
+        change = Change(put=ObjectSet())
+        for kind in KINDS:
+            old, new = getattr(self, kind), getattr(newer, kind)
+            changed = [new[name] for name in sorted(new) if old.get(name) != new[name]]
+            setattr(change.put, kind, changed)
+            removed = sorted(old.keys() - new.keys())
+            if removed:
+                change.remove[kind] = removed
+        return change
+
+    def find(self, name: str) -> Iterator[tuple[str, FleetObject]]:
+        """Yield the kind and object of every object with a name."""
+        for kind in KINDS:
+            if name in getattr(self, kind):
+                yield kind, getattr(self, kind)[name]
+
+    def service_vms(self, service: Service) -> list[Vm]:
+        """Return the VMs that serve a service, sorted by name."""
+        pools = set(service.pools)
+        vms = (vm for vm in self.vms.values() if vm.pool in pools)
+        return sorted(vms, key=lambda vm: vm.name)
--- /dev/null
+++ b/src/chivetray/fleet/checker.py
@@ -0,0 +1,308 @@
+"""Checks a whole set of objects for consistency."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+from chivetray.documents import Document, load_document, validate_document
+from chivetray.exceptions import Fault, FaultsError
+from chivetray.fleet.catalog import KINDS, Catalog, object_set_from_plain
+from chivetray.generated import object_models
+from chivetray.generated.objects import ObjectSet, Service, Vm, Wave
+from chivetray.results import ResultCode
+
+# Kinds and fields that refer to other objects by name: kind, field, target kind.
+REFERENCES = (
+    ("vms", "pool", "pools"),
+    ("vms", "zone", "zones"),
+    ("services", "pools", "pools"),
+    ("services", "budget", "budgets"),
+    ("waves", "pools", "pools"),
+)
+
+_SINGULAR = {kind: kind[:-1] for kind in KINDS}
+
+
+@dataclass(slots=True)
+class CheckedSet:
+    """A set of objects without faults."""
+
+    objects: ObjectSet
+    catalog: Catalog
+
+
+@dataclass(slots=True)
+class _Inputs:
+    """Objects of all files with their places."""
+
+    objects: ObjectSet = field(default_factory=ObjectSet)
+    places: dict[int, tuple[str, int]] = field(default_factory=dict)
+
+    def fault(self, code: ResultCode, kind: str, item: Any, message: str) -> Fault:
+        """Return a fault of one object."""
+        file, line = self.places.get(id(item), ("", 0))
+        return Fault(code, file, line, f"{_SINGULAR[kind]} {item.name}", message)
+
+
+def check_files(paths: Iterable[Path]) -> CheckedSet:
+    """Read and check files that form one set of objects.
+
+    :raises FaultsError: with every fault that was found
+    """
+    faults: list[Fault] = []
+    documents: list[Document] = []
+    for path in paths:
+        try:
+            document = load_document(path)
+        except FaultsError as error:
+            faults += error.faults
+            continue
+        found = validate_document(document, object_models.ObjectSet)
+        faults += found
+        documents.append(document)
+    inputs = _collect(documents)
+    faults += check_objects(inputs)
+    if faults:
+        raise FaultsError(
+            sorted(set(faults), key=lambda f: (f.file, f.line, f.message))
+        )
+    return CheckedSet(inputs.objects, Catalog.from_object_set(inputs.objects))
+
+
+def check_object_set(objects: ObjectSet) -> list[Fault]:
+    """Return the faults of a set that does not come from files."""
+    return check_objects(_Inputs(objects))
+
+
+def _collect(documents: list[Document]) -> _Inputs:
+    """Gather the objects that are valid by themselves."""
+    inputs = _Inputs()
+    for document in documents:
+        if not isinstance(document.data, dict):
+            continue
+        for kind in KINDS:
+            items = document.data.get(kind)
+            for index, plain in enumerate(items if isinstance(items, list) else []):
+                item = _convert(kind, plain)
+                if item is None:
+                    continue
+                getattr(inputs.objects, kind).append(item)
+                line = document.line_of((kind, index))
+                inputs.places[id(item)] = (document.file, line)
+    return inputs
+
+
+def _convert(kind: str, plain: Any) -> Any:
+    """Return one object, or None when it has faults of its own."""
+    try:
+        single = object_set_from_plain({"format_version": 1, kind: [plain]})
+    except ValueError:
+        return None
+    return getattr(single, kind)[0]
+
+
+def check_objects(inputs: _Inputs) -> list[Fault]:
+    """Run every check over a set."""
+    faults: list[Fault] = []
+    for check in _CHECKS:
+        faults += check(inputs)
+    return faults
+
+
+def _check_names(inputs: _Inputs) -> Iterator[Fault]:
+    for kind in KINDS:
+        seen: dict[str, Any] = {}
+        for item in getattr(inputs.objects, kind):
+            first = seen.setdefault(item.name, item)
+            if first is item:
+                continue
+            if isinstance(item, Vm) and item.pool != first.pool:
+                message = f"it is in pool {first.pool} and in pool {item.pool}"
+                yield inputs.fault(ResultCode.VM_IN_TWO_POOLS, kind, item, message)
+            else:
+                message = "another object of this kind has the same name"
+                yield inputs.fault(ResultCode.DOUBLED_NAME, kind, item, message)
+
+
+def _check_references(inputs: _Inputs) -> Iterator[Fault]:
+    for kind, attribute, target in REFERENCES:
+        known = {item.name for item in getattr(inputs.objects, target)}
+        for item in getattr(inputs.objects, kind):
+            value = getattr(item, attribute)
+            names = value if isinstance(value, list) else [value]
+            for name, count in Counter(names).items():
+                if count > 1:
+                    message = f"{attribute} names {name} {count} times"
+                    yield inputs.fault(
+                        ResultCode.DOUBLED_REFERENCE, kind, item, message
+                    )
+                if name not in known:
+                    message = f"{attribute} names {name}, which does not exist"
+                    yield inputs.fault(
+                        ResultCode.DANGLING_REFERENCE, kind, item, message
+                    )
+
+
+def _check_addresses(inputs: _Inputs) -> Iterator[Fault]:
+    seen: dict[tuple[str, int], str] = {}
+    for vm in inputs.objects.vms:
+        first = seen.setdefault((vm.address, vm.port), vm.name)
+        if first != vm.name:
+            message = f"{vm.address}:{vm.port} belongs to VM {first} already"
+            yield inputs.fault(ResultCode.DOUBLED_ADDRESS, "vms", vm, message)
+
+
+def _check_routes(inputs: _Inputs) -> Iterator[Fault]:
+    seen: dict[tuple[str, str], str] = {}
+    for service in inputs.objects.services:
+        if not service.hosts and not service.path_prefixes:
+            message = "it has neither hosts nor path_prefixes"
+            yield inputs.fault(ResultCode.ROUTE_CONFLICT, "services", service, message)
+            continue
+        for host in service.hosts or [""]:
+            for prefix in service.path_prefixes or ["/"]:
+                first = seen.setdefault((host.lower(), prefix), service.name)
+                if first != service.name:
+                    route = f"{host or 'any host'} {prefix}"
+                    message = f"{route} selects service {first} already"
+                    yield inputs.fault(
+                        ResultCode.ROUTE_CONFLICT, "services", service, message
+                    )
+
+
+def _check_service_fields(inputs: _Inputs) -> Iterator[Fault]:
+    for service in inputs.objects.services:
+        for prefix in service.path_prefixes:
+            if not prefix.startswith("/"):
+                message = f"path_prefixes: {prefix!r} does not begin with a slash"
+                yield inputs.fault(ResultCode.BAD_VALUE, "services", service, message)
+        for method in service.idempotent_methods:
+            if method != method.upper() or not method.isalpha():
+                message = f"idempotent_methods: {method!r} is not in upper case"
+                yield inputs.fault(ResultCode.BAD_VALUE, "services", service, message)
+
+
+def _vms_of(inputs: _Inputs, service: Service) -> list[Vm]:
+    return [vm for vm in inputs.objects.vms if vm.pool in service.pools]
+
+
+def _check_budgets(inputs: _Inputs) -> Iterator[Fault]:
+    budgets = {budget.name: budget for budget in inputs.objects.budgets}
+    used = {service.budget for service in inputs.objects.services}
+    for service in inputs.objects.services:
+        budget = budgets.get(service.budget)
+        vms = _vms_of(inputs, service)
+        if budget is None or not vms:
+            continue
+        fewest = len(vms) - budget.max_unavailable_vms
+        if budget.survive_rack_loss:
+            racks = Counter((vm.zone, vm.rack) for vm in vms)
+            fewest -= max(racks.values())
+        if fewest < budget.min_available_vms:
+            message = (
+                f"of the {len(vms)} VMs of service {service.name} only {fewest} "
+                f"would be left, but min_available_vms is {budget.min_available_vms}"
+            )
+            yield inputs.fault(ResultCode.BUDGET_IMPOSSIBLE, "budgets", budget, message)
+    for budget in inputs.objects.budgets:
+        if budget.name not in used:
+            message = "no service refers to it"
+            yield inputs.fault(ResultCode.UNUSED_BUDGET, "budgets", budget, message)
+
+
+def _check_zones(inputs: _Inputs) -> Iterator[Fault]:
+    zones = [zone.name for zone in inputs.objects.zones]
+    for service in inputs.objects.services:
+        present = {vm.zone for vm in _vms_of(inputs, service)}
+        for zone in zones:
+            if zone not in present:
+                message = f"it has no endpoint in availability zone {zone}"
+                yield inputs.fault(
+                    ResultCode.ZONE_WITHOUT_ENDPOINTS, "services", service, message
+                )
+
+
+def _check_floors(inputs: _Inputs) -> Iterator[Fault]:
+    counts = Counter(vm.pool for vm in inputs.objects.vms)
+    for pool in inputs.objects.pools:
+        if counts[pool.name] < pool.floor_vms:
+            message = f"it has {counts[pool.name]} VMs and a floor of {pool.floor_vms}"
+            yield inputs.fault(ResultCode.FLOOR_IMPOSSIBLE, "pools", pool, message)
+
+
+def wave_batch_vms(wave: Wave, pool: str, objects: ObjectSet) -> int:
+    """Return how many VMs of a pool a wave may take at once within the budgets."""
+    budgets = {budget.name: budget for budget in objects.budgets}
+    limits = [
+        budgets[service.budget].max_unavailable_vms
+        for service in objects.services
+        if pool in service.pools and service.budget in budgets
+    ]
+    return min([wave.batch_vms, *limits])
+
+
+def shortest_wave_s(wave: Wave, objects: ObjectSet) -> float:
+    """Return the least time for which a wave runs, in seconds.
+
+    Pools are maintained at the same time and the batches of a pool one after
+    another. A pool whose budgets allow no VM is reported by another check.
+    """
+    counts = Counter(vm.pool for vm in objects.vms)
+    batches = 0
+    for pool in wave.pools:
+        batch_vms = wave_batch_vms(wave, pool, objects)
+        if batch_vms > 0:
+            batches = max(batches, math.ceil(counts[pool] / batch_vms))
+    return batches * (wave.drain_s + wave.reboot_s)
+
+
+def _check_waves(inputs: _Inputs) -> Iterator[Fault]:
+    for wave in inputs.objects.waves:
+        start = datetime.fromisoformat(wave.window_start)
+        end = datetime.fromisoformat(wave.window_end)
+        if start.tzinfo is None or end.tzinfo is None:
+            message = "window_start and window_end need a UTC offset, such as Z"
+            yield inputs.fault(ResultCode.BAD_VALUE, "waves", wave, message)
+            continue
+        yield from _check_window(inputs, wave, (end - start).total_seconds())
+        yield from _check_wave_budgets(inputs, wave)
+
+
+def _check_window(inputs: _Inputs, wave: Wave, window_s: float) -> Iterator[Fault]:
+    needed_s = shortest_wave_s(wave, inputs.objects)
+    if window_s <= 0:
+        message = "window_end is not after window_start"
+        yield inputs.fault(ResultCode.WAVE_IMPOSSIBLE, "waves", wave, message)
+    elif needed_s > window_s:
+        message = f"it needs {needed_s:.0f} s and its window has {window_s:.0f} s"
+        yield inputs.fault(ResultCode.WAVE_IMPOSSIBLE, "waves", wave, message)
+
+
+def _check_wave_budgets(inputs: _Inputs, wave: Wave) -> Iterator[Fault]:
+    budgets = {budget.name: budget for budget in inputs.objects.budgets}
+    for service in inputs.objects.services:
+        budget = budgets.get(service.budget)
+        if budget is None or not set(service.pools) & set(wave.pools):
+            continue
+        if budget.max_unavailable_vms == 0:
+            message = f"budget {budget.name} of service {service.name} allows no VM"
+            yield inputs.fault(ResultCode.WAVE_IMPOSSIBLE, "waves", wave, message)
+
+
+_CHECKS: tuple[Callable[[_Inputs], Iterator[Fault]], ...] = (
+    _check_names,
+    _check_references,
+    _check_addresses,
+    _check_routes,
+    _check_service_fields,
+    _check_budgets,
+    _check_zones,
+    _check_floors,
+    _check_waves,
+)
--- /dev/null
+++ b/src/chivetray/load.py
@@ -0,0 +1,130 @@
+"""Bounded open-loop load against an entry.
+
+Requests start on a fixed schedule, whatever the answers do, and a latency counts
+from the scheduled start. A slow answer thus shows in every request that it
+delayed, which corrects for coordinated omission.
+"""
+
+from __future__ import annotations
+
+import uuid
+from collections import Counter
+from dataclasses import dataclass, field
+
+import anyio
+import httpcore
+
+from chivetray.metrics import LatencyHistogram
+
+CONNECTIONS_LIMIT = 256
+SHOWN_QUANTILES = (0.5, 0.9, 0.99, 0.999)
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """What to send.
+
+    :ivar rate_per_s: requests that start each second
+    :ivar concurrency_limit: requests in flight at most; more are counted as
+        not sent
+    """
+
+    url: str
+    rate_per_s: float
+    duration_s: float
+    method: str = "GET"
+    body_bytes: int = 0
+    timeout_s: float = 10.0
+    concurrency_limit: int = 1000
+    keyed: bool = False
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(slots=True)
+class LoadReport:
+    """What came back.
+
+    :ivar results: requests by result code; ``status-<n>`` without one
+    """
+
+    sent: int = 0
+    not_sent: int = 0
+    elapsed_s: float = 0.0
+    results: Counter[str] = field(default_factory=Counter)
+    answered: LatencyHistogram = field(default_factory=LatencyHistogram)
+    refused: LatencyHistogram = field(default_factory=LatencyHistogram)
+
+    def to_plain(self) -> dict[str, object]:
+        """Return the report for JSON."""
+        return {
+            "sent": self.sent,
+            "not_sent": self.not_sent,
+            "elapsed_s": round(self.elapsed_s, 3),
+            "results": dict(sorted(self.results.items())),
+            "answered": _describe(self.answered),
+            "refused": _describe(self.refused),
+        }
+
+
+def _describe(histogram: LatencyHistogram) -> dict[str, float]:
+    described: dict[str, float] = {"count": histogram.count}
+    if histogram.count:
+        for quantile in SHOWN_QUANTILES:
+            described[f"p{quantile * 100:g}_s"] = histogram.quantile_s(quantile)
+        described["max_s"] = histogram.max_s()
+    return described
+
+
+async def run_load(plan: LoadPlan) -> LoadReport:
+    """Send the requests of a plan and return what came back."""
+    report = LoadReport()
+    count = int(plan.rate_per_s * plan.duration_s)
+    in_flight = anyio.CapacityLimiter(plan.concurrency_limit)
+    start_s = anyio.current_time()
+    async with (
+        httpcore.AsyncConnectionPool(
+            max_connections=min(CONNECTIONS_LIMIT, plan.concurrency_limit)
+        ) as pool,
+        anyio.create_task_group() as tasks,
+    ):
+        for index in range(count):
+            due_s = start_s + index / plan.rate_per_s
+            await anyio.sleep_until(due_s)
+            if in_flight.available_tokens <= 0:
+                report.not_sent += 1
+                continue
+            token = object()
+            in_flight.acquire_on_behalf_of_nowait(token)
+            tasks.start_soon(_send_one, pool, plan, report, due_s, in_flight, token)
+    report.elapsed_s = anyio.current_time() - start_s
+    return report
+
+
+async def _send_one(
+    pool: httpcore.AsyncConnectionPool,
+    plan: LoadPlan,
+    report: LoadReport,
+    due_s: float,
+    in_flight: anyio.CapacityLimiter,
+    token: object,
+) -> None:
+    headers = list(plan.headers)
+    if plan.keyed:
+        headers.append(("idempotency-key", uuid.uuid4().hex))
+    body = b"x" * plan.body_bytes if plan.body_bytes else None
+    report.sent += 1
+    try:
+        with anyio.fail_after(plan.timeout_s):
+            response = await pool.request(
+                plan.method, plan.url, headers=headers, content=body
+            )
+    except (TimeoutError, OSError, httpcore.NetworkError, httpcore.ProtocolError) as e:
+        report.results[type(e).__name__] += 1
+        return
+    finally:
+        in_flight.release_on_behalf_of(token)
+    latency_s = anyio.current_time() - due_s
+    code = dict(response.headers).get(b"x-result-code", b"").decode()
+    report.results[code or f"status-{response.status}"] += 1
+    histogram = report.answered if response.status < 400 else report.refused
+    histogram.record(latency_s)
--- /dev/null
+++ b/src/chivetray/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between entries: membership, revisions and slot grants."""
--- /dev/null
+++ b/src/chivetray/peers/grants.py
@@ -0,0 +1,194 @@
+"""The slots that this entry may use, granted by the homes of the endpoints."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from chivetray.generated.messages import SlotDemand, SlotOffer, SlotWant
+from chivetray.peers.homes import digest_endpoints
+
+# Demands whose sending time is remembered until their offer comes back.
+SENT_LIMIT = 64
+
+
+@dataclass(slots=True)
+class HeldSlots:
+    """Slots of one endpoint at this entry.
+
+    :ivar home: entry that the demands for the endpoint go to
+    :ivar granter: entry that granted the slots; an earlier home at times
+    :ivar waiting: share of the waiting requests that could go to the endpoint
+    :ivar busy_until_s: time at which the requests in flight end at the latest
+    """
+
+    home: str
+    granter: str = ""
+    granted: int = 0
+    expires_at_s: float = 0.0
+    in_use: int = 0
+    waiting: int = 0
+    busy_until_s: float = 0.0
+
+
+@dataclass(slots=True)
+class HomeState:
+    """What this entry has exchanged with one home."""
+
+    sequence: int = 0
+    acked_offer: int = 0
+    digest: int = 0
+    endpoints: list[str] = field(default_factory=list)
+    sent_at_s: deque[tuple[int, float]] = field(
+        default_factory=lambda: deque(maxlen=SENT_LIMIT)
+    )
+    reported: dict[str, tuple[int, int, int]] = field(default_factory=dict)
+
+
+class GrantHolder:
+    """Grants in the hands of this entry.
+
+    :param ttl_s: lifetime of a grant in seconds, counted from the sending of
+        the demand that it answers, so that it ends here before it ends at home
+    """
+
+    def __init__(self, ttl_s: float):
+        self._ttl_s = ttl_s
+        self._held: dict[str, HeldSlots] = {}
+        self._homes: dict[str, HomeState] = {}
+
+    @property
+    def homes(self) -> frozenset[str]:
+        """Entries to which demands are sent."""
+        return frozenset(self._homes)
+
+    def set_homes(self, homes: dict[str, str]) -> None:
+        """Set the home of each endpoint.
+
+        A grant of an earlier home stays usable until it expires, which the new
+        home waits for.
+        """
+        by_home: dict[str, list[str]] = {}
+        for endpoint, home in homes.items():
+            by_home.setdefault(home, []).append(endpoint)
+            self._held.setdefault(endpoint, HeldSlots(home)).home = home
+        for endpoint in list(self._held.keys() - homes.keys()):
+            held = self._held[endpoint]
+            held.granted = 0
+            if held.in_use == 0:
+                del self._held[endpoint]
+        self._homes = {
+            home: self._home_state(home, endpoints)
+            for home, endpoints in by_home.items()
+        }
+
+    def _home_state(self, home: str, endpoints: list[str]) -> HomeState:
+        state = self._homes.get(home) or HomeState()
+        state.endpoints = endpoints
+        state.digest = digest_endpoints(endpoints)
+        state.reported = {
+            name: reported
+            for name, reported in state.reported.items()
+            if name in endpoints
+        }
+        return state
+
+    def granted(self, endpoint: str, now_s: float) -> int:
+        """Return the slots that may be used now."""
+        held = self._held.get(endpoint)
+        if held is None or held.expires_at_s <= now_s:
+            return 0
+        return held.granted
+
+    def free(self, endpoint: str, now_s: float) -> int:
+        """Return the slots in which a request may start now."""
+        granted = self.granted(endpoint, now_s)
+        return max(0, granted - self._held[endpoint].in_use) if granted else 0
+
+    def in_use(self, endpoint: str) -> int:
+        """Return the number of requests in flight."""
+        held = self._held.get(endpoint)
+        return held.in_use if held else 0
+
+    def take(self, endpoint: str, deadline_s: float) -> None:
+        """Count a request that starts."""
+        held = self._held[endpoint]
+        held.in_use += 1
+        held.busy_until_s = max(held.busy_until_s, deadline_s)
+
+    def release(self, endpoint: str) -> None:
+        """Count a request that has ended."""
+        held = self._held.get(endpoint)
+        if held is None:
+            return
+        held.in_use -= 1
+        if held.in_use == 0:
+            held.busy_until_s = 0.0
+
+    def set_waiting(self, waiting: dict[str, int]) -> None:
+        """Set the waiting requests that could go to each endpoint."""
+        for endpoint, held in self._held.items():
+            held.waiting = waiting.get(endpoint, 0)
+
+    def make_demand(self, home: str, now_s: float) -> SlotDemand:
+        """Return the demand for a home, with what has changed since the last."""
+        state = self._homes[home]
+        state.sequence += 1
+        state.sent_at_s.append((state.sequence, now_s))
+        wants = []
+        for endpoint in state.endpoints:
+            held = self._held[endpoint]
+            granted = self.granted(endpoint, now_s) if held.granter == home else 0
+            report = (granted, held.in_use, held.in_use + held.waiting)
+            if state.reported.get(endpoint) == report:
+                continue
+            state.reported[endpoint] = report
+            busy_s = max(0.0, held.busy_until_s - now_s)
+            wants.append(SlotWant(endpoint, *report, busy_s))
+        return SlotDemand(state.sequence, state.acked_offer, wants)
+
+    def handle_offer(self, home: str, offer: SlotOffer, now_s: float) -> bool:
+        """Take the grants of an offer and renew the others of the same home.
+
+        :returns: whether the home waits for the acknowledgement of a lower grant
+        """
+        state = self._homes.get(home)
+        if state is None:
+            return False
+        sent_at_s = dict(state.sent_at_s).get(offer.demand_sequence)
+        state.acked_offer = max(state.acked_offer, offer.sequence)
+        self._drop_expired(state, home, now_s)
+        lowered = False
+        for grant in offer.grants:
+            held = self._held.get(grant.endpoint)
+            if held is None or held.home != home:
+                continue
+            lowered |= held.granter == home and grant.slots < held.granted
+            if held.granter != home:
+                held.expires_at_s = now_s
+            held.granter = home
+            held.granted = grant.slots
+        # Two entries that disagree on the home of an endpoint renew nothing.
+        if sent_at_s is not None and offer.home_digest == state.digest:
+            self._renew(state, home, sent_at_s + self._ttl_s)
+        return lowered
+
+    def _drop_expired(self, state: HomeState, home: str, now_s: float) -> None:
+        for endpoint in state.endpoints:
+            held = self._held[endpoint]
+            if held.granter == home and held.expires_at_s <= now_s:
+                held.granted = 0
+
+    def _renew(self, state: HomeState, home: str, expires_at_s: float) -> None:
+        for endpoint in state.endpoints:
+            held = self._held[endpoint]
+            if held.granter == home:
+                held.expires_at_s = max(held.expires_at_s, expires_at_s)
+
+    def forget_stream(self, home: str) -> None:
+        """Start over with a home whose stream is new; grants run on."""
+        state = self._homes.get(home)
+        if state is not None:
+            state.reported.clear()
+            state.acked_offer = 0
+            state.sent_at_s.clear()
--- /dev/null
+++ b/src/chivetray/peers/stream.py
@@ -0,0 +1,98 @@
+"""A stream of messages to another entry."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import anyio
+from anyio.abc import ByteStream, SocketAttribute, SocketStream
+
+from chivetray.generated.messages import Hello
+from chivetray.peers.codec import (
+    MessageDecoder,
+    PeerMessage,
+    PeerProtocolError,
+    encode_message,
+)
+from chivetray.results import ResultCode
+from chivetray.sockets import socket_options
+
+RECEIVE_BYTES = 65536
+CONNECT_TIMEOUT_S = 1.0
+UNACKNOWLEDGED_TIMEOUT_S = 1.5
+
+
+class PeerStream:
+    """Messages over one TCP connection.
+
+    :ivar sent_bytes: bytes sent so far
+    """
+
+    def __init__(self, stream: ByteStream):
+        self._stream = stream
+        self._decoder = MessageDecoder()
+        self._send_lock = anyio.Lock()
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    @classmethod
+    async def connect(cls, address: str, port: int) -> PeerStream:
+        """Open a connection to another entry.
+
+        :raises OSError: when the entry does not accept it
+        :raises TimeoutError: when the entry does not answer
+        """
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            stream = await anyio.connect_tcp(address, port)
+        return cls.from_socket(stream)
+
+    @classmethod
+    def from_socket(cls, stream: SocketStream) -> PeerStream:
+        """Wrap an accepted connection."""
+        raw = stream.extra(SocketAttribute.raw_socket)
+        for level, option, value in socket_options(UNACKNOWLEDGED_TIMEOUT_S):
+            raw.setsockopt(level, option, value)
+        return cls(stream)
+
+    async def send(self, message: PeerMessage) -> None:
+        """Send one message.
+
+        :raises anyio.BrokenResourceError: when the connection is closed
+        """
+        content = encode_message(message)
+        async with self._send_lock:
+            await self._stream.send(content)
+        self.sent_bytes += len(content)
+
+    async def messages(self) -> AsyncIterator[PeerMessage]:
+        """Yield the messages until the other side closes the connection.
+
+        :raises PeerProtocolError: when a message cannot be read
+        """
+        while True:
+            try:
+                content = await self._stream.receive(RECEIVE_BYTES)
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return
+            except anyio.ClosedResourceError:
+                return
+            self.received_bytes += len(content)
+            for message in self._decoder.feed(content):
+                yield message
+
+    async def receive_hello(self, timeout_s: float) -> Hello:
+        """Receive the first message of the other side.
+
+        :raises PeerProtocolError: when it is something else
+        :raises TimeoutError: when it does not come in time
+        """
+        with anyio.fail_after(timeout_s):
+            async for message in self.messages():
+                if isinstance(message, Hello):
+                    return message
+                break
+        raise PeerProtocolError(ResultCode.BAD_VALUE, "a peer did not introduce itself")
+
+    async def aclose(self) -> None:
+        """Close the connection at once."""
+        await anyio.aclose_forcefully(self._stream)
--- /dev/null
+++ b/src/chivetray/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- /dev/null
+++ b/src/chivetray/platform/client.py
@@ -0,0 +1,248 @@
+"""Client of the platform's services over HTTP.
+
+Every method returns a result: a failure says whether the platform answered.
+Without an answer a write may or may not have taken effect, which only a later
+read can tell.
+"""
+
+from __future__ import annotations
+
+import json
+import ssl
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import anyio
+import httpcore
+from returns.result import Failure, Result, Success
+
+from chivetray.exceptions import PlatformError
+from chivetray.generated.settings import PlatformSettings
+from chivetray.results import ResultCode
+from chivetray.sockets import socket_options
+
+CONNECTIONS_LIMIT = 8
+IDLE_CONNECTION_S = 30.0
+UNACKNOWLEDGED_TIMEOUT_S = 2.0
+
+# Expected version of a row that does not exist.
+ABSENT = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """Row of the table service."""
+
+    key: str
+    version: int
+    value: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class RowWrite:
+    """Conditional write of one row.
+
+    :ivar expected_version: version that the row must have, or :data:`ABSENT`
+    :ivar value: new value, or ``None`` to delete the row
+    """
+
+    table: str
+    key: str
+    expected_version: int
+    value: dict[str, Any] | None
+
+    def to_plain(self) -> dict[str, Any]:
+        """Return the write as it is sent."""
+        return {
+            "table": self.table,
+            "key": self.key,
+            "expected_version": self.expected_version,
+            "value": self.value,
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class RowWritten:
+    """Outcome of one conditional write.
+
+    :ivar version: version of the row afterwards
+    :ivar written: whether the expected version was found
+    """
+
+    version: int
+    written: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """Answer of the platform."""
+
+    status: int
+    content: bytes
+
+    def json(self) -> Any:
+        """Return the decoded content."""
+        return json.loads(self.content)
+
+
+class PlatformClient:
+    """Calls the table service, the object store and the VM list."""
+
+    def __init__(self, url: str, timeout_s: float, pool: httpcore.AsyncConnectionPool):
+        self._url = url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._pool = pool
+
+    @classmethod
+    def from_config(cls, settings: PlatformSettings) -> PlatformClient:
+        """Make a client from the settings."""
+        context = None
+        if settings.url.startswith("https:"):
+            context = ssl.create_default_context(cafile=settings.ca_file)
+        pool = httpcore.AsyncConnectionPool(
+            ssl_context=context,
+            max_connections=CONNECTIONS_LIMIT,
+            keepalive_expiry=IDLE_CONNECTION_S,
+            socket_options=socket_options(UNACKNOWLEDGED_TIMEOUT_S),
+        )
+        return cls(settings.url, settings.timeout_s, pool)
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def read_row(self, table: str, key: str) -> Result[Row | None, PlatformError]:
+        """Read one row; the result holds ``None`` when it does not exist."""
+        path = f"/v1/tables/{quote(table, safe='')}/{quote(key, safe='')}"
+        result = await self._call("GET", path)
+        if isinstance(result, Failure):
+            return Failure(result.failure())
+        response = result.unwrap()
+        if response.status == 404:
+            return Success(None)
+        if response.status != 200:
+            return _refused(response)
+        document = response.json()
+        return Success(Row(key, document["version"], document["value"]))
+
+    async def list_rows(
+        self, table: str, after: str = "", limit: int = 100
+    ) -> Result[list[Row], PlatformError]:
+        """Read the rows after a key, in order of their keys."""
+        query = urlencode({"after": after, "limit": limit})
+        path = f"/v1/tables/{quote(table, safe='')}?{query}"
+        result = await self._call("GET", path)
+        if isinstance(result, Failure):
+            return Failure(result.failure())
+        response = result.unwrap()
+        if response.status != 200:
+            return _refused(response)
+        rows = response.json()["rows"]
+        return Success([Row(row["key"], row["version"], row["value"]) for row in rows])
+
+    async def write_all(self, writes: list[RowWrite]) -> Result[bool, PlatformError]:
+        """Write all rows or none; the result is false after a conflict."""
+        content = {"writes": [write.to_plain() for write in writes]}
+        result = await self._call("POST", "/v1/transactions", content)
+        if isinstance(result, Failure):
+            return Failure(result.failure())
+        response = result.unwrap()
+        if response.status == 409:
+            return Success(False)
+        if response.status != 200:
+            return _refused(response)
+        return Success(True)
+
+    async def write_each(
+        self, writes: list[RowWrite]
+    ) -> Result[list[RowWritten], PlatformError]:
+        """Write rows independently of each other in one call."""
+        content = {"writes": [write.to_plain() for write in writes]}
+        result = await self._call("POST", "/v1/batches", content)
+        if isinstance(result, Failure):
+            return Failure(result.failure())
+        response = result.unwrap()
+        if response.status != 200:
+            return _refused(response)
+        results = response.json()["results"]
+        return Success(
+            [RowWritten(item["version"], item["written"]) for item in results]
+        )
+
+    async def put_object(
+        self, digest: str, content: str
+    ) -> Result[None, PlatformError]:
+        """Store content under its digest."""
+        result = await self._call("PUT", f"/v1/objects/{digest}", content)
+        if isinstance(result, Failure):
+            return Failure(result.failure())
+        response = result.unwrap()
+        return Success(None) if response.status == 200 else _refused(response)
+
+    async def get_object(self, digest: str) -> Result[str | None, PlatformError]:
+        """Read content; the result holds ``None`` when it does not exist."""
+        result = await self._call("GET", f"/v1/objects/{digest}")
+        if isinstance(result, Failure):
+            return Failure(result.failure())
+        response = result.unwrap()
+        if response.status == 404:
+            return Success(None)
+        if response.status != 200:
+            return _refused(response)
+        return Success(response.json())
+
+    async def get_json(self, path: str) -> Result[Any, PlatformError]:
+        """Read a JSON document, such as the VM list."""
+        result = await self._call("GET", path)
+        if isinstance(result, Failure):
+            return Failure(result.failure())
+        response = result.unwrap()
+        return (
+            Success(response.json()) if response.status == 200 else _refused(response)
+        )
+
+    async def send_json(
+        self, method: str, path: str, content: Any
+    ) -> Result[None, PlatformError]:
+        """Send a JSON document and expect status 200."""
+        result = await self._call(method, path, content)
+        if isinstance(result, Failure):
+            return Failure(result.failure())
+        response = result.unwrap()
+        return Success(None) if response.status == 200 else _refused(response)
+
+    async def _call(
+        self, method: str, path: str, content: Any = None
+    ) -> Result[Response, PlatformError]:
+        body = b"" if content is None else json.dumps(content).encode()
+        headers = [("content-type", "application/json")]
+        try:
+            with anyio.fail_after(self._timeout_s):
+                response = await self._pool.request(
+                    method, self._url + path, headers=headers, content=body
+                )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            # Nothing was sent, so nothing can have taken effect.
+            return Failure(_unavailable(error, answered=True))
+        except (
+            TimeoutError,
+            OSError,
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+        ) as error:
+            return Failure(_unavailable(error, answered=False))
+        return Success(Response(response.status, response.content))
+
+
+def _unavailable(error: Exception, answered: bool) -> PlatformError:
+    reason = str(error) or type(error).__name__
+    message = f"the platform does not answer ({reason})"
+    return PlatformError(ResultCode.PLATFORM_UNAVAILABLE, message, answered)
+
+
+def _refused(response: Response) -> Failure[PlatformError]:
+    message = f"the platform refused the call with status {response.status}"
+    error = PlatformError(ResultCode.PLATFORM_REFUSED, message, answered=True)
+    return Failure(error)
--- /dev/null
+++ b/src/chivetray/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The way of one request: admission, endpoint, attempts, answer."""
--- /dev/null
+++ b/src/chivetray/requests/balancer.py
@@ -0,0 +1,128 @@
+"""Chooses the endpoint of an attempt."""
+
+from __future__ import annotations
+
+import math
+
+from chivetray.fleet.catalog import Catalog
+from chivetray.fleet.vm_states import VmStates
+from chivetray.generated.objects import Priority, Service, Vm
+from chivetray.peers.grants import GrantHolder
+from chivetray.requests.outliers import OutlierTable
+
+
+class Balancer:
+    """Endpoints of each service in this zone, with their free slots."""
+
+    def __init__(
+        self,
+        zone: str,
+        holder: GrantHolder,
+        states: VmStates,
+        outliers: OutlierTable,
+    ):
+        self._zone = zone
+        self._holder = holder
+        self._states = states
+        self._outliers = outliers
+        self._catalog = Catalog()
+        self._near: dict[str, list[Vm]] = {}
+        self._reserved: dict[str, int] = {}
+        self._reconciling: dict[str, int] = {}
+
+    def set_catalog(self, catalog: Catalog) -> None:
+        """Index the endpoints of a new revision."""
+        self._catalog = catalog
+        by_pool: dict[str, list[Vm]] = {}
+        for vm in catalog.vms.values():
+            if vm.zone == self._zone:
+                by_pool.setdefault(vm.pool, []).append(vm)
+        self._near = {
+            service.name: [vm for pool in service.pools for vm in by_pool.get(pool, [])]
+            for service in catalog.services.values()
+        }
+        self._reserved = {
+            vm.name: catalog.pools[vm.pool].reserved_quick_slots
+            for vms in by_pool.values()
+            for vm in vms
+            if vm.pool in catalog.pools
+        }
+
+    def endpoints(self, service: Service) -> list[Vm]:
+        """Return the endpoints of a service in this zone."""
+        return self._near.get(service.name, [])
+
+    def live_endpoints(self, service: Service, now_s: float) -> list[Vm]:
+        """Return the endpoints that may receive idempotent requests."""
+        return [vm for vm in self.endpoints(service) if self._may_use(vm, True, now_s)]
+
+    def granted_slots(self, service: Service, now_s: float) -> int:
+        """Return the slots that this entry may use for a service."""
+        return sum(
+            self._holder.granted(vm.name, now_s)
+            for vm in self.live_endpoints(service, now_s)
+        )
+
+    def choose(
+        self, service: Service, idempotent: bool, excluded: set[str], now_s: float
+    ) -> Vm | None:
+        """Return the endpoint with the most free slots, or ``None``.
+
+        An excluded endpoint is chosen only when no other may be used at all.
+        """
+        usable = [
+            vm for vm in self.endpoints(service) if self._may_use(vm, idempotent, now_s)
+        ]
+        others = [vm for vm in usable if vm.name not in excluded]
+        best, best_free = None, 0
+        for vm in others or usable:
+            free = self._free(vm, service, now_s)
+            if free > best_free:
+                best, best_free = vm, free
+        return best
+
+    def _may_use(self, vm: Vm, idempotent: bool, now_s: float) -> bool:
+        return self._states.is_live(vm.name) and self._outliers.is_available(
+            vm.name, idempotent, now_s
+        )
+
+    def _free(self, vm: Vm, service: Service, now_s: float) -> int:
+        free = self._holder.free(vm.name, now_s)
+        if service.priority is not Priority.reconciliation:
+            return free
+        granted = self._holder.granted(vm.name, now_s)
+        kept = math.ceil(self._reserved.get(vm.name, 0) * granted / vm.slots)
+        allowed = granted - kept - self._reconciling.get(vm.name, 0)
+        return min(free, allowed)
+
+    def take(self, vm: Vm, service: Service, deadline_s: float) -> None:
+        """Count a request that starts at an endpoint."""
+        self._holder.take(vm.name, deadline_s)
+        self._outliers.begin(vm.name)
+        if service.priority is Priority.reconciliation:
+            self._reconciling[vm.name] = self._reconciling.get(vm.name, 0) + 1
+
+    def release(self, vm: Vm, service: Service) -> None:
+        """Count a request that has ended."""
+        self._holder.release(vm.name)
+        if service.priority is Priority.reconciliation:
+            self._reconciling[vm.name] -= 1
+
+    def may_eject(self, endpoint: str) -> bool:
+        """Return whether the budgets allow one more unavailable endpoint."""
+        vm = self._catalog.vms.get(endpoint)
+        if vm is None:
+            return True
+        unavailable = self._states.unavailable() | self._outliers.ejected()
+        for service in self._catalog.services.values():
+            if vm.pool not in service.pools:
+                continue
+            budget = self._catalog.budgets[service.budget]
+            count = sum(
+                name in self._catalog.vms
+                and self._catalog.vms[name].pool in service.pools
+                for name in unavailable
+            )
+            if count >= budget.max_unavailable_vms:
+                return False
+        return True
--- /dev/null
+++ b/src/chivetray/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of outside systems, for trials and tests."""
--- /dev/null
+++ b/src/chivetray/standins/endpoint.py
@@ -0,0 +1,161 @@
+"""Stand-in of an endpoint that keeps a ledger and can be told to fail."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+import anyio
+
+ATTEMPT_HEADER = b"x-attempt-id"
+NOT_RUN_HEADER = b"x-not-run"
+REQUEST_HEADER = b"x-request-id"
+CONTROL_PATH = "/_standin"
+STALL_S = 3600.0
+
+Message = dict[str, Any]
+
+
+@dataclass(slots=True)
+class EndpointFaults:
+    """Faults that the stand-in shows.
+
+    :ivar delay_s: time for which a request runs
+    :ivar stalled: run the request and never answer
+    :ivar truncate: cut the answer short
+    :ivar wrong_attempt: answer with another attempt's identifier
+    :ivar error_after_run: run the request and answer with status 500
+    :ivar refuse: answer that the request was not run
+    """
+
+    delay_s: float = 0.0
+    stalled: bool = False
+    truncate: bool = False
+    wrong_attempt: bool = False
+    error_after_run: bool = False
+    refuse: bool = False
+
+
+@dataclass(slots=True)
+class EndpointState:
+    """What the stand-in counts.
+
+    :ivar ledger: runs of each request identifier
+    :ivar over_admissions: requests that began while all slots were in use
+    """
+
+    name: str
+    slots: int
+    faults: EndpointFaults = field(default_factory=EndpointFaults)
+    ledger: dict[str, int] = field(default_factory=dict)
+    running: int = 0
+    most_running: int = 0
+    over_admissions: int = 0
+    requests: int = 0
+    last_request_at_s: float = 0.0
+
+
+class EndpointApp:
+    """ASGI application that answers with the request's own identity."""
+
+    def __init__(self, state: EndpointState):
+        self.state = state
+
+    async def __call__(self, scope: Message, receive: Any, send: Any) -> None:
+        """Serve one HTTP request."""
+        if scope["type"] != "http":
+            return
+        body = await _read_body(receive)
+        if scope["path"].startswith(CONTROL_PATH):
+            await self._control(scope, body, send)
+            return
+        state = self.state
+        state.running += 1
+        state.most_running = max(state.most_running, state.running)
+        state.over_admissions += state.running > state.slots
+        try:
+            await self._answer(scope, body, send)
+        finally:
+            state.running -= 1
+
+    async def _answer(self, scope: Message, body: bytes, send: Any) -> None:
+        faults = self.state.faults
+        headers = dict(scope["headers"])
+        attempt = headers.get(ATTEMPT_HEADER, b"")
+        if faults.refuse:
+            await _send(
+                send,
+                503,
+                b"refused",
+                [(ATTEMPT_HEADER, attempt), (NOT_RUN_HEADER, b"1")],
+            )
+            return
+        request = headers.get(REQUEST_HEADER, attempt).decode("latin-1")
+        self.state.requests += 1
+        self.state.last_request_at_s = anyio.current_time()
+        self.state.ledger[request] = self.state.ledger.get(request, 0) + 1
+        if faults.stalled:
+            await anyio.sleep(STALL_S)
+        await anyio.sleep(faults.delay_s)
+        if faults.error_after_run:
+            await _send(send, 500, b"failed after running", [(ATTEMPT_HEADER, attempt)])
+            return
+        if faults.wrong_attempt:
+            attempt = b"another-attempt"
+        content = self._describe(scope, body, request)
+        await _send(send, 200, content, [(ATTEMPT_HEADER, attempt)], faults.truncate)
+
+    def _describe(self, scope: Message, body: bytes, request: str) -> bytes:
+        answer = {
+            "endpoint": self.state.name,
+            "request": request,
+            "method": scope["method"],
+            "path": scope["raw_path"].decode("latin-1"),
+            "query": scope["query_string"].decode("latin-1"),
+            "body_bytes": len(body),
+        }
+        size = int(dict(scope["headers"]).get(b"x-answer-bytes", b"0"))
+        return json.dumps(answer).encode() + b"\n" + b"x" * size
+
+    async def _control(self, scope: Message, body: bytes, send: Any) -> None:
+        """Set the faults, or report the counts."""
+        if scope["method"] == "POST":
+            self.state.faults = EndpointFaults(**json.loads(body))
+        content = json.dumps(asdict(self.state)).encode()
+        await _send(send, 200, content, [])
+
+
+async def _read_body(receive: Any) -> bytes:
+    parts = []
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            break
+        parts.append(message.get("body", b""))
+        if not message.get("more_body", False):
+            break
+    return b"".join(parts)
+
+
+async def _send(
+    send: Any,
+    status: int,
+    content: bytes,
+    headers: list[tuple[bytes, bytes]],
+    truncate: bool = False,
+) -> None:
+    length = (b"content-length", str(len(content)).encode())
+    await send(
+        {"type": "http.response.start", "status": status, "headers": [*headers, length]}
+    )
+    if truncate:
+        await send(
+            {
+                "type": "http.response.body",
+                "body": content[: len(content) // 2],
+                "more_body": True,
+            }
+        )
+        raise RuntimeError("the answer is cut as told")
+    await send({"type": "http.response.body", "body": content})
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,22 @@
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+from helpers import Fleet, FleetPlan
+
+
+@pytest.fixture
+def start_fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator:
+    """Return a function that starts a fleet; all fleets end with the test."""
+    fleets: list[Fleet] = []
+
+    def start(plan: FleetPlan) -> Fleet:
+        fleet = Fleet(plan, tmp_path_factory.mktemp("fleet"))
+        fleets.append(fleet)
+        fleet.start()
+        return fleet
+
+    yield start
+    for fleet in fleets:
+        fleet.close()
