Prove the way of a request under failures of endpoints, peers and store

Cause: the path served requests, but nothing was proved under failure.

Found by the new tests and mended: - With two of three endpoints dead and a budget that allows one ejection, 50 requests gave 503 for some: the second dead endpoint stayed as likely as the live one until the retry budget was used up. Ruled out: a larger retry budget (it raises the amplification that it is there to bound). Now an endpoint that does not accept connections, or that may not be ejected, is used only when no other has a slot, with idempotent trials. After: 50 of 50 answered. - A timed out attempt gave its slot back while the endpoint could still run the request, so an endpoint could be over-admitted. The slot now stays taken until the request's deadline, and the endpoint is told the time limit. - A slot taken before a pause could be used after its grant had expired. The grant and the VM's state are looked at again right before sending. - A timeout while connecting was reported as an unknown outcome; it is "not run". - Silent connections to the platform cost one timeout each; the whole pool is now left behind after the first.

--- a/src/chivetray/cmdline.py
+++ b/src/chivetray/cmdline.py
@@ -23,6 +23,7 @@
 from chivetray.load import LoadPlan, run_load
 from chivetray.results import ResultCode
 from chivetray.standins import runner
+from chivetray.standins.relay import Relay
 
 EXIT_OK = 0
 EXIT_FAULT = 1
@@ -205,6 +206,16 @@
     endpoint.add_argument("--name", required=True)
     endpoint.add_argument("--slots", type=int, default=8)
     _add_address(endpoint, 9001)
+    relay = _add_command(
+        kinds,
+        "relay",
+        run_relay_standin,
+        "Run a TCP relay that can go silent.",
+        "standin relay --port 9002 --target-address 127.0.0.1 --target-port 9001",
+    )
+    relay.add_argument("--target-address", required=True)
+    relay.add_argument("--target-port", type=int, required=True)
+    _add_address(relay, 9002)
     attempt = _add_command(
         commands,
         "try",
@@ -471,6 +482,13 @@
     return EXIT_OK
 
 
+def run_relay_standin(arguments: argparse.Namespace) -> int:
+    """Run a TCP relay."""
+    relay = Relay(arguments.target_address, arguments.target_port)
+    anyio.run(relay.serve, arguments.address, arguments.port)
+    return EXIT_OK
+
+
 def run_try(arguments: argparse.Namespace) -> int:
     """Run a small fleet in one process."""
     open_log()
--- a/src/chivetray/entry.py
+++ b/src/chivetray/entry.py
@@ -193,8 +193,9 @@
             log_event(Event.ENTRY_READY, revision=self._revisions.number)
 
     async def _follow_demand(self) -> None:
-        """Report waiting requests to the homes of their endpoints."""
+        """Report waiting requests to the homes and give back lingering slots."""
         while True:
+            self._admission.release_lingering()
             waiting = self._admission.waiting_by_endpoint()
             self._node.holder.set_waiting(waiting)
             if waiting:
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -43,6 +43,7 @@
         1303,
         "An endpoint fails, but ejecting it would break the availability budget.",
     )
+    ENDPOINT_AVOIDED = (1305, "An endpoint fails and receives only what others cannot.")
     ENDPOINT_LEAVING = (1304, "An endpoint is leaving and receives no new requests.")
 
     REQUEST_REFUSED = (1400, "A request was refused before it ran.")
--- a/src/chivetray/platform/client.py
+++ b/src/chivetray/platform/client.py
@@ -19,6 +19,7 @@
 
 from chivetray.exceptions import PlatformError
 from chivetray.generated.settings import PlatformSettings
+from chivetray.pools import RenewablePool
 from chivetray.results import ResultCode
 from chivetray.sockets import socket_options
 
@@ -89,7 +90,7 @@
 class PlatformClient:
     """Calls the table service, the object store and the VM list."""
 
-    def __init__(self, url: str, timeout_s: float, pool: httpcore.AsyncConnectionPool):
+    def __init__(self, url: str, timeout_s: float, pool: RenewablePool):
         self._url = url.rstrip("/")
         self._timeout_s = timeout_s
         self._pool = pool
@@ -100,13 +101,16 @@
         context = None
         if settings.url.startswith("https:"):
             context = ssl.create_default_context(cafile=settings.ca_file)
-        pool = httpcore.AsyncConnectionPool(
-            ssl_context=context,
-            max_connections=CONNECTIONS_LIMIT,
-            keepalive_expiry=IDLE_CONNECTION_S,
-            socket_options=socket_options(UNACKNOWLEDGED_TIMEOUT_S),
-        )
-        return cls(settings.url, settings.timeout_s, pool)
+
+        def open_pool() -> httpcore.AsyncConnectionPool:
+            return httpcore.AsyncConnectionPool(
+                ssl_context=context,
+                max_connections=CONNECTIONS_LIMIT,
+                keepalive_expiry=IDLE_CONNECTION_S,
+                socket_options=socket_options(UNACKNOWLEDGED_TIMEOUT_S),
+            )
+
+        return cls(settings.url, settings.timeout_s, RenewablePool(open_pool))
 
     async def aclose(self) -> None:
         """Close all connections."""
@@ -217,9 +221,10 @@
     ) -> Result[Response, PlatformError]:
         body = b"" if content is None else json.dumps(content).encode()
         headers = [("content-type", "application/json")]
+        lease = self._pool.take()
         try:
             with anyio.fail_after(self._timeout_s):
-                response = await self._pool.request(
+                response = await lease.pool.request(
                     method, self._url + path, headers=headers, content=body
                 )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
@@ -232,7 +237,10 @@
             httpcore.TimeoutException,
             httpcore.ProtocolError,
         ) as error:
+            await self._pool.renew(lease)
             return Failure(_unavailable(error, answered=False))
+        finally:
+            await self._pool.release(lease)
         return Success(Response(response.status, response.content))
 
 
--- a/src/chivetray/requests/admission.py
+++ b/src/chivetray/requests/admission.py
@@ -119,6 +119,8 @@
         self._estimates: dict[str, RunTimeEstimate] = {}
         self._team_in_flight: Counter[str] = Counter()
         self._team_requests: Counter[str] = Counter()
+        self._lingering: list[tuple[float, int, Ticket]] = []
+        self._counter = itertools.count()
 
     def set_objects(self, services: dict[str, Service], teams: dict[str, Team]) -> None:
         """Take over the services and teams of a new revision."""
@@ -249,11 +251,19 @@
         ticket.assigned.set()
         return True
 
-    def release(self, ticket: Ticket, run_s: float | None) -> None:
+    def release(
+        self, ticket: Ticket, run_s: float | None, busy_until_s: float = 0.0
+    ) -> None:
         """Give a slot back.
 
         :param run_s: run time of the request, unless it tells nothing
+        :param busy_until_s: time until which the endpoint may still be running
+            the request; its slot stays taken until then
         """
+        if busy_until_s > anyio.current_time():
+            item = (busy_until_s, next(self._counter), ticket)
+            heapq.heappush(self._lingering, item)
+            return
         assert ticket.vm is not None
         self._balancer.release(ticket.vm, ticket.service)
         self._team_in_flight[ticket.team] -= 1
@@ -261,6 +271,13 @@
             self.estimate(ticket.service).record(run_s)
         self.dispatch()
 
+    def release_lingering(self) -> None:
+        """Give back the slots of requests that must have ended by now."""
+        now_s = anyio.current_time()
+        while self._lingering and self._lingering[0][0] <= now_s:
+            _, _, ticket = heapq.heappop(self._lingering)
+            self.release(ticket, None)
+
     def dispatch(self) -> None:
         """Assign free slots to waiting requests in their order."""
         now_s = anyio.current_time()
--- a/src/chivetray/requests/attempt.py
+++ b/src/chivetray/requests/attempt.py
@@ -41,6 +41,9 @@
 
 _OWN_HEADERS = frozenset((ATTEMPT_HEADER, REQUEST_HEADER, b"content-length"))
 
+# Decimal places of the time limit that is passed on to an endpoint.
+LIMIT_DIGITS = 3
+
 _BROKEN = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -88,28 +91,29 @@
             is right after a cancellation too
         :raises AttemptError: when no whole answer came
         """
-        pooled = await self._connections.take(vm, request.idempotent)
+        connections = await self._connections.pool(vm, request.idempotent)
+        lease = connections.take()
         response: httpcore.Response | None = None
         try:
             with anyio.fail_after(timeout_s):
                 message = _build_request(
-                    request, vm, attempt_id, self._settings, progress
+                    request, vm, attempt_id, timeout_s, self._settings, progress
                 )
-                response = await pooled.pool.handle_async_request(message)
+                response = await lease.pool.handle_async_request(message)
                 answer = await self._read_answer(response, request, attempt_id)
             yield answer
         except TimeoutError as error:
-            message_text = f"endpoint {vm.name} did not answer in time"
-            raise AttemptError(
-                ResultCode.OUTCOME_TIMEOUT, message_text, progress.sent
-            ) from error
+            await connections.renew(lease)
+            raise _timed_out(vm, progress) from error
         except _BROKEN as error:
+            if progress.sent:
+                await connections.renew(lease)
             raise _broken(vm, error, progress) from error
         finally:
             with anyio.CancelScope(shield=True):
                 if response is not None:
                     await response.aclose()
-                await self._connections.release(pooled)
+                await connections.release(lease)
 
     async def _read_answer(
         self, response: httpcore.Response, request: CallerRequest, attempt_id: str
@@ -131,14 +135,19 @@
     request: CallerRequest,
     vm: Vm,
     attempt_id: str,
+    timeout_s: float,
     settings: RequestSettings,
     progress: SendProgress,
 ) -> httpcore.Request:
+    limit_header = settings.deadline_header.lower().encode()
     headers: list[Header] = [
         (name, value)
         for name, value in request.headers
-        if name not in CONNECTION_HEADERS and name not in _OWN_HEADERS
+        if name not in CONNECTION_HEADERS
+        and name not in _OWN_HEADERS
+        and name != limit_header
     ]
+    headers.append((limit_header, str(round(timeout_s, LIMIT_DIGITS)).encode()))
     headers.append((ATTEMPT_HEADER, attempt_id.encode()))
     headers.append((REQUEST_HEADER, request.request_id.encode("latin-1")))
     if request.body or request.method not in (b"GET", b"HEAD", b"OPTIONS"):
@@ -193,6 +202,14 @@
         raise AttemptError(ResultCode.ANSWER_UNBOUNDED, message, sent=True)
 
 
+def _timed_out(vm: Vm, progress: SendProgress) -> AttemptError:
+    if not progress.sent:
+        message = f"endpoint {vm.name} could not be connected to in time"
+        return AttemptError(ResultCode.NOT_CONNECTED, message, sent=False)
+    message = f"endpoint {vm.name} did not answer in time"
+    return AttemptError(ResultCode.OUTCOME_TIMEOUT, message, sent=True)
+
+
 def _broken(vm: Vm, error: Exception, progress: SendProgress) -> AttemptError:
     reason = str(error) or type(error).__name__
     if not progress.sent:
--- a/src/chivetray/requests/balancer.py
+++ b/src/chivetray/requests/balancer.py
@@ -4,6 +4,8 @@
 
 import math
 
+import anyio
+
 from chivetray.fleet.catalog import Catalog
 from chivetray.fleet.vm_states import VmStates
 from chivetray.generated.objects import Priority, Service, Vm
@@ -74,11 +76,12 @@
             vm for vm in self.endpoints(service) if self._may_use(vm, idempotent, now_s)
         ]
         others = [vm for vm in usable if vm.name not in excluded]
-        best, best_free = None, 0
+        best, best_rank = None, (False, 0)
         for vm in others or usable:
             free = self._free(vm, service, now_s)
-            if free > best_free:
-                best, best_free = vm, free
+            preferred = self._outliers.is_preferred(vm.name, idempotent, now_s)
+            if free > 0 and (preferred, free) > best_rank:
+                best, best_rank = vm, (preferred, free)
         return best
 
     def _may_use(self, vm: Vm, idempotent: bool, now_s: float) -> bool:
@@ -86,6 +89,15 @@
             vm.name, idempotent, now_s
         )
 
+    def may_send(self, vm: Vm) -> bool:
+        """Return whether a slot that was taken may still be used.
+
+        The grant may have expired, or the VM may have begun to leave, while the
+        process was paused or wrote a claim.
+        """
+        granted = self._holder.granted(vm.name, anyio.current_time())
+        return granted > 0 and self._states.is_live(vm.name)
+
     def _free(self, vm: Vm, service: Service, now_s: float) -> int:
         free = self._holder.free(vm.name, now_s)
         if service.priority is not Priority.reconciliation:
--- a/src/chivetray/requests/handler.py
+++ b/src/chivetray/requests/handler.py
@@ -85,7 +85,6 @@
         self._admission = admission
         self._balancer = balancer
         self._outliers = outliers
-        self._connections = connections
         self._claims = claims
         self._metrics = metrics
         self._sender = AttemptSender(config.requests, connections)
@@ -173,6 +172,7 @@
         assert ticket.vm is not None
         started_at_s = anyio.current_time()
         run_s: float | None = None
+        busy_until_s = 0.0
         try:
             await self._claim(request, progress)
             await self._send(request, ticket.vm, responder, progress)
@@ -180,14 +180,17 @@
             return True
         except AttemptError as error:
             elapsed_s = anyio.current_time() - started_at_s
-            await self._note_failure(request, ticket.vm, error, elapsed_s)
+            self._note_failure(request, ticket.vm, error, elapsed_s)
+            if error.code is ResultCode.OUTCOME_TIMEOUT:
+                # The endpoint may still be running the request.
+                busy_until_s = request.deadline_s
             self._check_retry(request, error, progress.record)
             return False
         except ChivetrayError:
             self._outliers.record_abandoned(ticket.vm.name)
             raise
         finally:
-            self._admission.release(ticket, run_s)
+            self._admission.release(ticket, run_s, busy_until_s)
 
     async def _admit(self, request: CallerRequest, record: AttemptRecord) -> Ticket:
         ticket = Ticket(
@@ -224,6 +227,9 @@
     ) -> None:
         """Send one attempt and pass its answer on."""
         record = progress.record
+        if not self._balancer.may_send(vm):
+            message = f"endpoint {vm.name} was withdrawn before the request was sent"
+            raise AttemptError(ResultCode.ENDPOINT_WITHDRAWN, message, sent=False)
         record.attempts += 1
         record.endpoints.add(vm.name)
         self._metrics.attempts.labels(request.service.name).inc()
@@ -270,7 +276,7 @@
         else:
             self._outliers.record_success(vm.name)
 
-    async def _note_failure(
+    def _note_failure(
         self, request: CallerRequest, vm: Vm, error: AttemptError, elapsed_s: float
     ) -> None:
         """Count a failed attempt against its endpoint."""
@@ -282,9 +288,6 @@
         if reason is None or too_short:
             self._outliers.record_abandoned(vm.name)
             return
-        if reason is not FailureReason.NOT_CONNECTED:
-            # Other open connections to the endpoint may be as bad.
-            await self._connections.reset(vm)
         self._eject_if_needed(vm, reason)
 
     def _eject_if_needed(self, vm: Vm, reason: FailureReason) -> None:
--- a/src/chivetray/requests/outliers.py
+++ b/src/chivetray/requests/outliers.py
@@ -32,12 +32,16 @@
     """Recent results of one endpoint.
 
     :ivar ejected_until_s: time until which it receives nothing, 0 when healthy
+    :ivar avoided_until_s: time until which it receives only what no other
+        endpoint has a slot for, since it does not accept connections or may not
+        be ejected
     :ivar probing: whether a request on trial is in flight
     """
 
     failures: int = 0
     ejections: int = 0
     ejected_until_s: float = 0.0
+    avoided_until_s: float = 0.0
     probing: bool = False
 
 
@@ -58,6 +62,17 @@
             return True
         return health.ejected_until_s <= now_s and idempotent and not health.probing
 
+    def is_preferred(self, endpoint: str, idempotent: bool, now_s: float) -> bool:
+        """Return whether an endpoint is as good as any other.
+
+        An endpoint that fails but may not be ejected is avoided. From time to
+        time an idempotent request goes there on trial.
+        """
+        health = self._health.get(endpoint)
+        if health is None or health.avoided_until_s == 0:
+            return True
+        return health.avoided_until_s <= now_s and idempotent
+
     def begin(self, endpoint: str) -> None:
         """Note that a request starts; the first after an ejection is a trial."""
         health = self._health.get(endpoint)
@@ -89,10 +104,13 @@
         was_ejected = health.ejected_until_s > 0
         health.probing = False
         if not was_ejected and health.failures < self._settings.consecutive_failures:
+            if reason is FailureReason.NOT_CONNECTED:
+                self._avoid(endpoint, health, now_s)
             return Ejection.NONE
         if not was_ejected and not may_eject:
             if health.failures == self._settings.consecutive_failures:
                 log_event(Event.EJECTION_WITHHELD, endpoint=endpoint)
+            self._avoid(endpoint, health, now_s)
             return Ejection.WITHHELD
         if was_ejected and health.ejected_until_s > now_s:
             # A request that was in flight when the endpoint was ejected.
@@ -100,15 +118,27 @@
         self._eject(endpoint, health, reason, now_s)
         return Ejection.EJECTED
 
+    def _length_s(self, health: EndpointHealth) -> float:
+        """Return the length of the next ejection; each is twice the one before."""
+        longest_s = self._settings.max_ejection_s
+        length_s: float = self._settings.ejection_s * 2**health.ejections
+        return min(longest_s, length_s)
+
+    def _avoid(self, endpoint: str, health: EndpointHealth, now_s: float) -> None:
+        if health.avoided_until_s > now_s:
+            return
+        if health.avoided_until_s == 0:
+            log_event(Event.ENDPOINT_AVOIDED, endpoint=endpoint)
+        health.avoided_until_s = now_s + self._length_s(health)
+        health.ejections += 1
+
     def _eject(
         self, endpoint: str, health: EndpointHealth, reason: FailureReason, now_s: float
     ) -> None:
-        length_s = min(
-            self._settings.max_ejection_s,
-            self._settings.ejection_s * 2**health.ejections,
-        )
+        length_s = self._length_s(health)
         health.ejections += 1
         health.ejected_until_s = now_s + length_s
+        health.avoided_until_s = 0.0
         log_event(
             Event.ENDPOINT_EJECTED,
             endpoint=endpoint,
--- a/src/chivetray/results.py
+++ b/src/chivetray/results.py
@@ -86,6 +86,12 @@
         Ran.NO,
         "The idempotency key was used for a different request; this one was not run.",
     )
+    ENDPOINT_WITHDRAWN = (
+        118,
+        503,
+        Ran.NO,
+        "The endpoint was withdrawn before the request was sent.",
+    )
     BODY_INCOMPLETE = (
         117,
         400,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,9 +6,9 @@
 from helpers import Fleet, FleetPlan
 
 
-@pytest.fixture
+@pytest.fixture(scope="class")
 def start_fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator:
-    """Return a function that starts a fleet; all fleets end with the test."""
+    """Return a function that starts a fleet; all fleets end with the class."""
     fleets: list[Fleet] = []
 
     def start(plan: FleetPlan) -> Fleet:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -20,6 +20,9 @@
 import yaml
 
 ENDPOINT_PORT = 18080
+BEHIND_RELAY_PORT = 18081
+PEERS_PORT = 8082
+PEER_RELAY_PORT = 8092
 PLATFORM_PORT = 18090
 START_LIMIT_S = 30.0
 POLL_S = 0.05
@@ -35,6 +38,8 @@
     entries_per_zone: int = 1
     endpoints_per_zone: int = 2
     slots: int = 8
+    endpoint_relays: bool = False
+    peer_relays: bool = False
     service: dict[str, Any] = field(default_factory=dict)
     settings: dict[str, dict[str, Any]] = field(default_factory=dict)
     teams: list[dict[str, Any]] = field(default_factory=list)
@@ -199,7 +204,7 @@
                 "name": name,
                 "zone": self.zone_of(name),
                 "address": self.address(name),
-                "port": 8082,
+                "port": self.peers_port(),
             }
             for name in self.entries
         ]
@@ -235,13 +240,30 @@
         wait_until(lambda: send(url).status == 200, "platform")
 
     def start_endpoint(self, name: str) -> None:
-        place = ["--address", self.address(name), "--port", str(ENDPOINT_PORT)]
+        port = self.control_port()
+        if self.plan.endpoint_relays:
+            self.start_relay(name, ENDPOINT_PORT, port)
+        place = ["--address", self.address(name), "--port", str(port)]
         slots = ["--slots", str(self.plan.slots)]
         self.run(name, "standin", "endpoint", "--name", name, *slots, *place)
 
     def start_entry(self, entry: str, **overrides: dict[str, Any]) -> None:
         path = self.write_settings(entry, **overrides)
         self.run(entry, "entry", "--settings", str(path))
+        if self.plan.peer_relays and f"{entry}-relay" not in self.processes:
+            self.start_relay(entry, PEER_RELAY_PORT, PEERS_PORT)
+
+    def start_relay(self, name: str, port: int, target_port: int) -> None:
+        address = self.address(name)
+        place = ["--address", address, "--port", str(port)]
+        target = ["--target-address", address, "--target-port", str(target_port)]
+        self.run(f"{name}-relay", "standin", "relay", *place, *target)
+
+    def control_port(self) -> int:
+        return BEHIND_RELAY_PORT if self.plan.endpoint_relays else ENDPOINT_PORT
+
+    def peers_port(self) -> int:
+        return PEER_RELAY_PORT if self.plan.peer_relays else PEERS_PORT
 
     def wait_ready(self, entry: str) -> None:
         url = self.operators_url(entry, "/readyz")
@@ -279,7 +301,7 @@
             "address": self.address(name),
             "state": state,
             "operators_port": 8081,
-            "peers_port": 8082,
+            "peers_port": self.peers_port(),
         }
         self.put_json(f"{self.platform}/v1/vms/{name}", vm, "PUT")
 
@@ -294,7 +316,7 @@
         self.put_json(self.control_url(name), faults)
 
     def control_url(self, name: str) -> str:
-        return f"http://{self.address(name)}:{ENDPOINT_PORT}/_standin"
+        return f"http://{self.address(name)}:{self.control_port()}/_standin"
 
     def endpoint_state(self, name: str) -> dict[str, Any]:
         return send(self.control_url(name)).json()
