--- a/src/chivetray/cmdline.py
+++ b/src/chivetray/cmdline.py
@@ -205,6 +205,7 @@
     )
     endpoint.add_argument("--name", required=True)
     endpoint.add_argument("--slots", type=int, default=8)
+    endpoint.add_argument("--ledger", default="", metavar="FILE")
     _add_address(endpoint, 9001)
     relay = _add_command(
         kinds,
@@ -405,8 +406,7 @@
             print(json.dumps([asdict(item) for item in items]))
             return EXIT_OK
         for item in items:
-            kind = "whole set" if item.full else "change"
-            print(f"{item.number}  {item.created_at_s:.0f}  {item.author}  {kind}")
+            print(f"{item.number}  {item.created_at_s:.0f}  {item.author}")
         return EXIT_OK
 
     return _with_control(arguments, history)
@@ -478,6 +478,7 @@
         arguments.slots,
         arguments.address,
         arguments.port,
+        arguments.ledger,
     )
     return EXIT_OK
 
--- a/src/chivetray/control.py
+++ b/src/chivetray/control.py
@@ -154,9 +154,6 @@
         found = _unwrap(await revisions.read_after(self._client, base))
         names = []
         for revision in found:
-            if revision.full:
-                names.append("the whole set")
-                continue
             names += describe_change(Change.from_json(revision.content))
         return "; ".join(names) or "nothing changed"
 
--- a/src/chivetray/documents.py
+++ b/src/chivetray/documents.py
@@ -100,7 +100,10 @@
         mark = getattr(error, "problem_mark", None)
         line = mark.line + 1 if mark else 1
         problem = getattr(error, "problem", None) or "the text is not valid YAML"
-        raise _fail(ResultCode.BAD_YAML, file, line, problem) from error
+        # The parser has a limit of its own for what it has not reported yet.
+        deep = "nesting depth" in problem
+        code = ResultCode.TOO_DEEP if deep else ResultCode.BAD_YAML
+        raise _fail(code, file, line, problem) from error
 
 
 def load_document(path: Path) -> Document:
--- a/src/chivetray/entry.py
+++ b/src/chivetray/entry.py
@@ -104,6 +104,11 @@
         callers = bind_listener(address, config.listeners.callers_port)
         operators = bind_listener(address, config.listeners.operators_port)
         log_event(Event.ENTRY_STARTED, entry=config.entry.name, zone=config.entry.zone)
+        for name, port in (
+            ("callers", config.listeners.callers_port),
+            ("operators", config.listeners.operators_port),
+        ):
+            log_event(Event.LISTENER_STARTED, listener=name, address=address, port=port)
         callers_server = HttpServer.from_app(
             self._callers, config.listeners.callers_tls
         )
@@ -122,11 +127,11 @@
         log_event(Event.ENTRY_STOPPED, entry=config.entry.name)
 
     def _start_tasks(self, tasks: TaskGroup) -> None:
+        self._revisions.subscribe(self._revision_changed)
         tasks.start_soon(self._node.run)
         tasks.start_soon(self._watcher.run)
         tasks.start_soon(self._writer.run)
         tasks.start_soon(self._claims.run)
-        tasks.start_soon(self._follow_revisions)
         tasks.start_soon(self._follow_demand)
 
     def leave(self) -> None:
@@ -160,16 +165,14 @@
 
     # Changes
 
-    async def _follow_revisions(self) -> None:
-        """Put every new revision in force in all parts."""
-        while True:
-            await self._revisions.wait_change()
-            catalog = self._revisions.catalog
-            self._balancer.set_catalog(catalog)
-            self._admission.set_objects(catalog.services, catalog.teams)
-            self._callers.set_services(catalog.services)
-            self._metrics.revision.set(self._revisions.number)
-            self._admission.dispatch()
+    def _revision_changed(self) -> None:
+        """Put a new revision in force in all parts."""
+        catalog = self._revisions.catalog
+        self._balancer.set_catalog(catalog)
+        self._admission.set_objects(catalog.services, catalog.teams)
+        self._callers.set_services(catalog.services)
+        self._metrics.revision.set(self._revisions.number)
+        self._admission.dispatch()
 
     def _vms_changed(self, vms: list[ListedVm]) -> None:
         """Take over entries and leaving endpoints from the VM list."""
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -46,7 +46,6 @@
     ENDPOINT_AVOIDED = (1305, "An endpoint fails and receives only what others cannot.")
     ENDPOINT_LEAVING = (1304, "An endpoint is leaving and receives no new requests.")
 
-    REQUEST_REFUSED = (1400, "A request was refused before it ran.")
     REQUEST_OUTCOME_UNKNOWN = (1401, "A request was sent and its outcome is unknown.")
     ANSWER_CUT = (
         1402,
--- a/src/chivetray/fleet/catalog.py
+++ b/src/chivetray/fleet/catalog.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
 import hashlib
-import json
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import Any
 
 from pydantic import TypeAdapter
@@ -44,20 +41,15 @@
 
     @classmethod
     def from_json(cls, content: str) -> Change:
-        """Read a change from canonical JSON.
+        """Read a change from JSON.
 
         :raises ValueError: when the content is not a valid change
         """
-        document = json.loads(content)
-        put = object_set_from_plain(document["put"])
-        return cls(put=put, remove=document["remove"])
+        return _CHANGE_ADAPTER.validate_json(content)
 
     def to_json(self) -> str:
-        """Return canonical JSON."""
-        document = {"put": dataclasses.asdict(self.put), "remove": self.remove}
-        return json.dumps(
-            document, sort_keys=True, separators=(",", ":"), default=_plain_value
-        )
+        """Return JSON, the same for the same change."""
+        return _CHANGE_ADAPTER.dump_json(self).decode()
 
     @property
     def is_empty(self) -> bool:
@@ -67,20 +59,14 @@
         )
 
 
-def _plain_value(value: Any) -> Any:
-    """Return an enumeration's value, for JSON.
-
-    :raises TypeError: when the value is none
-    """
-    if isinstance(value, Enum):
-        return value.value
-    raise TypeError(f"{type(value).__name__} cannot be written as JSON")
+# Between JSON and data classes without plain data in between, which would cost
+# an entry several times the memory of the set.
+_CHANGE_ADAPTER: TypeAdapter[Change] = TypeAdapter(Change)
 
 
 def object_set_to_plain(objects: ObjectSet) -> dict[str, Any]:
     """Return plain data that :func:`object_set_from_plain` reads."""
-    text = json.dumps(dataclasses.asdict(objects), default=_plain_value)
-    plain: dict[str, Any] = json.loads(text)
+    plain: dict[str, Any] = _SET_ADAPTER.dump_python(objects, mode="json")
     return plain
 
 
--- a/src/chivetray/fleet/checker.py
+++ b/src/chivetray/fleet/checker.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from datetime import datetime
 from pathlib import Path
 from typing import Any
 
+from pydantic import ValidationError
+
 from chivetray.documents import Document, load_document, validate_document
 from chivetray.exceptions import Fault, FaultsError
 from chivetray.fleet.catalog import KINDS, Catalog, object_set_from_plain
@@ -39,9 +41,13 @@
 
 @dataclass(slots=True)
 class _Inputs:
-    """Objects of all files with their places."""
+    """Objects of all files with their places.
+
+    :ivar broken: names of the objects that are not valid by themselves, by kind
+    """
 
     objects: ObjectSet = field(default_factory=ObjectSet)
+    broken: dict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
     places: dict[int, tuple[str, int]] = field(default_factory=dict)
 
     def fault(self, code: ResultCode, kind: str, item: Any, message: str) -> Fault:
@@ -91,6 +97,8 @@
             for index, plain in enumerate(items if isinstance(items, list) else []):
                 item = _convert(kind, plain)
                 if item is None:
+                    name = plain.get("name") if isinstance(plain, dict) else None
+                    inputs.broken[kind].add(str(name))
                     continue
                 getattr(inputs.objects, kind).append(item)
                 line = document.line_of((kind, index))
@@ -99,19 +107,35 @@
 
 
 def _convert(kind: str, plain: Any) -> Any:
-    """Return one object, or None when it has faults of its own."""
+    """Return one object, or None when it has faults of its own.
+
+    Unknown fields are left out, so that the other checks still see the object.
+    """
     try:
         single = object_set_from_plain({"format_version": 1, kind: [plain]})
-    except ValueError:
-        return None
+    except ValidationError as error:
+        known = _without_unknown(plain, error)
+        return None if known is None else _convert(kind, known)
     return getattr(single, kind)[0]
 
 
+def _without_unknown(plain: Any, error: ValidationError) -> Any:
+    """Return an object without its unknown fields, or None for other faults."""
+    details = error.errors(include_url=False)
+    if any(detail["type"] != "extra_forbidden" for detail in details):
+        return None
+    unknown = {detail["loc"][-1] for detail in details}
+    return {key: value for key, value in plain.items() if key not in unknown}
+
+
 def check_objects(inputs: _Inputs) -> list[Fault]:
     """Run every check over a set."""
     faults: list[Fault] = []
     for check in _CHECKS:
         faults += check(inputs)
+    if not inputs.broken["vms"] and not inputs.broken["services"]:
+        for check in _SUM_CHECKS:
+            faults += check(inputs)
     return faults
 
 
@@ -133,6 +157,7 @@
 def _check_references(inputs: _Inputs) -> Iterator[Fault]:
     for kind, attribute, target in REFERENCES:
         known = {item.name for item in getattr(inputs.objects, target)}
+        known |= inputs.broken[target]
         for item in getattr(inputs.objects, kind):
             value = getattr(item, attribute)
             names = value if isinstance(value, list) else [value]
@@ -301,8 +326,12 @@
     _check_addresses,
     _check_routes,
     _check_service_fields,
+    _check_waves,
+)
+
+# Checks that would report false faults when a VM or a service is left out.
+_SUM_CHECKS: tuple[Callable[[_Inputs], Iterator[Fault]], ...] = (
     _check_budgets,
     _check_zones,
     _check_floors,
-    _check_waves,
 )
--- a/src/chivetray/fleet/revision.py
+++ b/src/chivetray/fleet/revision.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
@@ -48,6 +49,15 @@
         self.catalog = Catalog()
         self._recent: deque[Revision] = deque(maxlen=RECENT_LIMIT)
         self._changed = anyio.Event()
+        self._subscribers: list[Callable[[], None]] = []
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call a function whenever another revision has come into force.
+
+        It is called before anything else happens in this process, so that all
+        parts always follow the same revision.
+        """
+        self._subscribers.append(callback)
 
     def offer(self, revision: Revision, source: str) -> bool:
         """Put a revision in force if it leads on from the current one.
@@ -74,6 +84,8 @@
             self._recent.clear()
         self._recent.append(revision)
         log_event(Event.REVISION_APPLIED, revision=revision.number, source=source)
+        for callback in self._subscribers:
+            callback()
         changed, self._changed = self._changed, anyio.Event()
         changed.set()
         return True
@@ -104,6 +116,8 @@
         change = Change(put=self.catalog.to_object_set())
         return Revision(self.number, self.publish_id, True, change.to_json())
 
-    async def wait_change(self) -> None:
-        """Return after the next revision is in force."""
-        await self._changed.wait()
+    async def wait_newer(self, number: int) -> int:
+        """Return the number in force as soon as it is higher than another."""
+        while self.number <= number:
+            await self._changed.wait()
+        return self.number
--- a/src/chivetray/peers/codec.py
+++ b/src/chivetray/peers/codec.py
@@ -1,4 +1,8 @@
-"""Encodes and decodes messages between entries with msgpack."""
+"""Encodes and decodes messages between entries with msgpack.
+
+A message is an array of its kind's number and the values of its fields in the
+order of the schema. Without field names a heartbeat has a fifth of the size.
+"""
 
 from __future__ import annotations
 
@@ -13,11 +17,12 @@
 from chivetray.generated.messages import (
     Heartbeat,
     Hello,
-    PeerMessages,
     RevisionPush,
     RevisionRequest,
     SlotDemand,
+    SlotGrant,
     SlotOffer,
+    SlotWant,
 )
 from chivetray.results import ResultCode
 
@@ -28,17 +33,28 @@
     Hello | Heartbeat | RevisionRequest | RevisionPush | SlotDemand | SlotOffer
 )
 
-# Field of the envelope that holds each kind of message.
-_FIELDS: dict[type[Any], str] = {
-    Hello: "hello",
-    Heartbeat: "heartbeat",
-    RevisionRequest: "revision_request",
-    RevisionPush: "revision_push",
-    SlotDemand: "slot_demand",
-    SlotOffer: "slot_offer",
+# Number of each kind on the wire; a number is never used again.
+_NUMBERS: dict[type[Any], int] = {
+    Hello: 1,
+    Heartbeat: 2,
+    RevisionRequest: 3,
+    RevisionPush: 4,
+    SlotDemand: 5,
+    SlotOffer: 6,
 }
+_KINDS = {number: kind for kind, number in _NUMBERS.items()}
+
+# Kinds of the items in the last field of a message.
+_ITEMS: dict[type[Any], type[Any]] = {SlotDemand: SlotWant, SlotOffer: SlotGrant}
 
-_ADAPTER: TypeAdapter[PeerMessages] = TypeAdapter(PeerMessages)
+_NAMES: dict[type[Any], tuple[str, ...]] = {
+    kind: tuple(item.name for item in dataclasses.fields(kind))
+    for kind in (*_NUMBERS, *_ITEMS.values())
+}
+
+_ADAPTERS: dict[type[Any], TypeAdapter[Any]] = {
+    kind: TypeAdapter(kind) for kind in _NUMBERS
+}
 
 
 class PeerProtocolError(ChivetrayError):
@@ -47,8 +63,12 @@
 
 def encode_message(message: PeerMessage) -> bytes:
     """Return the bytes of one message."""
-    envelope = {_FIELDS[type(message)]: dataclasses.asdict(message)}
-    return bytes(msgpack.packb(envelope))
+    kind = type(message)
+    values: list[Any] = [getattr(message, name) for name in _NAMES[kind]]
+    if kind in _ITEMS:
+        names = _NAMES[_ITEMS[kind]]
+        values[-1] = [[getattr(item, name) for name in names] for item in values[-1]]
+    return bytes(msgpack.packb([_NUMBERS[kind], *values]))
 
 
 class MessageDecoder:
@@ -65,16 +85,24 @@
         try:
             self._unpacker.feed(content)
             for plain in self._unpacker:
-                yield self._validate(plain)
-        except (ValidationError, ValueError, msgpack.UnpackException) as error:
-            message = f"a peer's message cannot be read: {type(error).__name__}"
-            raise PeerProtocolError(ResultCode.BAD_VALUE, message) from error
-
-    @staticmethod
-    def _validate(plain: Any) -> PeerMessage:
-        envelope = _ADAPTER.validate_python(plain)
-        for name in _FIELDS.values():
-            message: PeerMessage | None = getattr(envelope, name)
-            if message is not None:
-                return message
-        raise ValueError("the envelope is empty")
+                yield _validate(plain)
+        except (ValidationError, ValueError, TypeError, KeyError) as error:
+            raise _unreadable(error) from error
+        except msgpack.UnpackException as error:
+            raise _unreadable(error) from error
+
+
+def _validate(plain: Any) -> PeerMessage:
+    number, *values = plain
+    kind = _KINDS[number]
+    if kind in _ITEMS:
+        names = _NAMES[_ITEMS[kind]]
+        values[-1] = [dict(zip(names, item, strict=True)) for item in values[-1]]
+    fields = dict(zip(_NAMES[kind], values, strict=True))
+    message: PeerMessage = _ADAPTERS[kind].validate_python(fields)
+    return message
+
+
+def _unreadable(error: Exception) -> PeerProtocolError:
+    message = f"a peer's message cannot be read: {type(error).__name__}"
+    return PeerProtocolError(ResultCode.BAD_VALUE, message)
--- a/src/chivetray/peers/grants.py
+++ b/src/chivetray/peers/grants.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -11,6 +12,8 @@
 # Demands whose sending time is remembered until their offer comes back.
 SENT_LIMIT = 64
 
+MS_PER_S = 1000
+
 
 @dataclass(slots=True)
 class HeldSlots:
@@ -144,7 +147,8 @@
                 continue
             state.reported[endpoint] = report
             busy_s = max(0.0, held.busy_until_s - now_s)
-            wants.append(SlotWant(endpoint, *report, busy_s))
+            busy_ms = math.ceil(busy_s * MS_PER_S)
+            wants.append(SlotWant(endpoint, *report, busy_ms))
         return SlotDemand(state.sequence, state.acked_offer, wants)
 
     def handle_offer(self, home: str, offer: SlotOffer, now_s: float) -> bool:
--- a/src/chivetray/peers/ledger.py
+++ b/src/chivetray/peers/ledger.py
@@ -18,6 +18,8 @@
 # may have started requests after its last report.
 ORPHAN_S = 1.0
 
+MS_PER_S = 1000
+
 # Value of ``Holding.offered`` that makes the next offer repeat the grant.
 NOT_OFFERED = -1
 
@@ -137,7 +139,7 @@
             self._targets.pop(want.endpoint, None)
         holding.in_use = want.in_use
         holding.want = want.want
-        holding.busy_until_s = now_s + want.busy_s
+        holding.busy_until_s = now_s + want.busy_ms / MS_PER_S
         if holding.offer_sequence <= acked and want.granted != holding.offered:
             # The holder has dropped the grant, or never took it.
             holding.offered = NOT_OFFERED
--- a/src/chivetray/peers/node.py
+++ b/src/chivetray/peers/node.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-import math
+import itertools
 from collections.abc import Callable
 
 import anyio
@@ -33,10 +33,15 @@
 
 DIAL_INTERVAL_S = 0.25
 
-# Least time between two exchanges of slots with a zone of few entries; it grows
-# with the zone so that the traffic of an entry stays within its bound.
+# Heartbeats between two that go to all peers.
+HEARTBEATS_BETWEEN_ALL = 8
+
+# Least time between two exchanges of slots. It grows with the bytes that an
+# exchange has sent, so that the traffic of an entry stays within its bound.
 EXCHANGE_INTERVAL_S = 0.05
-SMALL_ZONE_ENTRIES = 4
+
+# Exchanges within the lifetime of a grant, however much they send.
+RENEWALS_PER_TTL = 2
 
 _STREAM_ERRORS = (
     OSError,
@@ -99,6 +104,7 @@
 
     async def run(self) -> None:
         """Serve all streams until cancelled."""
+        self._revisions.subscribe(self.update_homes)
         listener = await anyio.create_tcp_listener(
             local_host=self._config.entry.address,
             local_port=self._config.listeners.peers_port,
@@ -215,18 +221,28 @@
         await self._request_revisions(message.revision, stream)
 
     async def _send_heartbeats(self) -> None:
-        sequence = 0
-        while True:
-            sequence += 1
-            number = self._revisions.number
-            await self._send_to_all(Heartbeat(sequence, number, self.leaving))
+        """Send a heartbeat on every stream that has carried nothing else.
+
+        Now and then it goes to all, since it carries the sender's revision too.
+        """
+        interval_s = self._config.peers.heartbeat_interval_s
+        for count in itertools.count():
+            to_all = count % HEARTBEATS_BETWEEN_ALL == 0
+            idle_s = 0.0 if to_all else interval_s / 2
+            await self._send_to_all(self._heartbeat(), idle_s)
             await self._close_silent()
-            await anyio.sleep(self._config.peers.heartbeat_interval_s)
+            await anyio.sleep(interval_s)
+
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(self._revisions.number, self.leaving)
 
-    async def _send_to_all(self, message: PeerMessage) -> None:
+    async def _send_to_all(self, message: PeerMessage, idle_s: float = 0.0) -> None:
+        """Send a message on the streams that were idle for some time."""
+        sent_before_s = anyio.current_time() - idle_s
         async with anyio.create_task_group() as tasks:
             for name, stream in list(self._streams.items()):
-                tasks.start_soon(self._send, name, stream, message)
+                if stream.sent_at_s <= sent_before_s:
+                    tasks.start_soon(self._send, name, stream, message)
 
     async def _send(self, name: str, stream: PeerStream, message: PeerMessage) -> None:
         """Send a message; a peer that does not take it in time is gone."""
@@ -264,11 +280,10 @@
 
     async def _follow_revisions(self) -> None:
         """Tell the peers of a new revision at once."""
+        number = 0
         while True:
-            await self._revisions.wait_change()
-            self.update_homes()
-            heartbeat = Heartbeat(0, self._revisions.number, self.leaving)
-            await self._send_to_all(heartbeat)
+            number = await self._revisions.wait_newer(number)
+            await self._send_to_all(self._heartbeat())
 
     # Slots
 
@@ -306,13 +321,19 @@
     async def _exchange_slots(self) -> None:
         """Send demands at each heartbeat, and sooner when asked."""
         while True:
-            with anyio.move_on_after(self._config.peers.heartbeat_interval_s):
+            with anyio.move_on_after(self._config.peers.renewal_interval_s):
                 await self._wake.wait()
             self._wake = anyio.Event()
+            before = self.sent_bytes
             await self._send_demands()
-            entries = len(self.membership.zone_entries())
-            factor = max(1, math.ceil(entries / SMALL_ZONE_ENTRIES))
-            await anyio.sleep(EXCHANGE_INTERVAL_S * factor)
+            used_s = (self.sent_bytes - before) / self._config.peers.control_bytes_per_s
+            await anyio.sleep(
+                min(self._longest_pause_s(), used_s + EXCHANGE_INTERVAL_S)
+            )
+
+    def _longest_pause_s(self) -> float:
+        """Return the pause after which grants would be renewed too late."""
+        return self._config.peers.grant_ttl_s / RENEWALS_PER_TTL
 
     async def _send_demands(self) -> None:
         for home in self.holder.homes:
--- a/src/chivetray/peers/stream.py
+++ b/src/chivetray/peers/stream.py
@@ -26,6 +26,7 @@
     """Messages over one TCP connection.
 
     :ivar sent_bytes: bytes sent so far
+    :ivar sent_at_s: time of the last message sent
     """
 
     def __init__(self, stream: ByteStream):
@@ -34,6 +35,7 @@
         self._send_lock = anyio.Lock()
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.sent_at_s = 0.0
 
     @classmethod
     async def connect(cls, address: str, port: int) -> PeerStream:
@@ -63,6 +65,7 @@
         async with self._send_lock:
             await self._stream.send(content)
         self.sent_bytes += len(content)
+        self.sent_at_s = anyio.current_time()
 
     async def messages(self) -> AsyncIterator[PeerMessage]:
         """Yield the messages until the other side closes the connection.
--- a/src/chivetray/platform/group_writer.py
+++ b/src/chivetray/platform/group_writer.py
@@ -39,6 +39,7 @@
     """A write that waits for its outcome.
 
     :ivar give_up_at_s: time after which the write is not tried again
+    :ivar on_give_up: called when the write is given up
     :ivar tried: whether the write was ever handed to the table service
     """
 
@@ -48,12 +49,15 @@
     state: WriteState | None = None
     version: int = 0
     done: anyio.Event = field(default_factory=anyio.Event)
+    on_give_up: Callable[[], None] | None = None
 
     def finish(self, state: WriteState, version: int = 0) -> None:
         """Set the outcome."""
         self.state = state
         self.version = version
         self.done.set()
+        if state is WriteState.GIVEN_UP and self.on_give_up is not None:
+            self.on_give_up()
 
     @property
     def mark(self) -> str:
--- a/src/chivetray/platform/revisions.py
+++ b/src/chivetray/platform/revisions.py
@@ -1,9 +1,13 @@
 """Configuration revisions in the platform's table service and object store.
 
-Row ``config/<number>`` describes one revision. It is created only when it does
-not exist yet, in one transaction with the row ``config-head/head``, so that two
-operators can never publish the same number. Small content lies in the row, the
-rest in the object store under its digest.
+Row ``config/<number>`` holds the change that one revision makes. It is created
+only when it does not exist yet, in one transaction with the row
+``config-head/head``, so that two operators can never publish the same number.
+Large changes lie in the object store under their digest.
+
+From time to time the whole set is stored as a snapshot. An entry that follows
+reads changes only; an entry that starts reads the newest snapshot and the
+changes after it.
 """
 
 from __future__ import annotations
@@ -26,27 +30,43 @@
 HEAD_TABLE = "config-head"
 HEAD_KEY = "head"
 
-# Every so many revisions the whole set is stored, so that a new entry reads a
-# bounded number of changes.
-FULL_INTERVAL = 64
+# Smallest amount of changes after which a snapshot is stored. Otherwise one is
+# stored when the changes outgrow the last snapshot, so that an entry that starts
+# reads at most about twice the whole set.
+SNAPSHOT_LEAST_BYTES = 64 * 1024
 
 INLINE_LIMIT_BYTES = 16 * 1024
+PAGE_ROWS = 100
 PUBLISH_READ_TRIES = 5
 PUBLISH_PAUSE_S = 0.2
 
 
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The whole set at one revision, in the object store.
+
+    :ivar size_bytes: size of the content
+    :ivar later_bytes: size of the changes after it
+    """
+
+    number: int = 0
+    publish_id: str = ""
+    digest: str = ""
+    size_bytes: int = 0
+    later_bytes: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Head:
     """Newest revision in the platform.
 
     :ivar version: version of the head row, for a conditional write
     :ivar number: newest revision
-    :ivar full_number: newest revision that holds the whole set
     """
 
     version: int
     number: int
-    full_number: int
+    snapshot: Snapshot
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +77,6 @@
     publish_id: str
     author: str
     created_at_s: float
-    full: bool
 
 
 def revision_key(number: int) -> str:
@@ -72,24 +91,21 @@
         return Failure(result.failure())
     row = result.unwrap()
     if row is None:
-        return Success(Head(ABSENT, 0, 0))
-    return Success(Head(row.version, row.value["number"], row.value["full_number"]))
+        return Success(Head(ABSENT, 0, Snapshot()))
+    snapshot = Snapshot(**row.value["snapshot"])
+    return Success(Head(row.version, row.value["number"], snapshot))
 
 
 async def read_after(
     client: PlatformClient, number: int
 ) -> Result[list[Revision], PlatformError]:
-    """Read the revisions that lead on from a number, oldest first.
+    """Read the next revisions that lead on from a number, oldest first.
 
-    An entry without a revision starts from the newest whole set.
+    An entry without a revision starts from the newest snapshot.
     """
-    after = number
     if number == 0:
-        head = await read_head(client)
-        if isinstance(head, Failure):
-            return Failure(head.failure())
-        after = max(0, head.unwrap().full_number - 1)
-    rows = await client.list_rows(REVISION_TABLE, revision_key(after))
+        return await _read_snapshot(client)
+    rows = await client.list_rows(REVISION_TABLE, revision_key(number), PAGE_ROWS)
     if isinstance(rows, Failure):
         return Failure(rows.failure())
     revisions = []
@@ -97,10 +113,28 @@
         content = await _read_content(client, row)
         if isinstance(content, Failure):
             return Failure(content.failure())
-        revisions.append(_revision_from_row(row, content.unwrap()))
+        publish_id = row.value["publish_id"]
+        revision = Revision(int(row.key), publish_id, False, content.unwrap())
+        revisions.append(revision)
     return Success(revisions)
 
 
+async def _read_snapshot(
+    client: PlatformClient,
+) -> Result[list[Revision], PlatformError]:
+    head = await read_head(client)
+    if isinstance(head, Failure):
+        return Failure(head.failure())
+    snapshot = head.unwrap().snapshot
+    if snapshot.number == 0:
+        return Success([])
+    content = await _read_object(client, snapshot.digest)
+    if isinstance(content, Failure):
+        return Failure(content.failure())
+    revision = Revision(snapshot.number, snapshot.publish_id, True, content.unwrap())
+    return Success([revision])
+
+
 async def read_catalog(
     client: PlatformClient,
 ) -> Result[tuple[int, Catalog], PlatformError]:
@@ -151,23 +185,60 @@
     if head.number != base:
         return Failure(_conflict(base, head.number))
     number = base + 1
-    full = number == 1 or number - head.full_number >= FULL_INTERVAL
-    if full:
-        newer = base_catalog.copy()
-        newer.apply(change)
-        change = Change(put=newer.to_object_set())
-    value = _row_value(change.to_json(), full, author)
-    stored = await _store_content(client, value)
+    content = change.to_json()
+    stored = await _store_content(client, _row_value(content, author))
     if isinstance(stored, Failure):
         return Failure(stored.failure())
-    head_value = {"number": number, "full_number": number if full else head.full_number}
+    value = stored.unwrap()
+    newer = base_catalog.copy()
+    newer.apply(change)
+    later_bytes = head.snapshot.later_bytes + len(content)
+    snapshot = await _next_snapshot(
+        client, head.snapshot, newer, number, value["publish_id"], later_bytes
+    )
+    if isinstance(snapshot, Failure):
+        return Failure(snapshot.failure())
+    head_value = {"number": number, "snapshot": _snapshot_value(snapshot.unwrap())}
     writes = [
         RowWrite(HEAD_TABLE, HEAD_KEY, head.version, head_value),
-        RowWrite(REVISION_TABLE, revision_key(number), ABSENT, stored.unwrap()),
+        RowWrite(REVISION_TABLE, revision_key(number), ABSENT, value),
     ]
     return await _commit(client, number, value["publish_id"], writes)
 
 
+async def _next_snapshot(
+    client: PlatformClient,
+    last: Snapshot,
+    catalog: Catalog,
+    number: int,
+    publish_id: str,
+    later_bytes: int,
+) -> Result[Snapshot, PlatformError]:
+    """Store a new snapshot if the changes have outgrown the last one."""
+    outgrown = later_bytes > max(SNAPSHOT_LEAST_BYTES, last.size_bytes)
+    if last.number > 0 and not outgrown:
+        kept = Snapshot(
+            last.number, last.publish_id, last.digest, last.size_bytes, later_bytes
+        )
+        return Success(kept)
+    content = Change(put=catalog.to_object_set()).to_json()
+    digest = digest_of(content)
+    stored = await client.put_object(digest, content)
+    if isinstance(stored, Failure):
+        return Failure(stored.failure())
+    return Success(Snapshot(number, publish_id, digest, len(content), 0))
+
+
+def _snapshot_value(snapshot: Snapshot) -> dict[str, Any]:
+    return {
+        "number": snapshot.number,
+        "publish_id": snapshot.publish_id,
+        "digest": snapshot.digest,
+        "size_bytes": snapshot.size_bytes,
+        "later_bytes": snapshot.later_bytes,
+    }
+
+
 async def _commit(
     client: PlatformClient, number: int, publish_id: str, writes: list[RowWrite]
 ) -> Result[int, ChivetrayError]:
@@ -191,12 +262,11 @@
     return Failure(ChivetrayError(ResultCode.PUBLISH_UNKNOWN, message))
 
 
-def _row_value(content: str, full: bool, author: str) -> dict[str, Any]:
+def _row_value(content: str, author: str) -> dict[str, Any]:
     return {
         "publish_id": uuid.uuid4().hex,
         "author": author,
         "created_at_s": time.time(),
-        "full": full,
         "digest": digest_of(content),
         "content": content,
     }
@@ -216,25 +286,29 @@
 
 
 async def _read_content(client: PlatformClient, row: Row) -> Result[str, PlatformError]:
-    content = row.value["content"]
+    content: str | None = row.value["content"]
     if content is None:
-        result = await client.get_object(row.value["digest"])
-        if isinstance(result, Failure):
-            return Failure(result.failure())
-        content = result.unwrap()
-    if content is None or digest_of(content) != row.value["digest"]:
-        message = f"the content of revision {row.key} does not match its digest"
-        return Failure(PlatformError(ResultCode.CONTENT_DAMAGED, message, True))
+        return await _read_object(client, row.value["digest"])
+    if digest_of(content) != row.value["digest"]:
+        return Failure(_damaged(row.value["digest"]))
     return Success(content)
 
 
-def _revision_from_row(row: Row, content: str) -> Revision:
-    return Revision(
-        number=int(row.key),
-        publish_id=row.value["publish_id"],
-        full=row.value["full"],
-        content=content,
-    )
+async def _read_object(
+    client: PlatformClient, digest: str
+) -> Result[str, PlatformError]:
+    result = await client.get_object(digest)
+    if isinstance(result, Failure):
+        return Failure(result.failure())
+    content = result.unwrap()
+    if content is None or digest_of(content) != digest:
+        return Failure(_damaged(digest))
+    return Success(content)
+
+
+def _damaged(digest: str) -> PlatformError:
+    message = f"stored content does not match its digest {digest}"
+    return PlatformError(ResultCode.CONTENT_DAMAGED, message, answered=True)
 
 
 def _history_item(row: Row) -> HistoryItem:
@@ -243,7 +317,6 @@
         publish_id=row.value["publish_id"],
         author=row.value["author"],
         created_at_s=row.value["created_at_s"],
-        full=row.value["full"],
     )
 
 
--- a/src/chivetray/requests/claims.py
+++ b/src/chivetray/requests/claims.py
@@ -13,6 +13,7 @@
 import uuid
 from collections import deque
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 import anyio
@@ -270,7 +271,11 @@
 
     def _store(self, claim: Claim, value: dict[str, Any]) -> PendingWrite:
         write = RowWrite(CLAIM_TABLE, claim.key, claim.version, value)
-        return self._writer.enqueue(write, anyio.current_time() + OUTCOME_TRY_S)
+        pending = self._writer.enqueue(write, anyio.current_time() + OUTCOME_TRY_S)
+        pending.on_give_up = partial(
+            log_event, Event.OUTCOME_LOST, key=claim.key, state=value["state"]
+        )
+        return pending
 
 
 def _done(value: dict[str, Any]) -> ClaimConflictError:
--- a/src/chivetray/results.py
+++ b/src/chivetray/results.py
@@ -26,7 +26,6 @@
     # 100-199: refusals. Nothing of the request was sent to an endpoint.
     NO_SERVICE = (100, 404, Ran.NO, "No service has this host or path.")
     NOT_READY = (101, 503, Ran.NO, "The entry has no configuration yet.")
-    LEAVING = (102, 503, Ran.NO, "The entry is leaving.")
     BAD_DEADLINE = (
         103,
         400,
@@ -266,12 +265,6 @@
         Ran.NOT_APPLICABLE,
         "The stored content does not match its digest.",
     )
-    ROW_CONFLICT = (
-        409,
-        None,
-        Ran.NOT_APPLICABLE,
-        "The row has another version than expected.",
-    )
 
     def __init__(self, number: int, http_status: int | None, ran: Ran, meaning: str):
         self.number = number
--- a/src/chivetray/standins/endpoint.py
+++ b/src/chivetray/standins/endpoint.py
@@ -42,11 +42,13 @@
     """What the stand-in counts.
 
     :ivar ledger: runs of each request identifier
+    :ivar ledger_file: file to which every run is appended, if there is one
     :ivar over_admissions: requests that began while all slots were in use
     """
 
     name: str
     slots: int
+    ledger_file: str = ""
     faults: EndpointFaults = field(default_factory=EndpointFaults)
     ledger: dict[str, int] = field(default_factory=dict)
     running: int = 0
@@ -55,6 +57,16 @@
     requests: int = 0
     last_request_at_s: float = 0.0
 
+    def record_run(self, request: str) -> None:
+        """Count a run of a request."""
+        self.requests += 1
+        self.last_request_at_s = anyio.current_time()
+        self.ledger[request] = self.ledger.get(request, 0) + 1
+        if self.ledger_file:
+            # The file survives a kill of this process.
+            with open(self.ledger_file, "a") as file:
+                file.write(f"{request}\n")
+
 
 class EndpointApp:
     """ASGI application that answers with the request's own identity."""
@@ -92,9 +104,7 @@
             )
             return
         request = headers.get(REQUEST_HEADER, attempt).decode("latin-1")
-        self.state.requests += 1
-        self.state.last_request_at_s = anyio.current_time()
-        self.state.ledger[request] = self.state.ledger.get(request, 0) + 1
+        self.state.record_run(request)
         if faults.stalled:
             await anyio.sleep(STALL_S)
         await anyio.sleep(faults.delay_s)
--- a/src/chivetray/standins/runner.py
+++ b/src/chivetray/standins/runner.py
@@ -35,10 +35,15 @@
     await server.serve_on(listener)
 
 
-async def serve_endpoint(name: str, slots: int, address: str, port: int) -> None:
-    """Run an endpoint stand-in until cancelled."""
+async def serve_endpoint(
+    name: str, slots: int, address: str, port: int, ledger_file: str = ""
+) -> None:
+    """Run an endpoint stand-in until cancelled.
+
+    :param ledger_file: file to which every run is appended, if there is one
+    """
     listener = bind_listener(address, port)
-    server = HttpServer.from_app(EndpointApp(EndpointState(name, slots)))
+    server = HttpServer.from_app(EndpointApp(EndpointState(name, slots, ledger_file)))
     print(f"endpoint {name} listens on {address}:{port}", flush=True)
     await server.serve_on(listener)
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -27,7 +28,24 @@
 START_LIMIT_S = 30.0
 POLL_S = 0.05
 
-_networks = itertools.count(60)
+FIRST_NETWORK = 60
+LAST_NETWORK = 250
+LOCK_PORT = 18099
+
+_networks = itertools.cycle(range(FIRST_NETWORK, LAST_NETWORK))
+
+
+def claim_network() -> tuple[str, socket.socket]:
+    """Return a loopback network that no other fleet on the machine uses."""
+    for number in _networks:
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.{number}.255.254", LOCK_PORT))
+        except OSError:
+            lock.close()
+            continue
+        return f"127.{number}", lock
+    raise AssertionError("no network is free")
 
 
 @dataclass
@@ -114,7 +132,7 @@
     def __init__(self, plan: FleetPlan, folder: Path):
         self.plan = plan
         self.folder = folder
-        self.network = f"127.{next(_networks)}"
+        self.network, self._lock = claim_network()
         self.platform = f"http://{self.network}.0.1:{PLATFORM_PORT}"
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.zones = [f"zone-{n + 1}" for n in range(plan.zones)]
@@ -245,7 +263,8 @@
             self.start_relay(name, ENDPOINT_PORT, port)
         place = ["--address", self.address(name), "--port", str(port)]
         slots = ["--slots", str(self.plan.slots)]
-        self.run(name, "standin", "endpoint", "--name", name, *slots, *place)
+        ledger = ["--ledger", str(self.folder / f"{name}.ledger")]
+        self.run(name, "standin", "endpoint", "--name", name, *slots, *place, *ledger)
 
     def start_entry(self, entry: str, **overrides: dict[str, Any]) -> None:
         path = self.write_settings(entry, **overrides)
@@ -281,6 +300,7 @@
             process.kill()
         for process in self.processes.values():
             process.wait()
+        self._lock.close()
 
     # Operators and outside systems
 
@@ -324,8 +344,8 @@
     def ledger(self) -> Counter[str]:
         """Return the runs of each request over all endpoints."""
         runs: Counter[str] = Counter()
-        for name in self.endpoints:
-            runs.update(self.endpoint_state(name)["ledger"])
+        for path in self.folder.glob("*.ledger"):
+            runs.update(path.read_text().split())
         return runs
 
     def status(self, entry: str) -> dict[str, Any]:
