Carry out maintenance waves within availability budgets

What: leases on duties as table rows, budgets reserved by conditional writes, drains that every entry of the VM's zone acknowledges, reboots that name the boot they replace, probes and a ramp on return, batches sized by load and budget, and a report with the reason for each wait.

Ways ruled out: comparing clocks for leases (a row has lapsed when it was not seen to change for its lifetime on the observer's own clock); a separate reservation step before the drain (one transaction takes budget, drain and phase together, so there is no state to repair between them).

--- a/src/chivetray/config.py
+++ b/src/chivetray/config.py
@@ -13,7 +13,16 @@
 from chivetray.exceptions import FaultsError
 from chivetray.generated import setting_models, settings
 
-_SECTIONS = ("listeners", "peers", "requests", "retries", "outliers", "claims")
+# Sections that a file may leave out.
+_SECTIONS = (
+    "listeners",
+    "peers",
+    "requests",
+    "retries",
+    "outliers",
+    "claims",
+    "duties",
+)
 _ADAPTER: TypeAdapter[settings.Settings] = TypeAdapter(settings.Settings)
 
 
@@ -35,6 +44,9 @@
     outliers: settings.OutlierSettings
     claims: settings.ClaimSettings
 
+    # Waves and their drains.
+    duties: settings.DutySettings
+
     # Dotted names of the settings that the file gives.
     given: frozenset[str]
 
--- a/src/chivetray/control.py
+++ b/src/chivetray/control.py
@@ -6,6 +6,7 @@
 import getpass
 from collections.abc import Iterable
 from dataclasses import dataclass
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -19,6 +20,7 @@
 from chivetray.generated.settings import PlatformSettings
 from chivetray.platform import revisions
 from chivetray.platform.client import PlatformClient
+from chivetray.platform.maintenance import REPORT_TABLE
 from chivetray.platform.revisions import HistoryItem
 from chivetray.platform.vm_list import read_vm_changes
 from chivetray.results import ResultCode
@@ -227,6 +229,9 @@
             knows the name
         """
         found: dict[str, list[str]] = {}
+        wave = _unwrap(await self._client.read_row(REPORT_TABLE, name))
+        if wave is not None:
+            found["wave"] = describe_wave(wave.value)
         for vm in await self.entries():
             url = f"http://{vm.address}:{vm.operators_port}"
             document = await _get_json(url, f"/explain?name={name}")
@@ -256,6 +261,20 @@
     return None if isinstance(result, Failure) else result.unwrap()
 
 
+def describe_wave(report: dict[str, Any]) -> list[str]:
+    """Return sentences on the last report of a wave."""
+    lines = [f"{report['left']} VMs are left, as {report['holder']} reports"]
+    if report["finished"]:
+        lines = ["the wave is finished"]
+    lines += [f"{vm} is {phase}" for vm, phase in report["under_way"].items()]
+    lines += [f"it waits: {reason}" for reason in report["reasons"]]
+    end = datetime.fromtimestamp(report["finish_estimate_s"], UTC)
+    if not report["finished"]:
+        lines.append(f"it is expected to end at {end.isoformat(timespec='seconds')}")
+    lines.append(f"decided under revision {report['revision']}")
+    return lines
+
+
 def describe_change(change: Change) -> list[str]:
     """Return one phrase for each object that a change touches."""
     phrases = []
--- /dev/null
+++ b/src/chivetray/duties/waves.py
@@ -0,0 +1,341 @@
+"""Carries out maintenance waves.
+
+Each wave is a duty that one entry holds. A step changes all rows that it concerns
+in one transaction, each on the condition that it is as the decision saw it, so
+that two entries that both believe to hold the duty can harm nothing: the second
+one's step is refused and it looks again.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import anyio
+import httpcore
+from returns.result import Failure
+
+from chivetray.events import Event, log_event
+from chivetray.fleet.budgets import BudgetIndex
+from chivetray.fleet.revision import RevisionState
+from chivetray.fleet.vm_states import VmStates
+from chivetray.fleet.waves import (
+    WaveInputs,
+    WavePhase,
+    WavePlan,
+    estimate_finish_s,
+    plan_wave,
+)
+from chivetray.generated.objects import Vm, Wave
+from chivetray.generated.settings import DutySettings
+from chivetray.peers.homes import rank_candidates
+from chivetray.platform import maintenance
+from chivetray.platform.client import ABSENT, PlatformClient, RowWrite
+from chivetray.platform.leases import LeaseKeeper
+from chivetray.platform.maintenance import DoneVms, Drain, Reservations, WaveVm
+from chivetray.platform.vm_control import read_vm, reboot_vm
+
+# Entries that try to hold one duty; the others leave the store alone.
+CANDIDATES = 3
+
+PROBE_TIMEOUT_S = 1.0
+
+# Loads that were not written again for so many intervals are left out.
+LOAD_INTERVALS = 3
+
+
+@dataclass(slots=True)
+class _View:
+    """Rows that one round of a wave decides from."""
+
+    under_way: dict[str, WaveVm]
+    done: dict[str, DoneVms]
+    budgets: dict[str, Reservations]
+    drains: dict[str, Drain]
+    busy_slots: dict[str, int]
+
+
+class WaveRunner:
+    """Runs the waves whose duty this entry holds.
+
+    :param entries_of: returns the entries of a zone that are not gone, by the
+        VM list
+    :param live_entries: returns the entries that may hold duties
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        settings: DutySettings,
+        entry: str,
+        leases: LeaseKeeper,
+        revisions: RevisionState,
+        states: VmStates,
+        entries_of: Callable[[str], set[str]],
+        live_entries: Callable[[], list[str]],
+    ):
+        self._client = client
+        self._settings = settings
+        self._entry = entry
+        self._leases = leases
+        self._revisions = revisions
+        self._states = states
+        self._entries_of = entries_of
+        self._live_entries = live_entries
+        self._reported: dict[str, dict[str, object]] = {}
+        self._finished: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Work on the waves until cancelled."""
+        while True:
+            for name in await self._wave_names():
+                if await self._hold(name):
+                    await self._work_on(name)
+            await anyio.sleep(self._settings.wave_interval_s)
+
+    async def _wave_names(self) -> list[str]:
+        """Return the configured waves and those with a VM under way."""
+        number = self._revisions.number
+        finished = {n for n, at in self._finished.items() if at == number}
+        names = set(self._revisions.catalog.waves) - finished
+        if self._is_candidate("waves"):
+            result = await maintenance.read_under_way(self._client)
+            if not isinstance(result, Failure):
+                names |= {item.wave for item in result.unwrap().values()}
+        return sorted(name for name in names if self._is_candidate(f"wave/{name}"))
+
+    def _is_candidate(self, duty: str) -> bool:
+        chosen = rank_candidates(duty, self._live_entries())[:CANDIDATES]
+        return self._entry in chosen
+
+    async def _hold(self, name: str) -> bool:
+        return await self._leases.acquire(f"wave/{name}", anyio.current_time())
+
+    async def _work_on(self, name: str) -> None:
+        """Take every step of a wave that can be taken now."""
+        view = await self._read(name)
+        if view is None:
+            return
+        for item in list(view.under_way.values()):
+            if item.wave == name:
+                await self._step(item, view)
+        wave = self._revisions.catalog.waves.get(name)
+        view = await self._read(name)
+        if wave is None or view is None:
+            return
+        inputs = self._inputs(name, view)
+        plan = plan_wave(wave, inputs)
+        for vm in plan.take:
+            if not self._leases.holds(f"wave/{name}", anyio.current_time()):
+                return
+            await self._take(name, vm)
+        await self._report(wave, inputs, plan)
+
+    async def _read(self, name: str) -> _View | None:
+        """Read what a decision needs, or ``None`` while the platform is away."""
+        under_way = await maintenance.read_under_way(self._client)
+        done = await maintenance.read_done(self._client, name)
+        budgets = await maintenance.read_budgets(self._client)
+        drains = await maintenance.read_drains(self._client)
+        loads = await maintenance.read_loads(self._client)
+        if (
+            isinstance(under_way, Failure)
+            or isinstance(done, Failure)
+            or isinstance(budgets, Failure)
+            or isinstance(drains, Failure)
+            or isinstance(loads, Failure)
+        ):
+            return None
+        busy: Counter[str] = Counter()
+        oldest_s = time.time() - LOAD_INTERVALS * self._settings.load_interval_s
+        for load in loads.unwrap():
+            if load.written_at_s >= oldest_s:
+                busy.update(load.busy_slots)
+        return _View(
+            under_way.unwrap(), done.unwrap(), budgets.unwrap(), drains.unwrap(), busy
+        )
+
+    def _inputs(self, name: str, view: _View) -> WaveInputs:
+        catalog = self._revisions.catalog
+        phases = {vm: WavePhase.DONE for done in view.done.values() for vm in done.vms}
+        phases |= {
+            item.vm: item.phase for item in view.under_way.values() if item.wave == name
+        }
+        unavailable = self._states.unavailable() | set(view.drains)
+        return WaveInputs(
+            catalog=catalog,
+            index=BudgetIndex.from_catalog(catalog),
+            now_s=time.time(),
+            phases=phases,
+            reserved={n: frozenset(r.vms) for n, r in view.budgets.items()},
+            unavailable=frozenset(unavailable),
+            busy_slots=view.busy_slots,
+        )
+
+    # Steps
+
+    async def _take(self, name: str, vm: Vm) -> None:
+        """Reserve a VM under all its budgets and begin to drain it."""
+        result = await maintenance.read_budgets(self._client)
+        if isinstance(result, Failure):
+            return
+        budgets = result.unwrap()
+        # The budgets may have changed since the plan was made.
+        view = await self._read(name)
+        if (
+            view is None
+            or vm
+            not in plan_wave(
+                self._revisions.catalog.waves[name],
+                self._inputs(name, replace(view, budgets=budgets)),
+            ).take
+        ):
+            return
+        index = BudgetIndex.from_catalog(self._revisions.catalog)
+        item = WaveVm(name, vm.name, ABSENT, WavePhase.DRAINING, "", time.time())
+        writes = [
+            maintenance.phase_write(item, WavePhase.DRAINING, time.time()),
+            maintenance.drain_write(vm.name, f"wave {name}"),
+        ]
+        for budget in index.budgets_of(vm):
+            held = budgets.get(budget, Reservations())
+            vms = {**held.vms, vm.name: name}
+            writes.append(
+                maintenance.budget_write(budget, Reservations(held.version, vms))
+            )
+        if await self._commit(writes):
+            self._log_step(item, WavePhase.DRAINING)
+
+    async def _step(self, item: WaveVm, view: _View) -> None:
+        """Move one VM on if it can go on."""
+        match item.phase:
+            case WavePhase.DRAINING:
+                await self._finish_drain(item, view)
+            case WavePhase.REBOOTING:
+                await self._reboot(item)
+            case WavePhase.RETURNING:
+                await self._return(item, view)
+
+    async def _finish_drain(self, item: WaveVm, view: _View) -> None:
+        """Go on when every entry of the zone has stopped sending."""
+        vm = self._revisions.catalog.vms.get(item.vm)
+        drain = view.drains.get(item.vm)
+        if vm is None or drain is None:
+            return
+        acks = await maintenance.read_acks(self._client, item.vm)
+        if isinstance(acks, Failure):
+            return
+        acked = {e for e, version in acks.unwrap().items() if version == drain.version}
+        if self._entries_of(vm.zone) - acked:
+            return
+        info = await read_vm(self._client, item.vm)
+        if not isinstance(info, Failure):
+            booted = replace(item, boot_id=info.unwrap().boot_id)
+            await self._move(booted, WavePhase.REBOOTING)
+
+    async def _reboot(self, item: WaveVm) -> None:
+        """Reboot a VM once; the boot identifier tells whether that has happened."""
+        result = await read_vm(self._client, item.vm)
+        if isinstance(result, Failure):
+            return
+        info = result.unwrap()
+        if info.rebooting:
+            return
+        if info.boot_id == item.boot_id:
+            await reboot_vm(self._client, item.vm, item.boot_id)
+            return
+        await self._move(item, WavePhase.RETURNING)
+
+    async def _return(self, item: WaveVm, view: _View) -> None:
+        """Give a VM back when its endpoint answers."""
+        vm = self._revisions.catalog.vms.get(item.vm)
+        drain = view.drains.get(item.vm)
+        if vm is None or drain is None or not await self._probe(vm):
+            return
+        done = view.done.get(vm.pool, DoneVms())
+        writes = [
+            maintenance.end_write(item),
+            maintenance.undrain_write(drain),
+            maintenance.done_write(item.wave, vm.pool, done, item.vm),
+        ]
+        for name, held in view.budgets.items():
+            if item.vm in held.vms:
+                left = {v: wave for v, wave in held.vms.items() if v != item.vm}
+                writes.append(
+                    maintenance.budget_write(name, Reservations(held.version, left))
+                )
+        if await self._commit(writes):
+            self._log_step(item, WavePhase.DONE)
+
+    async def _probe(self, vm: Vm) -> bool:
+        """Return whether the endpoint of a VM answers HTTP."""
+        pool = self._revisions.catalog.pools[vm.pool]
+        url = f"http://{vm.address}:{vm.port}{pool.probe_path}"
+        limits = {"timeout": dict.fromkeys(("connect", "read"), PROBE_TIMEOUT_S)}
+        try:
+            async with httpcore.AsyncConnectionPool() as connections:
+                await connections.request("GET", url, extensions=limits)
+        except (httpcore.NetworkError, httpcore.ProtocolError, OSError):
+            return False
+        except httpcore.TimeoutException:
+            return False
+        return True
+
+    async def _move(self, item: WaveVm, phase: WavePhase) -> None:
+        write = maintenance.phase_write(item, phase, time.time())
+        if await self._commit([write]):
+            self._log_step(item, phase)
+
+    async def _commit(self, writes: list[RowWrite]) -> bool:
+        """Write a step; a lost answer is found out by the next look at the rows."""
+        result = await self._client.write_all(writes)
+        return not isinstance(result, Failure) and result.unwrap()
+
+    def _log_step(self, item: WaveVm, phase: WavePhase) -> None:
+        log_event(
+            Event.WAVE_STEP,
+            wave=item.wave,
+            vm=item.vm,
+            phase=phase.value,
+            revision=self._revisions.number,
+            holder=self._entry,
+        )
+
+    # Report
+
+    async def _report(self, wave: Wave, inputs: WaveInputs, plan: WavePlan) -> None:
+        """Store what the wave does and why it waits, when that has changed."""
+        report: dict[str, object] = {
+            "holder": self._entry,
+            "revision": self._revisions.number,
+            "finished": plan.finished,
+            "left": plan.left,
+            "under_way": {
+                vm: phase.value
+                for vm, phase in sorted(inputs.phases.items())
+                if phase is not WavePhase.DONE
+            },
+            "reasons": plan.reasons,
+        }
+        if self._reported.get(wave.name) == report:
+            return
+        estimate_s = estimate_finish_s(wave, inputs, plan)
+        value = {**report, "finish_estimate_s": estimate_s}
+        table, key = maintenance.REPORT_TABLE, wave.name
+        result = await maintenance.overwrite(self._client, table, key, value)
+        if isinstance(result, Failure) or not result.unwrap():
+            return
+        self._reported[wave.name] = report
+        if plan.finished:
+            self._finished[wave.name] = self._revisions.number
+            log_event(Event.WAVE_FINISHED, wave=wave.name)
+            await self._leases.release(f"wave/{wave.name}")
+        elif plan.reasons:
+            log_event(
+                Event.WAVE_WAITS,
+                wave=wave.name,
+                reasons=plan.reasons,
+                revision=self._revisions.number,
+            )
--- a/src/chivetray/entry.py
+++ b/src/chivetray/entry.py
@@ -16,6 +16,9 @@
     create_operators_app,
 )
 from chivetray.config import Config
+from chivetray.duties.drains import DrainFollower
+from chivetray.duties.loads import LoadWriter
+from chivetray.duties.waves import WaveRunner
 from chivetray.events import Event, log_event
 from chivetray.explain import explain_name
 from chivetray.fleet.revision import RevisionState
@@ -25,6 +28,7 @@
 from chivetray.peers.node import PeerNode
 from chivetray.platform.client import PlatformClient
 from chivetray.platform.group_writer import GroupWriter
+from chivetray.platform.leases import LeaseKeeper
 from chivetray.platform.watcher import PlatformWatcher
 from chivetray.requests.admission import Admission
 from chivetray.requests.balancer import Balancer
@@ -48,8 +52,9 @@
         self._metrics = Metrics()
         self._revisions = RevisionState()
         self._states = VmStates()
+        incarnation = uuid.uuid4().hex
         self._node = PeerNode.from_config(
-            config, self._revisions, uuid.uuid4().hex, self._grants_changed
+            config, self._revisions, incarnation, self._grants_changed
         )
         self._client = PlatformClient.from_config(config.platform)
         self._watcher = PlatformWatcher(
@@ -68,7 +73,11 @@
         )
         self._outliers = OutlierTable(config.outliers)
         self._balancer = Balancer(
-            config.entry.zone, self._node.holder, self._states, self._outliers
+            config.entry.zone,
+            self._node.holder,
+            self._states,
+            self._outliers,
+            config.duties.return_ramp_s,
         )
         self._admission = Admission(self._balancer)
         self._connections = EndpointConnections(config.requests)
@@ -84,6 +93,32 @@
         self._callers = CallerApp(
             config, self._revisions, self._admission, handler, self._metrics
         )
+        self._listed_entries: dict[str, str] = {config.entry.name: config.entry.zone}
+        self._drains = DrainFollower(
+            self._client,
+            config.duties,
+            config.entry.name,
+            self._states,
+            self._node.holder,
+            lambda name: name in self._node.zone_vms(),
+        )
+        self._loads = LoadWriter(
+            self._client,
+            config.duties,
+            config.entry.name,
+            self._revisions,
+            self._node.holder.busy,
+        )
+        self._waves = WaveRunner(
+            self._client,
+            config.duties,
+            config.entry.name,
+            LeaseKeeper(self._client, f"{config.entry.name}/{incarnation}"),
+            self._revisions,
+            self._states,
+            self._entries_of,
+            self._duty_entries,
+        )
         self._leave = anyio.Event()
         self._ready_logged = False
 
@@ -133,6 +168,9 @@
         tasks.start_soon(self._writer.run)
         tasks.start_soon(self._claims.run)
         tasks.start_soon(self._follow_demand)
+        tasks.start_soon(self._drains.run)
+        tasks.start_soon(self._loads.run)
+        tasks.start_soon(self._waves.run)
 
     def leave(self) -> None:
         """Start to leave gracefully."""
@@ -181,12 +219,24 @@
                 if vm.state is VmState.LEAVING:
                     log_event(Event.ENDPOINT_LEAVING, endpoint=vm.name)
             elif vm.state is VmState.GONE:
+                self._listed_entries.pop(vm.name, None)
                 self._node.membership.list_gone(vm.name)
             else:
+                self._listed_entries[vm.name] = vm.zone
                 peer = PeerAddress(vm.name, vm.zone, vm.address, vm.peers_port)
                 self._node.membership.list_entry(peer)
         self._admission.dispatch()
 
+    def _entries_of(self, zone: str) -> set[str]:
+        """Return the entries of a zone that the VM list does not show as gone."""
+        return {name for name, found in self._listed_entries.items() if found == zone}
+
+    def _duty_entries(self) -> list[str]:
+        """Return the entries that may hold duties; a leaving one takes none."""
+        own = [] if self._node.leaving else [self._config.entry.name]
+        live = {peer.name for peer in self._node.membership.live() if not peer.leaving}
+        return own + sorted(live)
+
     def _grants_changed(self) -> None:
         count = len(self._node.membership.zone_entries())
         self._connections.set_zone_entries(count)
@@ -211,6 +261,8 @@
         """Return whether the balancer should send callers here."""
         if self._node.leaving or self._revisions.number == 0:
             return False
+        if not self._drains.looked:
+            return False
         now_s = anyio.current_time()
         services = self._revisions.catalog.services.values()
         return any(self._balancer.granted_slots(s, now_s) for s in services)
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -62,6 +62,15 @@
     CLAIM_RELEASED = (1413, "The claim of a request that was not run was released.")
     OUTCOME_LOST = (1411, "The answer of a claimed request could not be stored.")
 
+    DUTY_TAKEN = (1500, "The entry has taken a control duty.")
+    DRAIN_ACKNOWLEDGED = (
+        1501,
+        "The entry has stopped sending to a VM that is drained.",
+    )
+    WAVE_STEP = (1510, "A VM has come to the next phase of a maintenance wave.")
+    WAVE_WAITS = (1511, "A maintenance wave waits, for the reasons named.")
+    WAVE_FINISHED = (1512, "A maintenance wave has maintained all its VMs.")
+
     INVARIANT_BROKEN = (1900, "An invariant does not hold; this is a defect.")
 
     def __init__(self, number: int, meaning: str):
--- a/src/chivetray/explain.py
+++ b/src/chivetray/explain.py
@@ -18,7 +18,7 @@
         for field, value in asdict(item).items():
             lines.append(f"  {field}: {value}")
     if name in states.unavailable():
-        lines.append("the VM list shows it as leaving or gone: it gets no new requests")
+        lines.append("it is leaving, gone or drained: it gets no new requests")
     if name in ejected:
         lines.append("it failed several requests in a row and is set aside or on trial")
     return lines
--- a/src/chivetray/fleet/vm_states.py
+++ b/src/chivetray/fleet/vm_states.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -49,6 +50,8 @@
     def __init__(self) -> None:
         self.version = 0
         self._states: dict[str, VmState] = {}
+        self._drained: set[str] = set()
+        self._returned_at_s: dict[str, float] = {}
 
     def apply(self, version: int, vms: Iterable[ListedVm]) -> list[ListedVm]:
         """Take the changes of a newer list; return the VMs whose state changed."""
@@ -61,10 +64,24 @@
         self.version = version
         return changed
 
+    def set_drained(self, names: Iterable[str], now_s: float) -> None:
+        """Set the VMs that are drained for maintenance."""
+        drained = set(names)
+        for name in self._drained - drained:
+            self._returned_at_s[name] = now_s
+        self._drained = drained
+
     def is_live(self, name: str) -> bool:
         """Return whether a VM may receive new requests."""
+        if name in self._drained:
+            return False
         return self._states.get(name, VmState.LIVE) is VmState.LIVE
 
+    def returned_for_s(self, name: str, now_s: float) -> float:
+        """Return the time since a VM's drain ended, infinite without one."""
+        return now_s - self._returned_at_s.get(name, -math.inf)
+
     def unavailable(self) -> set[str]:
-        """Return the names of the VMs that are leaving or gone."""
-        return {n for n, state in self._states.items() if state is not VmState.LIVE}
+        """Return the names of the VMs that are leaving, gone or drained."""
+        listed = {n for n, state in self._states.items() if state is not VmState.LIVE}
+        return listed | self._drained
--- a/src/chivetray/peers/grants.py
+++ b/src/chivetray/peers/grants.py
@@ -113,6 +113,11 @@
         held = self._held.get(endpoint)
         return held.in_use if held else 0
 
+    def busy(self) -> dict[str, int]:
+        """Return requests in flight and waiting by endpoint, where there are any."""
+        busy = {name: held.in_use + held.waiting for name, held in self._held.items()}
+        return {name: count for name, count in busy.items() if count}
+
     def take(self, endpoint: str, deadline_s: float) -> None:
         """Count a request that starts."""
         held = self._held[endpoint]
--- /dev/null
+++ b/src/chivetray/platform/vm_control.py
@@ -0,0 +1,49 @@
+"""Looks at single VMs and reboots them through the platform."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from urllib.parse import quote
+
+from returns.result import Failure, Result, Success
+
+from chivetray.exceptions import PlatformError
+from chivetray.fleet.vm_states import VmState
+from chivetray.platform.client import PlatformClient
+
+
+@dataclass(frozen=True, slots=True)
+class VmInfo:
+    """What the platform says of one VM.
+
+    :ivar boot_id: differs for each boot
+    :ivar rebooting: whether a reboot is under way
+    """
+
+    name: str
+    state: VmState
+    boot_id: str
+    rebooting: bool
+
+
+async def read_vm(client: PlatformClient, name: str) -> Result[VmInfo, PlatformError]:
+    """Read one VM."""
+    result = await client.get_json(f"/v1/vms/{quote(name, safe='')}")
+    if isinstance(result, Failure):
+        return Failure(result.failure())
+    document = result.unwrap()
+    state = VmState(document["state"])
+    info = VmInfo(name, state, document["boot_id"], document["rebooting"])
+    return Success(info)
+
+
+async def reboot_vm(
+    client: PlatformClient, name: str, boot_id: str
+) -> Result[None, PlatformError]:
+    """Reboot a VM if it still runs the boot that the caller saw.
+
+    A lost answer may be followed by another call: the platform refuses it once
+    the VM has another boot.
+    """
+    path = f"/v1/vms/{quote(name, safe='')}/reboot"
+    return await client.send_json("POST", path, {"expected_boot_id": boot_id})
--- a/src/chivetray/requests/balancer.py
+++ b/src/chivetray/requests/balancer.py
@@ -22,11 +22,13 @@
         holder: GrantHolder,
         states: VmStates,
         outliers: OutlierTable,
+        return_ramp_s: float = 0.0,
     ):
         self._zone = zone
         self._holder = holder
         self._states = states
         self._outliers = outliers
+        self._return_ramp_s = return_ramp_s
         self._catalog = Catalog()
         self._near: dict[str, list[Vm]] = {}
         self._reserved: dict[str, int] = {}
@@ -99,7 +101,7 @@
         return granted > 0 and self._states.is_live(vm.name)
 
     def _free(self, vm: Vm, service: Service, now_s: float) -> int:
-        free = self._holder.free(vm.name, now_s)
+        free = min(self._holder.free(vm.name, now_s), self._ramp(vm, now_s))
         if service.priority is not Priority.reconciliation:
             return free
         granted = self._holder.granted(vm.name, now_s)
@@ -107,6 +109,14 @@
         allowed = granted - kept - self._reconciling.get(vm.name, 0)
         return min(free, allowed)
 
+    def _ramp(self, vm: Vm, now_s: float) -> int:
+        """Return how many more requests a VM may get that has just returned."""
+        since_s = self._states.returned_for_s(vm.name, now_s)
+        if since_s >= self._return_ramp_s:
+            return vm.slots
+        allowed = math.ceil(vm.slots * since_s / self._return_ramp_s)
+        return max(1, allowed) - self._holder.in_use(vm.name)
+
     def take(self, vm: Vm, service: Service, deadline_s: float) -> None:
         """Count a request that starts at an endpoint."""
         self._holder.take(vm.name, deadline_s)
--- a/src/chivetray/standins/endpoint.py
+++ b/src/chivetray/standins/endpoint.py
@@ -27,6 +27,7 @@
     :ivar wrong_attempt: answer with another attempt's identifier
     :ivar error_after_run: run the request and answer with status 500
     :ivar refuse: answer that the request was not run
+    :ivar down: close every connection without an answer
     """
 
     delay_s: float = 0.0
@@ -35,6 +36,7 @@
     wrong_attempt: bool = False
     error_after_run: bool = False
     refuse: bool = False
+    down: bool = False
 
 
 @dataclass(slots=True)
@@ -93,6 +95,8 @@
 
     async def _answer(self, scope: Message, body: bytes, send: Any) -> None:
         faults = self.state.faults
+        if faults.down:
+            raise RuntimeError("the endpoint is down as told")
         headers = dict(scope["headers"])
         attempt = headers.get(ATTEMPT_HEADER, b"")
         if faults.refuse:
--- a/src/chivetray/standins/platform.py
+++ b/src/chivetray/standins/platform.py
@@ -7,11 +7,15 @@
 from typing import Any
 
 import anyio
+import httpcore
 from starlette.applications import Starlette
+from starlette.background import BackgroundTask
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from chivetray.standins.endpoint import CONTROL_PATH
+
 STALL_S = 3600.0
 
 
@@ -25,6 +29,7 @@
     :ivar lose_answers: number of the next writes that take effect and whose
         answer is lost
     :ivar rows_per_second: rows that may be written each second, 0 for no limit
+    :ivar reboot_s: time for which a reboot takes
     :ivar freeze_vms: keep showing the VM list as it was
     """
 
@@ -34,6 +39,7 @@
     lose_answers: int = 0
     rows_per_second: float = 0.0
     freeze_vms: bool = False
+    reboot_s: float = 0.5
 
 
 @dataclass(slots=True)
@@ -53,6 +59,9 @@
     objects: dict[str, bytes] = field(default_factory=dict)
     vms: dict[str, tuple[int, dict[str, Any]]] = field(default_factory=dict)
     vms_version: int = 0
+    boots: dict[str, int] = field(default_factory=dict)
+    rebooting: set[str] = field(default_factory=set)
+    cut_requests: int = 0
     versions: int = 0
     rows_written: int = 0
     reads: int = 0
@@ -104,7 +113,9 @@
             Route("/v1/batches", _write_each, methods=["POST"]),
             Route("/v1/objects/{digest}", _objects, methods=["GET", "PUT"]),
             Route("/v1/vms", _list_vms),
+            Route("/v1/vms/{name}", _get_vm, methods=["GET"]),
             Route("/v1/vms/{name}", _put_vm, methods=["PUT", "DELETE"]),
+            Route("/v1/vms/{name}/reboot", _reboot_vm, methods=["POST"]),
             Route("/v1/faults", _set_faults, methods=["POST"]),
             Route("/v1/statistics", _statistics),
         ],
@@ -221,6 +232,54 @@
     return JSONResponse({"version": state.vms_version, "vms": vms})
 
 
+async def _get_vm(request: Request) -> Response:
+    state = _state(request)
+    if failed := await _fail_if_told(state):
+        return failed
+    name = request.path_params["name"]
+    if name not in state.vms:
+        return JSONResponse({"error": "no such VM"}, 404)
+    _, vm = state.vms[name]
+    boot_id = f"boot-{state.boots.get(name, 0)}"
+    rebooting = name in state.rebooting
+    return JSONResponse({**vm, "boot_id": boot_id, "rebooting": rebooting})
+
+
+async def _reboot_vm(request: Request) -> Response:
+    """Reboot a VM whose boot is the expected one."""
+    state = _state(request)
+    if failed := await _fail_if_told(state):
+        return failed
+    name = request.path_params["name"]
+    expected = (await request.json())["expected_boot_id"]
+    found = f"boot-{state.boots.get(name, 0)}"
+    if name not in state.vms or expected != found or name in state.rebooting:
+        return JSONResponse({"error": f"the boot is {found}"}, 409)
+    state.rebooting.add(name)
+    task = BackgroundTask(_run_reboot, state, name)
+    if state.faults.lose_answers > 0:
+        await task()
+        await _lose_answer_if_told(state)
+    return JSONResponse({}, background=task)
+
+
+async def _run_reboot(state: PlatformState, name: str) -> None:
+    """Take the endpoint of a VM down for a while and count what that cuts."""
+    _, vm = state.vms[name]
+    url = f"http://{vm['address']}:{vm['endpoint_port']}{CONTROL_PATH}"
+    async with httpcore.AsyncConnectionPool() as pool:
+        response = await pool.request("GET", url)
+        endpoint = json.loads(response.content)
+        state.cut_requests += endpoint["running"]
+        faults = endpoint["faults"]
+        down = json.dumps({**faults, "down": True}).encode()
+        await pool.request("POST", url, content=down)
+        await anyio.sleep(state.faults.reboot_s)
+        await pool.request("POST", url, content=json.dumps(faults).encode())
+    state.boots[name] = state.boots.get(name, 0) + 1
+    state.rebooting.discard(name)
+
+
 async def _put_vm(request: Request) -> Response:
     state = _state(request)
     name = request.path_params["name"]
@@ -242,4 +301,11 @@
 
 async def _statistics(request: Request) -> Response:
     state = _state(request)
-    return JSONResponse({"rows_written": state.rows_written, "reads": state.reads})
+    return JSONResponse(
+        {
+            "rows_written": state.rows_written,
+            "reads": state.reads,
+            "reboots": state.boots,
+            "cut_requests": state.cut_requests,
+        }
+    )
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -322,6 +322,7 @@
             "state": state,
             "operators_port": 8081,
             "peers_port": self.peers_port(),
+            "endpoint_port": self.control_port(),
         }
         self.put_json(f"{self.platform}/v1/vms/{name}", vm, "PUT")
 
--- a/tools/binary_main.py
+++ b/tools/binary_main.py
@@ -5,28 +5,40 @@
 which the dynamic linker loads them.
 """
 
+from __future__ import annotations
+
 import os
 import sys
+import zipfile
 import zipimport
+from collections.abc import Sequence
 from importlib.abc import MetaPathFinder
-from importlib.machinery import EXTENSION_SUFFIXES, ExtensionFileLoader
+from importlib.machinery import EXTENSION_SUFFIXES, ExtensionFileLoader, ModuleSpec
 from importlib.util import spec_from_file_location
+from types import ModuleType
 
 
 class MemoryExtensionFinder(MetaPathFinder):
     """Finds the extension modules of the archive."""
 
-    def __init__(self, archive):
+    def __init__(self, archive: str):
         self._importer = zipimport.zipimporter(archive)
-        self._members = {}
-        for member in self._importer._files:
+        self._members: dict[str, str] = {}
+        with zipfile.ZipFile(archive) as file:
+            members = file.namelist()
+        for member in members:
             for suffix in EXTENSION_SUFFIXES:
                 if member.endswith(suffix):
                     name = member[: -len(suffix)].replace(os.sep, ".")
                     self._members.setdefault(name, member)
                     break
 
-    def find_spec(self, name, path=None, target=None):
+    def find_spec(
+        self,
+        name: str,
+        path: Sequence[str] | None = None,
+        target: ModuleType | None = None,
+    ) -> ModuleSpec | None:
         """Return the spec of an extension module, or None."""
         member = self._members.get(name)
         if member is None:
