--- /dev/null
+++ b/src/chivetray/commands.py
@@ -0,0 +1,256 @@
+"""Handlers of the commands: one function for each."""
+
+from __future__ import annotations
+
+import argparse
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict
+from typing import Any
+
+import anyio
+import yaml
+
+from chivetray.config import Config
+from chivetray.control import Control, describe_change
+from chivetray.entry import Entry
+from chivetray.events import open_log
+from chivetray.exceptions import ChivetrayError
+from chivetray.fleet.catalog import KINDS, object_set_to_plain
+from chivetray.load import LoadPlan, run_load
+from chivetray.results import ResultCode
+from chivetray.standins import runner
+from chivetray.standins.relay import Relay
+
+EXIT_OK = 0
+
+
+def _with_control(
+    arguments: argparse.Namespace, use: Callable[[Control], Awaitable[int]]
+) -> int:
+    """Run a coroutine with a facade for the platform."""
+
+    async def run() -> int:
+        control = Control.from_url(arguments.platform)
+        try:
+            return await use(control)
+        finally:
+            await control.aclose()
+
+    return anyio.run(run)
+
+
+def run_entry(arguments: argparse.Namespace) -> int:
+    """Run an entry until SIGTERM."""
+    config = Config.from_file(arguments.settings)
+    open_log()
+
+    async def run() -> None:
+        await Entry.from_config(config).run()
+
+    anyio.run(run)
+    return EXIT_OK
+
+
+def show_settings(arguments: argparse.Namespace) -> int:
+    """Print the effective settings."""
+    rows = Config.from_file(arguments.settings).describe()
+    if arguments.json:
+        document = {name: {"value": value, "source": src} for name, value, src in rows}
+        print(json.dumps(document))
+        return EXIT_OK
+    for name, value, source in rows:
+        print(f"{name}: {value}  ({source})")
+    return EXIT_OK
+
+
+def check_objects(arguments: argparse.Namespace) -> int:
+    """Check files and print every fault."""
+    checked = Control.check(arguments.files)
+    counts = {kind: len(getattr(checked.objects, kind)) for kind in KINDS}
+    if arguments.json:
+        print(json.dumps({"faults": [], "counts": counts}))
+    else:
+        shown = ", ".join(f"{count} {kind}" for kind, count in counts.items())
+        print(f"no faults: {shown}")
+    return EXIT_OK
+
+
+def publish_objects(arguments: argparse.Namespace) -> int:
+    """Publish files."""
+
+    async def publish(control: Control) -> int:
+        published = await control.publish(
+            arguments.files, arguments.expect, arguments.wait
+        )
+        if arguments.json:
+            print(json.dumps(asdict(published)))
+        else:
+            verb = (
+                "is published" if published.changed else "has the same objects already"
+            )
+            print(f"revision {published.number} {verb}")
+        if published.missing:
+            names = ", ".join(published.missing)
+            message = f"these entries do not report it: {names}"
+            raise ChivetrayError(ResultCode.NOT_IN_FORCE, message)
+        return EXIT_OK
+
+    return _with_control(arguments, publish)
+
+
+def diff_objects(arguments: argparse.Namespace) -> int:
+    """Show what publishing files would change."""
+
+    async def diff(control: Control) -> int:
+        number, _, change = await control.diff(arguments.files)
+        phrases = describe_change(change)
+        if arguments.json:
+            print(json.dumps({"revision": number, "changes": phrases}))
+            return EXIT_OK
+        print(f"against revision {number}:")
+        for phrase in phrases or ["no changes"]:
+            print(f"  {phrase}")
+        return EXIT_OK
+
+    return _with_control(arguments, diff)
+
+
+def get_objects(arguments: argparse.Namespace) -> int:
+    """Print the newest revision."""
+
+    async def get(control: Control) -> int:
+        number, catalog = await control.get()
+        if number == 0:
+            message = "no revision was published yet"
+            raise ChivetrayError(ResultCode.NOTHING_PUBLISHED, message)
+        plain = object_set_to_plain(catalog.to_object_set())
+        if arguments.json:
+            print(json.dumps({"revision": number, "objects": plain}))
+        else:
+            print(f"# revision {number}")
+            print(yaml.safe_dump(plain, sort_keys=False), end="")
+        return EXIT_OK
+
+    return _with_control(arguments, get)
+
+
+def show_history(arguments: argparse.Namespace) -> int:
+    """List the newest revisions."""
+
+    async def history(control: Control) -> int:
+        items = await control.history(arguments.limit)
+        if arguments.json:
+            print(json.dumps([asdict(item) for item in items]))
+            return EXIT_OK
+        for item in items:
+            print(f"{item.number}  {item.created_at_s:.0f}  {item.author}")
+        return EXIT_OK
+
+    return _with_control(arguments, history)
+
+
+def show_status(arguments: argparse.Namespace) -> int:
+    """Show the state of every entry."""
+
+    async def status(control: Control) -> int:
+        reports = await control.status()
+        if arguments.json:
+            print(json.dumps([asdict(report) for report in reports]))
+            return EXIT_OK
+        for report in reports:
+            print(_describe_report(report.name, report.status, report.reason))
+        return EXIT_OK
+
+    return _with_control(arguments, status)
+
+
+def _describe_report(name: str, status: dict[str, Any] | None, reason: str) -> str:
+    if status is None:
+        return f"{name}: {reason}"
+    state = (
+        "leaving" if status["leaving"] else "ready" if status["ready"] else "not ready"
+    )
+    platform = "answers" if status["platform_answers"] else "does not answer"
+    peers = ", ".join(peer["name"] for peer in status["peers"]) or "none"
+    lines = [
+        f"{name} in {status['zone']}: {state}, revision {status['revision']}",
+        f"  {status['in_flight']} requests in flight, {status['waiting']} waiting",
+        f"  live peers: {peers}; the platform {platform}",
+    ]
+    if status["ejected"]:
+        lines.append(f"  set aside: {', '.join(status['ejected'])}")
+    if status["unavailable"]:
+        lines.append(f"  leaving or gone: {', '.join(status['unavailable'])}")
+    return "\n".join(lines)
+
+
+def explain_object(arguments: argparse.Namespace) -> int:
+    """Tell what the entries know of an object or a request."""
+
+    async def explain(control: Control) -> int:
+        found = await control.explain(arguments.name)
+        if arguments.json:
+            print(json.dumps(found))
+            return EXIT_OK
+        for entry, lines in found.items():
+            print(f"{entry}:")
+            for line in lines:
+                print(f"  {line}")
+        return EXIT_OK
+
+    return _with_control(arguments, explain)
+
+
+def run_platform_standin(arguments: argparse.Namespace) -> int:
+    """Run a platform stand-in."""
+    anyio.run(runner.serve_platform, arguments.address, arguments.port)
+    return EXIT_OK
+
+
+def run_endpoint_standin(arguments: argparse.Namespace) -> int:
+    """Run an endpoint stand-in."""
+    anyio.run(
+        runner.serve_endpoint,
+        arguments.name,
+        arguments.slots,
+        arguments.address,
+        arguments.port,
+        arguments.ledger,
+    )
+    return EXIT_OK
+
+
+def run_relay_standin(arguments: argparse.Namespace) -> int:
+    """Run a TCP relay."""
+    relay = Relay(arguments.target_address, arguments.target_port)
+    anyio.run(relay.serve, arguments.address, arguments.port)
+    return EXIT_OK
+
+
+def run_try(arguments: argparse.Namespace) -> int:
+    """Run a small fleet in one process."""
+    open_log()
+    anyio.run(runner.run_try, arguments.files, arguments.zone)
+    return EXIT_OK
+
+
+def run_load_command(arguments: argparse.Namespace) -> int:
+    """Send load and report."""
+    plan = LoadPlan(
+        url=arguments.url,
+        rate_per_s=arguments.rate,
+        duration_s=arguments.seconds,
+        method=arguments.method,
+        body_bytes=arguments.body_bytes,
+        timeout_s=arguments.timeout_s,
+        concurrency_limit=arguments.concurrency,
+        keyed=arguments.keyed,
+    )
+    report = anyio.run(run_load, plan).to_plain()
+    if arguments.json:
+        print(json.dumps(report))
+        return EXIT_OK
+    for name, value in report.items():
+        print(f"{name}: {value}")
+    return EXIT_OK
--- /dev/null
+++ b/src/chivetray/duties/sweeper.py
@@ -0,0 +1,88 @@
+"""Removes rows that nobody needs any more: old claims and rows of former waves."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import anyio
+from returns.result import Failure
+
+from chivetray.duties.candidates import is_candidate
+from chivetray.events import Event, log_event
+from chivetray.fleet.revision import RevisionState
+from chivetray.generated.settings import DutySettings
+from chivetray.platform import maintenance
+from chivetray.platform.claim_rows import read_claim_page
+from chivetray.platform.client import PlatformClient, RowWrite
+from chivetray.platform.leases import LeaseKeeper
+
+DUTY = "sweep"
+
+
+class Sweeper:
+    """Sweeps the tables page by page while this entry holds the duty.
+
+    :param live_entries: returns the entries that may hold duties
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        settings: DutySettings,
+        entry: str,
+        leases: LeaseKeeper,
+        revisions: RevisionState,
+        live_entries: Callable[[], list[str]],
+    ):
+        self._client = client
+        self._settings = settings
+        self._entry = entry
+        self._leases = leases
+        self._revisions = revisions
+        self._live_entries = live_entries
+        self._after = ""
+
+    async def run(self) -> None:
+        """Sweep until cancelled."""
+        while True:
+            await anyio.sleep(self._settings.sweep_interval_s)
+            if not is_candidate(DUTY, self._entry, self._live_entries()):
+                continue
+            if await self._leases.acquire(DUTY, anyio.current_time()):
+                await self._sweep_claims()
+                await self._sweep_waves()
+
+    async def _sweep_claims(self) -> None:
+        """Remove the expired claims of the next page."""
+        result = await read_claim_page(self._client, self._after)
+        if isinstance(result, Failure):
+            return
+        page = result.unwrap()
+        self._after = page[-1].key if page else ""
+        now_s = time.time()
+        expired = [claim for claim in page if claim.expires_at_s <= now_s]
+        await self._remove([claim.removal() for claim in expired])
+
+    async def _sweep_waves(self) -> None:
+        """Remove what is kept of waves that are configured no more."""
+        under_way = await maintenance.read_under_way(self._client)
+        rows = await maintenance.read_wave_leftovers(self._client)
+        if isinstance(under_way, Failure) or isinstance(rows, Failure):
+            return
+        kept = set(self._revisions.catalog.waves)
+        kept |= {item.wave for item in under_way.unwrap().values()}
+        if self._revisions.number == 0:
+            return
+        removed = [item.removal() for item in rows.unwrap() if item.wave not in kept]
+        await self._remove(removed)
+
+    async def _remove(self, writes: list[RowWrite]) -> None:
+        """Delete rows that have not changed since they were read."""
+        writes = writes[: self._settings.sweep_rows]
+        if not writes:
+            return
+        result = await self._client.write_each(writes)
+        if not isinstance(result, Failure):
+            count = sum(item.written for item in result.unwrap())
+            log_event(Event.ROWS_SWEPT, rows=count, table=writes[0].table)
--- a/src/chivetray/duties/waves.py
+++ b/src/chivetray/duties/waves.py
@@ -17,6 +17,7 @@
 import httpcore
 from returns.result import Failure
 
+from chivetray.duties.candidates import is_candidate
 from chivetray.events import Event, log_event
 from chivetray.fleet.budgets import BudgetIndex
 from chivetray.fleet.revision import RevisionState
@@ -30,16 +31,12 @@
 )
 from chivetray.generated.objects import Vm, Wave
 from chivetray.generated.settings import DutySettings
-from chivetray.peers.homes import rank_candidates
 from chivetray.platform import maintenance
 from chivetray.platform.client import ABSENT, PlatformClient, RowWrite
 from chivetray.platform.leases import LeaseKeeper
 from chivetray.platform.maintenance import DoneVms, Drain, Reservations, WaveVm
 from chivetray.platform.vm_control import read_vm, reboot_vm
 
-# Entries that try to hold one duty; the others leave the store alone.
-CANDIDATES = 3
-
 PROBE_TIMEOUT_S = 1.0
 
 # Loads that were not written again for so many intervals are left out.
@@ -116,8 +113,7 @@
         return sorted(name for name in names if self._is_candidate(f"wave/{name}"))
 
     def _is_candidate(self, duty: str) -> bool:
-        chosen = rank_candidates(duty, self._live_entries())[:CANDIDATES]
-        return self._entry in chosen
+        return is_candidate(duty, self._entry, self._live_entries())
 
     async def _hold(self, name: str) -> bool:
         return await self._leases.acquire(f"wave/{name}", anyio.current_time())
--- a/src/chivetray/entry.py
+++ b/src/chivetray/entry.py
@@ -18,6 +18,7 @@
 from chivetray.config import Config
 from chivetray.duties.drains import DrainFollower
 from chivetray.duties.loads import LoadWriter
+from chivetray.duties.sweeper import Sweeper
 from chivetray.duties.waves import WaveRunner
 from chivetray.events import Event, log_event
 from chivetray.explain import explain_name
@@ -59,6 +60,7 @@
             incarnation,
             self._grants_changed,
             lambda: self._admission.waiting_by_endpoint(),
+            self._metrics.report_broken,
         )
         self._client = PlatformClient.from_config(config.platform)
         self._watcher = PlatformWatcher(
@@ -113,11 +115,20 @@
             self._revisions,
             self._node.holder.busy,
         )
+        leases = LeaseKeeper(self._client, f"{config.entry.name}/{incarnation}")
+        self._sweeper = Sweeper(
+            self._client,
+            config.duties,
+            config.entry.name,
+            leases,
+            self._revisions,
+            self._duty_entries,
+        )
         self._waves = WaveRunner(
             self._client,
             config.duties,
             config.entry.name,
-            LeaseKeeper(self._client, f"{config.entry.name}/{incarnation}"),
+            leases,
             self._revisions,
             self._states,
             self._entries_of,
@@ -175,6 +186,7 @@
         tasks.start_soon(self._drains.run)
         tasks.start_soon(self._loads.run)
         tasks.start_soon(self._waves.run)
+        tasks.start_soon(self._sweeper.run)
 
     def leave(self) -> None:
         """Start to leave gracefully."""
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -71,6 +71,8 @@
     WAVE_WAITS = (1511, "A maintenance wave waits, for the reasons named.")
     WAVE_FINISHED = (1512, "A maintenance wave has maintained all its VMs.")
 
+    ROWS_SWEPT = (1520, "Rows that nobody needs any more were removed.")
+
     INVARIANT_BROKEN = (1900, "An invariant does not hold; this is a defect.")
 
     def __init__(self, number: int, meaning: str):
--- a/src/chivetray/fleet/checker.py
+++ b/src/chivetray/fleet/checker.py
@@ -213,16 +213,24 @@
                 yield inputs.fault(ResultCode.BAD_VALUE, "services", service, message)
 
 
-def _vms_of(inputs: _Inputs, service: Service) -> list[Vm]:
-    return [vm for vm in inputs.objects.vms if vm.pool in service.pools]
+def _vms_by_pool(inputs: _Inputs) -> dict[str, list[Vm]]:
+    by_pool: dict[str, list[Vm]] = defaultdict(list)
+    for vm in inputs.objects.vms:
+        by_pool[vm.pool].append(vm)
+    return by_pool
+
+
+def _vms_of(by_pool: dict[str, list[Vm]], service: Service) -> list[Vm]:
+    return [vm for pool in service.pools for vm in by_pool.get(pool, [])]
 
 
 def _check_budgets(inputs: _Inputs) -> Iterator[Fault]:
     budgets = {budget.name: budget for budget in inputs.objects.budgets}
     used = {service.budget for service in inputs.objects.services}
+    by_pool = _vms_by_pool(inputs)
     for service in inputs.objects.services:
         budget = budgets.get(service.budget)
-        vms = _vms_of(inputs, service)
+        vms = _vms_of(by_pool, service)
         if budget is None or not vms:
             continue
         fewest = len(vms) - budget.max_unavailable_vms
@@ -243,8 +251,9 @@
 
 def _check_zones(inputs: _Inputs) -> Iterator[Fault]:
     zones = [zone.name for zone in inputs.objects.zones]
+    by_pool = _vms_by_pool(inputs)
     for service in inputs.objects.services:
-        present = {vm.zone for vm in _vms_of(inputs, service)}
+        present = {vm.zone for vm in _vms_of(by_pool, service)}
         for zone in zones:
             if zone not in present:
                 message = f"it has no endpoint in availability zone {zone}"
--- a/src/chivetray/metrics.py
+++ b/src/chivetray/metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 from prometheus_client.core import SummaryMetricFamily
 
+from chivetray.events import Event, log_event
 from chivetray.results import ResultCode
 
 LOWEST_US = 1
@@ -130,6 +131,11 @@
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
         return Counter(name, text, labels, registry=self.registry)
 
+    def report_broken(self, check: str, **fields: object) -> None:
+        """Count and log an invariant that does not hold."""
+        self.invariants_broken.labels(check).inc()
+        log_event(Event.INVARIANT_BROKEN, check=check, **fields)
+
     def record_result(self, service: str, code: ResultCode) -> None:
         """Count one finished request."""
         self.results.labels(service, code.name).inc()
--- a/src/chivetray/peers/ledger.py
+++ b/src/chivetray/peers/ledger.py
@@ -117,9 +117,11 @@
         self.expire(now_s)
         holder = self._holders.setdefault(entry, HolderState())
         holder.expires_at_s = now_s + self._ttl_s
-        self._take_acknowledgement(holder, demand.acked_offer)
+        # The reports come first: an acknowledged grant falls to no less than what
+        # is in use by the time of the acknowledgement.
         for want in demand.wants:
             self._record_want(holder, want, demand.acked_offer, now_s)
+        self._take_acknowledgement(holder, demand.acked_offer)
         return self._make_offer(entry, holder, demand.sequence, now_s)
 
     def push_offers(self, now_s: float) -> dict[str, SlotOffer]:
@@ -142,7 +144,8 @@
         if holding.want != want.want:
             self._targets.pop(want.endpoint, None)
         if now_s < self._granting_from_s[want.endpoint] and not holding.slots:
-            holding.slots = min(want.granted, self._free(want.endpoint))
+            held = max(want.granted, want.in_use)
+            holding.slots = min(held, self._free(want.endpoint))
         holding.in_use = want.in_use
         holding.want = want.want
         holding.busy_until_s = now_s + want.busy_ms / MS_PER_S
--- a/src/chivetray/peers/node.py
+++ b/src/chivetray/peers/node.py
@@ -33,6 +33,10 @@
 
 DIAL_INTERVAL_S = 0.25
 
+# Time in which a peer that was asked for revisions has to send them before
+# another is asked.
+REVISION_ANSWER_S = 0.5
+
 # Heartbeats between two that go to all peers.
 HEARTBEATS_BETWEEN_ALL = 8
 
@@ -58,6 +62,7 @@
     :param incarnation: differs for each start of the entry
     :param on_change: called after grants or membership have changed
     :param waiting: returns the waiting requests that could go to each endpoint
+    :param report_broken: called when an invariant does not hold
     """
 
     def __init__(
@@ -67,6 +72,7 @@
         incarnation: str,
         on_change: Callable[[], None],
         waiting: Callable[[], dict[str, int]],
+        report_broken: Callable[..., None],
     ):
         self.membership = Membership(
             config.entry.name, config.entry.zone, config.peers.far_peers
@@ -79,10 +85,13 @@
         self._incarnation = incarnation
         self._on_change = on_change
         self._waiting = waiting
+        self._report_broken = report_broken
         self._streams: dict[str, PeerStream] = {}
         self._dialing: set[str] = set()
         self._wake = anyio.Event()
         self._closed_bytes = 0
+        self._asked_number = 0
+        self._asked_at_s = 0.0
 
     @classmethod
     def from_config(
@@ -92,9 +101,10 @@
         incarnation: str,
         on_change: Callable[[], None],
         waiting: Callable[[], dict[str, int]],
+        report_broken: Callable[..., None],
     ) -> PeerNode:
         """Make a node that knows the seeds of the settings."""
-        node = cls(config, revisions, incarnation, on_change, waiting)
+        node = cls(config, revisions, incarnation, on_change, waiting, report_broken)
         node.membership.set_seeds(
             PeerAddress(seed.name, seed.zone, seed.address, seed.port)
             for seed in config.peers.seeds
@@ -268,8 +278,15 @@
     # Revisions
 
     async def _request_revisions(self, number: int, stream: PeerStream) -> None:
-        if number > self._revisions.number:
-            await stream.send(RevisionRequest(self._revisions.number))
+        """Ask one peer for newer revisions, unless another was just asked."""
+        now_s = anyio.current_time()
+        asked = self._asked_number >= number
+        if number <= self._revisions.number:
+            return
+        if asked and now_s - self._asked_at_s < REVISION_ANSWER_S:
+            return
+        self._asked_number, self._asked_at_s = number, now_s
+        await stream.send(RevisionRequest(self._revisions.number))
 
     async def _push_revisions(self, stream: PeerStream, after: int) -> None:
         for item in self._revisions.revisions_after(after):
@@ -388,4 +405,4 @@
     def _check_ledger(self) -> None:
         excess = self.ledger.excess_slots()
         if excess:
-            log_event(Event.INVARIANT_BROKEN, check="granted slots", excess=excess)
+            self._report_broken("granted slots", excess=excess)
--- /dev/null
+++ b/src/chivetray/platform/claim_rows.py
@@ -0,0 +1,43 @@
+"""Pages of claims in the table service, for removing old ones."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from returns.result import Failure, Result
+
+from chivetray.exceptions import PlatformError
+from chivetray.platform.client import PlatformClient, Row, RowWrite, convert_rows
+
+CLAIM_TABLE = "claims"
+PAGE_ROWS = 200
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAge:
+    """Age of one claim.
+
+    :ivar expires_at_s: time since the epoch from which the claim may go
+    """
+
+    key: str
+    version: int
+    expires_at_s: float
+
+    def removal(self) -> RowWrite:
+        """Return the write that removes the claim if it has not changed."""
+        return RowWrite(CLAIM_TABLE, self.key, self.version, None)
+
+
+async def read_claim_page(
+    client: PlatformClient, after: str
+) -> Result[list[ClaimAge], PlatformError]:
+    """Read the next claims after a key; an empty page means that all were read."""
+    result = await client.list_rows(CLAIM_TABLE, after, PAGE_ROWS)
+    if isinstance(result, Failure):
+        return Failure(result.failure())
+    return convert_rows(result.unwrap(), _claim_age)
+
+
+def _claim_age(row: Row) -> ClaimAge:
+    return ClaimAge(row.key, row.version, float(row.value["expires_at_s"]))
--- a/src/chivetray/platform/client.py
+++ b/src/chivetray/platform/client.py
@@ -9,8 +9,9 @@
 
 import json
 import ssl
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
 
 import anyio
@@ -27,6 +28,12 @@
 IDLE_CONNECTION_S = 30.0
 UNACKNOWLEDGED_TIMEOUT_S = 2.0
 
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
+
+Value = TypeVar("Value")
+
 # Expected version of a row that does not exist.
 ABSENT = 0
 
@@ -119,16 +126,11 @@
     async def read_row(self, table: str, key: str) -> Result[Row | None, PlatformError]:
         """Read one row; the result holds ``None`` when it does not exist."""
         path = f"/v1/tables/{quote(table, safe='')}/{quote(key, safe='')}"
-        result = await self._call("GET", path)
-        if isinstance(result, Failure):
-            return Failure(result.failure())
-        response = result.unwrap()
-        if response.status == 404:
-            return Success(None)
-        if response.status != 200:
-            return _refused(response)
-        document = response.json()
-        return Success(Row(key, document["version"], document["value"]))
+
+        def convert(document: Any) -> Row | None:
+            return Row(key, int(document["version"]), dict(document["value"]))
+
+        return await self._ask("GET", path, convert, None, {HTTP_NOT_FOUND: None})
 
     async def list_rows(
         self, table: str, after: str = "", limit: int = 100
@@ -136,92 +138,75 @@
         """Read the rows after a key, in order of their keys."""
         query = urlencode({"after": after, "limit": limit})
         path = f"/v1/tables/{quote(table, safe='')}?{query}"
-        result = await self._call("GET", path)
-        if isinstance(result, Failure):
-            return Failure(result.failure())
-        response = result.unwrap()
-        if response.status != 200:
-            return _refused(response)
-        rows = response.json()["rows"]
-        return Success([Row(row["key"], row["version"], row["value"]) for row in rows])
+        return await self._ask("GET", path, _rows_of)
 
     async def write_all(self, writes: list[RowWrite]) -> Result[bool, PlatformError]:
         """Write all rows or none; the result is false after a conflict."""
         content = {"writes": [write.to_plain() for write in writes]}
-        result = await self._call("POST", "/v1/transactions", content)
-        if isinstance(result, Failure):
-            return Failure(result.failure())
-        response = result.unwrap()
-        if response.status == 409:
-            return Success(False)
-        if response.status != 200:
-            return _refused(response)
-        return Success(True)
+        path = "/v1/transactions"
+        conflict = {HTTP_CONFLICT: False}
+        return await self._ask("POST", path, lambda _: True, content, conflict)
 
     async def write_each(
         self, writes: list[RowWrite]
     ) -> Result[list[RowWritten], PlatformError]:
         """Write rows independently of each other in one call."""
         content = {"writes": [write.to_plain() for write in writes]}
-        result = await self._call("POST", "/v1/batches", content)
-        if isinstance(result, Failure):
-            return Failure(result.failure())
-        response = result.unwrap()
-        if response.status != 200:
-            return _refused(response)
-        results = response.json()["results"]
-        return Success(
-            [RowWritten(item["version"], item["written"]) for item in results]
-        )
+
+        def convert(document: Any) -> list[RowWritten]:
+            return _results_of(document, len(writes))
+
+        return await self._ask("POST", "/v1/batches", convert, content)
 
     async def put_object(
         self, digest: str, content: str
     ) -> Result[None, PlatformError]:
         """Store content under its digest."""
-        body = content.encode()
-        result = await self._send("PUT", f"/v1/objects/{digest}", body)
-        if isinstance(result, Failure):
-            return Failure(result.failure())
-        response = result.unwrap()
-        return Success(None) if response.status == 200 else _refused(response)
+        result = await self._send("PUT", f"/v1/objects/{digest}", content.encode())
+        return result.bind(
+            lambda response: (
+                Success(None) if response.status == HTTP_OK else _refused(response)
+            )
+        )
 
     async def get_object(self, digest: str) -> Result[str | None, PlatformError]:
         """Read content; the result holds ``None`` when it does not exist."""
-        result = await self._call("GET", f"/v1/objects/{digest}")
-        if isinstance(result, Failure):
-            return Failure(result.failure())
-        response = result.unwrap()
-        if response.status == 404:
-            return Success(None)
-        if response.status != 200:
-            return _refused(response)
-        return Success(response.content.decode())
+        result = await self._send("GET", f"/v1/objects/{digest}", b"")
+
+        def take(response: Response) -> Result[str | None, PlatformError]:
+            if response.status == HTTP_OK:
+                return Success(response.content.decode(errors="replace"))
+            return _interpret(response, lambda _: None, {HTTP_NOT_FOUND: None})
+
+        return result.bind(take)
 
     async def get_json(self, path: str) -> Result[Any, PlatformError]:
         """Read a JSON document, such as the VM list."""
-        result = await self._call("GET", path)
-        if isinstance(result, Failure):
-            return Failure(result.failure())
-        response = result.unwrap()
-        return (
-            Success(response.json()) if response.status == 200 else _refused(response)
-        )
+        return await self._ask("GET", path, lambda document: document)
 
     async def send_json(
         self, method: str, path: str, content: Any
     ) -> Result[None, PlatformError]:
         """Send a JSON document and expect status 200."""
-        result = await self._call(method, path, content)
-        if isinstance(result, Failure):
-            return Failure(result.failure())
-        response = result.unwrap()
-        return Success(None) if response.status == 200 else _refused(response)
-
-    async def _call(
-        self, method: str, path: str, content: Any = None
-    ) -> Result[Response, PlatformError]:
+        return await self._ask(method, path, lambda _: None, content)
+
+    async def _ask(
+        self,
+        method: str,
+        path: str,
+        convert: Callable[[Any], Value],
+        content: Any = None,
+        meanings: Mapping[int, Value] | None = None,
+    ) -> Result[Value, PlatformError]:
+        """Call the platform and convert its answer.
+
+        :param meanings: what other statuses than 200 stand for
+        """
         body = b"" if content is None else json.dumps(content).encode()
-        return await self._send(method, path, body)
+        result = await self._send(method, path, body)
+        return result.bind(
+            lambda response: _interpret(response, convert, meanings or {})
+        )
 
     async def _send(
         self, method: str, path: str, body: bytes
@@ -250,6 +235,56 @@
         return Success(Response(response.status, response.content))
 
 
+def convert_rows(
+    rows: list[Row], convert: Callable[[Row], Value]
+) -> Result[list[Value], PlatformError]:
+    """Convert rows to what they stand for; a damaged row is a failure."""
+    values = []
+    for row in rows:
+        try:
+            values.append(convert(row))
+        except (KeyError, TypeError, ValueError, AttributeError):
+            message = f"row {row.key} cannot be read"
+            error = PlatformError(ResultCode.CONTENT_DAMAGED, message, answered=True)
+            return Failure(error)
+    return Success(values)
+
+
+def _rows_of(document: Any) -> list[Row]:
+    return [
+        Row(str(row["key"]), int(row["version"]), dict(row["value"]))
+        for row in document["rows"]
+    ]
+
+
+def _results_of(document: Any, count: int) -> list[RowWritten]:
+    results = document["results"]
+    if len(results) != count:
+        raise ValueError("the answer has another number of results")
+    return [RowWritten(int(item["version"]), bool(item["written"])) for item in results]
+
+
+def _interpret(
+    response: Response,
+    convert: Callable[[Any], Value],
+    meanings: Mapping[int, Value],
+) -> Result[Value, PlatformError]:
+    """Convert an answer; one that cannot be read counts as no answer.
+
+    What the call was meant to do may have happened.
+    """
+    if response.status in meanings:
+        return Success(meanings[response.status])
+    if response.status != HTTP_OK:
+        return _refused(response)
+    try:
+        return Success(convert(response.json()))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        message = f"the platform's answer cannot be read ({type(error).__name__})"
+        failure = PlatformError(ResultCode.PLATFORM_REFUSED, message, answered=False)
+        return Failure(failure)
+
+
 def _unavailable(error: Exception, answered: bool) -> PlatformError:
     reason = str(error) or type(error).__name__
     message = f"the platform does not answer ({reason})"
--- a/src/chivetray/platform/maintenance.py
+++ b/src/chivetray/platform/maintenance.py
@@ -18,7 +18,13 @@
 
 from chivetray.exceptions import PlatformError
 from chivetray.fleet.waves import WavePhase
-from chivetray.platform.client import ABSENT, PlatformClient, Row, RowWrite
+from chivetray.platform.client import (
+    ABSENT,
+    PlatformClient,
+    Row,
+    RowWrite,
+    convert_rows,
+)
 
 WAVE_TABLE = "wave-vms"
 DONE_TABLE = "wave-done"
@@ -59,6 +65,24 @@
     vms: list[str] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class WaveRow:
+    """A row that is kept of a wave."""
+
+    table: str
+    key: str
+    version: int
+
+    @property
+    def wave(self) -> str:
+        """Name of the wave."""
+        return self.key.partition("/")[0]
+
+    def removal(self) -> RowWrite:
+        """Return the write that removes the row if it has not changed."""
+        return RowWrite(self.table, self.key, self.version, None)
+
+
 @dataclass(slots=True)
 class Reservations:
     """VMs that are reserved under one budget.
@@ -117,8 +141,8 @@
     result = await list_all(client, WAVE_TABLE)
     if isinstance(result, Failure):
         return Failure(result.failure())
-    vms = [_wave_vm(row) for row in result.unwrap()]
-    return Success({item.vm: item for item in vms})
+    vms = convert_rows(result.unwrap(), _wave_vm)
+    return vms.map(lambda items: {item.vm: item for item in items})
 
 
 async def read_done(
@@ -128,12 +152,11 @@
     result = await list_all(client, DONE_TABLE, f"{wave}/")
     if isinstance(result, Failure):
         return Failure(result.failure())
-    return Success(
-        {
-            row.key.partition("/")[2]: DoneVms(row.version, row.value["vms"])
-            for row in result.unwrap()
-        }
+    done = convert_rows(
+        result.unwrap(),
+        lambda r: (r.key.partition("/")[2], DoneVms(r.version, list(r.value["vms"]))),
     )
+    return done.map(dict)
 
 
 def _wave_vm(row: Row) -> WaveVm:
@@ -151,8 +174,11 @@
     result = await list_all(client, BUDGET_TABLE)
     if isinstance(result, Failure):
         return Failure(result.failure())
-    rows = result.unwrap()
-    return Success({r.key: Reservations(r.version, r.value["vms"]) for r in rows})
+    reservations = convert_rows(
+        result.unwrap(),
+        lambda r: (r.key, Reservations(r.version, dict(r.value["vms"]))),
+    )
+    return reservations.map(dict)
 
 
 async def read_drains(
@@ -162,12 +188,10 @@
     result = await list_all(client, DRAIN_TABLE)
     if isinstance(result, Failure):
         return Failure(result.failure())
-    return Success(
-        {
-            row.key: Drain(row.key, row.version, row.value["owner"])
-            for row in result.unwrap()
-        }
+    drains = convert_rows(
+        result.unwrap(), lambda r: Drain(r.key, r.version, r.value["owner"])
     )
+    return drains.map(lambda items: {drain.vm: drain for drain in items})
 
 
 async def read_acks(
@@ -177,12 +201,11 @@
     result = await list_all(client, ACK_TABLE, f"{vm}/")
     if isinstance(result, Failure):
         return Failure(result.failure())
-    return Success(
-        {
-            row.key.partition("/")[2]: row.value["drain_version"]
-            for row in result.unwrap()
-        }
+    acks = convert_rows(
+        result.unwrap(),
+        lambda r: (r.key.partition("/")[2], int(r.value["drain_version"])),
     )
+    return acks.map(dict)
 
 
 async def write_ack(
@@ -215,12 +238,25 @@
     result = await list_all(client, LOAD_TABLE)
     if isinstance(result, Failure):
         return Failure(result.failure())
-    return Success(
-        [
-            EntryLoad(row.key, row.value["written_at_s"], row.value["busy_slots"])
-            for row in result.unwrap()
-        ]
-    )
+    return convert_rows(result.unwrap(), _entry_load)
+
+
+def _entry_load(row: Row) -> EntryLoad:
+    value = row.value
+    return EntryLoad(row.key, float(value["written_at_s"]), dict(value["busy_slots"]))
+
+
+async def read_wave_leftovers(
+    client: PlatformClient,
+) -> Result[list[WaveRow], PlatformError]:
+    """Read the rows that are kept of waves after their VMs are done."""
+    found: list[WaveRow] = []
+    for table in (DONE_TABLE, REPORT_TABLE):
+        result = await list_all(client, table)
+        if isinstance(result, Failure):
+            return Failure(result.failure())
+        found += [WaveRow(table, row.key, row.version) for row in result.unwrap()]
+    return Success(found)
 
 
 def phase_write(item: WaveVm, phase: WavePhase, now_s: float) -> RowWrite:
--- a/src/chivetray/platform/revisions.py
+++ b/src/chivetray/platform/revisions.py
@@ -23,7 +23,13 @@
 from chivetray.exceptions import ChivetrayError, PlatformError
 from chivetray.fleet.catalog import Catalog, Change, digest_of
 from chivetray.fleet.revision import Revision
-from chivetray.platform.client import ABSENT, PlatformClient, Row, RowWrite
+from chivetray.platform.client import (
+    ABSENT,
+    PlatformClient,
+    Row,
+    RowWrite,
+    convert_rows,
+)
 from chivetray.results import ResultCode
 
 REVISION_TABLE = "config"
@@ -69,6 +75,19 @@
     snapshot: Snapshot
 
 
+@dataclass(frozen=True, slots=True)
+class StoredChange:
+    """Row of one revision.
+
+    :ivar content: change as JSON, or ``None`` when it is in the object store
+    """
+
+    number: int
+    publish_id: str
+    digest: str
+    content: str | None
+
+
 @dataclass(frozen=True, slots=True)
 class HistoryItem:
     """A published revision without its content."""
@@ -92,8 +111,13 @@
     row = result.unwrap()
     if row is None:
         return Success(Head(ABSENT, 0, Snapshot()))
-    snapshot = Snapshot(**row.value["snapshot"])
-    return Success(Head(row.version, row.value["number"], snapshot))
+    return convert_rows([row], _head).map(lambda heads: heads[0])
+
+
+def _head(row: Row) -> Head:
+    return Head(
+        row.version, int(row.value["number"]), Snapshot(**row.value["snapshot"])
+    )
 
 
 async def read_after(
@@ -108,13 +132,15 @@
     rows = await client.list_rows(REVISION_TABLE, revision_key(number), PAGE_ROWS)
     if isinstance(rows, Failure):
         return Failure(rows.failure())
+    stored = convert_rows(rows.unwrap(), _stored_change)
+    if isinstance(stored, Failure):
+        return Failure(stored.failure())
     revisions = []
-    for row in rows.unwrap():
-        content = await _read_content(client, row)
+    for item in stored.unwrap():
+        content = await _read_content(client, item)
         if isinstance(content, Failure):
             return Failure(content.failure())
-        publish_id = row.value["publish_id"]
-        revision = Revision(int(row.key), publish_id, False, content.unwrap())
+        revision = Revision(item.number, item.publish_id, False, content.unwrap())
         revisions.append(revision)
     return Success(revisions)
 
@@ -163,7 +189,7 @@
     rows = await client.list_rows(REVISION_TABLE, revision_key(after), limit)
     if isinstance(rows, Failure):
         return Failure(rows.failure())
-    return Success([_history_item(row) for row in reversed(rows.unwrap())])
+    return convert_rows(rows.unwrap()[::-1], _history_item)
 
 
 async def publish_change(
@@ -285,13 +311,21 @@
     return Success({**value, "content": None})
 
 
-async def _read_content(client: PlatformClient, row: Row) -> Result[str, PlatformError]:
-    content: str | None = row.value["content"]
-    if content is None:
-        return await _read_object(client, row.value["digest"])
-    if digest_of(content) != row.value["digest"]:
-        return Failure(_damaged(row.value["digest"]))
-    return Success(content)
+def _stored_change(row: Row) -> StoredChange:
+    value = row.value
+    return StoredChange(
+        int(row.key), str(value["publish_id"]), str(value["digest"]), value["content"]
+    )
+
+
+async def _read_content(
+    client: PlatformClient, change: StoredChange
+) -> Result[str, PlatformError]:
+    if change.content is None:
+        return await _read_object(client, change.digest)
+    if digest_of(change.content) != change.digest:
+        return Failure(_damaged(change.digest))
+    return Success(change.content)
 
 
 async def _read_object(
--- a/src/chivetray/platform/vm_control.py
+++ b/src/chivetray/platform/vm_control.py
@@ -5,11 +5,13 @@
 from dataclasses import dataclass
 from urllib.parse import quote
 
+from pydantic import TypeAdapter, ValidationError
 from returns.result import Failure, Result, Success
 
 from chivetray.exceptions import PlatformError
 from chivetray.fleet.vm_states import VmState
 from chivetray.platform.client import PlatformClient
+from chivetray.results import ResultCode
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,15 +28,20 @@
     rebooting: bool
 
 
+_ADAPTER: TypeAdapter[VmInfo] = TypeAdapter(VmInfo)
+
+
 async def read_vm(client: PlatformClient, name: str) -> Result[VmInfo, PlatformError]:
     """Read one VM."""
     result = await client.get_json(f"/v1/vms/{quote(name, safe='')}")
     if isinstance(result, Failure):
         return Failure(result.failure())
-    document = result.unwrap()
-    state = VmState(document["state"])
-    info = VmInfo(name, state, document["boot_id"], document["rebooting"])
-    return Success(info)
+    try:
+        return Success(_ADAPTER.validate_python(result.unwrap()))
+    except ValidationError:
+        message = f"what the platform says of VM {name} cannot be read"
+        error = PlatformError(ResultCode.PLATFORM_REFUSED, message, answered=True)
+        return Failure(error)
 
 
 async def reboot_vm(
--- a/src/chivetray/platform/watcher.py
+++ b/src/chivetray/platform/watcher.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 from returns.result import Failure
@@ -50,35 +50,41 @@
     async def run(self) -> None:
         """Poll until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._follow_revisions)
-            tasks.start_soon(self._follow_vms)
+            tasks.start_soon(self._poll, self._look_for_revisions, self._zone_entries)
+            tasks.start_soon(self._poll, self._look_at_vms, lambda: 1)
 
-    async def _follow_revisions(self) -> None:
-        failures = 0
-        while True:
-            result = await read_after(self._client, self._revisions.number)
-            if isinstance(result, Failure):
-                failures += 1
-                self._note_failure(result.failure())
-            else:
-                failures = 0
-                self._note_answer()
-                for revision in result.unwrap():
-                    self._revisions.offer(revision, source="platform")
-            await anyio.sleep(self._pause_s(failures, self._zone_entries()))
-
-    async def _follow_vms(self) -> None:
+    async def _poll(
+        self,
+        look: Callable[[], Awaitable[PlatformError | None]],
+        sharers: Callable[[], int],
+    ) -> None:
+        """Look again and again; back off while the platform is away."""
         failures = 0
         while True:
-            result = await read_vm_changes(self._client, self._states.version)
-            if isinstance(result, Failure):
-                failures += 1
-                self._note_failure(result.failure())
+            error = await look()
+            failures = failures + 1 if error else 0
+            if error:
+                self._note_failure(error)
             else:
-                failures = 0
                 self._note_answer()
-                self._take_vms(result.unwrap().version, result.unwrap().vms)
-            await anyio.sleep(self._pause_s(failures, 1))
+            await anyio.sleep(self._pause_s(failures, sharers()))
+
+    async def _look_for_revisions(self) -> PlatformError | None:
+        result = await read_after(self._client, self._revisions.number)
+        if isinstance(result, Failure):
+            error: PlatformError = result.failure()
+            return error
+        for revision in result.unwrap():
+            self._revisions.offer(revision, source="platform")
+        return None
+
+    async def _look_at_vms(self) -> PlatformError | None:
+        result = await read_vm_changes(self._client, self._states.version)
+        if isinstance(result, Failure):
+            error: PlatformError = result.failure()
+            return error
+        self._take_vms(result.unwrap().version, result.unwrap().vms)
+        return None
 
     def _take_vms(self, version: int, vms: list[ListedVm]) -> None:
         if version < self._states.version:
--- a/src/chivetray/requests/claims.py
+++ b/src/chivetray/requests/claims.py
@@ -22,6 +22,7 @@
 from chivetray.events import Event, log_event
 from chivetray.exceptions import ChivetrayError, RefusalError
 from chivetray.generated.settings import ClaimSettings
+from chivetray.platform.claim_rows import CLAIM_TABLE
 from chivetray.platform.client import ABSENT, PlatformClient, Row, RowWrite
 from chivetray.platform.group_writer import (
     MARK_FIELD,
@@ -32,8 +33,6 @@
 from chivetray.requests.models import Answer, CallerRequest
 from chivetray.results import ResultCode
 
-CLAIM_TABLE = "claims"
-
 KEY_LIMIT_CHARACTERS = 255
 
 # Time after a claim's time limit during which its outcome may still be stored.
--- a/src/chivetray/requests/handler.py
+++ b/src/chivetray/requests/handler.py
@@ -230,6 +230,10 @@
         if not self._balancer.may_send(vm):
             message = f"endpoint {vm.name} was withdrawn before the request was sent"
             raise AttemptError(ResultCode.ENDPOINT_WITHDRAWN, message, sent=False)
+        if record.sent and not request.idempotent:
+            self._metrics.report_broken("one dispatch", request=request.request_id)
+            message = "the request was sent before and is not sent again"
+            raise AttemptError(ResultCode.OUTCOME_UNKNOWN, message, sent=True)
         record.attempts += 1
         record.endpoints.add(vm.name)
         self._metrics.attempts.labels(request.service.name).inc()
@@ -248,6 +252,7 @@
                 await self._pass_on(request, answer, responder)
         except AttemptError as error:
             if answered and responder.started:
+                self._eject_if_needed(vm, FailureReason.BROKEN)
                 raise CutAnswerError(error.message) from error
             record.sent |= error.sent
             raise
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -144,3 +144,21 @@
         late = send(fleet.url(SECOND), "POST", {**headers, "x-request-id": "c"})
         assert (late.code, late.ran) == (205, "unknown"), late
         assert fleet.ledger() == {"a": 1}
+
+
+class TestRetention:
+    def test_expired_claims_are_removed_and_others_stay(self, start_fleet):
+        claims = {"retention_s": 3.0}
+        duties = {"sweep_interval_s": 0.3}
+        settings = {"claims": claims, "duties": duties}
+        fleet = start_fleet(FleetPlan(settings=settings))
+        table = f"{fleet.platform}/v1/tables/claims"
+
+        def rows():
+            return len(send(table).json()["rows"])
+
+        for number in range(3):
+            headers = {"idempotency-key": f"k-{number}"}
+            assert send(fleet.url(FIRST), "POST", headers, b"x").status == 200
+        assert rows() == 3
+        wait_until(lambda: rows() == 0, "the sweep", 10)
--- a/tests/test_slot_grants.py
+++ b/tests/test_slot_grants.py
@@ -54,6 +54,7 @@
         self.ledgers = {entry: GrantLedger(TTL_S) for entry in ENTRIES}
         self.holders = {entry: GrantHolder(TTL_S) for entry in ENTRIES}
         self.offers = {entry: [] for entry in ENTRIES}
+        self.running = {entry: [] for entry in ENTRIES}
         self.frozen: set[str] = set()
         self.set_home("a")
         self.now_s += TTL_S
@@ -107,15 +108,24 @@
     @rule(seconds=st.sampled_from([0.05, 0.25, 1.0, 2.5]))
     def pass_time(self, seconds):
         self.now_s += seconds
+        for entry, deadlines in self.running.items():
+            while deadlines and deadlines[0] <= self.now_s:
+                deadlines.pop(0)
+                self.holders[entry].release(ENDPOINT)
 
-    @rule(entry=st.sampled_from(ENTRIES))
-    def start_request(self, entry):
-        if self.holders[entry].free(ENDPOINT, self.now_s) > 0:
-            self.holders[entry].take(ENDPOINT, self.now_s + 0.5)
+    @rule(entry=st.sampled_from(ENTRIES), count=st.sampled_from([1, 8]))
+    def start_requests(self, entry, count):
+        if entry in self.frozen:
+            return
+        for _ in range(min(count, self.holders[entry].free(ENDPOINT, self.now_s))):
+            deadline_s = self.now_s + 0.5
+            self.holders[entry].take(ENDPOINT, deadline_s)
+            self.running[entry].append(deadline_s)
 
     @rule(entry=st.sampled_from(ENTRIES))
     def end_request(self, entry):
-        if self.holders[entry].in_use(ENDPOINT) > 0:
+        if self.running[entry]:
+            self.running[entry].pop(0)
             self.holders[entry].release(ENDPOINT)
 
     @rule(entry=st.sampled_from(ENTRIES[1:]))
@@ -138,6 +148,10 @@
         usable = [h.granted(ENDPOINT, self.now_s) for h in self.holders.values()]
         assert sum(usable) <= SLOTS
 
+    @invariant()
+    def requests_stay_within_the_slots(self):
+        assert sum(len(deadlines) for deadlines in self.running.values()) <= SLOTS
+
     @invariant()
     def ledger_is_in_order(self):
         assert self.ledgers[self.home].excess_slots() == 0
@@ -170,6 +184,23 @@
             self.exchange_all(ledger, holders, 2.1 + step / 10)
         assert [h.granted(ENDPOINT, 2.4) for h in holders.values()] == [7, 1]
 
+    def test_slots_in_use_stay_reserved_when_a_grant_falls(self):
+        exchange = GrantExchange()
+        for entry in (*"abcabc",):
+            exchange.demand(entry, 20 if entry == "a" else 0)
+            exchange.deliver_all()
+        # These requests start after the last report and before the grant falls.
+        exchange.start_requests("a", 8)
+        busy = len(exchange.running["a"])
+        assert busy == 6
+        exchange.demand("b", 20)
+        exchange.deliver_all()
+        exchange.demand("a", 20)
+        exchange.deliver_all()
+        exchange.demand("b", 20)
+        exchange.deliver_all()
+        assert exchange.holders["b"].granted(ENDPOINT, exchange.now_s) <= SLOTS - busy
+
     def test_former_home_gets_no_demand(self):
         holder = GrantHolder(TTL_S)
         holder.set_homes({ENDPOINT: "a"})
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -206,3 +206,14 @@
         waves.publish(paused=False)
         waves.wait_finished()
         assert len(waves.reboots()) == VMS
+
+    def test_rows_of_a_removed_wave_are_swept(self, start_fleet):
+        settings = {"duties": {"sweep_interval_s": 0.3, "idle_interval_s": 1.0}}
+        waves = WaveFleet(start_fleet, settings=settings)
+        waves.publish()
+        waves.wait_finished()
+        waves.fleet.publish()
+        wait_until(lambda: waves.report() == {}, "the sweep", 10)
+        waves.publish()
+        waves.wait_finished()
+        assert waves.reboots() == dict.fromkeys(waves.fleet.endpoints, 2)
