Read the rows of a wave in one place and one order

The common read now begins with the budgets, so that every decision has the guard.

Noted as not proved: a pool without any service has no budget and so no such guard.

The 9 process tests of waves pass, as do the tests of the platform client, wave decisions and command line. The whole suite in one go was not run again.

--- a/src/chivetray/duties/waves.py
+++ b/src/chivetray/duties/waves.py
@@ -139,10 +139,14 @@
         await self._report(wave, inputs, plan)
 
     async def _read(self, name: str) -> _View | None:
-        """Read what a decision needs, or ``None`` while the platform is away."""
+        """Read what a decision needs, or ``None`` while the platform is away.
+
+        The budgets come first: a VM that another holder finishes while the rest is
+        read changes them, so that a step decided from the old rows is refused.
+        """
+        budgets = await maintenance.read_budgets(self._client)
         under_way = await maintenance.read_under_way(self._client)
         done = await maintenance.read_done(self._client, name)
-        budgets = await maintenance.read_budgets(self._client)
         drains = await maintenance.read_drains(self._client)
         loads = await maintenance.read_loads(self._client)
         if (
@@ -183,29 +187,20 @@
 
     async def _take(self, name: str, vm: Vm) -> None:
         """Reserve a VM under all its budgets and begin to drain it."""
-        result = await maintenance.read_budgets(self._client)
-        if isinstance(result, Failure):
-            return
-        budgets = result.unwrap()
-        # The budgets may have changed since the plan was made.
+        # The rows may have changed since the plan was made.
         view = await self._read(name)
-        if (
-            view is None
-            or vm
-            not in plan_wave(
-                self._revisions.catalog.waves[name],
-                self._inputs(name, replace(view, budgets=budgets)),
-            ).take
-        ):
+        if view is None:
+            return
+        inputs = self._inputs(name, view)
+        if vm not in plan_wave(inputs.catalog.waves[name], inputs).take:
             return
-        index = BudgetIndex.from_catalog(self._revisions.catalog)
         item = WaveVm(name, vm.name, ABSENT, WavePhase.DRAINING, "", time.time())
         writes = [
             maintenance.phase_write(item, WavePhase.DRAINING, time.time()),
             maintenance.drain_write(vm.name, f"wave {name}"),
         ]
-        for budget in index.budgets_of(vm):
-            held = budgets.get(budget, Reservations())
+        for budget in inputs.index.budgets_of(vm):
+            held = view.budgets.get(budget, Reservations())
             vms = {**held.vms, vm.name: name}
             writes.append(
                 maintenance.budget_write(budget, Reservations(held.version, vms))
--- a/src/chivetray/platform/maintenance.py
+++ b/src/chivetray/platform/maintenance.py
@@ -11,8 +11,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeVar
 
 from returns.result import Failure, Result, Success
 
@@ -36,6 +37,8 @@
 
 PAGE_ROWS = 500
 
+Value = TypeVar("Value")
+
 
 @dataclass(slots=True)
 class WaveVm:
@@ -134,14 +137,19 @@
         after = page[-1].key
 
 
+async def _read_rows(
+    client: PlatformClient, table: str, prefix: str, convert: Callable[[Row], Value]
+) -> Result[list[Value], PlatformError]:
+    """Read and convert every row whose key begins with a prefix."""
+    result = await list_all(client, table, prefix)
+    return result.bind(lambda rows: convert_rows(rows, convert))
+
+
 async def read_under_way(
     client: PlatformClient,
 ) -> Result[dict[str, WaveVm], PlatformError]:
     """Read the VMs that any wave has under way, by VM."""
-    result = await list_all(client, WAVE_TABLE)
-    if isinstance(result, Failure):
-        return Failure(result.failure())
-    vms = convert_rows(result.unwrap(), _wave_vm)
+    vms = await _read_rows(client, WAVE_TABLE, "", _wave_vm)
     return vms.map(lambda items: {item.vm: item for item in items})
 
 
@@ -149,11 +157,10 @@
     client: PlatformClient, wave: str
 ) -> Result[dict[str, DoneVms], PlatformError]:
     """Read the VMs that a wave has finished, by pool."""
-    result = await list_all(client, DONE_TABLE, f"{wave}/")
-    if isinstance(result, Failure):
-        return Failure(result.failure())
-    done = convert_rows(
-        result.unwrap(),
+    done = await _read_rows(
+        client,
+        DONE_TABLE,
+        f"{wave}/",
         lambda r: (r.key.partition("/")[2], DoneVms(r.version, list(r.value["vms"]))),
     )
     return done.map(dict)
@@ -171,11 +178,10 @@
     client: PlatformClient,
 ) -> Result[dict[str, Reservations], PlatformError]:
     """Read the reservations of all budgets."""
-    result = await list_all(client, BUDGET_TABLE)
-    if isinstance(result, Failure):
-        return Failure(result.failure())
-    reservations = convert_rows(
-        result.unwrap(),
+    reservations = await _read_rows(
+        client,
+        BUDGET_TABLE,
+        "",
         lambda r: (r.key, Reservations(r.version, dict(r.value["vms"]))),
     )
     return reservations.map(dict)
@@ -185,11 +191,8 @@
     client: PlatformClient,
 ) -> Result[dict[str, Drain], PlatformError]:
     """Read the VMs that receive no new requests."""
-    result = await list_all(client, DRAIN_TABLE)
-    if isinstance(result, Failure):
-        return Failure(result.failure())
-    drains = convert_rows(
-        result.unwrap(), lambda r: Drain(r.key, r.version, r.value["owner"])
+    drains = await _read_rows(
+        client, DRAIN_TABLE, "", lambda r: Drain(r.key, r.version, r.value["owner"])
     )
     return drains.map(lambda items: {drain.vm: drain for drain in items})
 
@@ -198,11 +201,10 @@
     client: PlatformClient, vm: str
 ) -> Result[dict[str, int], PlatformError]:
     """Read which entries have stopped sending to a VM, for which drain."""
-    result = await list_all(client, ACK_TABLE, f"{vm}/")
-    if isinstance(result, Failure):
-        return Failure(result.failure())
-    acks = convert_rows(
-        result.unwrap(),
+    acks = await _read_rows(
+        client,
+        ACK_TABLE,
+        f"{vm}/",
         lambda r: (r.key.partition("/")[2], int(r.value["drain_version"])),
     )
     return acks.map(dict)
@@ -235,10 +237,7 @@
     client: PlatformClient,
 ) -> Result[list[EntryLoad], PlatformError]:
     """Read what the entries see of the pools' loads."""
-    result = await list_all(client, LOAD_TABLE)
-    if isinstance(result, Failure):
-        return Failure(result.failure())
-    return convert_rows(result.unwrap(), _entry_load)
+    return await _read_rows(client, LOAD_TABLE, "", _entry_load)
 
 
 def _entry_load(row: Row) -> EntryLoad:
