--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -350,16 +350,22 @@
             self._heard(worker, reply, sent_at_s, now_s)
             if worker.born == born and (not reply.born or reply.born == born):
                 worker.acknowledged = max(worker.acknowledged, observed)
-            before = worker.seen_end
             self.state.apply_look(worker, reply, sent_at_s, now_s)
             self.wake()
-            if worker.seen_end > max(before, worker.observed):
-                # The next look can acknowledge these ends once they are stored.
-                with anyio.move_on_after(LOOK_WAIT_MS / 1000):
-                    await self._worker_events[worker.worker_id].wait()
+            await self._wait_stored(worker)
             return
         await self._look_failed(worker, reply, sent_at_s, now_s)
 
+    async def _wait_stored(self, worker: WorkerState) -> None:
+        """Wait until the ends of a look are stored, but not past the lease.
+
+        A look returns at once while ends are not acknowledged.
+        """
+        with anyio.move_on_after(LOOK_WAIT_MS / 1000):
+            while worker.observed < worker.seen_end and not self.lost:
+                event = self._worker_events[worker.worker_id] = anyio.Event()
+                await event.wait()
+
     async def _look_failed(
         self, worker: WorkerState, reply: Reply, sent_at_s: float, now_s: float
     ) -> None:
--- a/src/chivetray/servers.py
+++ b/src/chivetray/servers.py
@@ -31,6 +31,7 @@
             app,
             loop="asyncio",
             http="httptools",
+            interface="asgi3",
             ws="none",
             lifespan="off",
             log_config=None,
