Move and maintain VMs: one holder, waves within their cap, pools by demand

What: the owner of the fleet cell asks cell owners for their load, reserves workers, and orders moves and maintenance only for VMs that their owner reports empty. Long-running tasks are moved one at a time within what their step may miss.

--- /dev/null
+++ b/src/chivetray/capacity/runner.py
@@ -0,0 +1,480 @@
+"""Gives the orders for VMs: one holder at a time moves and maintains them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import msgpack
+
+from chivetray.capacity.maintenance import PoolRoom, WaveVm, choose_vms
+from chivetray.capacity.sizing import (
+    DemandMeter,
+    Move,
+    PoolState,
+    PoolVm,
+    plan_moves,
+)
+from chivetray.cells.configuration import Configuration
+from chivetray.cells.directory import CellDirectory
+from chivetray.cells.owner import CellOwner
+from chivetray.clocks import boot_time_s, wall_time_ms
+from chivetray.events import Event, log_event
+from chivetray.peers.mesh import Mesh
+from chivetray.platform.entries import STATUS_TABLE, Wave, encode_wave_status
+from chivetray.platform.machines import Machine, MachineAnswer, MachineClient
+from chivetray.platform.store import (
+    Committed,
+    RowId,
+    Store,
+    StoreUnavailableError,
+)
+
+# Cell that has no workers; its owner gives the orders for VMs.
+FLEET_CELL = "~fleet"
+
+# Rows of the holder: the VMs of each wave whose maintenance has begun.
+DUTY_TABLE = "duties"
+
+CAPACITY_CALL = "capacity"
+
+TICK_S = 0.3
+
+# Interval between readings of the VM list when nothing is expected to change.
+LIST_INTERVAL_S = 1.0
+
+# The holder gives orders only while it has shown lately that it is the holder.
+CONFIRMED_S = 1.5
+
+# Margin on times that the platform names.
+MARGIN_S = 0.3
+
+# Interval between two log lines on the sizes of the pools.
+SIZES_LOG_INTERVAL_S = 1.0
+
+STATE_UP = "up"
+
+
+@dataclass(slots=True)
+class WaveProgress:
+    """Progress of one wave.
+
+    :ivar done: VMs whose maintenance has begun, with the time for this holder
+    :ivar version: version of the stored row
+    """
+
+    started_ms: int
+    done: dict[str, float] = field(default_factory=dict)
+    version: int = 0
+    stored: int = -1
+    completed: bool = False
+    announced: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerReport:
+    """What an owner says of one of its workers."""
+
+    tasks: int
+    used_milli: int
+    idle_ms: int
+    usable: bool
+
+
+@dataclass(slots=True)
+class CellReport:
+    """What the owner of a cell says of it."""
+
+    used_milli: int
+    waiting_milli: int
+    workers: dict[str, WorkerReport]
+
+
+class FleetRunner:
+    """Moves and maintains VMs while this process holds the duty."""
+
+    def __init__(
+        self,
+        mesh: Mesh,
+        store: Store,
+        directory: CellDirectory,
+        configuration: Configuration,
+        machines: MachineClient,
+        lease_s: float,
+        migrate_s: float,
+        maintenance_s: float,
+    ):
+        self._mesh = mesh
+        self._store = store
+        self._directory = directory
+        self._configuration = configuration
+        self._client = machines
+        self._lease_s = lease_s
+        self._migrate_s = migrate_s
+        self._maintenance_s = maintenance_s
+        self._machines: list[Machine] = []
+        self._listed_at_s = 0.0
+        self._reports: dict[str, CellReport] = {}
+        self._meters: dict[str, DemandMeter] = {}
+        self._moving: dict[str, tuple[Move, float]] = {}
+        self._leaving: dict[str, Move] = {}
+        self._emptying: dict[str, str] = {}
+        self._waves: dict[str, WaveProgress] = {}
+        self._holder: CellOwner | None = None
+        self._sizes_logged_at_s = 0.0
+        mesh.handlers[CAPACITY_CALL] = self._report_cell
+
+    # Life
+
+    async def run(self) -> None:
+        """Give orders while this process holds the duty, until cancelled."""
+        while True:
+            await anyio.sleep(TICK_S)
+            own = self._directory.owned.get(FLEET_CELL)
+            if own is None or own.leaving:
+                self._holder = None
+                continue
+            try:
+                if own is not self._holder:
+                    await self._begin(own)
+                await self._round(own)
+            except StoreUnavailableError as error:
+                log_event(Event.STORE_LOST, reason=str(error), during="VM orders")
+
+    async def _begin(self, own: CellOwner) -> None:
+        """Start as the new holder, after the last order of an earlier one is old."""
+        if own.epoch > 1:
+            await anyio.sleep(self._lease_s + MARGIN_S)
+        rows, _ = await self._store.read(DUTY_TABLE, FLEET_CELL)
+        self._waves = {}
+        for row in rows:
+            try:
+                started_ms, names, completed = msgpack.unpackb(row.value)
+            except (ValueError, TypeError, msgpack.UnpackException) as error:
+                log_event(Event.ROW_DAMAGED, key=row.id.key, reason=str(error))
+                continue
+            progress = WaveProgress(started_ms, dict.fromkeys(names, 0.0))
+            progress.version, progress.completed = row.version, completed
+            progress.stored = len(names)
+            self._waves[row.id.key] = progress
+        self._moving.clear()
+        self._leaving.clear()
+        self._emptying.clear()
+        self._holder = own
+
+    async def _round(self, own: CellOwner) -> None:
+        await self._read_machines()
+        await self._read_cells()
+        await self._maintain(own)
+        await self._resize(own)
+
+    def _holds(self, own: CellOwner) -> bool:
+        """Return whether an order may be given now."""
+        fresh = boot_time_s() - own.confirmed_at_s < CONFIRMED_S
+        return fresh and not own.lost and not own.leaving
+
+    # Views
+
+    async def _read_machines(self) -> None:
+        now_s = boot_time_s()
+        busy = bool(self._moving or self._leaving or self._emptying)
+        interval_s = TICK_S if busy else LIST_INTERVAL_S
+        if self._machines and now_s - self._listed_at_s < interval_s:
+            return
+        machines = await self._client.list_machines()
+        if machines is not None:
+            self._machines = machines
+            self._listed_at_s = now_s
+            by_name = {machine.name: machine for machine in machines}
+            for name, (move, at_s) in list(self._moving.items()):
+                machine = by_name.get(name)
+                arrived = (
+                    machine is not None
+                    and machine.pool == move.target
+                    and machine.state == STATE_UP
+                    and now_s - at_s > self._migrate_s
+                )
+                if machine is None or arrived:
+                    del self._moving[name]
+
+    async def _read_cells(self) -> None:
+        """Ask every owner for its load, and tell it which workers are wanted."""
+        wanted = {move.worker_id for move in self._leaving.values()}
+        wanted |= set(self._emptying.values())
+        cells = sorted(self._configuration.services)
+        async with anyio.create_task_group() as tasks:
+            for cell in cells:
+                tasks.start_soon(self._read_cell, cell, sorted(wanted))
+
+    async def _read_cell(self, cell: str, wanted: list[str]) -> None:
+        owner = self._directory.owner_of(cell)
+        self._reports.pop(cell, None)
+        names = {m.worker_id for m in self._machines if m.pool == cell}
+        reserve = [worker_id for worker_id in wanted if worker_id in names]
+        argument = [cell, reserve]
+        if owner is None:
+            return
+        if owner == self._mesh.name:
+            reply = await self._report_cell(owner, argument)
+        else:
+            reply = await self._mesh.call(owner, CAPACITY_CALL, argument)
+        if reply is None:
+            log_event(Event.MAINTENANCE_WAITS, cell=cell, reason="owner silent")
+            return
+        used, waiting, workers = reply
+        report = CellReport(used, waiting, {})
+        for worker_id, tasks, used_milli, idle_ms, usable in workers:
+            report.workers[worker_id] = WorkerReport(tasks, used_milli, idle_ms, usable)
+        self._reports[cell] = report
+
+    async def _report_cell(self, _peer: str, argument: Any) -> Any:
+        cell, reserve = argument
+        own = self._directory.owned.get(cell)
+        if own is None or own.leaving:
+            return None
+        now_s = boot_time_s()
+        own.state.reserve(reserve, now_s)
+        if reserve:
+            own.wake()
+        load = own.state.load(now_s, wall_time_ms())
+        return [
+            load.used_milli,
+            load.waiting_milli,
+            [
+                [w.worker_id, w.tasks, w.used_milli, w.idle_ms, w.usable]
+                for w in load.workers
+            ],
+        ]
+
+    def _standby_pools(self) -> set[str]:
+        config = self._configuration.current
+        return {p.name for p in config.pools.values() if p.standby} if config else set()
+
+    def _worker_report(self, machine: Machine) -> WorkerReport | None:
+        report = self._reports.get(machine.pool)
+        return report.workers.get(machine.worker_id) if report else None
+
+    def _is_empty(self, machine: Machine, standby: set[str]) -> bool:
+        """Return whether an order for a VM ends nothing."""
+        if machine.pool in standby:
+            return True
+        report = self._worker_report(machine)
+        return report is not None and report.tasks == 0 and not report.usable
+
+    # Waves
+
+    async def _maintain(self, own: CellOwner) -> None:
+        by_name = {machine.name: machine for machine in self._machines}
+        standby = self._standby_pools()
+        emptying: dict[str, str] = {}
+        for key, wave in list(self._configuration.waves.items()):
+            progress = self._waves.setdefault(key, WaveProgress(wall_time_ms()))
+            if progress.completed:
+                continue
+            if not progress.announced:
+                progress.announced = await self._announce(wave, completed=False)
+            chosen = self._choose(wave, progress, by_name, standby)
+            emptying |= {name: by_name[name].worker_id for name in chosen}
+            for name in chosen:
+                machine = by_name[name]
+                if name in self._moving or not self._is_empty(machine, standby):
+                    continue
+                if machine.pool not in standby and name not in self._emptying:
+                    # The owner has to hear of the reservation first.
+                    continue
+                await self._maintain_vm(own, wave, progress, machine)
+            await self._store_wave(own, key, wave, progress, by_name)
+        self._emptying = {n: w for n, w in emptying.items() if n in by_name}
+
+    def _choose(
+        self,
+        wave: Wave,
+        progress: WaveProgress,
+        by_name: dict[str, Machine],
+        standby: set[str],
+    ) -> list[str]:
+        now_s = boot_time_s()
+        left = []
+        under_way = 0
+        for name in wave.machines:
+            machine = by_name.get(name)
+            if machine is None:
+                continue
+            if name in progress.done:
+                recent = now_s - progress.done[name] < self._maintenance_s + MARGIN_S
+                under_way += recent or machine.state != STATE_UP
+                continue
+            report = self._worker_report(machine)
+            left.append(
+                WaveVm(
+                    name,
+                    machine.pool,
+                    machine.state == STATE_UP and name not in self._moving,
+                    machine.pool in standby,
+                    report.tasks if report else 0,
+                    machine.cpu_milli,
+                )
+            )
+        rooms = {}
+        for cell, report_of_cell in self._reports.items():
+            capacity = sum(
+                m.cpu_milli
+                for m in self._machines
+                if m.pool == cell
+                and m.name not in self._emptying
+                and m.state == STATE_UP
+            )
+            demand = report_of_cell.used_milli + report_of_cell.waiting_milli
+            rooms[cell] = PoolRoom(capacity, demand)
+        elapsed_s = (wall_time_ms() - progress.started_ms) / 1000
+        return choose_vms(
+            left,
+            set(self._emptying),
+            under_way,
+            wave.cap,
+            rooms,
+            wave.duration_s - elapsed_s,
+        )
+
+    async def _maintain_vm(
+        self, own: CellOwner, wave: Wave, progress: WaveProgress, machine: Machine
+    ) -> None:
+        if not self._holds(own):
+            return
+        # Counted as begun from now on, also when the answer is lost.
+        answer = await self._client.maintain(machine.name, wave.number, own.epoch)
+        if answer == MachineAnswer.DONE:
+            progress.done[machine.name] = boot_time_s()
+            log_event(Event.VM_MAINTAINED, vm=machine.name, wave=wave.number)
+        else:
+            log_event(
+                Event.VM_ORDER_FAILED,
+                vm=machine.name,
+                wave=wave.number,
+                answer=answer.value,
+            )
+
+    async def _store_wave(
+        self,
+        own: CellOwner,
+        key: str,
+        wave: Wave,
+        progress: WaveProgress,
+        by_name: dict[str, Machine],
+    ) -> None:
+        """Store the progress of a wave, and say so when it is completed."""
+        left = [n for n in wave.machines if n in by_name and n not in progress.done]
+        finished = not left and bool(self._machines)
+        if finished and not progress.completed:
+            progress.completed = await self._announce(wave, completed=True)
+            if progress.completed:
+                log_event(Event.MAINTENANCE_COMPLETED, wave=wave.number)
+                progress.stored = -1
+        if progress.stored == len(progress.done):
+            return
+        row = RowId(DUTY_TABLE, FLEET_CELL, key)
+        value = [progress.started_ms, sorted(progress.done), progress.completed]
+        outcome = await self._store.transact(
+            {own.guard: own.guard_version}, {row: bytes(msgpack.packb(value))}
+        )
+        if isinstance(outcome, Committed):
+            progress.stored = len(progress.done)
+
+    async def _announce(self, wave: Wave, completed: bool) -> bool:
+        row = RowId(STATUS_TABLE, "", f"wave/{wave.number}")
+        value = encode_wave_status(completed)
+        found = await self._store.read_row(row)
+        if found is not None and (found.value == value or not completed):
+            return True
+        version = found.version if found else 0
+        outcome = await self._store.transact({row: version}, {row: value})
+        return isinstance(outcome, Committed)
+
+    # Moves
+
+    async def _resize(self, own: CellOwner) -> None:
+        standby = sorted(self._standby_pools())
+        if not standby:
+            return
+        now_s = boot_time_s()
+        pools, spares = self._pool_states(standby, now_s)
+        if now_s - self._sizes_logged_at_s >= SIZES_LOG_INTERVAL_S:
+            self._sizes_logged_at_s = now_s
+            sizes = {p.name: [len(p.vms), p.arriving, p.demand_milli] for p in pools}
+            log_event(Event.POOL_SIZES, pools=sizes, spares=len(spares))
+        planned = plan_moves(pools, standby[0], spares)
+        # Reservations that no plan wants any more are dropped.
+        ready = []
+        leaving: dict[str, Move] = {}
+        by_name = {machine.name: machine for machine in self._machines}
+        for move in planned:
+            machine = by_name[move.machine]
+            empty = self._is_empty(machine, set(standby))
+            if empty and (move.source in standby or move.machine in self._leaving):
+                ready.append(move)
+            else:
+                leaving[move.machine] = move
+        self._leaving = leaving
+        async with anyio.create_task_group() as tasks:
+            for move in ready:
+                tasks.start_soon(self._move, own, move)
+
+    def _pool_states(
+        self, standby: list[str], now_s: float
+    ) -> tuple[list[PoolState], list[PoolVm]]:
+        pools: dict[str, PoolState] = {}
+        for cell, report in self._reports.items():
+            if cell in standby:
+                continue
+            meter = self._meters.setdefault(cell, DemandMeter())
+            demand = meter.note(report.used_milli + report.waiting_milli, now_s)
+            pools[cell] = PoolState(cell, demand)
+        for move, _ in self._moving.values():
+            if move.target in pools:
+                pools[move.target].arriving += 1
+        spares = []
+        for machine in self._machines:
+            if machine.name in self._moving:
+                continue
+            busy = machine.name in self._emptying or machine.state != STATE_UP
+            if machine.pool in standby:
+                spares.append(
+                    PoolVm(machine.name, "", machine.cpu_milli, 0, 0, not busy)
+                )
+            elif machine.pool in pools:
+                found = self._worker_report(machine)
+                if machine.state != STATE_UP or found is None:
+                    continue
+                vm = PoolVm(
+                    machine.name,
+                    machine.worker_id,
+                    machine.cpu_milli,
+                    found.tasks,
+                    found.idle_ms,
+                    not busy,
+                )
+                pools[machine.pool].vms.append(vm)
+        return list(pools.values()), spares
+
+    async def _move(self, own: CellOwner, move: Move) -> None:
+        if not self._holds(own):
+            return
+        self._moving[move.machine] = (move, boot_time_s())
+        answer = await self._client.move(move.machine, move.target, own.epoch)
+        if answer == MachineAnswer.DONE:
+            log_event(
+                Event.VM_MOVED,
+                vm=move.machine,
+                source=move.source,
+                target=move.target,
+            )
+            return
+        if answer != MachineAnswer.UNKNOWN:
+            self._moving.pop(move.machine, None)
+        log_event(
+            Event.VM_ORDER_FAILED,
+            vm=move.machine,
+            target=move.target,
+            answer=answer.value,
+        )
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -114,7 +114,7 @@
         self._stopping: set[tuple[str, str, int]] = set()
         self._idle = anyio.Event()
         self._tasks: TaskGroup | None = None
-        self._guard = owner_row(state.name)
+        self.guard = owner_row(state.name)
 
     @property
     def epoch(self) -> int:
@@ -158,6 +158,7 @@
             self._wake = anyio.Event()
             now_s = boot_time_s()
             self.state.lost_leases(now_s)
+            self.state.evacuate(now_s)
             self._drive_new_workers(tasks)
             placements = [] if self.leaving else self.state.place(now_s, wall_time_ms())
             ends = {w.worker_id: w.seen_end for w in self.state.workers.values()}
@@ -198,7 +199,7 @@
         writes = {row: job.encode() for row, job in rows.items()}
         while not self.lost:
             expected = {row: job.version for row, job in rows.items()}
-            expected[self._guard] = self.guard_version
+            expected[self.guard] = self.guard_version
             sent_at_s = boot_time_s()
             outcome = await self._store.transact(expected, writes)
             if isinstance(outcome, Committed):
@@ -221,7 +222,7 @@
 
     def _still_guarded(self, conflict: Conflict) -> bool:
         """Return whether the cell is still ours; if not, lose it."""
-        found = conflict.rows.get(self._guard)
+        found = conflict.rows.get(self.guard)
         if found is not None and found.version == self.guard_version:
             return True
         self.lose("another process has taken the cell")
@@ -259,7 +260,7 @@
             sent_at_s = boot_time_s()
             value = f"{self.ownership.incarnation}:{number}".encode()
             outcome = await self._store.transact(
-                {self._guard: self.guard_version}, {row: value}
+                {self.guard: self.guard_version}, {row: value}
             )
             if isinstance(outcome, Committed):
                 self._confirm(sent_at_s)
@@ -273,7 +274,7 @@
             self.epoch, self.ownership.holder, self.ownership.incarnation, True
         )
         outcome = await self._store.transact(
-            {self._guard: self.guard_version}, {self._guard: released.encode()}
+            {self.guard: self.guard_version}, {self.guard: released.encode()}
         )
         if isinstance(outcome, Committed | Conflict):
             self.lose("given up")
@@ -284,7 +285,7 @@
     async def check_guard(self) -> None:
         """Read the owner row after a worker knew a higher fencing token."""
         outcome = await self._store.transact(
-            {self._guard: self.guard_version},
+            {self.guard: self.guard_version},
             {renewal_row(self.state.name): b"checked"},
         )
         if isinstance(outcome, Conflict):
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -24,8 +24,11 @@
 # Pause before a task runs again after its attempts failed.
 FAILED_RETRY_S = 0.05
 
-# Unit of the short report on a worker that refused for lack of room.
-NO_ROOM_PAUSE_S = 0.25
+# Time for which a worker stays reserved after the last word of who wants its VM.
+RESERVATION_S = 2.5
+
+# Time after which tasks that cannot be moved are stopped on a reserved worker.
+EMPTY_S = 6.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +50,29 @@
     worker_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerLoad:
+    """What runs on a worker.
+
+    :ivar idle_ms: time since its last task ended, 0 while it has tasks
+    """
+
+    worker_id: str
+    tasks: int
+    used_milli: int
+    idle_ms: int
+    usable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CellLoad:
+    """What a cell uses and wants, in thousandths of a core."""
+
+    used_milli: int
+    waiting_milli: int
+    workers: list[WorkerLoad]
+
+
 class CellState:
     """Jobs and workers of one cell.
 
@@ -454,6 +480,76 @@
         if task.attempt == placement.attempt and task.phase == Phase.PLACED:
             self._release(worker, job, task, now_s)
 
+    # Capacity
+
+    def reserve(self, worker_ids: Iterable[str], now_s: float) -> None:
+        """Place nothing new on some workers for a while, and on no others."""
+        wanted = set(worker_ids)
+        for worker in self.workers.values():
+            if worker.worker_id in wanted:
+                if not worker.reserved(now_s):
+                    worker.reserved_since_s = now_s
+                worker.reserved_until_s = now_s + RESERVATION_S
+            else:
+                worker.reserved_until_s = 0.0
+
+    def evacuate(self, now_s: float) -> None:
+        """Move what can be moved away from workers that leave or are needed."""
+        for worker in self.workers.values():
+            reserved = worker.reserved(now_s)
+            if not reserved and not worker.draining:
+                continue
+            overdue = reserved and now_s - worker.reserved_since_s > EMPTY_S
+            for ref, step in list(worker.tasks.items()):
+                job, task = self._find(ref)
+                if job is None or task is None or task.phase != Phase.RUNNING:
+                    continue
+                if step.long_running:
+                    movable = worker.draining or self._may_miss_one(job, task, step)
+                else:
+                    movable = reserved and (step.checkpointing or overdue)
+                if movable:
+                    self._stop(job, task)
+
+    def _may_miss_one(self, job: Job, task: Task, step: Step) -> bool:
+        """Return whether a long-running task may be away for a moment."""
+        occurrence, number, _ = task.key
+        away = 0
+        for other in job.open_tasks(occurrence, number):
+            if other is not task and not self._at_work(other):
+                away += 1
+        return away < max(1, step.may_miss)
+
+    def _at_work(self, task: Task) -> bool:
+        worker = self.workers.get(task.worker)
+        heard = worker is not None and not worker.silent_since_s
+        return heard and task.phase == Phase.RUNNING and task.percent >= 100
+
+    def load(self, now_s: float, now_ms: int) -> CellLoad:
+        """Return what the cell uses and wants."""
+        waiting = 0
+        for job in self.active.values():
+            if job.state.ended:
+                continue
+            for occurrence, number in job.open_steps(now_ms):
+                step = job.spec.steps[number]
+                tasks = job.open_tasks(occurrence, number)
+                count = sum(task.phase == Phase.WAITING for task in tasks)
+                waiting += 0 if step.fills else count * step.cpu_milli
+        workers = [
+            WorkerLoad(
+                worker.worker_id,
+                len(worker.tasks),
+                worker.used_cpu_milli,
+                int((now_s - worker.idle_since_s) * 1000) if not worker.tasks else 0,
+                worker.usable(now_s),
+            )
+            for worker in self.workers.values()
+            if worker.listed
+        ]
+        used = sum(worker.used_cpu_milli for worker in self.workers.values())
+        return CellLoad(used, waiting, workers)
+
     # Placement
 
     def place(self, now_s: float, now_ms: int) -> list[Placement]:
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -60,7 +60,8 @@
     :ivar deadline_ms: latest deadline that was sent, on the worker's clock
     :ivar lease_unknown_until_s: time until which an earlier owner's lease may last
     :ivar silent_since_s: first call that was not answered, 0 while it answers
-    :ivar reserved: whether nothing new is placed, since the VM is needed elsewhere
+    :ivar reserved_until_s: time until which nothing new is placed, since the VM is
+        needed elsewhere
     """
 
     worker_id: str
@@ -84,7 +85,8 @@
     silent_since_s: float = 0.0
     missing_since_s: float = 0.0
     unhealthy_until_s: float = 0.0
-    reserved: bool = False
+    reserved_until_s: float = 0.0
+    reserved_since_s: float = 0.0
     idle_since_s: float = 0.0
     listed_at_s: float = 0.0
     failing_jobs: set[str] = field(default_factory=set)
@@ -100,11 +102,15 @@
         """Whether tasks of too many jobs failed here in a row."""
         return len(self.failing_jobs) >= FAILURES_BEFORE_QUARANTINE
 
+    def reserved(self, now_s: float) -> bool:
+        """Return whether the VM is being emptied for an order of the platform."""
+        return now_s < self.reserved_until_s
+
     def usable(self, now_s: float) -> bool:
         """Return whether new tasks may be placed."""
         if not (self.listed and self.adopted and self.clock.known):
             return False
-        if self.draining or self.reserved or self.silent_since_s:
+        if self.draining or self.reserved(now_s) or self.silent_since_s:
             return False
         if self.unhealthy_until_s > now_s:
             return False
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -111,6 +111,11 @@
     MAINTENANCE_WAITS = (1673, "A VM of a wave cannot be taken down yet.")
     MAINTENANCE_COMPLETED = (1674, "All VMs of a wave were maintained.")
 
+    POOL_SIZES = (
+        1675,
+        "VMs, arriving VMs and demand in thousandths of a core of each pool.",
+    )
+
     TASK_FAILED = (1690, "A task of the process failed and was started again.")
 
     INVARIANT_BROKEN = (1900, "An invariant does not hold; this is a defect.")
--- a/src/chivetray/jobs/placement.py
+++ b/src/chivetray/jobs/placement.py
@@ -7,6 +7,9 @@
 
 from chivetray.jobs.model import Step
 
+# Long-running tasks of a step that share a worker before the next one is used.
+LONG_RUNNING_TOGETHER = 2
+
 
 class Room(Protocol):
     """What a choice needs to know of a worker."""
@@ -30,8 +33,8 @@
 ) -> Room | None:
     """Return the best worker with room for a task, or ``None``.
 
-    Tasks that end go to the fullest worker, so that others fall idle and can leave
-    the pool. Long-running ones are spread, so that one VM or rack takes few.
+    Tasks go to the fullest worker, so that others fall idle and can leave the pool.
+    Long-running ones are spread as well, so that one VM or rack takes few.
 
     :param avoid: workers that an earlier attempt failed on; used only if no other
         has room
@@ -55,9 +58,9 @@
             key = (
                 room.worker_id in avoid,
                 not near,
-                there,
+                there // LONG_RUNNING_TOGETHER,
                 step_racks.get(room.rack, 0),
-                load,
+                -load,
             )
         else:
             together = step_racks.get(room.rack, 0) if step.same_rack else 0
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -12,6 +12,7 @@
 from pydantic import ValidationError
 
 from chivetray.border.jobs import JobsApp
+from chivetray.capacity.runner import FLEET_CELL, FleetRunner
 from chivetray.cells.configuration import Configuration
 from chivetray.cells.desk import Desk
 from chivetray.cells.directory import CellDirectory
@@ -26,6 +27,7 @@
 from chivetray.metrics import Metrics
 from chivetray.peers.mesh import Mesh
 from chivetray.platform.calls import CallSession
+from chivetray.platform.machines import MachineClient
 from chivetray.platform.store import Committed, StoreUnavailableError
 from chivetray.platform.workers import WorkerClient
 from chivetray.results import ResultCode
@@ -103,6 +105,18 @@
             self._fleet.workers_of,
         )
         self._desk = Desk(self._mesh, self._store, self._directory, self._configuration)
+        self._runner: FleetRunner | None = None
+        if settings.vms:
+            self._runner = FleetRunner(
+                self._mesh,
+                self._store,
+                self._directory,
+                self._configuration,
+                MachineClient(self._session, settings.vms, settings.name),
+                settings.lease_ms / 1000,
+                settings.migrate_s,
+                settings.maintenance_s,
+            )
         self._app = JobsApp(self._configuration, self._desk, self._metrics)
 
     @classmethod
@@ -144,6 +158,8 @@
             tasks.start_soon(self._directory.run)
             tasks.start_soon(self._desk.run)
             tasks.start_soon(self._scan)
+            if self._runner is not None:
+                tasks.start_soon(self._runner.run)
             await self._leaving.wait()
             await self._leave(callers_server)
             tasks.cancel_scope.cancel()
@@ -190,7 +206,8 @@
     # Parts
 
     def _cell_names(self) -> list[str]:
-        return sorted(self._configuration.services)
+        names = sorted(self._configuration.services)
+        return [FLEET_CELL, *names] if names and self._runner else names
 
     def _config_changed(self) -> None:
         self._mesh.beat_soon()
