--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -334,11 +334,14 @@
         deadline_ms: int | None = None
         wait_ms = 0
         owned = sent_at_s - self.confirmed_at_s < OWNERSHIP_S
-        if worker.clock.known and worker.adopted and owned and worker.tasks:
+        # A look at a silent worker may be carried out any time, so it brings no lease:
+        # otherwise the leases there would never be known to be over.
+        renews = worker.clock.known and worker.adopted and not worker.silent_since_s
+        if renews and owned and worker.tasks:
             deadline_ms = worker.clock.latest_ms(sent_at_s) + int(LEASE_S * 1000)
             worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
             # A look returns at once while ends are not acknowledged.
-            if not worker.silent_since_s and worker.observed == worker.seen_end:
+            if worker.observed == worker.seen_end:
                 wait_ms = LOOK_WAIT_MS
         observed, born = worker.observed, worker.born
         reply = await self._workers.hold(
@@ -384,6 +387,7 @@
                 worker=worker.worker_id,
                 cell=self.state.name,
                 verdict=reply.verdict.value,
+                detail=reply.detail,
             )
         self.wake()
         await anyio.sleep(SILENT_LOOK_PAUSE_S)
@@ -491,6 +495,7 @@
             attempt=placement.attempt,
             worker=worker.worker_id,
             verdict=verdict.value,
+            detail=reply.detail,
             used_cpu=worker.used_cpu_milli,
         )
         if verdict == Verdict.FENCED:
--- a/src/chivetray/platform/workers.py
+++ b/src/chivetray/platform/workers.py
@@ -106,6 +106,7 @@
 
     :ivar clock_ms: the worker's steady clock, or ``None`` without an answer
     :ivar born: start of the worker's life, or 0 when it was not said
+    :ivar detail: what went wrong, for the log
     """
 
     verdict: Verdict
@@ -113,6 +114,7 @@
     born: int = 0
     running: list[RunningTask] = field(default_factory=list)
     ended: list[EndedTask] = field(default_factory=list)
+    detail: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,9 +214,9 @@
 
 def _decode_reply(outcome: Outcome) -> Reply:
     if isinstance(outcome, NotSent):
-        return Reply(Verdict.NOT_SENT)
+        return Reply(Verdict.NOT_SENT, detail=outcome.reason)
     if isinstance(outcome, NoAnswer):
-        return Reply(Verdict.NO_ANSWER)
+        return Reply(Verdict.NO_ANSWER, detail=outcome.reason)
     body = outcome.body
     return Reply(
         _verdict(outcome),
