Test owners of cells against a store and workers in memory

Owners that die after each write, answers of the store that are lost, late or never carried out, replaced owners, silent workers and late starts: every task begins once.

--- a/src/chivetray/platform/workers.py
+++ b/src/chivetray/platform/workers.py
@@ -209,10 +209,11 @@
         url = f"http://{worker.address}/chivetray/{call}"
         headers = {"Chivetray-Expect-Instance": worker.worker_id}
         outcome = await self._session.call("POST", url, timeout_s, body, headers)
-        return _decode_reply(outcome)
+        return decode_reply(outcome)
 
 
-def _decode_reply(outcome: Outcome) -> Reply:
+def decode_reply(outcome: Outcome) -> Reply:
+    """Return what the outcome of a call to a worker says."""
     if isinstance(outcome, NotSent):
         return Reply(Verdict.NOT_SENT, detail=outcome.reason)
     if isinstance(outcome, NoAnswer):
--- /dev/null
+++ b/tests/test_cell_owner.py
@@ -0,0 +1,257 @@
+"""Owners of a cell against a store and workers that misbehave."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+from cell_helpers import CELL, World, job, until
+
+from chivetray.cells import owner as owner_module
+from chivetray.cells.owner import CellOwner
+from chivetray.clocks import boot_time_s
+from chivetray.jobs.model import JobState, Step
+from chivetray.platform.calls import NoAnswer
+
+
+@asynccontextmanager
+async def running(world: World, *owners: CellOwner):
+    """Run owners and workers for the time of a block."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(world.work)
+        for owner in owners:
+            tasks.start_soon(owner.run)
+        yield tasks
+        tasks.cancel_scope.cancel()
+
+
+class TestJobs:
+    def test_steps_run_in_order_and_each_task_once(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            owner = await world.own()
+            steps = (Step(3, 1000), Step(4, 1000, depends_on=(0,)))
+            async with running(world, owner):
+                owner.add_job(job(steps=steps))
+                done = owner.state.jobs["00000000000000aa"]
+                await until(lambda: done.state == JobState.COMPLETED)
+            assert all(n == 1 for n in world.starts().values())
+            order = [t for m in world.models.values() for t, _ in m.starts]
+            assert len(order) == 7
+
+        asyncio.run(scenario())
+
+    def test_a_task_that_fails_its_attempts_fails_the_job(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            for model in world.models.values():
+                model.faults.failing = True
+            owner = await world.own()
+            async with running(world, owner):
+                owner.add_job(job(steps=(Step(1, 1000),)))
+                done = owner.state.jobs["00000000000000aa"]
+                await until(lambda: done.state == JobState.FAILED)
+            assert sum(world.starts().values()) == 2
+
+        asyncio.run(scenario())
+
+    def test_cancelled_jobs_leave_nothing_running(self) -> None:
+        async def scenario() -> None:
+            world = World(work_s=30)
+            owner = await world.own()
+            async with running(world, owner):
+                owner.add_job(job())
+                await until(lambda: sum(len(m.running) for m in world.models.values()))
+                owner.cancel("00000000000000aa")
+                await until(lambda: not any(m.running for m in world.models.values()))
+
+        asyncio.run(scenario())
+
+
+class TestLostAnswersOfTheStore:
+    @pytest.mark.parametrize("lost", range(1, 8))
+    @pytest.mark.parametrize("applied", ["at once", "never", "later"])
+    def test_each_transaction_may_lose_its_answer(
+        self, lost: int, applied: str
+    ) -> None:
+        async def scenario() -> None:
+            world = World()
+            held: list[object] = []
+
+            def fail(number: int, body: object) -> NoAnswer | None:
+                if number != lost:
+                    return None
+                if applied == "at once":
+                    world.store.carry_out(body)
+                elif applied == "later":
+                    held.append(body)
+                return NoAnswer("lost")
+
+            world.store.fail = fail
+            owner = await world.own()
+            async with running(world, owner):
+                owner.add_job(job(steps=(Step(3, 1000), Step(2, 500, depends_on=(0,)))))
+                done = owner.state.jobs["00000000000000aa"]
+                await until(lambda: done.state == JobState.COMPLETED)
+                for body in held:
+                    world.store.carry_out(body)
+                owner.add_job(job("00000000000000bb"))
+                other = owner.state.jobs["00000000000000bb"]
+                await until(lambda: other.state == JobState.COMPLETED)
+            assert not owner.lost
+            assert all(n == 1 for n in world.starts().values())
+
+        asyncio.run(scenario())
+
+
+class TestTakeOver:
+    @pytest.mark.parametrize("step", range(1, 10))
+    def test_owner_that_dies_after_any_write_doubles_and_loses_nothing(
+        self, step: int
+    ) -> None:
+        async def scenario() -> None:
+            world = World()
+            first = await world.own()
+            died = asyncio.Event()
+
+            def fail(number: int, body: object) -> NoAnswer | None:
+                if number < step:
+                    return None
+                if number == step:
+                    world.store.carry_out(body)
+                died.set()
+                return NoAnswer("the process is gone")
+
+            world.store.fail = fail
+            spec = job(steps=(Step(3, 1000), Step(2, 500, depends_on=(0,))))
+            async with running(world):
+                async with anyio.create_task_group() as life:
+                    life.start_soon(first.run)
+                    first.add_job(spec)
+                    with anyio.move_on_after(1.5):
+                        await died.wait()
+                    life.cancel_scope.cancel()
+                world.store.fail = lambda number, body: None
+                second = await world.own(first, earlier_lease_s=0.2)
+                async with anyio.create_task_group() as life:
+                    life.start_soon(second.run)
+                    done = second.state.jobs[spec.job_id]
+                    await until(lambda: done.state == JobState.COMPLETED)
+                    life.cancel_scope.cancel()
+            assert all(n == 1 for n in world.starts().values()), world.starts()
+
+        asyncio.run(scenario())
+
+    def test_an_owner_that_was_replaced_writes_and_starts_nothing(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            first = await world.own()
+            async with running(world, first):
+                first.add_job(job(steps=(Step(1, 1000),)))
+                await until(lambda: sum(world.starts().values()) == 1)
+                second = await world.own(first)
+                async with anyio.create_task_group() as life:
+                    life.start_soon(second.run)
+                    await until(
+                        lambda: all(w.adopted for w in second.state.workers.values())
+                    )
+                    first.add_job(job("00000000000000bb"))
+                    await until(lambda: first.lost)
+                    life.cancel_scope.cancel()
+            assert not any("00000000000000bb" in t for t in world.starts())
+
+        asyncio.run(scenario())
+
+    def test_tasks_of_a_silent_worker_wait_for_the_earlier_lease(self) -> None:
+        async def scenario() -> None:
+            world = World(work_s=30)
+            first = await world.own()
+            async with running(world, first):
+                first.add_job(job(steps=(Step(1, 1000),)))
+                await until(lambda: sum(world.starts().values()) == 1)
+            busy = next(w for w, m in world.models.items() if m.running)
+            world.workers.silent.add(busy)
+            second = await world.own(first, earlier_lease_s=0.5)
+            taken_s = boot_time_s()
+            async with running(world, second):
+                await until(lambda: sum(world.starts().values()) == 2)
+            assert boot_time_s() - taken_s >= 0.5
+
+        asyncio.run(scenario())
+
+
+class TestSilentWorkers:
+    def test_lease_of_a_silent_worker_runs_out(self, monkeypatch) -> None:
+        """A look at a silent worker once asked for a longer lease each time."""
+        monkeypatch.setattr(owner_module, "LEASE_S", 0.6)
+        monkeypatch.setattr(owner_module, "START_LEASE_S", 0.6)
+
+        async def scenario() -> None:
+            world = World(work_s=30)
+            owner = await world.own()
+            async with running(world, owner):
+                owner.add_job(job(steps=(Step(1, 1000),)))
+                await until(lambda: sum(world.starts().values()) == 1)
+                busy = next(w for w, m in world.models.items() if m.running)
+                world.workers.silent.add(busy)
+                await until(lambda: sum(world.starts().values()) == 2, 3.0)
+
+        asyncio.run(scenario())
+
+    def test_a_start_that_is_carried_out_late_doubles_nothing(self) -> None:
+        async def scenario() -> None:
+            world = World(work_s=0.2)
+            world.workers.lose_starts = 2
+            owner = await world.own()
+            async with running(world, owner):
+                owner.add_job(job(steps=(Step(4, 1000),)))
+                await until(lambda: sum(world.starts().values()) >= 3)
+                world.workers.carry_out_late()
+                done = owner.state.jobs["00000000000000aa"]
+                await until(lambda: done.state == JobState.COMPLETED)
+                world.workers.carry_out_late()
+                await asyncio.sleep(0.1)
+            assert all(n == 1 for n in world.starts().values())
+
+        asyncio.run(scenario())
+
+
+class TestEnds:
+    def test_looks_wait_until_ends_are_stored(self) -> None:
+        """Looks once spun while ends were not stored, since each came back at once."""
+
+        async def scenario() -> None:
+            world = World(workers=1)
+            owner = await world.own()
+            async with running(world, owner):
+                owner.add_job(job(steps=(Step(2, 1000),)))
+                done = owner.state.jobs["00000000000000aa"]
+                await until(lambda: done.state == JobState.COMPLETED)
+                world.store.fail = lambda number, body: NoAnswer("away")
+                owner.add_job(job("00000000000000bb"))
+                looks = world.workers.looks
+                await asyncio.sleep(0.5)
+                assert world.workers.looks - looks < 20
+
+        asyncio.run(scenario())
+
+    def test_no_end_is_forgotten_before_it_is_stored(self) -> None:
+        async def scenario() -> None:
+            world = World(workers=1)
+            owner = await world.own()
+            async with running(world, owner):
+                owner.add_job(job(steps=(Step(2, 1000),)))
+                await until(lambda: sum(world.starts().values()) == 2)
+                world.store.fail = lambda number, body: NoAnswer("away")
+                await asyncio.sleep(0.3)
+                model = world.models["w0"]
+                assert [end[3] for end in model.ends] == ["done", "done"]
+
+        asyncio.run(scenario())
+
+
+def test_cell_name_is_the_service() -> None:
+    world = World()
+    assert {entry.service for entry in world.entries()} == {CELL}
