--- a/tests/cell_helpers.py
+++ b/tests/cell_helpers.py
@@ -20,7 +20,6 @@
 from chivetray.platform.store import Committed, Store
 from chivetray.platform.workers import (
     Reply,
-    Verdict,
     WorkerAddress,
     WorkerClient,
     decode_reply,
--- a/tests/test_cell_owner.py
+++ b/tests/test_cell_owner.py
@@ -227,10 +227,9 @@
             owner = await world.own()
             async with running(world, owner):
                 owner.add_job(job(steps=(Step(2, 1000),)))
-                done = owner.state.jobs["00000000000000aa"]
-                await until(lambda: done.state == JobState.COMPLETED)
+                await until(lambda: sum(world.starts().values()) == 2)
                 world.store.fail = lambda number, body: NoAnswer("away")
-                owner.add_job(job("00000000000000bb"))
+                await until(lambda: len(world.models["w0"].ends) == 2)
                 looks = world.workers.looks
                 await asyncio.sleep(0.5)
                 assert world.workers.looks - looks < 20
