--- a/tests/test_cell_owner.py
+++ b/tests/test_cell_owner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import anyio
 import pytest
@@ -226,10 +227,12 @@
             world = World(workers=1)
             owner = await world.own()
             async with running(world, owner):
-                owner.add_job(job(steps=(Step(2, 1000),)))
-                await until(lambda: sum(world.starts().values()) == 2)
+                lasting = replace(job("00000000000000bb"), payload="30")
+                owner.add_job(lasting)
+                owner.add_job(job(steps=(Step(1, 1000),)))
+                await until(lambda: sum(world.starts().values()) == 4)
                 world.store.fail = lambda number, body: NoAnswer("away")
-                await until(lambda: len(world.models["w0"].ends) == 2)
+                await until(lambda: len(world.models["w0"].ends) == 1)
                 looks = world.workers.looks
                 await asyncio.sleep(0.5)
                 assert world.workers.looks - looks < 20
