Know sooner that a silent worker's lease is over after a take-over

Ruled out: room (there was), the placement. Now the address of a placed task is stored, so that a look there tells that another life answers; and a cell that is given up says how long leases of its silent workers may last.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -8,7 +8,7 @@
 import xxhash
 from anyio.abc import TaskGroup
 
-from chivetray.cells.owner import EARLIER_LEASE_S, CellOwner
+from chivetray.cells.owner import EARLIER_LEASE_S, RELEASED_LEASE_S, CellOwner
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import (
     CANCEL_SUFFIX,
@@ -178,8 +178,11 @@
         own.confirmed_at_s = taken_s
         state.list_workers(self._workers_of(cell), boot_time_s())
         await self._load(state)
-        earlier_lease_s = EARLIER_LEASE_S if current is not None else 0.0
-        state.adopt_placed(boot_time_s() + earlier_lease_s)
+        earlier_lease_s = 0.0
+        if current is not None:
+            earlier_lease_s = RELEASED_LEASE_S if current.released else EARLIER_LEASE_S
+        leases_s = current.leases_s if current is not None else {}
+        state.adopt_placed(boot_time_s(), earlier_lease_s, leases_s)
         return own
 
     async def _may_take(self, cell: str, row: Row, current: Ownership | None) -> bool:
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 import anyio
 from anyio.abc import TaskGroup
@@ -58,6 +59,9 @@
 # 2% slow.
 EARLIER_LEASE_S = OWNERSHIP_S + LEASE_S * 1.03
 
+# The same after an owner that gave the cell up, and so stopped extending leases.
+RELEASED_LEASE_S = LEASE_S * 1.03
+
 RENEWAL_INTERVAL_S = 1.0
 
 # Longest wait of a look at a worker for an end; the platform's bound is 2 s.
@@ -270,8 +274,10 @@
 
     async def _give_up(self) -> bool:
         """Release the cell, so that another process takes it at once."""
-        released = Ownership(
-            self.epoch, self.ownership.holder, self.ownership.incarnation, True
+        released = replace(
+            self.ownership,
+            released=True,
+            leases_s=self.state.remaining_leases(boot_time_s()),
         )
         outcome = await self._store.transact(
             {self.guard: self.guard_version}, {self.guard: released.encode()}
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -234,20 +234,26 @@
         )
         return worker
 
-    def adopt_placed(self, unknown_until_s: float) -> None:
+    def adopt_placed(
+        self, now_s: float, earlier_lease_s: float, remaining_s: dict[str, float]
+    ) -> None:
         """Attach restored tasks to their workers after a take-over.
 
         A task whose worker is not listed stays placed there until no lease of the
         earlier owner can last any more.
 
-        :param unknown_until_s: time until which leases of the earlier owner last
+        :param earlier_lease_s: time for which leases of the earlier owner may last
+        :param remaining_s: the same for workers that were silent to it, as it said
+            when it gave the cell up
         """
         for job in list(self.active.values()):
             for task in job.active_tasks():
                 worker = self.workers.get(task.worker)
                 if worker is None:
+                    # A look at the address tells when another life is there.
+                    address, born = task.address, task.born
                     worker = WorkerState(
-                        task.worker, "", "", "", (), task.born, 0, 0, 0, listed=False
+                        task.worker, address, "", "", (), born, 0, 0, 0, listed=False
                     )
                     self.workers[task.worker] = worker
                 elif worker.born > task.born > 0:
@@ -258,7 +264,16 @@
                     continue
                 worker.take((job.spec.job_id, task.key), job.spec.steps[task.key[1]])
         for worker in self.workers.values():
-            worker.lease_unknown_until_s = unknown_until_s
+            lease_s = remaining_s.get(worker.worker_id, earlier_lease_s)
+            worker.lease_unknown_until_s = now_s + lease_s
+
+    def remaining_leases(self, now_s: float) -> dict[str, float]:
+        """Return how long the leases of silent workers with tasks may last."""
+        remaining = {}
+        for worker in self.workers.values():
+            if worker.tasks and (worker.silent_since_s or not worker.adopted):
+                remaining[worker.worker_id] = worker.remaining_lease_s(now_s)
+        return remaining
 
     def worker_reborn(self, worker: WorkerState, born: int, now_s: float) -> None:
         """Record that a worker has started anew and holds nothing of before.
@@ -612,6 +627,7 @@
         task.phase = Phase.PLACED
         task.attempt += 1
         task.worker, task.born = worker.worker_id, worker.born
+        task.address = worker.address
         task.placed_at_s = now_s
         task.running_at_s = task.stopped_at_s = 0.0
         task.pace_percent = 100
--- a/src/chivetray/cells/tables.py
+++ b/src/chivetray/cells/tables.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgpack
 
@@ -56,23 +56,27 @@
 
     :ivar epoch: rises with each change of owner; the owner's fencing token
     :ivar released: whether the owner gave the cell up
+    :ivar leases_s: time for which leases of silent workers may last, when released
     """
 
     epoch: int
     holder: str
     incarnation: str
     released: bool = False
+    leases_s: dict[str, float] = field(default_factory=dict)
 
     def encode(self) -> bytes:
         """Return the value of the row."""
         values = [self.epoch, self.holder, self.incarnation, self.released]
-        return bytes(msgpack.packb(values))
+        return bytes(msgpack.packb([*values, self.leases_s]))
 
     @classmethod
     def decode(cls, content: bytes) -> Ownership | None:
         """Return the owner, or ``None`` when the row cannot be read."""
         try:
-            epoch, holder, incarnation, released = msgpack.unpackb(content)
+            epoch, holder, incarnation, released, leases_s = msgpack.unpackb(content)
         except (ValueError, TypeError, msgpack.UnpackException):
             return None
-        return cls(int(epoch), str(holder), str(incarnation), bool(released))
+        return cls(
+            int(epoch), str(holder), str(incarnation), bool(released), dict(leases_s)
+        )
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -156,6 +156,14 @@
         self.used_mem_mb += sign * step.mem_mb
         self.used_gpu += sign * step.gpu
 
+    def remaining_lease_s(self, now_s: float) -> float:
+        """Return the longest time for which anything may still run here."""
+        left_s = self.lease_unknown_until_s - now_s
+        if self.deadline_ms and self.clock.known:
+            left_ms = self.deadline_ms - self.clock.earliest_ms(now_s)
+            left_s = max(left_s, left_ms / 1000 / (1 - CLOCK_DRIFT))
+        return max(0.0, left_s)
+
     def lease_over(self, now_s: float) -> bool:
         """Return whether everything that ran here has surely been killed."""
         if now_s < self.lease_unknown_until_s:
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -117,7 +117,7 @@
                 active = int(task.active)
                 rest.append(
                     [*key, active, task.attempt, task.failures]
-                    + [task.worker, task.born, task.checkpoint]
+                    + [task.worker, task.born, task.checkpoint, task.address]
                 )
         state = int(self.state)
         return bytes(msgpack.packb([FORMAT, state, int(self.cancelled), ranges, rest]))
@@ -140,6 +140,7 @@
             task.phase = Phase.PLACED if row[3] else Phase.WAITING
             task.attempt, task.failures = row[4], row[5]
             task.worker, task.born, task.checkpoint = row[6], row[7], row[8]
+            task.address = row[9]
         self.state = JobState(state)
         self.cancelled = bool(cancelled)
 
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -118,6 +118,7 @@
     :ivar attempt: number of the newest attempt, 0 before the first
     :ivar failures: attempts that ended as failed
     :ivar worker: worker of the newest attempt
+    :ivar address: where that worker was reached
     :ivar born: lifetime of that worker, as the time of its start
     :ivar checkpoint: newest checkpoint, or empty
     :ivar percent: progress that the worker reported last
@@ -130,6 +131,7 @@
     attempt: int = 0
     failures: int = 0
     worker: str = ""
+    address: str = ""
     born: int = 0
     checkpoint: str = ""
     percent: int = 0
--- a/src/chivetray/platform/standins/worker.py
+++ b/src/chivetray/platform/standins/worker.py
@@ -220,7 +220,7 @@
     if refused:
         return refused
     until_s = time.monotonic() + body.get("WaitMs", 0) / 1000
-    while not model.ends and time.monotonic() < until_s:
+    while not model.ends and time.monotonic() < until_s:  # noqa: ASYNC110
         await asyncio.sleep(TICK_S)
     return model.lists()
 
--- a/tests/cell_helpers.py
+++ b/tests/cell_helpers.py
@@ -72,6 +72,7 @@
         super().__init__(None)  # type: ignore[arg-type]
         self.models = models
         self.silent: set[str] = set()
+        self.replaced: set[str] = set()
         self.lose_starts = 0
         self.late: list[tuple[str, dict[str, Any]]] = []
         self.calls: list[tuple[str, str, dict[str, Any]]] = []
@@ -82,6 +83,8 @@
         await asyncio.sleep(0.001)
         self.calls.append((worker.worker_id, call, body))
         model = self.models[worker.worker_id]
+        if worker.worker_id in self.replaced:
+            return decode_reply(Answer(421, {}))
         if worker.worker_id in self.silent:
             await asyncio.sleep(0.02)
             return decode_reply(NoAnswer("silent"))
@@ -118,6 +121,7 @@
         self.store = MemoryStore(self.state)
         self.workers = MemoryWorkers(self.models)
         self.epoch = 0
+        self.unlisted: set[str] = set()
 
     def entries(self) -> list[WorkerEntry]:
         """Return the list of workers."""
@@ -155,11 +159,12 @@
         owner = CellOwner(
             state, ownership, outcome.version, self.store, self.workers, lambda _: None
         )
-        state.list_workers(self.entries(), boot_time_s())
+        listed = [e for e in self.entries() if e.worker_id not in self.unlisted]
+        state.list_workers(listed, boot_time_s())
         if before is not None:
             for job in before.state.jobs.values():
                 self._restore(state, job.spec)
-        state.adopt_placed(boot_time_s() + earlier_lease_s)
+        state.adopt_placed(boot_time_s(), earlier_lease_s, {})
         return owner
 
     def _restore(self, state: CellState, spec: JobSpec) -> None:
--- a/tests/test_cell_owner.py
+++ b/tests/test_cell_owner.py
@@ -182,6 +182,40 @@
 
         asyncio.run(scenario())
 
+    def test_a_worker_that_was_replaced_at_its_address_is_lost_at_once(self) -> None:
+        """A new owner once waited for its lease, since it did not know the address."""
+
+        async def scenario() -> None:
+            world = World(work_s=30)
+            first = await world.own()
+            async with running(world, first):
+                first.add_job(job(steps=(Step(1, 1000),)))
+                await until(lambda: sum(world.starts().values()) == 1)
+            busy = next(w for w, m in world.models.items() if m.running)
+            world.unlisted.add(busy)
+            world.workers.replaced.add(busy)
+            second = await world.own(first, earlier_lease_s=60)
+            async with running(world, second):
+                await until(lambda: sum(world.starts().values()) == 2, 2.0)
+
+        asyncio.run(scenario())
+
+    def test_a_released_cell_tells_how_long_leases_last(self) -> None:
+        async def scenario() -> None:
+            world = World(work_s=30)
+            first = await world.own()
+            async with running(world, first):
+                first.add_job(job(steps=(Step(1, 1000),)))
+                await until(lambda: sum(world.starts().values()) == 1)
+                busy = next(w for w, m in world.models.items() if m.running)
+                worker = first.state.workers[busy]
+                await until(lambda: worker.deadline_ms > 0)
+                worker.silent_since_s = boot_time_s()
+                left_s = first.state.remaining_leases(boot_time_s())[busy]
+            assert 0 < left_s <= owner_module.RELEASED_LEASE_S
+
+        asyncio.run(scenario())
+
 
 class TestSilentWorkers:
     def test_lease_of_a_silent_worker_runs_out(self, monkeypatch) -> None:
