--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -24,6 +24,9 @@
 # Pause before a task runs again after its attempts failed.
 FAILED_RETRY_S = 0.05
 
+# Weight of the newest job in the mean size of a queue's jobs.
+SIZE_LEARNING_RATE = 0.05
+
 # Time for which a worker stays reserved after the last word of who wants its VM.
 RESERVATION_S = 2.5
 
@@ -87,6 +90,7 @@
         self.times = RunTimes()
         self.stops: list[StopOrder] = []
         self._dirty: set[str] = set()
+        self._sizes: dict[str, float] = {}
 
     # Jobs
 
@@ -96,6 +100,9 @@
         if job is None:
             job = self.jobs[spec.job_id] = Job(spec, now_s)
             self.active[spec.job_id] = job
+            size = sum(step.count * step.cpu_milli for step in spec.steps)
+            mean = self._sizes.get(spec.queue, float(size))
+            self._sizes[spec.queue] = mean + SIZE_LEARNING_RATE * (size - mean)
         return job
 
     def restore_job(
@@ -577,7 +584,9 @@
             return []
         jobs = sorted(
             (job for job in self.active.values() if not job.state.ended),
-            key=lambda job: order_key(job, self.times, now_s),
+            key=lambda job: order_key(
+                job, self.times, now_s, self._sizes.get(job.spec.queue, 0.0)
+            ),
         )
         placements: list[Placement] = []
         for job in jobs:
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -94,6 +94,14 @@
         if len(self.done_steps) >= steps and not self.state.ended:
             self.state = JobState.COMPLETED
 
+    def rest_milli(self) -> int:
+        """Return the cores, in thousandths, of all tasks that are not done."""
+        total = 0
+        for number, step in enumerate(self.spec.steps):
+            done = self._done_counts.get((0, number), 0)
+            total += (step.count - done) * step.cpu_milli
+        return total
+
     @property
     def long_running(self) -> bool:
         """Whether a step of the job runs until the job is cancelled."""
