Let idle VMs leave a pool sooner

Cause: VMs stayed 1.5 s idle and 1.5 s of past demand counted, 3 s of a peak that lasts 4 s. Now 0.6 s and 0.7 s.

--- a/src/chivetray/capacity/sizing.py
+++ b/src/chivetray/capacity/sizing.py
@@ -14,10 +14,10 @@
 
 # Time that a VM is idle before it leaves. A move costs as much as about one second
 # of a VM in a pool.
-IDLE_BEFORE_LEAVING_MS = 1500
+IDLE_BEFORE_LEAVING_MS = 600
 
 # Time for which the largest demand seen counts as the demand of a pool.
-DEMAND_WINDOW_S = 1.5
+DEMAND_WINDOW_S = 0.7
 
 
 @dataclass(frozen=True, slots=True)
