Never give a longer lease than a later owner waits for

The deadline of a lease was counted from an upper bound on the worker's clock; after a look that had waited 2 s at the worker the bound was 2 s too high, so leases lasted up to 9 s, and the later owner waited 7.2 s. Ruled out: the cut in one direction (deadlines are absolute, late bytes do not extend them). Deadlines are counted from a lower bound now.

--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -88,6 +88,7 @@
 
     used_milli: int
     waiting_milli: int
+    offered_milli: int
     workers: dict[str, WorkerReport]
 
 
@@ -222,8 +223,8 @@
         if reply is None:
             log_event(Event.MAINTENANCE_WAITS, cell=cell, reason="owner silent")
             return
-        used, waiting, workers = reply
-        report = CellReport(used, waiting, {})
+        used, waiting, offered, workers = reply
+        report = CellReport(used, waiting, offered, {})
         for worker_id, tasks, used_milli, idle_ms, usable in workers:
             report.workers[worker_id] = WorkerReport(tasks, used_milli, idle_ms, usable)
         self._reports[cell] = report
@@ -241,6 +242,7 @@
         return [
             load.used_milli,
             load.waiting_milli,
+            load.offered_milli,
             [
                 [w.worker_id, w.tasks, w.used_milli, w.idle_ms, w.usable]
                 for w in load.workers
@@ -428,7 +430,8 @@
             if cell in standby:
                 continue
             meter = self._meters.setdefault(cell, DemandMeter())
-            demand = meter.note(report.used_milli + report.waiting_milli, now_s)
+            present = report.used_milli + report.waiting_milli
+            demand = meter.note(max(present, report.offered_milli), now_s)
             pools[cell] = PoolState(cell, demand)
         for move, _ in self._moving.values():
             if move.target in pools:
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -344,7 +344,9 @@
         # otherwise the leases there would never be known to be over.
         renews = worker.clock.known and worker.adopted and not worker.silent_since_s
         if renews and owned and worker.tasks:
-            deadline_ms = worker.clock.latest_ms(sent_at_s) + int(LEASE_S * 1000)
+            # Counted from a time that the worker's clock has surely passed, so that the
+            # lease is no longer than a later owner waits for.
+            deadline_ms = worker.clock.earliest_ms(sent_at_s) + int(LEASE_S * 1000)
             worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
             # A look returns at once while ends are not acknowledged.
             if worker.observed == worker.seen_end:
@@ -466,7 +468,7 @@
         sent_at_s = boot_time_s()
         if sent_at_s - self.confirmed_at_s >= OWNERSHIP_S:
             return True
-        deadline_ms = worker.clock.latest_ms(sent_at_s) + int(START_LEASE_S * 1000)
+        deadline_ms = worker.clock.earliest_ms(sent_at_s) + int(START_LEASE_S * 1000)
         worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
         reply = await self._workers.start(
             WorkerAddress(worker.worker_id, worker.address),
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -24,6 +25,10 @@
 # Pause before a task runs again after its attempts failed.
 FAILED_RETRY_S = 0.05
 
+# Time over which arriving work is counted: long enough for several jobs, short
+# against a peak.
+OFFERED_WINDOW_S = 1.0
+
 # Weight of the newest job in the mean size of a queue's jobs.
 SIZE_LEARNING_RATE = 0.05
 
@@ -69,10 +74,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CellLoad:
-    """What a cell uses and wants, in thousandths of a core."""
+    """What a cell uses and wants, in thousandths of a core.
+
+    :ivar offered_milli: cores that the jobs of the last moments keep busy
+    """
 
     used_milli: int
     waiting_milli: int
+    offered_milli: int
     workers: list[WorkerLoad]
 
 
@@ -91,6 +100,7 @@
         self.stops: list[StopOrder] = []
         self._dirty: set[str] = set()
         self._sizes: dict[str, float] = {}
+        self._arrivals: deque[tuple[float, float]] = deque()
 
     # Jobs
 
@@ -103,8 +113,26 @@
             size = sum(step.count * step.cpu_milli for step in spec.steps)
             mean = self._sizes.get(spec.queue, float(size))
             self._sizes[spec.queue] = mean + SIZE_LEARNING_RATE * (size - mean)
+            self._arrivals.append((now_s, self._work_milli_s(spec)))
         return job
 
+    def _work_milli_s(self, spec: JobSpec) -> float:
+        """Return the work of a job that ends, in thousandths of core-seconds."""
+        return sum(
+            step.count
+            * step.cpu_milli
+            * self.times.expected_s(spec.queue, step.estimate_ms)
+            for step in spec.steps
+            if not step.long_running and not step.fills
+        )
+
+    def offered_milli(self, now_s: float) -> int:
+        """Return the cores that the jobs of the last moments keep busy."""
+        while self._arrivals and now_s - self._arrivals[0][0] > OFFERED_WINDOW_S:
+            self._arrivals.popleft()
+        work = sum(work for _, work in self._arrivals)
+        return int(work / OFFERED_WINDOW_S)
+
     def restore_job(
         self, spec: JobSpec, progress: bytes, version: int, now_s: float
     ) -> None:
@@ -570,7 +598,7 @@
             if worker.listed
         ]
         used = sum(worker.used_cpu_milli for worker in self.workers.values())
-        return CellLoad(used, waiting, workers)
+        return CellLoad(used, waiting, self.offered_milli(now_s), workers)
 
     # Placement
 
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -21,7 +21,7 @@
 
 @dataclass(slots=True)
 class WorkerClock:
-    """Bounds on a worker's steady clock, from its answers."""
+    """Lower bound on a worker's steady clock, from its answers."""
 
     clock_ms: int = 0
     sent_at_s: float = 0.0
@@ -37,11 +37,6 @@
         self.received_at_s = received_at_s
         self.known = True
 
-    def latest_ms(self, now_s: float) -> int:
-        """Return a time that the worker's clock has not passed yet."""
-        elapsed_s = (now_s - self.sent_at_s) * (1 + CLOCK_DRIFT)
-        return self.clock_ms + int(elapsed_s * 1000) + 1
-
     def earliest_ms(self, now_s: float) -> int:
         """Return a time that the worker's clock has passed."""
         elapsed_s = (now_s - self.received_at_s) * (1 - CLOCK_DRIFT)
--- a/tests/test_cell_owner.py
+++ b/tests/test_cell_owner.py
@@ -235,6 +235,24 @@
 
         asyncio.run(scenario())
 
+    def test_no_lease_is_longer_than_a_later_owner_waits_for(self) -> None:
+        """After a look that waited, leases were once longer by that time."""
+
+        async def scenario() -> None:
+            world = World(workers=1, work_s=30)
+            owner = await world.own()
+            longest_ms = 0
+            async with running(world, owner):
+                owner.add_job(job(steps=(Step(1, 1000),)))
+                model = world.models["w0"]
+                for _ in range(80):
+                    await asyncio.sleep(0.01)
+                    left_ms = model.deadline_ms - model.clock_ms()
+                    longest_ms = max(longest_ms, left_ms)
+            assert 0 < longest_ms <= owner_module.LEASE_S * 1000 + 5
+
+        asyncio.run(scenario())
+
     def test_a_start_that_is_carried_out_late_doubles_nothing(self) -> None:
         async def scenario() -> None:
             world = World(work_s=0.2)
