Place nothing on workers whose VM has moved

Ruled out: limits on connections (the refusals were of workers that had ended). The holder of VM orders now names such workers for 6 s.

--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -48,6 +48,10 @@
 # The holder gives orders only while it has shown lately that it is the holder.
 CONFIRMED_S = 1.5
 
+# Time after which a worker that has ended is listed no more: three heartbeats and a
+# reading of the list.
+ENTRY_LAPSE_S = 6.0
+
 # Margin on times that the platform names.
 MARGIN_S = 0.3
 
@@ -127,6 +131,7 @@
         self._moving: dict[str, tuple[Move, float]] = {}
         self._leaving: dict[str, Move] = {}
         self._emptying: dict[str, str] = {}
+        self._ended: dict[str, float] = {}
         self._waves: dict[str, WaveProgress] = {}
         self._holder: CellOwner | None = None
         self._sizes_logged_at_s = 0.0
@@ -209,6 +214,9 @@
         """Ask every owner for its load, and tell it which workers are wanted."""
         wanted = {move.worker_id for move in self._leaving.values()}
         wanted |= set(self._emptying.values())
+        now_s = boot_time_s()
+        self._ended = {w: s for w, s in self._ended.items() if s > now_s}
+        wanted |= set(self._ended)
         cells = sorted(self._configuration.services)
         async with anyio.create_task_group() as tasks:
             for cell in cells:
@@ -217,10 +225,8 @@
     async def _read_cell(self, cell: str, wanted: list[str]) -> None:
         owner = self._directory.owner_of(cell)
         self._reports.pop(cell, None)
-        names = {m.worker_id for m in self._machines if m.pool == cell}
-        reserve = [worker_id for worker_id in wanted if worker_id in names]
         arriving = sum(move.target == cell for move, _ in self._moving.values())
-        argument = [cell, reserve, arriving]
+        argument = [cell, wanted, arriving]
         if owner is None:
             return
         if owner == self._mesh.name:
@@ -355,6 +361,8 @@
             return
         # Counted as begun from now on, also when the answer is lost.
         answer = await self._client.maintain(machine.name, wave.number, own.epoch)
+        if answer in (MachineAnswer.DONE, MachineAnswer.UNKNOWN):
+            self._ended[machine.worker_id] = boot_time_s() + ENTRY_LAPSE_S
         if answer == MachineAnswer.DONE:
             progress.done[machine.name] = boot_time_s()
             log_event(Event.VM_MAINTAINED, vm=machine.name, wave=wave.number)
@@ -473,6 +481,8 @@
         if not self._holds(own):
             return
         self._moving[move.machine] = (move, boot_time_s())
+        if move.worker_id:
+            self._ended[move.worker_id] = boot_time_s() + ENTRY_LAPSE_S
         answer = await self._client.move(move.machine, move.target, own.epoch)
         if answer == MachineAnswer.DONE:
             log_event(
@@ -484,6 +494,7 @@
             return
         if answer != MachineAnswer.UNKNOWN:
             self._moving.pop(move.machine, None)
+            self._ended.pop(move.worker_id, None)
         log_event(
             Event.VM_ORDER_FAILED,
             vm=move.machine,
