Close connections whose head, body or next request does not come

Cause: nothing limited how long a caller may take for a request's head; 3,000 connections with endless heads were all kept. A protocol class of the HTTP server now keeps limits on the head's size and time and on idle time; the manager takes them from the operator's configuration, the entry uses the same with defaults.

--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -20,6 +20,7 @@
 from chivetray.cells.store_access import StoreAccess
 from chivetray.cells.tables import MEMBER_TABLE, member_row
 from chivetray.clocks import boot_time_s
+from chivetray.connection_limits import ConnectionLimits
 from chivetray.events import Event, log_event, open_log
 from chivetray.exceptions import Fault, FaultsError
 from chivetray.generated.manager_models import ManagerSettings
@@ -143,7 +144,7 @@
             zone=self._settings.zone,
             incarnation=self._incarnation,
         )
-        callers_server = HttpServer.from_app(self._app)
+        callers_server = HttpServer.from_app(self._app, limits=self._limits)
         ready_server = HttpServer.from_app(self._ready_app)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(ready_server.serve_on, ready)
@@ -206,6 +207,16 @@
 
     # Parts
 
+    def _limits(self) -> ConnectionLimits:
+        config = self._configuration.current
+        if config is None:
+            return ConnectionLimits()
+        return ConnectionLimits(
+            config.limits.header_bytes,
+            config.limits.header_timeout_ms / 1000,
+            config.limits.idle_timeout_ms / 1000,
+        )
+
     def _cell_names(self) -> list[str]:
         names = sorted(self._configuration.services)
         return [FLEET_CELL, *names] if names and self._runner else names
--- a/src/chivetray/servers.py
+++ b/src/chivetray/servers.py
@@ -5,11 +5,12 @@
 import contextlib
 import logging
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import uvicorn
 
+from chivetray.connection_limits import ConnectionLimits, limit_connections
 from chivetray.generated.settings import TlsSettings
 
 BACKLOG = 1024
@@ -24,13 +25,20 @@
 
     @classmethod
     def from_app(
-        cls, app: Any, tls: TlsSettings | None = None, backlog: int = BACKLOG
+        cls,
+        app: Any,
+        tls: TlsSettings | None = None,
+        backlog: int = BACKLOG,
+        limits: Callable[[], ConnectionLimits] = ConnectionLimits,
     ) -> HttpServer:
-        """Make a server for one ASGI application."""
+        """Make a server for one ASGI application.
+
+        :param limits: returns the limits on connections that are in force
+        """
         config = uvicorn.Config(
             app,
             loop="asyncio",
-            http="httptools",
+            http=limit_connections(limits),
             interface="asgi3",
             ws="none",
             lifespan="off",
