Run gangs, steps that need advice, and fills beside serving tasks

Gangs start and end together with one attempt number and are stopped together when a member cannot run; steps of queues with advice wait for tickets and use only workers that have one; filling tasks are slowed down by the tails of serving ones.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -21,6 +21,7 @@
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import decode_spec
 from chivetray.peers.mesh import Mesh
+from chivetray.platform.advice import AdviceClient
 from chivetray.platform.entries import WorkerEntry
 from chivetray.platform.store import (
     ABSENT,
@@ -60,6 +61,7 @@
         workers: WorkerClient,
         cells: Callable[[], Iterable[str]],
         workers_of: Callable[[str], list[WorkerEntry]],
+        advice: AdviceClient | None = None,
     ):
         self.owned: dict[str, CellOwner] = {}
         self.leaving = False
@@ -69,6 +71,7 @@
         self._workers = workers
         self._cells = cells
         self._workers_of = workers_of
+        self._advice = advice
         self._taking: set[str] = set()
         self._unclaimed_since_s: dict[str, float] = {}
         self._wake = anyio.Event()
@@ -171,7 +174,13 @@
         )
         state = CellState(cell)
         own = CellOwner(
-            state, ownership, version, self._store, self._workers, self._forget
+            state,
+            ownership,
+            version,
+            self._store,
+            self._workers,
+            self._forget,
+            self._advice,
         )
         own.confirmed_at_s = taken_s
         if current is None:
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -13,7 +13,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from chivetray.cells.state import CellState, Placement, StopOrder
+from chivetray.cells.state import CellState, Placement, StepName, StopOrder
 from chivetray.cells.tables import (
     Ownership,
     owner_row,
@@ -25,6 +25,7 @@
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import JobSpec, Phase
+from chivetray.platform.advice import AdviceClient
 from chivetray.platform.entries import WorkerEntry
 from chivetray.platform.store import (
     ENTRIES_LIMIT,
@@ -67,6 +68,10 @@
 # Longest wait of a look at a worker for an end; the platform's bound is 2 s.
 LOOK_WAIT_MS = 2000
 
+# The same while filling tasks share a worker with serving ones, whose tails are
+# reported for the last half second.
+SHARING_LOOK_WAIT_MS = 500
+
 # Pause between looks at a worker that does not answer.
 SILENT_LOOK_PAUSE_S = 0.25
 
@@ -104,6 +109,7 @@
         store: Store,
         workers: WorkerClient,
         on_lost: Callable[[str], None],
+        advice: AdviceClient | None = None,
     ):
         self.state = state
         self.ownership = ownership
@@ -118,6 +124,8 @@
         self._store = store
         self._workers = workers
         self._on_lost = on_lost
+        self._advice = advice
+        self._asking = False
         self._wake = anyio.Event()
         self._worker_events: dict[str, anyio.Event] = {}
         self._driven: set[str] = set()
@@ -170,6 +178,7 @@
             now_s = boot_time_s()
             self.state.lost_leases(now_s)
             self.state.evacuate(now_s)
+            self.state.stop_broken_gangs()
             self._drive_new_workers(tasks)
             placements = [] if self.leaving else self.state.place(now_s, wall_time_ms())
             ends = {w.worker_id: w.seen_end for w in self.state.workers.values()}
@@ -180,6 +189,7 @@
             for placement in placements:
                 self._send_start(tasks, placement)
             self._send_stops(tasks)
+            self._ask_advice(tasks)
             done = self.leaving and not self.state.has_dirty()
             if done and await self._give_up():
                 return
@@ -357,7 +367,8 @@
             worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
             # A look returns at once while ends are not acknowledged.
             if worker.observed == worker.seen_end:
-                wait_ms = LOOK_WAIT_MS
+                shares = self.state.shares(worker)
+                wait_ms = SHARING_LOOK_WAIT_MS if shares else LOOK_WAIT_MS
         observed, born = worker.observed, worker.born
         reply = await self._workers.hold(
             address, self.epoch, observed, deadline_ms, wait_ms
@@ -371,6 +382,7 @@
                 worker.acknowledged = max(worker.acknowledged, observed)
             self.state.apply_look(worker, reply, sent_at_s, now_s)
             self.wake()
+            await self._pace(worker)
             await self._wait_stored(worker)
             return
         await self._look_failed(worker, reply, sent_at_s, now_s)
@@ -422,6 +434,45 @@
             )
             worker.silent_since_s = 0.0
 
+    def _ask_advice(self, tasks: TaskGroup) -> None:
+        """Ask for the next step that has no worker with a valid ticket."""
+        if self._advice is None or self._asking or not self.state.advice_wanted:
+            return
+        name, workers = next(iter(self.state.advice_wanted.items()))
+        self.state.advice_wanted.clear()
+        self._asking = True
+        tasks.start_soon(self._ask, self._advice, name, workers)
+
+    async def _ask(
+        self, advice: AdviceClient, name: StepName, workers: list[str]
+    ) -> None:
+        asked_s = boot_time_s()
+        try:
+            reply = await advice.ask(*name, workers)
+        finally:
+            self._asking = False
+        if reply is None:
+            log_event(Event.ORDER_FAILED, order="advice", job=name[0], step=name[2])
+            await anyio.sleep(RETRY_PAUSE_S)
+        else:
+            good, validity_s = reply
+            self.state.take_advice(name, workers, good, asked_s + validity_s)
+        self.wake()
+
+    async def _pace(self, worker: WorkerState) -> None:
+        """Slow filling tasks down or let them speed up, by the last look."""
+        address = WorkerAddress(worker.worker_id, worker.address)
+        for ref, attempt, percent in self.state.pace_orders(worker):
+            reply = await self._workers.pace(
+                address, self.epoch, TaskName(*ref), attempt, percent
+            )
+            log_event(
+                Event.TASK_PACED,
+                task=str(TaskName(*ref)),
+                percent=percent,
+                verdict=reply.verdict.value,
+            )
+
     # Orders
 
     def _resume_orders(self, tasks: TaskGroup) -> None:
@@ -485,6 +536,7 @@
             job.spec.payload,
             deadline_ms,
             task.checkpoint,
+            self.state.ticket_of(placement.ref, worker.worker_id),
         )
         now_s = boot_time_s()
         if self.lost:
@@ -516,6 +568,8 @@
             detail=reply.detail,
             used_cpu=worker.used_cpu_milli,
         )
+        if verdict == Verdict.BAD_TICKET:
+            self.state.drop_ticket(placement.ref, worker.worker_id)
         if verdict == Verdict.FENCED:
             await self.check_guard()
             return True
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -14,6 +14,7 @@
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import JobSpec, JobState, Phase, Step, Task, TaskKey
 from chivetray.jobs.ordering import order_key
+from chivetray.jobs.pacing import choose_pace
 from chivetray.jobs.placement import choose_worker
 from chivetray.jobs.runtimes import RunTimes
 from chivetray.platform.entries import WorkerEntry
@@ -32,6 +33,12 @@
 # Weight of the newest job in the mean size of a queue's jobs.
 SIZE_LEARNING_RATE = 0.05
 
+# Workers that one call for advice names: more take longer, fewer may have no room.
+ADVICE_WORKERS = 30
+
+# A ticket is used only while it is valid for some time yet.
+TICKET_MARGIN_S = 0.3
+
 # Time for which a worker stays reserved after the last word of who wants its VM.
 RESERVATION_S = 2.5
 
@@ -58,6 +65,15 @@
     worker_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Permission to run a step on one life of a worker."""
+
+    text: str
+    born: int
+    until_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerLoad:
     """What runs on a worker.
@@ -85,6 +101,12 @@
     workers: list[WorkerLoad]
 
 
+# Job, occurrence and number of a step.
+StepName = tuple[str, int, int]
+
+_STARTED = (Phase.PLACED, Phase.RUNNING)
+
+
 class CellState:
     """Jobs and workers of one cell.
 
@@ -98,6 +120,9 @@
         self.workers: dict[str, WorkerState] = {}
         self.times = RunTimes()
         self.stops: list[StopOrder] = []
+        self.tickets: dict[StepName, dict[str, Ticket]] = {}
+        self.advised_against: dict[StepName, set[str]] = {}
+        self.advice_wanted: dict[StepName, list[str]] = {}
         self._dirty: set[str] = set()
         self._sizes: dict[str, float] = {}
         self._arrivals: deque[tuple[float, float]] = deque()
@@ -407,9 +432,10 @@
                 )
                 continue
             task.percent = running.percent
-            task.tail_ms = running.level
+            task.level = running.level
             if running.checkpoint:
-                task.checkpoint = running.checkpoint
+                step = job.spec.steps[task.key[1]]
+                self._note_checkpoint(job, task, step, running.checkpoint)
             if task.phase == Phase.PLACED:
                 self.confirm_start((job.spec.job_id, task.key), task.attempt, now_s)
         self._find_vanished(worker, listed, sent_at_s, now_s)
@@ -429,6 +455,9 @@
                 continue
             if (ref[0], ref[1], task.attempt) in listed:
                 continue
+            if task.phase == Phase.DONE:
+                worker.free(ref, now_s)
+                continue
             if task.phase == Phase.STOPPING:
                 settled_s = task.stopped_at_s
             else:
@@ -449,18 +478,21 @@
             return
         if task.worker != worker.worker_id or task.attempt != ended.attempt:
             return
+        ref = (job.spec.job_id, task.key)
         if not task.active:
+            # The room of a gang's member that was done with another one.
+            worker.free(ref, now_s)
             return
-        ref = (job.spec.job_id, task.key)
         step = job.spec.steps[task.key[1]]
         if ended.checkpoint:
-            task.checkpoint = ended.checkpoint
+            self._note_checkpoint(job, task, step, ended.checkpoint)
         if ended.how == How.DONE:
             worker.failing_jobs.clear()
             if task.running_at_s and not task.checkpoint:
                 self.times.learn(job.spec.queue, now_s - task.running_at_s)
             worker.free(ref, now_s)
-            job.mark_done(task)
+            for member in self._members(job, task, step):
+                job.mark_done(member)
             self._dirty.add(job.spec.job_id)
             if job.state == JobState.COMPLETED:
                 log_event(
@@ -480,7 +512,11 @@
             how=ended.how.value,
         )
         if ended.how == How.FAILED:
-            task.failures += 1
+            # A gang fails once for each attempt.
+            for member in self._members(job, task, step):
+                if member.failed_attempt < ended.attempt:
+                    member.failed_attempt = ended.attempt
+                    member.failures += 1
             task.avoid.add(worker.worker_id)
             worker.failing_jobs.add(job.spec.job_id)
             task.not_before_s = now_s + FAILED_RETRY_S
@@ -498,6 +534,19 @@
                 failures=task.failures,
             )
 
+    @staticmethod
+    def _members(job: Job, task: Task, step: Step) -> list[Task]:
+        """Return the tasks that end together with a task."""
+        if not step.gang:
+            return [task]
+        return job.open_tasks(task.key[0], task.key[1])
+
+    def _note_checkpoint(
+        self, job: Job, task: Task, step: Step, checkpoint: str
+    ) -> None:
+        for member in self._members(job, task, step):
+            member.checkpoint = checkpoint
+
     # Outcomes of orders
 
     def confirm_start(self, ref: TaskRef, attempt: int, now_s: float) -> None:
@@ -554,7 +603,9 @@
                 job, task = self._find(ref)
                 if job is None or task is None or task.phase != Phase.RUNNING:
                     continue
-                if step.long_running:
+                if step.fills:
+                    movable = True
+                elif step.long_running:
                     movable = worker.draining or self._may_miss_one(job, task, step)
                 else:
                     movable = reserved and (step.checkpointing or overdue)
@@ -641,6 +692,10 @@
                 on_workers[task.worker] = on_workers.get(task.worker, 0) + 1
                 if worker is not None:
                     on_racks[worker.rack] = on_racks.get(worker.rack, 0) + 1
+        if job.spec.advice_ms:
+            rooms = self._advised(job, tasks[0].key, step, rooms, now_s)
+        if step.gang:
+            return self._place_gang(job, step, tasks, rooms, now_s)
         placements = []
         for task in tasks:
             if task.phase != Phase.WAITING or task.not_before_s > now_s:
@@ -657,6 +712,163 @@
                 rooms.remove(worker)
         return placements
 
+    def _place_gang(
+        self,
+        job: Job,
+        step: Step,
+        tasks: list[Task],
+        rooms: list[WorkerState],
+        now_s: float,
+    ) -> list[Placement]:
+        """Place all tasks of a gang with one attempt number, or none."""
+        if any(t.phase != Phase.WAITING or t.not_before_s > now_s for t in tasks):
+            return []
+        groups = [rooms]
+        if step.same_rack:
+            racks = sorted({room.rack for room in rooms})
+            groups = [[r for r in rooms if r.rack == rack] for rack in racks] + groups
+        for group in groups:
+            chosen = self._fit_gang(job, step, tasks, group)
+            if chosen is None:
+                continue
+            attempt = max(task.attempt for task in tasks)
+            checkpoint = next((t.checkpoint for t in tasks if t.checkpoint), "")
+            placements = []
+            for task, worker in zip(tasks, chosen, strict=True):
+                task.attempt, task.checkpoint = attempt, checkpoint
+                placements.append(self._place_task(job, task, step, worker, now_s))
+            return placements
+        return []
+
+    def _fit_gang(
+        self, job: Job, step: Step, tasks: list[Task], rooms: list[WorkerState]
+    ) -> list[WorkerState] | None:
+        """Return a worker for each task, or ``None`` when not all have room."""
+        on_workers: dict[str, int] = {}
+        chosen: list[WorkerState] = []
+        for task in tasks:
+            room = choose_worker(step, rooms, task.avoid, on_workers, {})
+            if room is None:
+                break
+            worker = self.workers[room.worker_id]
+            worker.take((job.spec.job_id, task.key), step)
+            on_workers[worker.worker_id] = on_workers.get(worker.worker_id, 0) + 1
+            chosen.append(worker)
+        for task, worker in zip(tasks, chosen, strict=False):
+            worker.free((job.spec.job_id, task.key), worker.idle_since_s)
+        return chosen if len(chosen) == len(tasks) else None
+
+    def stop_broken_gangs(self) -> None:
+        """Stop the members of gangs of which one does not run any more.
+
+        Otherwise they would wait for it until their time limit.
+        """
+        for job in self.active.values():
+            for number, step in enumerate(job.spec.steps):
+                if not step.gang or job.state.ended:
+                    continue
+                for occurrence in range(job.spec.occurrences()):
+                    members = [
+                        job.tasks[(occurrence, number, index)]
+                        for index in range(step.count)
+                        if (occurrence, number, index) in job.tasks
+                    ]
+                    running = [t for t in members if t.phase in _STARTED]
+                    if running and len(running) < step.count:
+                        for task in running:
+                            self._stop(job, task)
+
+    # Advice
+
+    def _advised(
+        self,
+        job: Job,
+        key: TaskKey,
+        step: Step,
+        rooms: list[WorkerState],
+        now_s: float,
+    ) -> list[WorkerState]:
+        """Return the workers with a valid ticket for a step; ask for others."""
+        name = (job.spec.job_id, key[0], key[1])
+        tickets = self.tickets.get(name, {})
+        valid = []
+        for room in rooms:
+            ticket = tickets.get(room.worker_id)
+            if ticket is None or ticket.born != room.born:
+                continue
+            if ticket.until_s > now_s + TICKET_MARGIN_S:
+                valid.append(room)
+        if not any(room.fits(step) for room in valid):
+            known = self.advised_against.get(name, set())
+            candidates = [
+                room
+                for room in rooms
+                if room.could_fit(step) and room.worker_id not in known
+            ]
+            candidates.sort(key=lambda room: (not room.fits(step), room.used_cpu_milli))
+            asked = [room.worker_id for room in candidates[:ADVICE_WORKERS]]
+            if asked:
+                self.advice_wanted[name] = asked
+        return valid
+
+    def take_advice(
+        self,
+        name: StepName,
+        asked: Iterable[str],
+        good: dict[str, str],
+        until_s: float,
+    ) -> None:
+        """Take the tickets for a step; workers without one never get the step."""
+        tickets = self.tickets.setdefault(name, {})
+        refused = self.advised_against.setdefault(name, set())
+        for worker_id in asked:
+            worker = self.workers.get(worker_id)
+            if worker_id in good and worker is not None:
+                tickets[worker_id] = Ticket(good[worker_id], worker.born, until_s)
+            elif worker_id not in good:
+                refused.add(worker_id)
+
+    def ticket_of(self, ref: TaskRef, worker_id: str) -> str:
+        """Return the ticket for a task on a worker, or an empty text."""
+        name = (ref[0], ref[1][0], ref[1][1])
+        ticket = self.tickets.get(name, {}).get(worker_id)
+        return ticket.text if ticket is not None else ""
+
+    def drop_ticket(self, ref: TaskRef, worker_id: str) -> None:
+        """Forget a ticket that a worker has refused."""
+        self.tickets.get((ref[0], ref[1][0], ref[1][1]), {}).pop(worker_id, None)
+
+    # Sharing
+
+    def pace_orders(self, worker: WorkerState) -> list[tuple[TaskRef, int, int]]:
+        """Return the filling tasks of a worker whose share has to change.
+
+        :return: task, attempt and share in percent
+        """
+        worst = 0.0
+        fills: list[tuple[TaskRef, Task]] = []
+        for ref, step in worker.tasks.items():
+            job, task = self._find(ref)
+            if job is None or task is None or task.phase != Phase.RUNNING:
+                continue
+            if step.fills:
+                fills.append((ref, task))
+            elif step.target_ms:
+                worst = max(worst, task.level / step.target_ms)
+        orders = []
+        for ref, task in fills:
+            percent = choose_pace(task.pace_percent, worst)
+            if percent != task.pace_percent:
+                task.pace_percent = percent
+                orders.append((ref, task.attempt, percent))
+        return orders
+
+    def shares(self, worker: WorkerState) -> bool:
+        """Return whether a worker has filling tasks beside serving ones."""
+        steps = worker.tasks.values()
+        serving = any(step.target_ms and not step.fills for step in steps)
+        return serving and any(step.fills for step in steps)
+
     def _place_task(
         self, job: Job, task: Task, step: Step, worker: WorkerState, now_s: float
     ) -> Placement:
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -122,7 +122,9 @@
     :ivar born: lifetime of that worker, as the time of its start
     :ivar checkpoint: newest checkpoint, or empty
     :ivar percent: progress that the worker reported last
-    :ivar tail_ms: tail latency that the worker reported last
+    :ivar level: tail latency in ms of a serving task, otherwise thousandths of a core
+        in use, as the worker reported last
+    :ivar failed_attempt: newest attempt that counts among the failures
     :ivar unanswered: whether a start of the newest attempt was not answered, so that
         it may still be carried out
     :ivar pace_percent: share at which a filling task may work
@@ -137,7 +139,8 @@
     born: int = 0
     checkpoint: str = ""
     percent: int = 0
-    tail_ms: int = 0
+    level: int = 0
+    failed_attempt: int = 0
     pace_percent: int = 100
     placed_at_s: float = 0.0
     running_at_s: float = 0.0
--- a/src/chivetray/jobs/placement.py
+++ b/src/chivetray/jobs/placement.py
@@ -54,7 +54,10 @@
         near = not step.data_rack or step.data_rack in room.labels
         load = room.used_cpu_milli / max(1, room.cpu_milli)
         key: tuple[float, ...]
-        if step.long_running:
+        if step.fills:
+            # They share what others leave, so the emptiest worker comes first.
+            key = (room.worker_id in avoid, not near, there, load)
+        elif step.long_running:
             key = (
                 room.worker_id in avoid,
                 not near,
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -27,6 +27,7 @@
 from chivetray.generated.messages import CellClaim, NodeHeartbeat
 from chivetray.metrics import Metrics
 from chivetray.peers.mesh import Mesh
+from chivetray.platform.advice import AdviceClient
 from chivetray.platform.calls import CallSession
 from chivetray.platform.machines import MachineClient
 from chivetray.platform.store import Committed, StoreUnavailableError
@@ -104,6 +105,7 @@
             self._workers,
             self._cell_names,
             self._fleet.workers_of,
+            AdviceClient(self._session, settings.advice) if settings.advice else None,
         )
         self._desk = Desk(self._mesh, self._store, self._directory, self._configuration)
         self._runner: FleetRunner | None = None
--- /dev/null
+++ b/tests/test_cell_state.py
@@ -0,0 +1,206 @@
+"""Decisions on a cell: gangs, advice, sharing, placement and order."""
+
+from __future__ import annotations
+
+from cell_helpers import CELL, job
+
+from chivetray.cells.state import CellState
+from chivetray.jobs.job import Job, decode_spec, encode_spec
+from chivetray.jobs.model import JobState, Phase, Step
+from chivetray.jobs.ordering import order_key
+from chivetray.jobs.pacing import choose_pace
+from chivetray.jobs.runtimes import RunTimes
+from chivetray.platform.entries import WorkerEntry
+from chivetray.platform.workers import (
+    EndedTask,
+    How,
+    Reply,
+    RunningTask,
+    TaskName,
+    Verdict,
+)
+
+JOB = "00000000000000aa"
+
+
+def entry(name: str, rack: str = "r1", cpu: int = 4000) -> WorkerEntry:
+    labels = ("a", rack)
+    return WorkerEntry(
+        name, CELL, "10.0.0.1:80", "z1", False, 1, cpu, 65536, 0, labels
+    )
+
+
+def cell(*entries: WorkerEntry) -> CellState:
+    state = CellState(CELL)
+    state.list_workers(entries, 0.0)
+    for worker in state.workers.values():
+        worker.adopted = True
+        worker.clock.observe(1000, 0.0, 0.0)
+    return state
+
+
+def end(state: CellState, worker: str, number: int, index: int, how: How) -> None:
+    task = state.jobs[JOB].tasks[(0, 0, index)]
+    ended = EndedTask(number, TaskName(JOB, task.key), task.attempt, how, "")
+    reply = Reply(Verdict.OK, 2000, 1, [], [ended])
+    state.apply_look(state.workers[worker], reply, 0.0, 1.0)
+
+
+class TestGangs:
+    def test_nothing_starts_until_all_members_have_room(self) -> None:
+        state = cell(entry("w0"))
+        state.add_job(job(steps=(Step(5, 1000, gang=True),)), 0.0)
+        assert state.place(0.0, 0) == []
+        state.list_workers([entry("w0"), entry("w1")], 0.0)
+        state.workers["w1"].adopted = True
+        state.workers["w1"].clock.observe(1000, 0.0, 0.0)
+        placed = state.place(0.0, 0)
+        assert len(placed) == 5
+        assert {p.attempt for p in placed} == {1}
+
+    def test_one_end_done_is_the_end_of_all(self) -> None:
+        state = cell(entry("w0"))
+        state.add_job(job(steps=(Step(3, 1000, gang=True),)), 0.0)
+        state.place(0.0, 0)
+        end(state, "w0", 1, 0, How.DONE)
+        assert state.jobs[JOB].state == JobState.COMPLETED
+
+    def test_members_of_a_broken_gang_are_stopped_and_start_again_together(
+        self,
+    ) -> None:
+        state = cell(entry("w0"), entry("w1"))
+        state.add_job(job(steps=(Step(4, 2000, gang=True),)), 0.0)
+        placed = state.place(0.0, 0)
+        state.reject_start(placed[0], 0.5)
+        state.stop_broken_gangs()
+        assert len(state.stops) == 3
+        assert state.place(0.6, 0) == []
+
+    def test_an_attempt_of_a_gang_fails_once(self) -> None:
+        state = cell(entry("w0"))
+        state.add_job(job(steps=(Step(3, 1000, gang=True),), max_attempts=2), 0.0)
+        state.place(0.0, 0)
+        end(state, "w0", 1, 0, How.FAILED)
+        end(state, "w0", 2, 1, How.FAILED)
+        assert state.jobs[JOB].state != JobState.FAILED
+        assert {t.failures for t in state.jobs[JOB].tasks.values()} == {1}
+
+    def test_a_gang_on_one_rack_is_placed_on_one_where_it_fits(self) -> None:
+        state = cell(entry("w0", "r1"), entry("w1", "r2"), entry("w2", "r2"))
+        step = Step(6, 1000, gang=True, same_rack=True)
+        state.add_job(job(steps=(step,)), 0.0)
+        assert {p.worker_id for p in state.place(0.0, 0)} == {"w1", "w2"}
+
+
+class TestAdvice:
+    def test_a_step_waits_for_tickets_and_uses_only_workers_with_one(self) -> None:
+        state = cell(entry("w0"), entry("w1"))
+        state.add_job(job(steps=(Step(2, 1000),), advice_ms=3000), 0.0)
+        assert state.place(0.0, 0) == []
+        (name, asked), *_ = state.advice_wanted.items()
+        assert sorted(asked) == ["w0", "w1"]
+        state.take_advice(name, asked, {"w1": "t-1"}, until_s=3.0)
+        placed = state.place(0.1, 0)
+        assert {p.worker_id for p in placed} == {"w1"}
+        assert state.ticket_of(placed[0].ref, "w1") == "t-1"
+
+    def test_workers_that_may_not_run_a_step_are_not_asked_about_again(self) -> None:
+        state = cell(entry("w0"), entry("w1"))
+        state.add_job(job(steps=(Step(1, 1000),), advice_ms=3000), 0.0)
+        state.place(0.0, 0)
+        (name, asked), *_ = state.advice_wanted.items()
+        state.take_advice(name, asked, {"w1": "t-1"}, until_s=1.0)
+        state.advice_wanted.clear()
+        state.place(2.0, 0)
+        assert state.advice_wanted[name] == ["w1"]
+
+
+class TestSharing:
+    def test_fills_are_slowed_down_fast_and_speed_up_slowly(self) -> None:
+        assert choose_pace(100, 1.2) == 0
+        assert choose_pace(100, 0.9) == 40
+        assert choose_pace(40, 0.7) == 40
+        assert choose_pace(40, 0.3) == 48
+
+    def test_a_tail_above_its_target_stops_fills_on_its_worker(self) -> None:
+        state = cell(entry("w0"))
+        serving = Step(1, 1000, long_running=True, target_ms=100)
+        filling = Step(1, 1000, long_running=True, fills=True)
+        state.add_job(job(steps=(serving, filling)), 0.0)
+        placed = state.place(0.0, 0)
+        running = [
+            RunningTask(TaskName(*p.ref), p.attempt, "", 100, 150) for p in placed
+        ]
+        worker = state.workers["w0"]
+        state.apply_look(worker, Reply(Verdict.OK, 1, 1, running), 0.0, 1.0)
+        assert state.shares(worker)
+        assert [order[2] for order in state.pace_orders(worker)] == [0]
+
+    def test_fills_use_no_processor_room(self) -> None:
+        state = cell(entry("w0", cpu=1000))
+        state.add_job(job(steps=(Step(1, 1000), Step(3, 1000, fills=True))), 0.0)
+        assert len(state.place(0.0, 0)) == 4
+
+
+class TestEvacuation:
+    def test_long_running_tasks_leave_one_at_a_time(self) -> None:
+        state = cell(entry("w0"), entry("w1"))
+        step = Step(2, 1000, long_running=True, may_miss=1)
+        state.add_job(job(steps=(step,)), 0.0)
+        placed = state.place(0.0, 0)
+        for p in placed:
+            state.confirm_start(p.ref, p.attempt, 0.1)
+        for task in state.jobs[JOB].tasks.values():
+            task.percent = 100
+        state.reserve({p.worker_id for p in placed}, 1.0)
+        state.evacuate(1.0)
+        phases = [t.phase for t in state.jobs[JOB].tasks.values()]
+        assert sorted(phases) == [Phase.RUNNING, Phase.STOPPING]
+
+    def test_nothing_is_placed_on_a_reserved_worker(self) -> None:
+        state = cell(entry("w0"))
+        state.reserve({"w0"}, 0.0)
+        state.add_job(job(), 0.0)
+        assert state.place(0.1, 0) == []
+
+
+class TestOccurrences:
+    def test_an_occurrence_starts_when_it_is_due(self) -> None:
+        state = cell(entry("w0"))
+        spec = job(steps=(Step(1, 500),), repeats=3, start_at_ms=1000, interval_ms=500)
+        state.add_job(spec, 0.0)
+        assert state.place(0.0, 999) == []
+        assert [p.ref[1][0] for p in state.place(0.0, 1500)] == [0, 1]
+
+
+class TestPeakOfOneQueue:
+    """A queue asks five times its mean: as few jobs as possible become late."""
+
+    def test_small_jobs_go_before_large_ones_that_can_still_be_in_time(self) -> None:
+        times = RunTimes()
+        small = Job(job(steps=(Step(2, 1000, estimate_ms=500),), stretch=3.0), 0.0)
+        large = Job(job(steps=(Step(9, 1000, estimate_ms=500),), stretch=3.0), 0.0)
+        keys = [order_key(j, times, 0.0, 5000.0) for j in (small, large)]
+        assert keys[0] < keys[1]
+
+    def test_jobs_that_cannot_be_in_time_come_last_and_oldest_first(self) -> None:
+        times = RunTimes()
+        jobs = [Job(job(steps=(Step(1, 1000, estimate_ms=500),)), s) for s in (0, 1, 9.8)]
+        keys = [order_key(j, times, 10.0, 1000.0) for j in jobs]
+        assert keys[2] < keys[0] < keys[1]
+
+
+class TestStorage:
+    def test_progress_survives_a_change_of_owner(self) -> None:
+        state = cell(entry("w0"))
+        spec = job(steps=(Step(3, 1000), Step(1, 500, depends_on=(0,))))
+        state.add_job(spec, 0.0)
+        state.place(0.0, 0)
+        end(state, "w0", 1, 1, How.DONE)
+        restored = Job(decode_spec(encode_spec(spec)))
+        restored.restore(state.jobs[JOB].encode())
+        tasks = restored.tasks
+        assert tasks[(0, 0, 1)].phase == Phase.DONE
+        assert tasks[(0, 0, 0)].phase == Phase.PLACED
+        assert tasks[(0, 0, 0)].worker == "w0"
+        assert restored.spec == spec
