Add stand-ins of the store and of workers, and tests with separate processes

`chivetray try-jobs` runs a store, two workers and a manager; the process tests take jobs through a killed owner, a hand-over, a store that is away or loses answers, and bad submissions.

--- a/src/chivetray/cmdline.py
+++ b/src/chivetray/cmdline.py
@@ -232,6 +232,32 @@
     relay.add_argument("--target-address", required=True)
     relay.add_argument("--target-port", type=int, required=True)
     _add_address(relay, 9002)
+    store = _add_command(
+        kinds,
+        "store",
+        handlers.run_store_standin,
+        "Run a stand-in of the platform's store.",
+        "standin store --port 8085",
+    )
+    _add_address(store, 8085)
+    worker = _add_command(
+        kinds,
+        "worker",
+        handlers.run_worker_standin,
+        "Run a stand-in of a worker that shows itself in a store.",
+        "standin worker --name w1 --service pool-a --store 127.0.0.1:8085",
+    )
+    worker.add_argument("--name", required=True)
+    worker.add_argument("--service", required=True)
+    worker.add_argument("--store", required=True, metavar="HOST:PORT")
+    _add_address(worker, 8088)
+    _add_command(
+        commands,
+        "try-jobs",
+        handlers.run_try_jobs,
+        "Run a store, two workers and one manager of jobs in one process.",
+        "try-jobs",
+    )
     attempt = _add_command(
         commands,
         "try",
--- a/src/chivetray/commands.py
+++ b/src/chivetray/commands.py
@@ -22,7 +22,7 @@
 from chivetray.load import LoadPlan, run_load
 from chivetray.manager import SETTINGS_VARIABLE, run_from_file
 from chivetray.results import ResultCode
-from chivetray.standins import runner
+from chivetray.standins import jobs, runner
 from chivetray.standins.relay import Relay
 
 EXIT_OK = 0
@@ -264,3 +264,30 @@
     for name, value in report.items():
         print(f"{name}: {value}")
     return EXIT_OK
+
+
+def run_store_standin(arguments: argparse.Namespace) -> int:
+    """Run a stand-in of the platform's store."""
+    anyio.run(jobs.serve_store, arguments.address, arguments.port)
+    return EXIT_OK
+
+
+def run_worker_standin(arguments: argparse.Namespace) -> int:
+    """Run a stand-in of a worker."""
+    open_log()
+    anyio.run(
+        jobs.serve_worker,
+        arguments.name,
+        arguments.service,
+        arguments.address,
+        arguments.port,
+        arguments.store,
+    )
+    return EXIT_OK
+
+
+def run_try_jobs(arguments: argparse.Namespace) -> int:
+    """Run a store, two workers and one manager of jobs in one process."""
+    open_log()
+    anyio.run(jobs.run_try_jobs)
+    return EXIT_OK
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -287,6 +287,10 @@
 
     # Ports
 
+    def owned_cells(self) -> list[str]:
+        """Return the cells that this process owns."""
+        return sorted(self._directory.owned)
+
     def is_ready(self) -> bool:
         """Return whether new connections should come here."""
         if self._leaving.is_set() or self._configuration.current is None:
--- /dev/null
+++ b/tests/job_fleet.py
@@ -0,0 +1,223 @@
+"""Managers, workers and a store as separate processes."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import yaml
+from helpers import claim_network
+
+from chivetray.standins.jobs import (
+    TRY_HOST,
+    TRY_PREFIX,
+    TRY_SERVICE,
+    example_config,
+)
+
+STORE_PORT = 18200
+CALLERS_PORT = 18201
+READY_PORT = 18202
+PEERS_PORT = 18203
+METRICS_PORT = 18204
+WORKER_PORT = 18205
+START_LIMIT_S = 30.0
+
+
+class JobFleet:
+    """A store, workers and managers, each at an address of its own."""
+
+    def __init__(self, folder: Path, managers: int = 2, workers: int = 2):
+        self.folder = folder
+        self.network, self._lock = claim_network()
+        self.managers = [f"m{number}" for number in range(managers)]
+        self.workers = [f"w{number}" for number in range(workers)]
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.store = f"{self.network}.1.1:{STORE_PORT}"
+
+    def start(self) -> None:
+        """Start all processes and wait until cells have owners."""
+        self.run("store", "standin", "store", *self._listen(f"{self.network}.1.1"))
+        wait_for(lambda: self._reaches(self.store))
+        value = example_config()
+        self.put({"Table": "op", "Key": "config", "Value": value})
+        for name in self.workers:
+            self.start_worker(name)
+        for name in self.managers:
+            self.start_manager(name)
+        wait_for(lambda: any(self.pending(m) is not None for m in self.managers))
+
+    def close(self) -> None:
+        """End all processes that this fleet started."""
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self._lock.close()
+
+    def run(self, name: str, *arguments: str) -> None:
+        """Start one process with its output in a file."""
+        log = (self.folder / f"{name}.log").open("ab")
+        command = [sys.executable, "-m", "chivetray", *arguments]
+        self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log)
+        log.close()
+
+    def start_worker(self, name: str) -> None:
+        """Start a worker."""
+        address = self.worker_address(name)
+        self.run(
+            name,
+            "standin",
+            "worker",
+            "--name",
+            name,
+            "--service",
+            TRY_SERVICE,
+            "--store",
+            self.store,
+            "--address",
+            address,
+            "--port",
+            str(WORKER_PORT),
+        )
+
+    def start_manager(self, name: str) -> None:
+        """Start a manager with a settings file of its own."""
+        address = self.manager_address(name)
+        settings = {
+            "name": name,
+            "zone": "z1",
+            "address": address,
+            "callers": f"{address}:{CALLERS_PORT}",
+            "ready": f"{address}:{READY_PORT}",
+            "peers": f"{address}:{PEERS_PORT}",
+            "metrics": f"{address}:{METRICS_PORT}",
+            "store": self.store,
+            "grace_s": 3,
+        }
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        self.run(name, "manager", "--settings", str(path))
+
+    def kill(self, name: str) -> None:
+        """Kill a process of this fleet at once."""
+        self.processes[name].send_signal(signal.SIGKILL)
+        self.processes[name].wait()
+
+    def manager_address(self, name: str) -> str:
+        return f"{self.network}.2.{int(name[1:]) + 1}"
+
+    def worker_address(self, name: str) -> str:
+        return f"{self.network}.3.{int(name[1:]) + 1}"
+
+    @staticmethod
+    def _listen(address: str) -> list[str]:
+        return ["--address", address, "--port", str(STORE_PORT)]
+
+    # Calls
+
+    def call(
+        self, manager: str, method: str, rest: str = "", body: Any = None
+    ) -> tuple[int, dict[str, Any]]:
+        """Call a manager as a caller does; status 0 means that it did not answer."""
+        url = f"http://{self.manager_address(manager)}:{CALLERS_PORT}{TRY_PREFIX}{rest}"
+        content = body if isinstance(body, bytes) else json.dumps(body).encode()
+        request = urllib.request.Request(
+            url,
+            data=None if body is None else content,
+            method=method,
+            headers={"Host": TRY_HOST, "Content-Type": "application/json"},
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=5) as answer:
+                return answer.status, json.loads(answer.read() or b"{}")
+        except urllib.error.HTTPError as error:
+            return error.code, json.loads(error.read() or b"{}")
+        except OSError:
+            return 0, {}
+
+    def pending(self, manager: str) -> int | None:
+        status, body = self.call(manager, "GET")
+        return body["Pending"] if status == 200 else None
+
+    def state(self, manager: str, job_id: str) -> str:
+        return str(self.call(manager, "GET", job_id)[1].get("State", ""))
+
+    def post(self, address: str, path: str, body: Any) -> None:
+        """Tell a stand-in something."""
+        request = urllib.request.Request(
+            f"http://{address}{path}", data=json.dumps(body).encode()
+        )
+        urllib.request.urlopen(request, timeout=5).read()
+
+    def put(self, row: dict[str, Any]) -> None:
+        """Write a row as the operator does."""
+        self.post(self.store, "/standin/put", row)
+
+    def starts(self) -> list[str]:
+        """Return the tasks that began, over all workers that live."""
+        tasks = []
+        for name in self.workers:
+            url = f"http://{self.worker_address(name)}:{WORKER_PORT}/standin/ledger"
+            with urllib.request.urlopen(url, timeout=5) as answer:
+                tasks += [start[0] for start in json.loads(answer.read())["starts"]]
+        return tasks
+
+    def metrics(self, manager: str) -> str:
+        url = f"http://{self.manager_address(manager)}:{METRICS_PORT}/metrics"
+        with urllib.request.urlopen(url, timeout=5) as answer:
+            return str(answer.read().decode())
+
+    def log(self, name: str) -> list[dict[str, Any]]:
+        """Return the events that a process has written."""
+        lines = (self.folder / f"{name}.log").read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def owner(self) -> str:
+        """Return the manager that took the cell of the workers last."""
+        taken = [
+            (event["epoch"], name)
+            for name in self.managers
+            for event in self.log(name)
+            if event.get("message_type") == "CELL_TAKEN"
+            and event["cell"] == TRY_SERVICE
+        ]
+        return max(taken)[1]
+
+    def _reaches(self, address: str) -> bool:
+        try:
+            urllib.request.urlopen(f"http://{address}/none", timeout=1)
+        except urllib.error.HTTPError:
+            return True
+        except OSError:
+            return False
+        return True
+
+
+def wait_for(condition: Callable[[], Any], limit_s: float = START_LIMIT_S) -> Any:
+    """Wait until a condition holds and return its value."""
+    deadline_s = time.monotonic() + limit_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        assert time.monotonic() < deadline_s, "the condition did not come to hold"
+        time.sleep(0.05)
+
+
+def job_body(count: int = 3, work_s: float = 0.3, **step: Any) -> dict[str, Any]:
+    """Return a submission of one step."""
+    fields = {"Count": count, "Cpu": 500, "MemMb": 64, **step}
+    return {"TaskSpec": str(work_s), "Steps": [fields]}
+
+
+assert os.name == "posix"
--- a/tests/test_cell_state.py
+++ b/tests/test_cell_state.py
@@ -25,9 +25,7 @@
 
 def entry(name: str, rack: str = "r1", cpu: int = 4000) -> WorkerEntry:
     labels = ("a", rack)
-    return WorkerEntry(
-        name, CELL, "10.0.0.1:80", "z1", False, 1, cpu, 65536, 0, labels
-    )
+    return WorkerEntry(name, CELL, "10.0.0.1:80", "z1", False, 1, cpu, 65536, 0, labels)
 
 
 def cell(*entries: WorkerEntry) -> CellState:
@@ -185,7 +183,8 @@
 
     def test_jobs_that_cannot_be_in_time_come_last_and_oldest_first(self) -> None:
         times = RunTimes()
-        jobs = [Job(job(steps=(Step(1, 1000, estimate_ms=500),)), s) for s in (0, 1, 9.8)]
+        spec = job(steps=(Step(1, 1000, estimate_ms=500),))
+        jobs = [Job(spec, seen_s) for seen_s in (0, 1, 9.8)]
         keys = [order_key(j, times, 10.0, 1000.0) for j in jobs]
         assert keys[2] < keys[0] < keys[1]
 
--- /dev/null
+++ b/tests/test_job_processes.py
@@ -0,0 +1,127 @@
+"""Jobs through managers, workers and a store as separate processes."""
+
+from __future__ import annotations
+
+import signal
+from collections import Counter
+from collections.abc import Iterator
+
+import pytest
+from job_fleet import JobFleet, job_body, wait_for
+
+
+@pytest.fixture(scope="class")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[JobFleet]:
+    fleet = JobFleet(tmp_path_factory.mktemp("jobs"))
+    try:
+        fleet.start()
+        yield fleet
+    finally:
+        fleet.close()
+
+
+class TestJobs:
+    def test_a_job_is_accepted_runs_and_is_shown_anywhere(self, fleet) -> None:
+        assert fleet.call("m0", "POST", "00000000000000a1", job_body())[0] == 200
+        for manager in fleet.managers:
+            assert fleet.state(manager, "00000000000000a1") in ("queued", "running")
+        for manager in fleet.managers:
+            wait_for(
+                lambda m=manager: fleet.state(m, "00000000000000a1") == "completed"
+            )
+
+    def test_the_same_job_twice_is_one_job(self, fleet) -> None:
+        for manager in fleet.managers:
+            status, _ = fleet.call(manager, "POST", "00000000000000a2", job_body())
+            assert status == 200
+        wait_for(lambda: fleet.state("m0", "00000000000000a2") == "completed")
+        starts = [t for t in fleet.starts() if t.startswith("00000000000000a2")]
+        assert len(starts) == 3
+
+    def test_a_cancelled_job_is_shown_as_cancelled(self, fleet) -> None:
+        fleet.call("m0", "POST", "00000000000000a3", job_body(work_s=30))
+        assert fleet.call("m1", "DELETE", "00000000000000a3")[0] == 200
+        for manager in fleet.managers:
+            wait_for(
+                lambda m=manager: fleet.state(m, "00000000000000a3") == "cancelled"
+            )
+
+    def test_an_unknown_job_is_gone_and_an_unknown_queue_not_found(self, fleet) -> None:
+        assert fleet.call("m0", "GET", "00000000000000ff")[0] == 410
+        assert fleet.call("m0", "DELETE", "00000000000000ff")[0] == 410
+
+    @pytest.mark.parametrize(
+        ("body", "fault"),
+        [
+            (b"{", "not JSON"),
+            (b"[]", "not an object"),
+            ({"TaskSpec": "x"}, "Steps"),
+            ({"TaskSpec": "x" * 4001, "Steps": [{"Count": 1}]}, "4000 bytes"),
+            ({"TaskSpec": 5, "Steps": [{"Count": 1}]}, "not a text"),
+            ({"TaskSpec": "x", "Steps": [{"Count": 0}]}, "at least 1"),
+            ({"TaskSpec": "x", "Steps": [{"Count": 10**9}]}, "more than"),
+            (
+                {"TaskSpec": "x", "Steps": [{"Count": 1, "DependsOn": [0]}]},
+                "not an earlier",
+            ),
+            ({"TaskSpec": "x", "Steps": [{"Count": "3"}]}, "not a number"),
+            ({"TaskSpec": "x", "Steps": [{"Count": 1, "Cpu": -1}]}, "number from 0"),
+        ],
+    )
+    def test_a_bad_submission_is_refused_and_not_stored(
+        self, fleet, body, fault
+    ) -> None:
+        status, answer = fleet.call("m0", "POST", "00000000000000b1", body)
+        assert (status, answer["Code"]) == (400, 120)
+        assert fault in answer["Error"]
+        assert fleet.call("m0", "GET", "00000000000000b1")[0] == 410
+
+    def test_metrics_count_answers(self, fleet) -> None:
+        assert "chivetray_job_answers_total" in fleet.metrics("m0")
+
+
+class TestKilledOwner:
+    def test_a_job_goes_on_and_no_task_runs_twice(self, fleet) -> None:
+        fleet.call("m0", "POST", "00000000000000c1", job_body(count=6, work_s=1.5))
+        wait_for(lambda: len(fleet.starts()) == 6)
+        owner = fleet.owner()
+        other = next(name for name in fleet.managers if name != owner)
+        fleet.kill(owner)
+        assert fleet.call(other, "POST", "00000000000000c2", job_body())[0] == 200
+        for job_id in ("00000000000000c1", "00000000000000c2"):
+            wait_for(lambda j=job_id: fleet.state(other, j) == "completed")
+        assert set(Counter(fleet.starts()).values()) == {1}
+        fleet.start_manager(owner)
+        wait_for(lambda: fleet.state(owner, "00000000000000c1") == "completed")
+
+
+class TestLeavingOwner:
+    def test_a_cell_is_handed_over_and_open_requests_are_answered(self, fleet) -> None:
+        fleet.call("m0", "POST", "00000000000000d1", job_body(count=4, work_s=1.0))
+        wait_for(lambda: len(fleet.starts()) == 4)
+        owner = fleet.owner()
+        other = next(name for name in fleet.managers if name != owner)
+        fleet.processes[owner].send_signal(signal.SIGTERM)
+        assert fleet.call(owner, "POST", "00000000000000d2", job_body())[0] == 200
+        assert fleet.processes[owner].wait(timeout=10) == 0
+        for job_id in ("00000000000000d1", "00000000000000d2"):
+            wait_for(lambda j=job_id: fleet.state(other, j) == "completed")
+        assert set(Counter(fleet.starts()).values()) == {1}
+
+
+class TestStoreThatIsAway:
+    def test_a_job_that_was_not_stored_is_refused_and_never_runs(self, fleet) -> None:
+        fleet.post(fleet.store, "/standin/faults", {"down": True})
+        status, answer = fleet.call("m0", "POST", "00000000000000e1", job_body())
+        assert status == 503 and answer["Code"] == 122
+        assert fleet.call("m0", "GET", "00000000000000e1")[0] == 503
+        fleet.post(fleet.store, "/standin/faults", {})
+        wait_for(lambda: fleet.call("m0", "GET", "00000000000000e1")[0] == 410)
+
+    def test_a_lost_answer_is_asked_again_and_the_job_is_one(self, fleet) -> None:
+        fleet.post(fleet.store, "/standin/faults", {"lose_answers": 1})
+        status, _ = fleet.call("m0", "POST", "00000000000000e3", job_body())
+        assert status in (200, 504)
+        wait_for(lambda: fleet.state("m0", "00000000000000e3") == "completed")
+        starts = [t for t in fleet.starts() if t.startswith("00000000000000e3")]
+        assert len(starts) == 3
--- /dev/null
+++ b/tests/test_store_access.py
@@ -0,0 +1,107 @@
+"""A process that the store turns away reaches it through a peer."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from chivetray.cells.store_access import StoreAccess
+from chivetray.generated.messages import NodeHeartbeat
+from chivetray.peers.mesh import Mesh, Peer
+from chivetray.platform.calls import Answer, NoAnswer, NotSent, Outcome
+from chivetray.platform.store import (
+    Committed,
+    Refused,
+    RowId,
+    StoreUnavailableError,
+    Unknown,
+)
+
+ROW = RowId("jobs", "q", "k")
+
+
+class Session:
+    """A session whose outcome is given."""
+
+    def __init__(self, outcome: Outcome):
+        self.outcome = outcome
+        self.calls = 0
+
+    async def call(self, *_: Any) -> Outcome:
+        self.calls += 1
+        return self.outcome
+
+
+class OnePeerMesh(Mesh):
+    """A mesh with one peer, whose answer is given."""
+
+    def __init__(self, answer: Any):
+        super().__init__("m1", "z1", "i1", "a:1", lambda: None, lambda: None)  # type: ignore[arg-type,return-value]
+        beat = NodeHeartbeat(1, False, True, [])
+        self.peers["m2"] = Peer("m2", "z1", "i2", "b:1", None, True, 0.0, beat)  # type: ignore[arg-type]
+        self.answer = answer
+        self.asked = 0
+
+    async def call(self, *_: Any) -> Any:
+        self.asked += 1
+        return self.answer
+
+
+def access(outcome: Outcome, answer: Any) -> tuple[StoreAccess, OnePeerMesh, Session]:
+    session = Session(outcome)
+    store = StoreAccess(session, "store")  # type: ignore[arg-type]
+    mesh = OnePeerMesh(answer)
+    store.connect(mesh, lambda: None)
+    return store, mesh, session
+
+
+class TestDetour:
+    @pytest.mark.parametrize(
+        "refusal", [NotSent("refused"), Answer(503, {}), Answer(429, {})]
+    )
+    def test_a_write_that_was_turned_away_goes_through_a_peer(self, refusal) -> None:
+        store, mesh, _ = access(refusal, ["answer", 200, {"Ver": 7}])
+        outcome = asyncio.run(store.transact({ROW: 0}, {ROW: b"x"}))
+        assert outcome == Committed(7)
+        assert mesh.asked == 1
+
+    def test_a_write_without_answer_is_not_sent_a_second_time(self) -> None:
+        store, mesh, _ = access(NoAnswer("lost"), ["answer", 200, {"Ver": 7}])
+        outcome = asyncio.run(store.transact({ROW: 0}, {ROW: b"x"}))
+        assert isinstance(outcome, Unknown)
+        assert mesh.asked == 0
+
+    def test_a_peer_that_does_not_answer_leaves_a_write_unknown(self) -> None:
+        store, _, _ = access(Answer(503, {}), None)
+        outcome = asyncio.run(store.transact({ROW: 0}, {ROW: b"x"}))
+        assert isinstance(outcome, Unknown)
+
+    def test_without_a_peer_that_is_served_a_write_is_refused(self) -> None:
+        store, mesh, _ = access(Answer(503, {}), None)
+        mesh.peers.clear()
+        outcome = asyncio.run(store.transact({ROW: 0}, {ROW: b"x"}))
+        assert isinstance(outcome, Refused)
+
+    def test_reads_go_through_a_peer_when_there_is_no_answer(self) -> None:
+        store, mesh, _ = access(NoAnswer("silent"), ["answer", 200, {"rows": []}])
+        assert asyncio.run(store.read("jobs", "q")) == ([], 0)
+        assert mesh.asked == 1
+
+    def test_after_a_failure_calls_go_through_the_peer_first(self) -> None:
+        store, mesh, session = access(NotSent("x"), ["answer", 200, {"rows": []}])
+
+        async def scenario() -> None:
+            for _ in range(3):
+                await store.read("jobs", "q")
+
+        asyncio.run(scenario())
+        assert (session.calls, mesh.asked) == (1, 3)
+
+    def test_a_store_that_serves_nobody_is_unavailable(self) -> None:
+        store, mesh, _ = access(NoAnswer("silent"), None)
+        mesh.peers.clear()
+        with pytest.raises(StoreUnavailableError):
+            asyncio.run(store.read("jobs", "q"))
+        assert not store.served
