Place owners of cells by the capacity of VM and link; log without waiting

Heartbeats now say the capacity, cells are taken by who has most room for each, and given up to a process with twice the room.

Also: log lines go through a bounded queue that a thread writes out, dropped lines are counted and said; a line for each step that is placed.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -41,6 +41,11 @@
 
 TICK_S = 0.2
 
+# A cell is given up to a process with this many times the room for it, one at a time
+# with a pause in which the new owner is heard of.
+YIELD_RATIO = 2.0
+YIELD_PAUSE_S = 3.0
+
 # Time that a cell may be without a claim before it is looked at, and the time by
 # which each further process waits longer, in case those before it are cut off.
 UNCLAIMED_S = 0.1
@@ -52,6 +57,7 @@
 
     :param cells: returns the names of all cells
     :param workers_of: returns the listed workers of a service
+    :param capacity: thousandths of a core that this process has
     """
 
     def __init__(
@@ -61,6 +67,7 @@
         workers: WorkerClient,
         cells: Callable[[], Iterable[str]],
         workers_of: Callable[[str], list[WorkerEntry]],
+        capacity: int,
         advice: AdviceClient | None = None,
     ):
         self.owned: dict[str, CellOwner] = {}
@@ -71,10 +78,12 @@
         self._workers = workers
         self._cells = cells
         self._workers_of = workers_of
+        self._capacity = capacity
         self._advice = advice
         self._taking: set[str] = set()
         self._unclaimed_since_s: dict[str, float] = {}
         self._wake = anyio.Event()
+        self._may_yield_at_s = 0.0
 
     def wake(self) -> None:
         """Look at the cells at once."""
@@ -103,6 +112,7 @@
                 self._drop_superseded()
                 if not self.leaving:
                     self._take_unclaimed(tasks)
+                    self._yield_cell()
                 with anyio.move_on_after(TICK_S):
                     await self._wake.wait()
 
@@ -127,21 +137,45 @@
     def _rank(self, cell: str) -> int:
         """Return the place of this process among those that are to take a cell.
 
-        Those with the fewest cells come first; among equals each cell begins with
-        another process.
+        Those come first that would have the most room for each of their cells;
+        among equals each cell begins with another process.
         """
-        counts = {self._mesh.name: len(self.owned) + len(self._taking)}
+        shares = {self._mesh.name: self._share(len(self.owned) + len(self._taking))}
         for peer in self._mesh.peers.values():
             if not peer.leaving and peer.store_reached:
-                counts[peer.name] = len(peer.claims())
-        names = sorted(counts)
+                shares[peer.name] = peer.capacity / (len(peer.claims()) + 1)
+        names = sorted(shares)
         first = sorted(self._cells()).index(cell)
         order = {
             name: (position - first) % len(names) for position, name in enumerate(names)
         }
-        ranked = sorted(names, key=lambda name: (counts[name], order[name]))
+        ranked = sorted(names, key=lambda name: (-shares[name], order[name]))
         return ranked.index(self._mesh.name)
 
+    def _share(self, cells: int) -> float:
+        """Return the room for each cell if this process had one cell more."""
+        return self._capacity / (cells + 1)
+
+    def _yield_cell(self) -> None:
+        """Give a cell up when another process would have much more room for it."""
+        now_s = boot_time_s()
+        if not self.owned or self._taking or now_s < self._may_yield_at_s:
+            return
+        own_share = self._share(len(self.owned) - 1)
+        peers = [
+            peer
+            for peer in self._mesh.peers.values()
+            if not peer.leaving and peer.store_reached
+        ]
+        best = max((p.capacity / (len(p.claims()) + 1) for p in peers), default=0.0)
+        if best < YIELD_RATIO * own_share:
+            return
+        cell = min(self.owned)
+        log_event(Event.CELL_YIELDED, cell=cell, own=own_share, other=best)
+        self._may_yield_at_s = now_s + YIELD_PAUSE_S
+        self.owned[cell].leaving = True
+        self.owned[cell].wake()
+
     async def _take(self, tasks: TaskGroup, cell: str) -> None:
         try:
             own = await self._acquire(cell)
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -81,6 +81,9 @@
 
 TICK_S = 0.25
 
+# Time of one round of decisions above which the next one waits as long again.
+LONG_DECISION_S = 0.005
+
 # Tries of one order in a row before the regular round takes it up again.
 ORDER_TRIES = 3
 
@@ -181,6 +184,7 @@
             self.state.stop_broken_gangs()
             self._drive_new_workers(tasks)
             placements = [] if self.leaving else self.state.place(now_s, wall_time_ms())
+            decided_s = boot_time_s() - now_s
             ends = {w.worker_id: w.seen_end for w in self.state.workers.values()}
             jobs = self.state.take_dirty()
             if jobs and not await self._commit(jobs):
@@ -193,6 +197,9 @@
             done = self.leaving and not self.state.has_dirty()
             if done and await self._give_up():
                 return
+            # Decisions on a long queue take at most half of the processor.
+            if decided_s > LONG_DECISION_S:
+                await anyio.sleep(decided_s)
             with anyio.move_on_after(TICK_S):
                 await self._wake.wait()
             self._resume_orders(tasks)
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -30,6 +30,9 @@
 # against a peak.
 OFFERED_WINDOW_S = 1.0
 
+# Time for which the place of a job in the order holds, unless a step is done.
+ORDER_LIFETIME_S = 0.3
+
 # Weight of the newest job in the mean size of a queue's jobs.
 SIZE_LEARNING_RATE = 0.05
 
@@ -125,6 +128,7 @@
         self.advice_wanted: dict[StepName, list[str]] = {}
         self._dirty: set[str] = set()
         self._sizes: dict[str, float] = {}
+        self._order: dict[str, tuple[float, int, tuple[float, ...]]] = {}
         self._arrivals: deque[tuple[float, float]] = deque()
 
     # Jobs
@@ -200,6 +204,7 @@
     def _retire(self, job: Job) -> None:
         if job.state.ended and not job.active_tasks():
             self.active.pop(job.spec.job_id, None)
+            self._order.pop(job.spec.job_id, None)
 
     def _stop(self, job: Job, task: Task) -> None:
         if task.phase == Phase.STOPPING:
@@ -661,21 +666,57 @@
         rooms = [w for w in self.workers.values() if w.usable(now_s)]
         if not rooms:
             return []
-        jobs = sorted(
-            (job for job in self.active.values() if not job.state.ended),
-            key=lambda job: order_key(
-                job, self.times, now_s, self._sizes.get(job.spec.queue, 0.0)
-            ),
-        )
+        most_cpu = max(room.cpu_milli - room.used_cpu_milli for room in rooms)
+        most_mem = max(room.mem_mb - room.used_mem_mb for room in rooms)
         placements: list[Placement] = []
-        for job in jobs:
+        for job in self._in_order(now_s):
             for occurrence, number in job.open_steps(now_ms):
                 step = job.spec.steps[number]
+                # Most steps of a long queue have no room; this tells without a look
+                # at every worker.
+                if step.mem_mb > most_mem or (
+                    step.cpu_milli > most_cpu and not step.fills
+                ):
+                    continue
                 tasks = job.open_tasks(occurrence, number)
-                if any(t.phase == Phase.WAITING for t in tasks):
-                    placements += self._place_step(job, step, tasks, rooms, now_s)
+                if not any(t.phase == Phase.WAITING for t in tasks):
+                    continue
+                placed = self._place_step(job, step, tasks, rooms, now_s)
+                if placed:
+                    placements += placed
+                    log_event(
+                        Event.TASK_PLACED,
+                        job=job.spec.job_id,
+                        step=number,
+                        tasks=len(placed),
+                        workers=sorted({p.worker_id for p in placed}),
+                        waited_s=round(now_s - job.first_seen_s, 3),
+                        jobs=len(self.active),
+                        cell=self.name,
+                    )
+                    if not rooms:
+                        return placements
+                    free = [r.cpu_milli - r.used_cpu_milli for r in rooms]
+                    most_cpu = max(free)
+                    most_mem = max(r.mem_mb - r.used_mem_mb for r in rooms)
         return placements
 
+    def _in_order(self, now_s: float) -> list[Job]:
+        """Return the jobs that have not ended, those to be served first first."""
+        keyed = []
+        for job_id, job in self.active.items():
+            if job.state.ended:
+                continue
+            done = len(job.done_steps)
+            known = self._order.get(job_id)
+            if known is None or known[0] < now_s or known[1] != done:
+                size = self._sizes.get(job.spec.queue, 0.0)
+                key = order_key(job, self.times, now_s, size)
+                known = self._order[job_id] = (now_s + ORDER_LIFETIME_S, done, key)
+            keyed.append((known[2], job_id, job))
+        keyed.sort(key=lambda item: item[:2])
+        return [job for _, _, job in keyed]
+
     def _place_step(
         self,
         job: Job,
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -8,6 +8,8 @@
 
 import eliot
 
+from chivetray.log_queue import LogQueue
+
 
 class Event(Enum):
     """Events: number and meaning."""
@@ -92,7 +94,9 @@
     JOB_REFUSED = (1641, "A job was not accepted.")
     JOB_ENDED = (1642, "A job has come to its last state.")
     JOB_CANCELLED = (1643, "The cancelling of a job was stored.")
-    TASK_PLACED = (1650, "Tasks were given to workers.")
+    TASK_PLACED = (1650, "Tasks of a step were given to workers.")
+    CELL_YIELDED = (1626, "A cell is given up, since another process has more room.")
+    LINES_DROPPED = (1005, "Log lines were dropped, since the reader was too slow.")
     TASK_ENDED_EARLY = (1651, "An attempt has ended otherwise than as done.")
     TASK_VANISHED = (1652, "A worker lists a confirmed attempt no more.")
     ORDER_FAILED = (1653, "An order to a worker was not carried out as meant.")
@@ -116,8 +120,6 @@
         "VMs, arriving VMs and demand in thousandths of a core of each pool.",
     )
 
-    TASK_FAILED = (1690, "A task of the process failed and was started again.")
-
     INVARIANT_BROKEN = (1900, "An invariant does not hold; this is a defect.")
 
     def __init__(self, number: int, meaning: str):
@@ -125,9 +127,17 @@
         self.meaning = meaning
 
 
-def open_log(stream: TextIO | None = None) -> None:
-    """Send events to a stream, by default to standard error."""
-    eliot.to_file(stream or sys.stderr)
+def open_log(stream: TextIO | None = None) -> LogQueue:
+    """Send events to a stream, by default to standard error, without ever waiting."""
+    queue = LogQueue(stream or sys.stderr, _dropped_message)
+    eliot.add_destinations(queue.put)
+    return queue
+
+
+def _dropped_message(count: int) -> dict[str, Any]:
+    """Return the message that tells how many lines were dropped."""
+    event = Event.LINES_DROPPED
+    return {"message_type": event.name, "number": event.number, "lines": count}
 
 
 def log_event(event: Event, **fields: Any) -> None:
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -38,6 +38,10 @@
 # Variable that holds the path of the settings file in a deployment.
 SETTINGS_VARIABLE = "CHIVETRAY_BOOT"
 
+# Bandwidth with which a cell's owner is not held up by its link: reading the list of
+# 200 workers four times a second takes 4 Mbit/s.
+FULL_LINK_MBPS = 50.0
+
 # Time for which the store may be away before the process says it is not ready.
 READY_WITHOUT_STORE_S = 2.0
 
@@ -105,6 +109,7 @@
             self._workers,
             self._cell_names,
             self._fleet.workers_of,
+            self._capacity(),
             AdviceClient(self._session, settings.advice) if settings.advice else None,
         )
         self._desk = Desk(self._mesh, self._store, self._directory, self._configuration)
@@ -233,16 +238,22 @@
                 self._configuration.heard_version(peer.heartbeat.config_version)
         self._directory.wake()
 
+    def _capacity(self) -> int:
+        settings = self._settings
+        cores = settings.cpu_share * settings.cores
+        return int(1000 * cores * min(1.0, settings.link_mbps / FULL_LINK_MBPS))
+
     def _beat(self) -> NodeHeartbeat:
         claims = [
             CellClaim(own.state.name, own.epoch, own.state.pending(), [])
             for own in self._directory.owned.values()
         ]
         return NodeHeartbeat(
-            self._configuration.version,
-            self._leaving.is_set(),
-            self._store.served,
-            claims,
+            config_version=self._configuration.version,
+            leaving=self._leaving.is_set(),
+            store_reached=self._store.served,
+            capacity=self._capacity(),
+            claims=claims,
         )
 
     async def _join(self) -> None:
--- a/src/chivetray/peers/mesh.py
+++ b/src/chivetray/peers/mesh.py
@@ -81,6 +81,11 @@
         """Whether the store serves the manager directly."""
         return self.heartbeat is not None and self.heartbeat.store_reached
 
+    @property
+    def capacity(self) -> int:
+        """Thousandths of a core that the manager has."""
+        return self.heartbeat.capacity if self.heartbeat is not None else 0
+
     def claims(self) -> list[CellClaim]:
         """Return the cells that the manager says it owns."""
         return self.heartbeat.claims if self.heartbeat is not None else []
--- /dev/null
+++ b/tests/test_log_queue.py
@@ -0,0 +1,55 @@
+"""Logging with a reader that has stopped reading."""
+
+from __future__ import annotations
+
+import io
+import json
+import os
+import threading
+import time
+
+from chivetray.events import Event
+from chivetray.log_queue import LogQueue
+
+
+def _dropped(count: int) -> dict[str, object]:
+    return {"message_type": Event.LINES_DROPPED.name, "lines": count}
+
+
+class TestReaderThatHasStopped:
+    def test_no_message_waits_and_what_is_lost_is_counted(self) -> None:
+        reader, writer = os.pipe()
+        queue = LogQueue(os.fdopen(writer, "w"), _dropped, limit=100)
+        began_s = time.monotonic()
+        for number in range(20_000):
+            queue.put({"number": number, "text": "x" * 200})
+        assert time.monotonic() - began_s < 2.0
+        assert queue.dropped > 10_000
+        lost: list[int] = []
+
+        def read() -> None:
+            with os.fdopen(reader) as stream:
+                for line in stream:
+                    message = json.loads(line)
+                    if message.get("message_type") == Event.LINES_DROPPED.name:
+                        lost.append(message["lines"])
+                        return
+
+        thread = threading.Thread(target=read, daemon=True)
+        thread.start()
+        thread.join(5)
+        assert lost and lost[0] > 0
+
+
+class TestReaderThatReads:
+    def test_every_message_is_written_in_order(self) -> None:
+        stream = io.StringIO()
+        queue = LogQueue(stream, _dropped)
+        for number in range(200):
+            queue.put({"number": number})
+        deadline_s = time.monotonic() + 5
+        while stream.getvalue().count("\n") < 200 and time.monotonic() < deadline_s:
+            time.sleep(0.01)
+        numbers = [json.loads(line)["number"] for line in stream.getvalue().split()]
+        assert numbers == list(range(200))
+        assert queue.dropped == 0
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -39,7 +39,13 @@
 
     def __init__(self, answer: Any):
         super().__init__("m1", "z1", "i1", "a:1", lambda: None, lambda: None)  # type: ignore[arg-type,return-value]
-        beat = NodeHeartbeat(1, False, True, [])
+        beat = NodeHeartbeat(
+            config_version=1,
+            leaving=False,
+            store_reached=True,
+            capacity=1000,
+            claims=[],
+        )
         self.peers["m2"] = Peer("m2", "z1", "i2", "b:1", None, True, 0.0, beat)  # type: ignore[arg-type]
         self.answer = answer
         self.asked = 0
