--- a/src/chivetray/cmdline.py
+++ b/src/chivetray/cmdline.py
@@ -106,6 +106,21 @@
         metavar="FILE",
         help="settings file; by default the one that CHIVETRAY_BOOT names",
     )
+    trace = _add_command(
+        commands,
+        "trace",
+        handlers.trace_job,
+        "Tell the story of a job from logs of managers, in order.",
+        "trace 00000000000000aa manager-1.log manager-2.log",
+    )
+    trace.add_argument("job", metavar="JOB")
+    trace.add_argument(
+        "files",
+        nargs="*",
+        type=Path,
+        metavar="FILE",
+        help="logs; standard input if none",
+    )
     settings = _add_command(
         commands,
         "settings",
--- a/src/chivetray/commands.py
+++ b/src/chivetray/commands.py
@@ -5,6 +5,7 @@
 import argparse
 import json
 import os
+import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import asdict
 from pathlib import Path
@@ -24,6 +25,7 @@
 from chivetray.results import ResultCode
 from chivetray.standins import jobs, runner
 from chivetray.standins.relay import Relay
+from chivetray.trace import find_events, render
 
 EXIT_OK = 0
 
@@ -62,6 +64,25 @@
     return EXIT_OK
 
 
+def trace_job(arguments: argparse.Namespace) -> int:
+    """Print the events of a job in order; fail when there are none."""
+    lines: list[str] = []
+    for path in arguments.files:
+        name = path.stem
+        text = path.read_text(errors="replace")
+        lines += [f"{name} {line}" for line in text.splitlines()]
+    if not arguments.files:
+        lines = sys.stdin.read().splitlines()
+    found = False
+    for event in find_events(lines, arguments.job):
+        found = True
+        print(render(event))
+    if not found:
+        message = f"no log line names job {arguments.job}"
+        raise ChivetrayError(ResultCode.NO_JOB, message)
+    return EXIT_OK
+
+
 def show_settings(arguments: argparse.Namespace) -> int:
     """Print the effective settings."""
     rows = Config.from_file(arguments.settings).describe()
--- a/tests/test_job_processes.py
+++ b/tests/test_job_processes.py
@@ -9,6 +9,8 @@
 import pytest
 from job_fleet import JobFleet, job_body, wait_for
 
+from chivetray.cmdline import main
+
 
 @pytest.fixture(scope="class")
 def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[JobFleet]:
@@ -95,6 +97,30 @@
         wait_for(lambda: fleet.state(owner, "00000000000000c1") == "completed")
 
 
+class TestTrace:
+    def test_the_story_of_a_job_names_its_owners_and_tasks(self, fleet, capsys) -> None:
+        fleet.call("m0", "POST", "00000000000000f1", job_body())
+        wait_for(lambda: fleet.state("m0", "00000000000000f1") == "completed")
+        logs = [str(fleet.folder / f"{name}.log") for name in fleet.managers]
+        kinds = wait_for(lambda: _kinds("00000000000000f1", logs, capsys))
+        assert kinds[0] == "JOB_ACCEPTED"
+        assert "TASK_PLACED" in kinds
+
+    def test_a_refused_job_tells_why(self, fleet, capsys) -> None:
+        fleet.call("m0", "POST", "00000000000000f2", b"{")
+        logs = [str(fleet.folder / "m0.log")]
+        wait_for(lambda: "JOB_REFUSED" in str(fleet.log("m0")))
+        assert main(["trace", "00000000000000f2", *logs]) == 0
+        assert "not JSON" in capsys.readouterr().out
+
+
+def _kinds(job_id, logs, capsys):
+    if main(["trace", job_id, *logs]) != 0:
+        return []
+    kinds = [line.split()[2] for line in capsys.readouterr().out.splitlines()]
+    return kinds if "JOB_ENDED" in kinds else []
+
+
 class TestLeavingOwner:
     def test_a_cell_is_handed_over_and_open_requests_are_answered(self, fleet) -> None:
         fleet.call("m0", "POST", "00000000000000d1", job_body(count=4, work_s=1.0))
