Store the jobs of a queue that wait together in one transaction

Ruled out: the owner's writes (gathered already). Up to 50 waiting jobs go in one call now, two calls a queue at a time.

--- a/src/chivetray/cells/desk.py
+++ b/src/chivetray/cells/desk.py
@@ -6,7 +6,9 @@
 from typing import Any
 
 import anyio
+from anyio.abc import TaskGroup
 
+from chivetray.cells.acceptance import Acceptance, JobAcceptor
 from chivetray.cells.configuration import Configuration
 from chivetray.cells.directory import CellDirectory
 from chivetray.cells.store_access import StoreAccess
@@ -21,7 +23,6 @@
     ABSENT,
     Committed,
     Conflict,
-    Refused,
     RowId,
     StoreUnavailableError,
 )
@@ -74,6 +75,8 @@
         self._notices: dict[str, JobSpec] = {}
         self._cancels: dict[str, str] = {}
         self._notify_now = anyio.Event()
+        self._acceptor = JobAcceptor(store)
+        self._tasks: TaskGroup | None = None
         mesh.handlers[SUBMIT_CALL] = self._take_submitted
         mesh.handlers[CANCEL_CALL] = self._take_cancelled
         mesh.handlers[STATE_CALL] = self._tell_state
@@ -106,26 +109,20 @@
         return answer
 
     async def _create(self, row: RowId, value: bytes, timeout_s: float) -> DeskAnswer:
-        """Create a row if it is absent; an answer that was lost is asked again.
-
-        Repeating is safe, since the row can be created only once.
-        """
-        deadline_s = boot_time_s() + timeout_s
-        unknown = False
-        reason = ""
-        while True:
-            outcome = await self._store.transact({row: ABSENT}, {row: value})
-            if isinstance(outcome, Committed):
-                return DeskAnswer(ResultCode.OK)
-            if isinstance(outcome, Conflict):
-                return DeskAnswer(ResultCode.OK, "the job was stored before")
-            reason = outcome.reason
-            if isinstance(outcome, Refused) and not unknown:
-                return DeskAnswer(ResultCode.STORE_AWAY, reason, STORE_RETRY_AFTER_S)
-            unknown = True
-            if boot_time_s() + RETRY_PAUSE_S >= deadline_s:
-                return DeskAnswer(ResultCode.ACCEPTANCE_UNKNOWN, reason)
-            await anyio.sleep(RETRY_PAUSE_S)
+        """Create the row of a job if it is absent."""
+        if self._tasks is None:
+            message = "the process has just started"
+            return DeskAnswer(ResultCode.NOT_READY, message, 1.0)
+        acceptance, reason = await self._acceptor.create(
+            self._tasks, row, value, timeout_s
+        )
+        if acceptance == Acceptance.STORED:
+            return DeskAnswer(ResultCode.OK)
+        if acceptance == Acceptance.STORED_BEFORE:
+            return DeskAnswer(ResultCode.OK, "the job was stored before")
+        if acceptance == Acceptance.REFUSED:
+            return DeskAnswer(ResultCode.STORE_AWAY, reason, STORE_RETRY_AFTER_S)
+        return DeskAnswer(ResultCode.ACCEPTANCE_UNKNOWN, reason)
 
     # State
 
@@ -236,14 +233,16 @@
     # Notices to owners
 
     async def run(self) -> None:
-        """Tell owners of stored jobs and cancellations until cancelled."""
-        while True:
-            self._notify_now = anyio.Event()
-            await self._notify_all()
-            if self._notices or self._cancels:
-                await anyio.sleep(NOTIFY_PAUSE_S)
-                continue
-            await self._notify_now.wait()
+        """Store jobs, and tell owners of jobs and cancellations, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            while True:
+                self._notify_now = anyio.Event()
+                await self._notify_all()
+                if self._notices or self._cancels:
+                    await anyio.sleep(NOTIFY_PAUSE_S)
+                    continue
+                await self._notify_now.wait()
 
     async def _notify_all(self) -> None:
         by_owner: dict[str, list[JobSpec]] = {}
