Offer a released cell directly; keep the age of jobs through a change of owner

The age now comes from the acceptance; the process with most room is told at once. A cell is not given up by a process with two cells to one with none.

--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -93,7 +93,6 @@
 
     used_milli: int
     waiting_milli: int
-    offered_milli: int
     workers: dict[str, WorkerReport]
 
 
@@ -262,8 +261,8 @@
         if reply is None:
             log_event(Event.MAINTENANCE_WAITS, cell=cell, reason="owner silent")
             return
-        used, waiting, offered, workers = reply
-        report = CellReport(used, waiting, offered, {})
+        used, waiting, workers = reply
+        report = CellReport(used, waiting, {})
         for worker_id, tasks, used_milli, idle_ms, usable in workers:
             report.workers[worker_id] = WorkerReport(tasks, used_milli, idle_ms, usable)
         self._reports[cell] = report
@@ -283,7 +282,6 @@
         return [
             load.used_milli,
             load.waiting_milli,
-            load.offered_milli,
             [
                 [w.worker_id, w.tasks, w.used_milli, w.idle_ms, w.usable]
                 for w in load.workers
--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
 
 from chivetray.cells.owner import EARLIER_LEASE_S, RELEASED_LEASE_S, CellOwner
-from chivetray.cells.state import CellState
+from chivetray.cells.state import CellState, job_age_s
 from chivetray.cells.tables import (
     CANCEL_SUFFIX,
     JOB_TABLE,
@@ -17,7 +18,7 @@
     owner_row,
     renewal_row,
 )
-from chivetray.clocks import boot_time_s
+from chivetray.clocks import boot_time_s, wall_time_ms
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import decode_spec
 from chivetray.peers.mesh import Mesh
@@ -41,9 +42,12 @@
 
 TICK_S = 0.2
 
-# A cell is given up to a process with this many times the room for it, one at a time
-# with a pause in which the new owner is heard of.
-YIELD_RATIO = 2.0
+TAKE_CALL = "take"
+
+# A cell is given up to a process with this many times the room for it: not by one with
+# two cells to one with none, since a change of owner costs about half a second. One
+# at a time, with a pause in which the new owner is heard of.
+YIELD_RATIO = 2.5
 YIELD_PAUSE_S = 3.0
 
 # Time that a cell may be without a claim before it is looked at, and the time by
@@ -84,6 +88,8 @@
         self._unclaimed_since_s: dict[str, float] = {}
         self._wake = anyio.Event()
         self._may_yield_at_s = 0.0
+        self._tasks: TaskGroup | None = None
+        mesh.handlers[TAKE_CALL] = self._take_offered
 
     def wake(self) -> None:
         """Look at the cells at once."""
@@ -107,6 +113,7 @@
         """Take cells without an owner until cancelled."""
         await anyio.sleep(SETTLE_S)
         async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
             while True:
                 self._wake = anyio.Event()
                 self._drop_superseded()
@@ -277,10 +284,28 @@
         return None
 
     def _forget(self, cell: str) -> None:
-        self.owned.pop(cell, None)
+        own = self.owned.pop(cell, None)
         self._mesh.beat_soon()
+        if own is not None and own.leaving and self._tasks is not None:
+            self._tasks.start_soon(self._offer, cell)
         self.wake()
 
+    async def _offer(self, cell: str) -> None:
+        """Let the process with most room take a cell that was given up."""
+        peers = [p for p in self._mesh.peers.values() if not p.leaving]
+        if peers:
+            best = max(peers, key=lambda p: p.capacity / (len(p.claims()) + 1))
+            await self._mesh.call(best.name, TAKE_CALL, cell)
+
+    async def _take_offered(self, _peer: str, cell: Any) -> Any:
+        """Take a cell whose owner has just given it up."""
+        free = cell not in self.owned and cell not in self._taking
+        if not free or self.leaving or self._tasks is None:
+            return False
+        self._taking.add(cell)
+        self._tasks.start_soon(self._take, self._tasks, cell)
+        return True
+
     # Loading jobs
 
     async def _load(self, state: CellState) -> None:
@@ -338,6 +363,7 @@
         return
     if spec.cell != state.name:
         return
+    now_s -= job_age_s(spec, wall_time_ms())
     stored = progress.get(spec.job_id)
     if stored is None:
         state.add_job(spec, now_s)
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -13,7 +13,13 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from chivetray.cells.state import CellState, Placement, StepName, StopOrder
+from chivetray.cells.state import (
+    CellState,
+    Placement,
+    StepName,
+    StopOrder,
+    job_age_s,
+)
 from chivetray.cells.tables import (
     Ownership,
     owner_row,
@@ -147,7 +153,8 @@
 
     def add_job(self, spec: JobSpec) -> None:
         """Take over an accepted job."""
-        self.state.add_job(spec, boot_time_s())
+        age_s = job_age_s(spec, wall_time_ms())
+        self.state.add_job(spec, boot_time_s() - age_s)
         self.wake()
 
     def cancel(self, job_id: str) -> bool:
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -26,10 +25,6 @@
 # Pause before a task runs again after its attempts failed.
 FAILED_RETRY_S = 0.05
 
-# Time over which arriving work is counted: long enough for several jobs, short
-# against a peak.
-OFFERED_WINDOW_S = 1.0
-
 # Time for which the place of a job in the order holds, unless a step is done.
 ORDER_LIFETIME_S = 0.3
 
@@ -42,6 +37,9 @@
 # A ticket is used only while it is valid for some time yet.
 TICKET_MARGIN_S = 0.3
 
+# Longest time since its acceptance that a job is credited with.
+LONGEST_AGE_S = 120.0
+
 # Time for which a worker stays reserved after the last word of who wants its VM.
 RESERVATION_S = 2.5
 
@@ -93,14 +91,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CellLoad:
-    """What a cell uses and wants, in thousandths of a core.
-
-    :ivar offered_milli: cores that the jobs of the last moments keep busy
-    """
+    """What a cell uses and wants, in thousandths of a core."""
 
     used_milli: int
     waiting_milli: int
-    offered_milli: int
     workers: list[WorkerLoad]
 
 
@@ -129,7 +123,6 @@
         self._dirty: set[str] = set()
         self._sizes: dict[str, float] = {}
         self._order: dict[str, tuple[float, int, tuple[float, ...]]] = {}
-        self._arrivals: deque[tuple[float, float]] = deque()
 
     # Jobs
 
@@ -142,26 +135,8 @@
             size = sum(step.count * step.cpu_milli for step in spec.steps)
             mean = self._sizes.get(spec.queue, float(size))
             self._sizes[spec.queue] = mean + SIZE_LEARNING_RATE * (size - mean)
-            self._arrivals.append((now_s, self._work_milli_s(spec)))
         return job
 
-    def _work_milli_s(self, spec: JobSpec) -> float:
-        """Return the work of a job that ends, in thousandths of core-seconds."""
-        return sum(
-            step.count
-            * step.cpu_milli
-            * self.times.expected_s(spec.queue, step.estimate_ms)
-            for step in spec.steps
-            if not step.long_running and not step.fills
-        )
-
-    def offered_milli(self, now_s: float) -> int:
-        """Return the cores that the jobs of the last moments keep busy."""
-        while self._arrivals and now_s - self._arrivals[0][0] > OFFERED_WINDOW_S:
-            self._arrivals.popleft()
-        work = sum(work for _, work in self._arrivals)
-        return int(work / OFFERED_WINDOW_S)
-
     def restore_job(
         self, spec: JobSpec, progress: bytes, version: int, now_s: float
     ) -> None:
@@ -654,7 +629,7 @@
             if worker.listed
         ]
         used = sum(worker.used_cpu_milli for worker in self.workers.values())
-        return CellLoad(used, waiting, self.offered_milli(now_s), workers)
+        return CellLoad(used, waiting, workers)
 
     # Placement
 
@@ -925,3 +900,12 @@
         worker.take(ref, step)
         self._dirty.add(job.spec.job_id)
         return Placement(ref, task.attempt, worker.worker_id, worker.born)
+
+
+def job_age_s(spec: JobSpec, now_ms: int) -> float:
+    """Return the time since a job was accepted.
+
+    Times of day differ between VMs and may jump; an age that cannot be is none.
+    """
+    age_s = (now_ms - spec.accepted_ms) / 1000
+    return age_s if 0 <= age_s <= LONGEST_AGE_S else 0.0
--- a/tests/test_cell_state.py
+++ b/tests/test_cell_state.py
@@ -4,7 +4,7 @@
 
 from cell_helpers import CELL, job
 
-from chivetray.cells.state import CellState
+from chivetray.cells.state import CellState, job_age_s
 from chivetray.jobs.job import Job, decode_spec, encode_spec
 from chivetray.jobs.model import JobState, Phase, Step
 from chivetray.jobs.ordering import order_key
@@ -203,3 +203,13 @@
         assert tasks[(0, 0, 0)].phase == Phase.PLACED
         assert tasks[(0, 0, 0)].worker == "w0"
         assert restored.spec == spec
+
+
+class TestChangeOfOwner:
+    def test_a_job_keeps_the_time_of_its_acceptance(self) -> None:
+        """A new owner once counted a job's objective from its own take-over."""
+        assert job_age_s(job(accepted_ms=1_000_000), 1_003_500) == 3.5
+
+    def test_a_clock_that_jumped_gives_no_age(self) -> None:
+        assert job_age_s(job(accepted_ms=10_000_000), 1_000) == 0.0
+        assert job_age_s(job(accepted_ms=0), 3_600_000) == 0.0
