Never overwrite progress that was not loaded; refuse stale reads at a take-over

A new owner took any version that the store named in a conflict as its own write, so a state read too old would be written over the newer one. Now a conflict with other content gives the cell away before anything starts, and reads that are older than the owner's own row are refused. A job that was stored before is no longer announced under the service that its queue has now.

--- a/src/chivetray/cells/desk.py
+++ b/src/chivetray/cells/desk.py
@@ -97,8 +97,10 @@
         if answer.code == ResultCode.OK:
             if not answer.message:
                 log_event(Event.JOB_ACCEPTED, job=job_id, cell=spec.cell)
-            self._notices[job_id] = spec
-            self._notify_now.set()
+                self._notices[job_id] = spec
+                self._notify_now.set()
+            # A job that was stored before may belong to another cell than its queue
+            # leads to now; the owner knows it or finds its row.
         else:
             log_event(
                 Event.JOB_REFUSED,
--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -229,7 +229,7 @@
         elif current.released:
             own.inherited_s = current.leases_s
         state.list_workers(self._workers_of(cell), boot_time_s())
-        await self._load(state)
+        await self._load(state, version)
         earlier_lease_s = 0.0
         if current is not None:
             earlier_lease_s = RELEASED_LEASE_S if current.released else EARLIER_LEASE_S
@@ -308,13 +308,20 @@
 
     # Loading jobs
 
-    async def _load(self, state: CellState) -> None:
-        """Read the jobs of a cell and their progress."""
-        rows, _ = await self._store.read(PROGRESS_TABLE, state.name)
+    async def _load(self, state: CellState, guard_version: int) -> None:
+        """Read the jobs of a cell and their progress.
+
+        :param guard_version: version of the owner row, which every read must show
+        :raises StoreUnavailableError: when the store does not answer, or with what was
+            true before the cell was taken
+        """
+        rows, version = await self._store.read(PROGRESS_TABLE, state.name)
+        _check_fresh(version, guard_version)
         progress = {row.id.key: row for row in rows}
         now_s = boot_time_s()
         for part in await self._store.parts(JOB_TABLE):
             jobs, version = await self._store.read(JOB_TABLE, part)
+            _check_fresh(version, guard_version)
             if not self.scanned_version:
                 self.scanned_version = version
             self.scanned_version = min(self.scanned_version, version)
@@ -334,7 +341,7 @@
         changes = await self._store.changes(JOB_TABLE, self.scanned_version, 0)
         if changes.history_gone:
             for own in list(self.owned.values()):
-                await self._load(own.state)
+                await self._load(own.state, own.guard_version)
                 own.wake()
             return
         self.scanned_version = max(self.scanned_version, changes.version)
@@ -350,6 +357,12 @@
             own.wake()
 
 
+def _check_fresh(version: int, guard_version: int) -> None:
+    """Refuse an answer that is older than the taking of the cell."""
+    if version < guard_version:
+        raise StoreUnavailableError("the store answered with an older state")
+
+
 def _add_row(
     state: CellState, row: Row, progress: dict[str, Row], now_s: float
 ) -> None:
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -37,6 +37,7 @@
     ENTRIES_LIMIT,
     Committed,
     Conflict,
+    RowId,
     Store,
     Transacted,
     Unknown,
@@ -245,16 +246,33 @@
             if isinstance(outcome, Conflict):
                 if not self._still_guarded(outcome):
                     return False
-                # An earlier write of ours took effect without an answer.
-                for row, job in rows.items():
-                    found = outcome.rows.get(row)
-                    job.version = found.version if found else 0
+                if not self._adopt_versions(outcome, rows, writes):
+                    return False
                 continue
             self._log_failure(outcome)
             await anyio.sleep(pause_s)
             pause_s = min(RETRY_PAUSE_MAX_S, 2 * pause_s)
         return False
 
+    def _adopt_versions(
+        self, conflict: Conflict, rows: dict[RowId, Job], writes: dict[RowId, bytes]
+    ) -> bool:
+        """Take the versions of rows that an earlier write of ours changed.
+
+        A row that holds anything else is newer than what was loaded. Then the cell is
+        given away, so that it is loaded anew before anything starts.
+        """
+        for row, job in rows.items():
+            found = conflict.rows.get(row)
+            version = found.version if found else 0
+            if version == job.version:
+                continue
+            if found is None or found.value != writes[row]:
+                self.lose(f"the stored progress of {row.key} is not what was loaded")
+                return False
+            job.version = version
+        return True
+
     def _still_guarded(self, conflict: Conflict) -> bool:
         """Return whether the cell is still ours; if not, lose it."""
         found = conflict.rows.get(self.guard)
--- a/tests/test_cell_owner.py
+++ b/tests/test_cell_owner.py
@@ -288,6 +288,28 @@
         asyncio.run(scenario())
 
 
+class TestStaleProgress:
+    def test_progress_that_is_newer_than_loaded_is_never_overwritten(self) -> None:
+        """An owner with an old state once overwrote what it had not read."""
+
+        async def scenario() -> None:
+            world = World()
+            first = await world.own()
+            async with running(world, first):
+                first.add_job(job())
+                done = first.state.jobs["00000000000000aa"]
+                await until(lambda: done.state == JobState.COMPLETED)
+                await until(lambda: not first.state.has_dirty() and done.version > 0)
+                await asyncio.sleep(0.05)
+            second = await world.own()
+            async with running(world, second):
+                second.add_job(job())
+                await until(lambda: second.lost)
+            assert set(world.starts().values()) == {1}
+
+        asyncio.run(scenario())
+
+
 class TestEnds:
     def test_looks_wait_until_ends_are_stored(self) -> None:
         """Looks once spun while ends were not stored, since each came back at once."""
