--- a/src/chivetray/cells/desk.py
+++ b/src/chivetray/cells/desk.py
@@ -159,7 +159,7 @@
         for own in self._directory.owned.values():
             job = own.state.jobs.get(job_id)
             if job is not None:
-                return job.state
+                return job.shown_state
         return None
 
     async def _tell_state(self, _peer: str, job_id: Any) -> Any:
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -233,6 +233,7 @@
         pause_s = RETRY_PAUSE_S
         rows = {progress_row(self.state.name, job.spec.job_id): job for job in jobs}
         writes = {row: job.encode() for row, job in rows.items()}
+        states = [job.state for job in jobs]
         while not self.lost:
             expected = {row: job.version for row, job in rows.items()}
             expected[self.guard] = self.guard_version
@@ -240,8 +241,8 @@
             outcome = await self._store.transact(expected, writes)
             if isinstance(outcome, Committed):
                 self._confirm(sent_at_s)
-                for job in jobs:
-                    job.version = outcome.version
+                for job, state in zip(jobs, states, strict=True):
+                    job.version, job.stored_state = outcome.version, state
                 return True
             if isinstance(outcome, Conflict):
                 if not self._still_guarded(outcome):
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -20,6 +20,7 @@
 class Job:
     """A job with the state of its tasks.
 
+    :ivar stored_state: state in the progress that was stored last
     :ivar version: version of the stored progress row, 0 before the first write
     :ivar first_seen_s: time at which this owner learned of the job
     """
@@ -27,6 +28,7 @@
     def __init__(self, spec: JobSpec, now_s: float = 0.0):
         self.spec = spec
         self.state = JobState.QUEUED
+        self.stored_state = JobState.QUEUED
         self.version = 0
         self.cancelled = False
         self.first_seen_s = now_s
@@ -102,6 +104,13 @@
             total += (step.count - done) * step.cpu_milli
         return total
 
+    @property
+    def shown_state(self) -> JobState:
+        """State for callers: an end is shown only once no later owner can miss it."""
+        if self.cancelled or not self.state.ended or self.stored_state.ended:
+            return self.state
+        return JobState.RUNNING
+
     @property
     def long_running(self) -> bool:
         """Whether a step of the job runs until the job is cancelled."""
@@ -149,7 +158,7 @@
             task.attempt, task.failures = row[4], row[5]
             task.worker, task.born, task.checkpoint = row[6], row[7], row[8]
             task.address = row[9]
-        self.state = JobState(state)
+        self.state = self.stored_state = JobState(state)
         self.cancelled = bool(cancelled)
 
 
--- a/tests/test_cell_owner.py
+++ b/tests/test_cell_owner.py
@@ -330,6 +330,24 @@
 
         asyncio.run(scenario())
 
+    def test_a_job_is_shown_as_completed_only_when_that_is_stored(self) -> None:
+        """It was once shown while the store was away, and run again after a crash."""
+
+        async def scenario() -> None:
+            world = World(workers=1)
+            owner = await world.own()
+            async with running(world, owner):
+                owner.add_job(job(steps=(Step(2, 1000),)))
+                await until(lambda: sum(world.starts().values()) == 2)
+                world.store.fail = lambda number, body: NoAnswer("away")
+                done = owner.state.jobs["00000000000000aa"]
+                await until(lambda: done.state == JobState.COMPLETED)
+                assert done.shown_state == JobState.RUNNING
+                world.store.fail = lambda number, body: None
+                await until(lambda: done.shown_state == JobState.COMPLETED)
+
+        asyncio.run(scenario())
+
     def test_no_end_is_forgotten_before_it_is_stored(self) -> None:
         async def scenario() -> None:
             world = World(workers=1)
