Count VMs whose maintenance order was not answered as down

Ruled out: a stale list (the VM was listed as in maintenance, and not counted for that reason either). Now every order counts from its sending for the time of a maintenance, and every VM that is listed as in maintenance counts; the cap is looked at again before each order. A test fails without it; pool sizes and waves have tests of their own now.

--- a/src/chivetray/capacity/maintenance.py
+++ b/src/chivetray/capacity/maintenance.py
@@ -13,6 +13,10 @@
 SPARE_SHARE = 0.15
 
 
+STATE_UP = "up"
+STATE_MAINTENANCE = "upkeep"
+
+
 @dataclass(frozen=True, slots=True)
 class WaveVm:
     """A VM that has not begun its maintenance.
@@ -37,6 +41,25 @@
     demand_milli: int
 
 
+def count_under_way(
+    states: dict[str, str], ordered_s: dict[str, float], now_s: float, lasting_s: float
+) -> int:
+    """Return how many VMs of a wave are or may be down for their maintenance.
+
+    An order without answer counts like one that was carried out.
+
+    :param states: state of each VM of the wave, as the platform lists it
+    :param ordered_s: time of the last order for each VM that has had one
+    :param lasting_s: time that a maintenance lasts, with a margin
+    """
+    count = 0
+    for machine, state in states.items():
+        recent = now_s - ordered_s.get(machine, -lasting_s) < lasting_s
+        ordered_down = machine in ordered_s and state != STATE_UP
+        count += recent or ordered_down or state == STATE_MAINTENANCE
+    return count
+
+
 def choose_vms(
     left: Iterable[WaveVm],
     chosen: set[str],
--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -9,7 +9,13 @@
 import anyio
 import msgpack
 
-from chivetray.capacity.maintenance import PoolRoom, WaveVm, choose_vms
+from chivetray.capacity.maintenance import (
+    STATE_UP,
+    PoolRoom,
+    WaveVm,
+    choose_vms,
+    count_under_way,
+)
 from chivetray.capacity.sizing import (
     DemandMeter,
     Move,
@@ -58,19 +64,19 @@
 # Interval between two log lines on the sizes of the pools.
 SIZES_LOG_INTERVAL_S = 1.0
 
-STATE_UP = "up"
-
 
 @dataclass(slots=True)
 class WaveProgress:
     """Progress of one wave.
 
-    :ivar done: VMs whose maintenance has begun, with the time for this holder
+    :ivar done: VMs whose maintenance has begun
+    :ivar ordered_s: time of the last order of this holder for each VM, answered or not
     :ivar version: version of the stored row
     """
 
     started_ms: int
-    done: dict[str, float] = field(default_factory=dict)
+    done: set[str] = field(default_factory=set)
+    ordered_s: dict[str, float] = field(default_factory=dict)
     version: int = 0
     stored: int = -1
     completed: bool = False
@@ -176,7 +182,7 @@
             except (ValueError, TypeError, msgpack.UnpackException) as error:
                 log_event(Event.ROW_DAMAGED, key=row.id.key, reason=str(error))
                 continue
-            progress = WaveProgress(started_ms, dict.fromkeys(names, 0.0))
+            progress = WaveProgress(started_ms, set(names))
             progress.version, progress.completed = row.version, completed
             progress.stored = len(names)
             self._waves[row.id.key] = progress
@@ -318,6 +324,8 @@
             chosen = self._choose(wave, progress, by_name, standby)
             emptying |= {name: by_name[name].worker_id for name in chosen}
             for name in chosen:
+                if self._under_way(wave, progress, by_name) >= wave.cap:
+                    break
                 machine = by_name[name]
                 if name in self._moving or not self._is_empty(machine, standby):
                     continue
@@ -328,6 +336,13 @@
             await self._store_wave(own, key, wave, progress, by_name)
         self._emptying = {n: w for n, w in emptying.items() if n in by_name}
 
+    def _under_way(
+        self, wave: Wave, progress: WaveProgress, by_name: dict[str, Machine]
+    ) -> int:
+        states = {n: by_name[n].state for n in wave.machines if n in by_name}
+        lasting_s = self._maintenance_s + MARGIN_S
+        return count_under_way(states, progress.ordered_s, boot_time_s(), lasting_s)
+
     def _choose(
         self,
         wave: Wave,
@@ -335,16 +350,10 @@
         by_name: dict[str, Machine],
         standby: set[str],
     ) -> list[str]:
-        now_s = boot_time_s()
         left = []
-        under_way = 0
         for name in wave.machines:
             machine = by_name.get(name)
-            if machine is None:
-                continue
-            if name in progress.done:
-                recent = now_s - progress.done[name] < self._maintenance_s + MARGIN_S
-                under_way += recent or machine.state != STATE_UP
+            if machine is None or name in progress.done:
                 continue
             report = self._worker_report(machine)
             left.append(
@@ -372,7 +381,7 @@
         return choose_vms(
             left,
             set(self._emptying),
-            under_way,
+            self._under_way(wave, progress, by_name),
             wave.cap,
             rooms,
             wave.duration_s - elapsed_s,
@@ -383,12 +392,15 @@
     ) -> None:
         if not self._may_order(own, machine.name):
             return
-        # Counted as begun from now on, also when the answer is lost.
+        # Counted as down from now on, also when the answer is lost.
+        progress.ordered_s[machine.name] = boot_time_s()
         answer = await self._client.maintain(machine.name, wave.number, own.epoch)
+        if answer not in (MachineAnswer.DONE, MachineAnswer.UNKNOWN):
+            progress.ordered_s.pop(machine.name, None)
         if answer in (MachineAnswer.DONE, MachineAnswer.UNKNOWN):
             self._ended[machine.worker_id] = boot_time_s() + ENTRY_LAPSE_S
         if answer == MachineAnswer.DONE:
-            progress.done[machine.name] = boot_time_s()
+            progress.done.add(machine.name)
             log_event(Event.VM_MAINTAINED, vm=machine.name, wave=wave.number)
         else:
             log_event(
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,95 @@
+"""Sizes of pools and maintenance waves of managers."""
+
+from __future__ import annotations
+
+from chivetray.capacity.maintenance import (
+    PoolRoom,
+    WaveVm,
+    choose_vms,
+    count_under_way,
+)
+from chivetray.capacity.sizing import (
+    DemandMeter,
+    Move,
+    PoolState,
+    PoolVm,
+    plan_moves,
+    wanted_vms,
+)
+
+
+def vm(name: str, tasks: int = 0, idle_ms: int = 5000, free: bool = True) -> PoolVm:
+    return PoolVm(name, f"w-{name}", 16000, tasks, idle_ms if not tasks else 0, free)
+
+
+class TestPeakOfOneQueue:
+    def test_a_pool_that_lacks_vms_gets_spares_first(self) -> None:
+        pool = PoolState("a", 64000, [vm("a1", 9), vm("a2", 9)])
+        idle = PoolState("b", 0, [vm(f"b{n}") for n in range(5)])
+        moves = plan_moves([pool, idle], "spare", [vm("s1"), vm("s2")])
+        into = [m for m in moves if m.target == "a"]
+        assert into[:2] == [Move("s1", "w-s1", "spare", "a"), into[1]]
+        assert {m.source for m in into} == {"spare", "b"}
+
+    def test_vms_on_their_way_are_counted(self) -> None:
+        pool = PoolState("a", 64000, [vm("a1", 9), vm("a2", 9)], arriving=3)
+        assert plan_moves([pool], "spare", [vm("s1")]) == []
+
+    def test_the_pool_that_is_shortest_of_cores_comes_first(self) -> None:
+        pools = [
+            PoolState("a", 64000, [vm("a1", 9), vm("a2", 9)]),
+            PoolState("b", 200000, [vm("b1", 9), vm("b2", 9)]),
+        ]
+        assert plan_moves(pools, "spare", [vm("s1")])[0].target == "b"
+
+
+class TestTrough:
+    def test_idle_vms_leave_and_busy_ones_stay(self) -> None:
+        pool = PoolState("a", 1000, [vm("a1", 3), vm("a2"), vm("a3"), vm("a4", 1)])
+        moves = plan_moves([pool], "spare", [])
+        assert {m.machine for m in moves} == {"a2", "a3"}
+        assert {m.target for m in moves} == {"spare"}
+
+    def test_a_vm_that_has_just_become_idle_stays(self) -> None:
+        pool = PoolState("a", 0, [vm("a1", 1), vm("a2", 1), vm("a3", idle_ms=100)])
+        assert plan_moves([pool], "spare", []) == []
+
+    def test_a_short_gap_moves_nothing(self) -> None:
+        meter = DemandMeter()
+        meter.note(90000, 0.0)
+        assert meter.note(0, 0.3) == 90000
+        assert meter.note(0, 2.0) == 0
+
+    def test_a_pool_keeps_its_least_vms(self) -> None:
+        assert wanted_vms(0, 16000) == 2
+        assert wanted_vms(160000, 16000) == 13
+
+
+class TestCapOfAWave:
+    def test_an_order_without_answer_counts_as_down(self) -> None:
+        """Such a VM was once not counted, and one too many was taken down."""
+        states = {"m1": "up", "m2": "upkeep", "m3": "up"}
+        assert count_under_way(states, {"m1": 10.0}, 11.0, 2.3) == 2
+        assert count_under_way(states, {"m1": 10.0}, 13.0, 2.3) == 1
+
+    def test_a_vm_that_an_earlier_holder_took_down_counts(self) -> None:
+        assert count_under_way({"m1": "upkeep"}, {}, 5.0, 2.3) == 1
+
+    def test_no_more_are_emptied_than_may_be_down(self) -> None:
+        left = [WaveVm(f"m{n}", "a", True, False, 0, 16000) for n in range(9)]
+        rooms = {"a": PoolRoom(16000 * 40, 0)}
+        assert len(choose_vms(left, set(), 1, 4, rooms, 100.0)) == 3
+
+    def test_vms_wait_while_their_pool_is_in_need(self) -> None:
+        left = [WaveVm(f"m{n}", "a", True, False, 5, 16000) for n in range(4)]
+        rooms = {"a": PoolRoom(64000, 60000)}
+        assert choose_vms(left, set(), 0, 4, rooms, 100.0) == []
+        assert len(choose_vms(left, set(), 0, 4, rooms, 1.0)) == 4
+
+    def test_standby_vms_come_first(self) -> None:
+        left = [
+            WaveVm("m1", "a", True, False, 0, 16000),
+            WaveVm("m2", "spare", True, True, 0, 16000),
+        ]
+        rooms = {"a": PoolRoom(160000, 0)}
+        assert choose_vms(left, set(), 0, 1, rooms, 100.0) == ["m2"]
