Look only at jobs that may have a task to place

Jobs without a waiting task are left out until something of them changes; unanswered orders are looked for each 0.25 s.

--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -141,7 +141,7 @@
         self._driven: set[str] = set()
         self._starting: set[tuple[object, int]] = set()
         self._stopping: set[tuple[str, str, int]] = set()
-        self._idle = anyio.Event()
+        self._resumed_at_s = 0.0
         self._tasks: TaskGroup | None = None
         self.guard = owner_row(state.name)
 
@@ -510,6 +510,10 @@
 
     def _resume_orders(self, tasks: TaskGroup) -> None:
         """Repeat the orders of which nobody knows whether they were carried out."""
+        now_s = boot_time_s()
+        if now_s - self._resumed_at_s < TICK_S:
+            return
+        self._resumed_at_s = now_s
         uncommitted = self.state.dirty_ids()
         for worker in list(self.state.workers.values()):
             if not worker.adopted or worker.silent_since_s or not worker.address:
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -121,6 +121,8 @@
         self.advised_against: dict[StepName, set[str]] = {}
         self.advice_wanted: dict[StepName, list[str]] = {}
         self._dirty: set[str] = set()
+        # Jobs that may have a task whose turn has come; the others are not looked at.
+        self._restless: set[str] = set()
         self._sizes: dict[str, float] = {}
         self._order: dict[str, tuple[float, int, tuple[float, ...]]] = {}
 
@@ -132,6 +134,7 @@
         if job is None:
             job = self.jobs[spec.job_id] = Job(spec, now_s)
             self.active[spec.job_id] = job
+            self._restless.add(spec.job_id)
             size = sum(step.count * step.cpu_milli for step in spec.steps)
             mean = self._sizes.get(spec.queue, float(size))
             self._sizes[spec.queue] = mean + SIZE_LEARNING_RATE * (size - mean)
@@ -171,7 +174,7 @@
 
     def _end_job(self, job: Job, state: JobState) -> None:
         job.state = state
-        self._dirty.add(job.spec.job_id)
+        self._change(job.spec.job_id)
         for task in job.active_tasks():
             self._stop(job, task)
         self._retire(job)
@@ -196,9 +199,10 @@
                 counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
         return counts
 
-    def touch(self, job: Job) -> None:
-        """Note that the progress of a job has to be stored."""
-        self._dirty.add(job.spec.job_id)
+    def _change(self, job_id: str) -> None:
+        """Note that a job's progress has to be stored and its tasks looked at."""
+        self._dirty.add(job_id)
+        self._restless.add(job_id)
 
     def take_dirty(self) -> list[Job]:
         """Return the jobs whose progress has to be stored, and forget them."""
@@ -299,7 +303,7 @@
                 elif worker.born > task.born > 0:
                     # The life that had the task has ended.
                     task.phase = Phase.WAITING
-                    self._dirty.add(job.spec.job_id)
+                    self._change(job.spec.job_id)
                     self._retire(job)
                     continue
                 worker.take((job.spec.job_id, task.key), job.spec.steps[task.key[1]])
@@ -337,7 +341,7 @@
                 worker.free(ref, now_s)
             elif task.phase == Phase.PLACED:
                 task.born = born
-                self._dirty.add(ref[0])
+                self._change(ref[0])
             else:
                 self._release(worker, job, task, now_s)
 
@@ -369,7 +373,7 @@
         if task.phase != Phase.DONE:
             task.phase = Phase.WAITING
             task.percent = 0
-        self._dirty.add(job.spec.job_id)
+        self._change(job.spec.job_id)
         self._retire(job)
 
     def lost_leases(self, now_s: float) -> None:
@@ -473,7 +477,7 @@
             worker.free(ref, now_s)
             for member in self._members(job, task, step):
                 job.mark_done(member)
-            self._dirty.add(job.spec.job_id)
+            self._change(job.spec.job_id)
             if job.state == JobState.COMPLETED:
                 log_event(
                     Event.JOB_ENDED,
@@ -645,6 +649,7 @@
         most_mem = max(room.mem_mb - room.used_mem_mb for room in rooms)
         placements: list[Placement] = []
         for job in self._in_order(now_s):
+            waits = job.spec.repeats > 0
             for occurrence, number in job.open_steps(now_ms):
                 step = job.spec.steps[number]
                 # Most steps of a long queue have no room; this tells without a look
@@ -652,35 +657,46 @@
                 if step.mem_mb > most_mem or (
                     step.cpu_milli > most_cpu and not step.fills
                 ):
+                    waits = True
                     continue
                 tasks = job.open_tasks(occurrence, number)
                 if not any(t.phase == Phase.WAITING for t in tasks):
                     continue
                 placed = self._place_step(job, step, tasks, rooms, now_s)
+                waits = waits or any(t.phase == Phase.WAITING for t in tasks)
                 if placed:
                     placements += placed
-                    log_event(
-                        Event.TASK_PLACED,
-                        job=job.spec.job_id,
-                        step=number,
-                        tasks=len(placed),
-                        workers=sorted({p.worker_id for p in placed}),
-                        waited_s=round(now_s - job.first_seen_s, 3),
-                        jobs=len(self.active),
-                        cell=self.name,
-                    )
+                    self._log_placed(job, number, placed, now_s)
                     if not rooms:
                         return placements
                     free = [r.cpu_milli - r.used_cpu_milli for r in rooms]
                     most_cpu = max(free)
                     most_mem = max(r.mem_mb - r.used_mem_mb for r in rooms)
+            if not waits:
+                self._restless.discard(job.spec.job_id)
         return placements
 
+    def _log_placed(
+        self, job: Job, number: int, placed: list[Placement], now_s: float
+    ) -> None:
+        log_event(
+            Event.TASK_PLACED,
+            job=job.spec.job_id,
+            step=number,
+            tasks=len(placed),
+            workers=sorted({p.worker_id for p in placed}),
+            waited_s=round(now_s - job.first_seen_s, 3),
+            jobs=len(self.active),
+            cell=self.name,
+        )
+
     def _in_order(self, now_s: float) -> list[Job]:
         """Return the jobs that have not ended, those to be served first first."""
         keyed = []
-        for job_id, job in self.active.items():
-            if job.state.ended:
+        for job_id in list(self._restless):
+            job = self.active.get(job_id)
+            if job is None or job.state.ended:
+                self._restless.discard(job_id)
                 continue
             done = len(job.done_steps)
             known = self._order.get(job_id)
@@ -898,7 +914,7 @@
         task.unanswered = False
         task.pace_percent = 100
         worker.take(ref, step)
-        self._dirty.add(job.spec.job_id)
+        self._change(job.spec.job_id)
         return Placement(ref, task.attempt, worker.worker_id, worker.born)
 
 
