Follow the settings file without a signal; pages for operators of managers

A manager looks at its settings file each second, applies the store's and the VM API's address, the grace time and its capacity, and names what needs a new start. Tests with separate processes: a change without a signal, and a file with faults.

--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -51,6 +51,12 @@
 # Interval of the search for jobs whose acceptor died before telling the owner.
 SCAN_INTERVAL_S = 3.0
 
+# Interval between looks at the settings file.
+SETTINGS_INTERVAL_S = 1.0
+
+# Settings that a running process follows.
+APPLIED_SETTINGS = ("store", "vms", "grace_s", "cpu_share", "cores", "link_mbps")
+
 # Kept back from the time between SIGTERM and SIGKILL.
 STOP_MARGIN_S = 1.2
 
@@ -114,13 +120,15 @@
         )
         self._desk = Desk(self._mesh, self._store, self._directory, self._configuration)
         self._runner: FleetRunner | None = None
+        self._machines: MachineClient | None = None
         if settings.vms:
+            self._machines = MachineClient(self._session, settings.vms, settings.name)
             self._runner = FleetRunner(
                 self._mesh,
                 self._store,
                 self._directory,
                 self._configuration,
-                MachineClient(self._session, settings.vms, settings.name),
+                self._machines,
                 settings.lease_ms / 1000,
                 settings.migrate_s,
                 settings.maintenance_s,
@@ -160,6 +168,7 @@
                 metrics_server = HttpServer.from_app(self._metrics_app)
                 tasks.start_soon(metrics_server.serve_on, _bind(self._settings.metrics))
             tasks.start_soon(self._receive_signals)
+            tasks.start_soon(self._follow_settings)
             tasks.start_soon(self._configuration.run)
             tasks.start_soon(self._mesh.run)
             tasks.start_soon(self._join)
@@ -184,14 +193,48 @@
                 else:
                     self._leaving.set()
 
+    async def _follow_settings(self) -> None:
+        """Notice that the settings file has changed, also without a signal."""
+        seen = self._read_settings_text()
+        while True:
+            await anyio.sleep(SETTINGS_INTERVAL_S)
+            text = self._read_settings_text()
+            if text and text != seen:
+                seen = text
+                self._reload()
+
+    def _read_settings_text(self) -> str:
+        try:
+            return self._path.read_text()
+        except OSError:
+            # The file is being replaced, or the settings came from elsewhere.
+            return ""
+
     def _reload(self) -> None:
-        """Read the settings file again; a file with faults changes nothing."""
+        """Read the settings file again; a file with faults changes nothing.
+
+        Addresses at which this process listens need a new start; the log says so.
+        """
         try:
-            self._settings = load_settings(self._path)
+            settings = load_settings(self._path)
         except (FaultsError, OSError) as error:
             log_event(Event.SETTINGS_RELOADED, fault=str(error))
             return
-        log_event(Event.SETTINGS_RELOADED, fault="")
+        before, self._settings = self._settings, settings
+        changed = [
+            name
+            for name in type(settings).model_fields
+            if getattr(settings, name) != getattr(before, name)
+        ]
+        if settings.store != before.store:
+            self._store.move_to(settings.store)
+        if self._machines is not None and settings.vms and settings.vms != before.vms:
+            self._machines.move_to(settings.vms)
+        log_event(
+            Event.SETTINGS_RELOADED,
+            changed=changed,
+            after_restart=[name for name in changed if name not in APPLIED_SETTINGS],
+        )
 
     async def _leave(self, callers_server: HttpServer) -> None:
         """Hand the cells over, serve open connections for the grace time, and end."""
--- a/src/chivetray/platform/machines.py
+++ b/src/chivetray/platform/machines.py
@@ -60,6 +60,10 @@
         self._holder = holder
         self.calls = 0
 
+    def move_to(self, address: str) -> None:
+        """Call the API at another address from now on."""
+        self._url = f"http://{address}/chivetray"
+
     async def list_machines(self) -> list[Machine] | None:
         """Return all VMs, or ``None`` when the platform does not answer."""
         machines: list[Machine] = []
--- a/src/chivetray/platform/store.py
+++ b/src/chivetray/platform/store.py
@@ -98,17 +98,17 @@
 
 
 class Store:
-    """Client of the store.
-
-    :param relay: makes a call through another process that the store serves, or
-        returns ``None`` when there is none
-    """
+    """Client of the store."""
 
     def __init__(self, session: CallSession, address: str):
         self._session = session
         self._url = f"http://{address}"
         self.calls = 0
 
+    def move_to(self, address: str) -> None:
+        """Call the store at another address from now on."""
+        self._url = f"http://{address}"
+
     async def call(
         self, method: str, path: str, body: Any, timeout_s: float
     ) -> Outcome:
--- a/tests/test_job_processes.py
+++ b/tests/test_job_processes.py
@@ -135,6 +135,27 @@
         assert set(Counter(fleet.starts()).values()) == {1}
 
 
+class TestSettings:
+    def test_a_changed_file_is_followed_without_a_signal(self, fleet) -> None:
+        path = fleet.folder / "m0.yaml"
+        path.write_text(path.read_text().replace("grace_s: 3", "grace_s: 2"))
+        reloaded = wait_for(lambda: _reloads(fleet))
+        assert reloaded[-1]["changed"] == ["grace_s"]
+
+    def test_a_file_with_faults_changes_nothing(self, fleet) -> None:
+        path = fleet.folder / "m0.yaml"
+        good = path.read_text()
+        path.write_text("name: 5\nzone: z1\n")
+        fleet.processes["m0"].send_signal(signal.SIGHUP)
+        wait_for(lambda: any("fault" in event for event in _reloads(fleet)))
+        path.write_text(good)
+        assert fleet.pending("m0") is not None
+
+
+def _reloads(fleet):
+    return [e for e in fleet.log("m0") if e["message_type"] == "SETTINGS_RELOADED"]
+
+
 class TestStoreThatIsAway:
     def test_a_job_that_was_not_stored_is_refused_and_never_runs(self, fleet) -> None:
         fleet.post(fleet.store, "/standin/faults", {"down": True})
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -83,7 +83,8 @@
     """Render the fields of a schema as a page of tables."""
     document = yaml.safe_load((ROOT / "schema" / f"{schema}.yaml").read_text())
     lines = [f"# {title}", "", f"Generated from `schema/{schema}.yaml`.", ""]
-    for name, definition in document["definitions"].items():
+    definitions = document.get("definitions") or {document["title"]: document}
+    for name, definition in definitions.items():
         if definition.get("type") != "object":
             continue
         lines += [f"## {name}", "", definition.get("description", ""), ""]
@@ -137,12 +138,14 @@
     for schema, module, model_type in TARGETS:
         generate_module(schema, module, model_type, package)
     (docs / "SETTINGS.md").write_text(render_reference("Settings", "settings"))
+    (docs / "MANAGER.md").write_text(render_reference("Manager settings", "manager"))
     (docs / "OBJECTS.md").write_text(render_reference("Objects", "objects"))
     (docs / "RESULTS.md").write_text(render_results())
     (docs / "EVENTS.md").write_text(render_events())
     modules = [package / f"{module}.py" for _, module, _ in TARGETS]
     pages = [
-        docs / f"{page}.md" for page in ("SETTINGS", "OBJECTS", "RESULTS", "EVENTS")
+        docs / f"{page}.md"
+        for page in ("SETTINGS", "MANAGER", "OBJECTS", "RESULTS", "EVENTS")
     ]
     return modules + pages
 
