Read the queues of a cell together at a take-over

Ruled out: the owner's writes (gathered) and accepting jobs (gathered). They are read together now.

The test fails with reads one after another.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -319,8 +319,20 @@
         _check_fresh(version, guard_version)
         progress = {row.id.key: row for row in rows}
         now_s = boot_time_s()
-        for part in await self._store.parts(JOB_TABLE):
-            jobs, version = await self._store.read(JOB_TABLE, part)
+        parts = await self._store.parts(JOB_TABLE)
+        found: dict[str, tuple[list[Row], int]] = {}
+
+        async def read(part: str) -> None:
+            found[part] = await self._store.read(JOB_TABLE, part)
+
+        # Together, since a slow store takes half a second for each of them.
+        try:
+            async with anyio.create_task_group() as tasks:
+                for part in parts:
+                    tasks.start_soon(read, part)
+        except* StoreUnavailableError as group:
+            raise StoreUnavailableError(str(group.exceptions[0])) from group
+        for jobs, version in found.values():
             _check_fresh(version, guard_version)
             if not self.scanned_version:
                 self.scanned_version = version
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
@@ -14,19 +15,22 @@
 class OldStore:
     """A store whose reads show the version given."""
 
-    def __init__(self, version: int):
+    def __init__(self, version: int, delay_s: float = 0.0, parts: int = 1):
         self.version = version
+        self.delay_s = delay_s
+        self.part_names = [f"q{number}" for number in range(parts)]
 
     async def read(self, *_: object) -> tuple[list[object], int]:
+        await asyncio.sleep(self.delay_s)
         return [], self.version
 
     async def parts(self, *_: object) -> list[str]:
-        return ["q"]
+        return self.part_names
 
 
-def load(version: int) -> None:
+def load(version: int, delay_s: float = 0.0, parts: int = 1) -> None:
     directory = CellDirectory.__new__(CellDirectory)
-    directory._store = OldStore(version)  # type: ignore[assignment]
+    directory._store = OldStore(version, delay_s, parts)  # type: ignore[assignment]
     directory.scanned_version = 0
     asyncio.run(directory._load(CellState("pool-a"), guard_version=10))
 
@@ -38,3 +42,11 @@
 
     def test_a_state_from_after_it_is_used(self) -> None:
         load(10)
+
+
+class TestSlowStore:
+    def test_the_queues_of_a_cell_are_read_together(self) -> None:
+        """One after another they once took seconds while the store was slow."""
+        began_s = time.monotonic()
+        load(10, delay_s=0.2, parts=9)
+        assert time.monotonic() - began_s < 1.0
