--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -188,6 +188,7 @@
         if task.phase == Phase.STOPPING:
             return
         task.phase = Phase.STOPPING
+        self._change(job.spec.job_id)
         name = TaskName(job.spec.job_id, task.key)
         self.stops.append(StopOrder(name, task.attempt, task.worker))
 
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -13,6 +13,10 @@
 # Number of the format of stored progress.
 FORMAT = 1
 
+# Mark of a stored task that was told to stop. A later owner counts it as away.
+STOPPING = 2
+_PHASES = {0: Phase.WAITING, 1: Phase.PLACED, STOPPING: Phase.STOPPING}
+
 _STEP_FIELDS = tuple(item.name for item in fields(Step))
 _SPEC_FIELDS = tuple(item.name for item in fields(JobSpec) if item.name != "steps")
 
@@ -131,7 +135,7 @@
                 else:
                     ranges.append([*key, key[2] + 1])
             elif task.attempt:
-                active = int(task.active)
+                active = STOPPING if task.phase == Phase.STOPPING else int(task.active)
                 rest.append(
                     [*key, active, task.attempt, task.failures]
                     + [task.worker, task.born, task.checkpoint, task.address]
@@ -154,7 +158,7 @@
             task = self.task((row[0], row[1], row[2]))
             if task is None:
                 continue
-            task.phase = Phase.PLACED if row[3] else Phase.WAITING
+            task.phase = _PHASES[row[3]]
             task.attempt, task.failures = row[4], row[5]
             task.worker, task.born, task.checkpoint = row[6], row[7], row[8]
             task.address = row[9]
--- a/tests/test_cell_state.py
+++ b/tests/test_cell_state.py
@@ -161,6 +161,35 @@
         state.add_job(job(), 0.0)
         assert state.place(0.1, 0) == []
 
+    def test_a_later_owner_counts_a_task_that_is_being_stopped_as_away(self) -> None:
+        """It once moved a second task while the first was still being stopped."""
+        state = cell(entry("w0"), entry("w1"))
+        step = Step(2, 1000, long_running=True, may_miss=1)
+        state.add_job(job(steps=(step,)), 0.0)
+        for p in state.place(0.0, 0):
+            state.confirm_start(p.ref, p.attempt, 0.1)
+        for task in state.jobs[JOB].tasks.values():
+            task.percent = 100
+        state.take_dirty()
+        workers = {task.worker for task in state.jobs[JOB].tasks.values()}
+        state.reserve(workers, 1.0)
+        state.evacuate(1.0)
+        assert [changed.spec.job_id for changed in state.take_dirty()] == [JOB]
+        later = cell(entry("w0"), entry("w1"))
+        progress = state.jobs[JOB].encode()
+        later.restore_job(state.jobs[JOB].spec, progress, 1, 2.0)
+        later.adopt_placed(2.0, 0.0, {})
+        phases = [t.phase for t in later.jobs[JOB].tasks.values()]
+        assert Phase.STOPPING in phases
+        for task in later.jobs[JOB].tasks.values():
+            task.percent = 100
+            if task.phase == Phase.PLACED:
+                later.confirm_start((JOB, task.key), task.attempt, 2.1)
+        later.reserve(workers, 3.0)
+        later.evacuate(3.0)
+        phases = [t.phase for t in later.jobs[JOB].tasks.values()]
+        assert sorted(phases) == [Phase.RUNNING, Phase.STOPPING]
+
 
 class TestOccurrences:
     def test_an_occurrence_starts_when_it_is_due(self) -> None:
