--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -352,6 +352,8 @@
             return
         changes = await self._store.changes(JOB_TABLE, self.scanned_version, 0)
         if changes.history_gone:
+            # Goes on from what is read now; otherwise each scan would read all anew.
+            self.scanned_version = 0
             for own in list(self.owned.values()):
                 await self._load(own.state, own.guard_version)
                 own.wake()
--- a/src/chivetray/cells/fleet_view.py
+++ b/src/chivetray/cells/fleet_view.py
@@ -42,10 +42,6 @@
         """Return the listed workers of a service."""
         return self._by_service.get(service, [])
 
-    def all(self) -> dict[str, WorkerEntry]:
-        """Return all listed workers by their ids."""
-        return self._entries
-
     async def run(
         self, wanted: Callable[[], bool], on_list: Callable[[], None]
     ) -> None:
--- a/src/chivetray/peers/mesh.py
+++ b/src/chivetray/peers/mesh.py
@@ -113,7 +113,6 @@
         self.address = address
         self.peers: dict[str, Peer] = {}
         self.handlers: dict[str, Handler] = {}
-        self.sent_bytes = 0
         self._beat = beat
         self._on_change = on_change
         self._known: dict[str, str] = {}
@@ -239,7 +238,6 @@
             # A closed or damaged stream is dialled again.
             return
         finally:
-            self.sent_bytes += stream.sent_bytes
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -9,7 +9,7 @@
 
 from chivetray.cells.directory import CellDirectory
 from chivetray.cells.state import CellState
-from chivetray.platform.store import StoreUnavailableError
+from chivetray.platform.store import Changes, StoreUnavailableError
 
 
 class OldStore:
@@ -50,3 +50,27 @@
         began_s = time.monotonic()
         load(10, delay_s=0.2, parts=9)
         assert time.monotonic() - began_s < 1.0
+
+
+class TestHistoryThatIsGone:
+    def test_everything_is_read_once_and_then_only_changes(self) -> None:
+        """The old version was once kept, so that each scan read everything anew."""
+
+        class Forgetful(OldStore):
+            async def changes(self, table: str, version: int, wait_ms: int) -> Changes:
+                gone = version < 20
+                return Changes([], 0 if gone else version, history_gone=gone)
+
+        class Owner:
+            state = CellState("pool-a")
+            guard_version = 10
+
+            def wake(self) -> None:
+                pass
+
+        directory = CellDirectory.__new__(CellDirectory)
+        directory._store = Forgetful(30)  # type: ignore[assignment]
+        directory.owned = {"pool-a": Owner()}  # type: ignore[dict-item]
+        directory.scanned_version = 5
+        asyncio.run(directory.scan())
+        assert directory.scanned_version == 30
