Keep the entry's records in the users' store over the one client

Cause: the entry had a store protocol and a stand-in of its own beside the users' one; the platform package held what decides (leases, group writer, revisions, waves). Now they stand in records/, on platform/store.py; the stand-in speaks the users' protocol, and the old one is gone.

Ruled out: moving the VM list and reboots too (the users' VM API has no ports, and maintenance only on an operator's row; docs/design/platform.md).

--- a/lab/mutants.py
+++ b/lab/mutants.py
@@ -37,7 +37,7 @@
     ),
     Mutant(
         "a lost store answer is not read back",
-        "platform/group_writer.py",
+        "records/group_writer.py",
         "if row.value.get(MARK_FIELD) == pending.mark:",
         "if False:",
         "tests/test_group_writer.py",
--- a/lab/variant_entry.py
+++ b/lab/variant_entry.py
@@ -28,7 +28,7 @@
 from chivetray.peers.grants import GrantHolder
 from chivetray.peers.homes import choose_home
 from chivetray.peers.ledger import GrantLedger
-from chivetray.platform.group_writer import GroupWriter
+from chivetray.records.group_writer import GroupWriter
 from chivetray.requests.admission import Admission
 from chivetray.requests.handler import RequestHandler
 from chivetray.requests.retries import RetryBudget
--- a/src/chivetray/control.py
+++ b/src/chivetray/control.py
@@ -18,11 +18,11 @@
 from chivetray.fleet.checker import CheckedSet, check_files, check_object_set
 from chivetray.fleet.vm_states import ListedVm, VmKind, VmState
 from chivetray.generated.settings import PlatformSettings
-from chivetray.platform import revisions
-from chivetray.platform.client import PlatformClient
-from chivetray.platform.maintenance import REPORT_TABLE
-from chivetray.platform.revisions import HistoryItem
-from chivetray.platform.vm_list import read_vm_changes
+from chivetray.records import revisions
+from chivetray.records.client import RecordClient
+from chivetray.records.maintenance import REPORT_TABLE
+from chivetray.records.revisions import HistoryItem
+from chivetray.records.vm_list import read_vm_changes
 from chivetray.results import ResultCode
 
 WAIT_POLL_S = 0.1
@@ -59,14 +59,14 @@
     :param client: client of the platform
     """
 
-    def __init__(self, client: PlatformClient):
+    def __init__(self, client: RecordClient):
         self._client = client
 
     @classmethod
     def from_url(cls, url: str, timeout_s: float = CALL_TIMEOUT_S) -> Control:
         """Make a facade for the platform at an URL."""
         settings = PlatformSettings(url=url, timeout_s=timeout_s)
-        return cls(PlatformClient.from_config(settings))
+        return cls(RecordClient.from_config(settings))
 
     async def aclose(self) -> None:
         """Close all connections."""
@@ -253,7 +253,7 @@
 
 
 async def _get_json(url: str, path: str) -> Any:
-    client = PlatformClient.from_config(PlatformSettings(url=url, timeout_s=2.0))
+    client = RecordClient.from_config(PlatformSettings(url=url, timeout_s=2.0))
     try:
         result = await client.get_json(path)
     finally:
--- a/src/chivetray/duties/drains.py
+++ b/src/chivetray/duties/drains.py
@@ -11,8 +11,8 @@
 from chivetray.fleet.vm_states import VmStates
 from chivetray.generated.settings import DutySettings
 from chivetray.peers.grants import GrantHolder
-from chivetray.platform.client import PlatformClient
-from chivetray.platform.maintenance import Drain, read_drains, write_ack
+from chivetray.records.client import RecordClient
+from chivetray.records.maintenance import Drain, read_drains, write_ack
 
 
 class DrainFollower:
@@ -25,7 +25,7 @@
 
     def __init__(
         self,
-        client: PlatformClient,
+        client: RecordClient,
         settings: DutySettings,
         entry: str,
         states: VmStates,
--- a/src/chivetray/duties/loads.py
+++ b/src/chivetray/duties/loads.py
@@ -10,8 +10,8 @@
 
 from chivetray.fleet.revision import RevisionState
 from chivetray.generated.settings import DutySettings
-from chivetray.platform.client import PlatformClient
-from chivetray.platform.maintenance import LOAD_TABLE, overwrite
+from chivetray.records.client import RecordClient
+from chivetray.records.maintenance import LOAD_TABLE, overwrite
 
 
 class LoadWriter:
@@ -22,7 +22,7 @@
 
     def __init__(
         self,
-        client: PlatformClient,
+        client: RecordClient,
         settings: DutySettings,
         entry: str,
         revisions: RevisionState,
--- a/src/chivetray/duties/sweeper.py
+++ b/src/chivetray/duties/sweeper.py
@@ -12,10 +12,10 @@
 from chivetray.events import Event, log_event
 from chivetray.fleet.revision import RevisionState
 from chivetray.generated.settings import DutySettings
-from chivetray.platform import maintenance
-from chivetray.platform.claim_rows import read_claim_page
-from chivetray.platform.client import PlatformClient, RowWrite
-from chivetray.platform.leases import LeaseKeeper
+from chivetray.records import maintenance
+from chivetray.records.claim_rows import read_claim_page
+from chivetray.records.client import RecordClient, RowWrite
+from chivetray.records.leases import LeaseKeeper
 
 DUTY = "sweep"
 
@@ -28,7 +28,7 @@
 
     def __init__(
         self,
-        client: PlatformClient,
+        client: RecordClient,
         settings: DutySettings,
         entry: str,
         leases: LeaseKeeper,
--- a/src/chivetray/duties/waves.py
+++ b/src/chivetray/duties/waves.py
@@ -31,11 +31,12 @@
 )
 from chivetray.generated.objects import Vm, Wave
 from chivetray.generated.settings import DutySettings
-from chivetray.platform import maintenance
-from chivetray.platform.client import ABSENT, PlatformClient, RowWrite
-from chivetray.platform.leases import LeaseKeeper
-from chivetray.platform.maintenance import DoneVms, Drain, Reservations, WaveVm
-from chivetray.platform.vm_control import read_vm, reboot_vm
+from chivetray.platform.store import ABSENT
+from chivetray.records import maintenance
+from chivetray.records.client import RecordClient, RowWrite
+from chivetray.records.leases import LeaseKeeper
+from chivetray.records.maintenance import DoneVms, Drain, Reservations, WaveVm
+from chivetray.records.vm_control import read_vm, reboot_vm
 
 PROBE_TIMEOUT_S = 1.0
 
@@ -64,7 +65,7 @@
 
     def __init__(
         self,
-        client: PlatformClient,
+        client: RecordClient,
         settings: DutySettings,
         entry: str,
         leases: LeaseKeeper,
--- a/src/chivetray/entry.py
+++ b/src/chivetray/entry.py
@@ -27,10 +27,10 @@
 from chivetray.metrics import Metrics
 from chivetray.peers.membership import PeerAddress
 from chivetray.peers.node import PeerNode
-from chivetray.platform.client import PlatformClient
-from chivetray.platform.group_writer import GroupWriter
-from chivetray.platform.leases import LeaseKeeper
-from chivetray.platform.watcher import PlatformWatcher
+from chivetray.records.client import RecordClient
+from chivetray.records.group_writer import GroupWriter
+from chivetray.records.leases import LeaseKeeper
+from chivetray.records.watcher import PlatformWatcher
 from chivetray.requests.admission import Admission
 from chivetray.requests.balancer import Balancer
 from chivetray.requests.claims import ClaimStore
@@ -62,7 +62,7 @@
             lambda: self._admission.waiting_by_endpoint(),
             self._metrics.report_broken,
         )
-        self._client = PlatformClient.from_config(config.platform)
+        self._client = RecordClient.from_config(config.platform)
         self._watcher = PlatformWatcher(
             self._client,
             config.platform,
--- a/src/chivetray/platform/calls.py
+++ b/src/chivetray/platform/calls.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import socket
+import ssl
 from dataclasses import dataclass
 from typing import Any
 
@@ -34,11 +35,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """Answer to a call; the body is an empty mapping when it cannot be read."""
+    """Answer to a call.
+
+    :ivar body: decoded content, an empty mapping when it cannot be read
+    :ivar raw: content as it came
+    """
 
     status: int
     body: dict[str, Any]
     retry_after_s: float = 0.0
+    raw: bytes = b""
 
     @property
     def ok(self) -> bool:
@@ -70,14 +76,18 @@
         self._session = session
 
     @classmethod
-    def open(cls) -> CallSession:
-        """Open a session without connections; needs a running event loop."""
+    def open(cls, context: ssl.SSLContext | None = None) -> CallSession:
+        """Open a session without connections; needs a running event loop.
+
+        :param context: trusted authorities of addresses with TLS
+        """
         connector = aiohttp.TCPConnector(
             limit=0,
             limit_per_host=CONNECTIONS_PER_ADDRESS,
             keepalive_timeout=KEEPALIVE_S,
             use_dns_cache=False,
             socket_factory=_open_socket,
+            ssl=context or True,
         )
         session = aiohttp.ClientSession(
             connector=connector,
@@ -98,9 +108,15 @@
         timeout_s: float,
         body: Any = None,
         headers: dict[str, str] | None = None,
+        content: bytes | None = None,
     ) -> Outcome:
-        """Make one call; the connection is closed when no answer comes in time."""
-        content = None if body is None else orjson.dumps(body)
+        """Make one call; the connection is closed when no answer comes in time.
+
+        :param body: content that is sent as JSON
+        :param content: content that is sent as it is
+        """
+        if body is not None:
+            content = orjson.dumps(body)
         limits = aiohttp.ClientTimeout(
             total=timeout_s, sock_connect=min(timeout_s, CONNECT_TIMEOUT_S)
         )
@@ -111,7 +127,8 @@
             ) as response:
                 raw = await response.read()
                 retry_after = response.headers.get("Retry-After", "")
-                return Answer(response.status, _decode(raw), _seconds(retry_after))
+                delay_s = _seconds(retry_after)
+                return Answer(response.status, _decode(raw), delay_s, raw)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return NotSent(_describe(error))
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
--- a/src/chivetray/platform/standins/store.py
+++ b/src/chivetray/platform/standins/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import bisect
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -32,18 +33,22 @@
     """Faults that the stand-in shows.
 
     :ivar down: refuse every call with 503
+    :ivar stalled: accept calls and never answer
     :ivar refused: addresses that are refused while others are served
     :ivar delay_s: time before each answer
     :ivar lose_answers: number of the next transactions whose answer is lost
     :ivar late_s: with it, time after which such a transaction takes effect, 0 for
         at once
+    :ivar rows_per_second: rows that may be written each second, 0 for no limit
     """
 
     down: bool = False
+    stalled: bool = False
     refused: list[str] = field(default_factory=list)
     delay_s: float = 0.0
     lose_answers: int = 0
     late_s: float = 0.0
+    rows_per_second: float = 0.0
 
 
 @dataclass(slots=True)
@@ -63,15 +68,30 @@
         self.version = 0
         self.log: list[tuple[int, Name]] = []
         self.faults = StoreFaults()
+        self.blobs: dict[str, bytes] = {}
         self.transactions = 0
+        self.rows_written = 0
         self.reads = 0
         self.changed = asyncio.Event()
+        self._write_window = -1
+        self._window_rows = 0
 
     def put(self, table: str, part: str, key: str, value: str) -> int:
         """Write a row as the operator or a worker does."""
         self._next({(table, part, key): value}, [])
         return self.version
 
+    def admit_rows(self, count: int) -> bool:
+        """Return whether the write limit allows some more rows now."""
+        limit = self.faults.rows_per_second
+        window = int(time.monotonic())
+        if window != self._write_window:
+            self._write_window, self._window_rows = window, 0
+        if limit and self._window_rows + count > limit:
+            return False
+        self._window_rows += count
+        return True
+
     def apply(self, body: dict[str, Any]) -> list[Name] | None:
         """Carry out a transaction; return the rows to show when it is refused."""
         expected = [(_name(row), row["Ver"]) for row in body.get("ExpectedRev", [])]
@@ -86,6 +106,7 @@
 
     def _next(self, writes: dict[Name, str], removed: list[Name]) -> None:
         self.version += 1
+        self.rows_written += len(writes) + len(removed)
         for name, value in writes.items():
             self.rows[name] = StoredRow(self.version, value)
             self.log.append((self.version, name))
@@ -113,14 +134,17 @@
         return list(dict.fromkeys(names))
 
 
-def create_store_app(state: StoreState) -> Starlette:
+def create_store_app(state: StoreState, more_routes: Iterable[Route] = ()) -> Starlette:
     """Return the HTTP application of the stand-in."""
     app = Starlette(
         routes=[
+            *more_routes,
             Route("/chivetray/rows-tx", _transact, methods=["POST"]),
             Route("/chivetray/rows-get", _read),
             Route("/chivetray/rows-parts", _parts),
             Route("/chivetray/rows-feed", _feed),
+            Route("/chivetray/blob-put/{name}", _put_blob, methods=["PUT"]),
+            Route("/chivetray/blob-get/{name}", _get_blob),
             Route("/standin/put", _put, methods=["POST"]),
             Route("/standin/faults", _set_faults, methods=["POST"]),
         ]
@@ -147,6 +171,8 @@
 
 async def _refusal(request: Request) -> Response | None:
     state = _state(request)
+    if state.faults.stalled:
+        await asyncio.sleep(STALL_S)
     if state.faults.delay_s:
         await asyncio.sleep(state.faults.delay_s)
     caller = request.client.host if request.client else ""
@@ -166,6 +192,8 @@
         return _answer(state, {}, 403)
     if len(entries) > ENTRIES_LIMIT or len({e.get("part", "") for e in entries}) > 1:
         return _answer(state, {}, 400)
+    if not state.admit_rows(len(changed)):
+        return _answer(state, {}, 429)
     state.transactions += 1
     if state.faults.lose_answers > 0:
         state.faults.lose_answers -= 1
@@ -229,6 +257,22 @@
     return _answer(state, {"rows": [state.show(name) for name in names]})
 
 
+async def _put_blob(request: Request) -> Response:
+    state = _state(request)
+    if refusal := await _refusal(request):
+        return refusal
+    state.blobs[request.path_params["name"]] = await request.body()
+    return _answer(state, {})
+
+
+async def _get_blob(request: Request) -> Response:
+    state = _state(request)
+    if refusal := await _refusal(request):
+        return refusal
+    content = state.blobs.get(request.path_params["name"])
+    return _answer(state, {}, 404) if content is None else Response(content)
+
+
 async def _put(request: Request) -> Response:
     """Write a row as the operator or a worker does."""
     state = _state(request)
--- a/src/chivetray/platform/store.py
+++ b/src/chivetray/platform/store.py
@@ -23,6 +23,7 @@
 # Expected version of a row that does not exist.
 ABSENT = 0
 
+STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 412
 STATUS_HISTORY_GONE = 410
 
@@ -94,20 +95,33 @@
 
 
 class StoreUnavailableError(Exception):
-    """The store did not answer a read."""
+    """The store did not answer a read.
+
+    :param answered: whether it answered at all, such as with a refusal
+    """
+
+    def __init__(self, reason: str, answered: bool = False):
+        super().__init__(reason)
+        self.answered = answered
 
 
 class Store:
-    """Client of the store."""
+    """Client of the store.
+
+    :param address: address and port, or a URL that begins with ``https://``
+    """
 
-    def __init__(self, session: CallSession, address: str):
+    def __init__(
+        self, session: CallSession, address: str, timeout_s: float = CALL_TIMEOUT_S
+    ):
         self._session = session
-        self._url = f"http://{address}"
+        self._timeout_s = timeout_s
         self.calls = 0
+        self.move_to(address)
 
     def move_to(self, address: str) -> None:
         """Call the store at another address from now on."""
-        self._url = f"http://{address}"
+        self._url = address if "://" in address else f"http://{address}"
 
     async def call(
         self, method: str, path: str, body: Any, timeout_s: float
@@ -133,7 +147,8 @@
             ],
             "Remove": [_name(row) for row in removed],
         }
-        outcome = await self.call("POST", "/chivetray/rows-tx", body, CALL_TIMEOUT_S)
+        path = "/chivetray/rows-tx"
+        outcome = await self.call("POST", path, body, self._timeout_s)
         if isinstance(outcome, NotSent):
             return Refused(outcome.reason)
         if isinstance(outcome, NoAnswer):
@@ -149,27 +164,38 @@
         return Refused(f"status {outcome.status}")
 
     async def read(
-        self, table: str, part: str, start: str = "", end: str = ""
+        self,
+        table: str,
+        part: str,
+        start: str = "",
+        end: str = "",
+        limit: int | None = None,
     ) -> tuple[list[Row], int]:
         """Read the rows of a part in order of their keys, and the newest version.
 
         :param end: first key that is not read, or empty for all
+        :param limit: rows that are read at most, all by default
         :raises StoreUnavailableError: when the store does not answer
         """
         rows: list[Row] = []
         first_version = 0
         while True:
-            query = {"Table": table, "part": part, "Limit": str(PAGE_ROWS)}
+            wanted = PAGE_ROWS if limit is None else min(PAGE_ROWS, limit - len(rows))
+            query = {"Table": table, "part": part, "Limit": str(wanted)}
             if start:
                 query["From"] = start
             if end:
                 query["To"] = end
             body = await self._get("/chivetray/rows-get", query)
+            if not isinstance(body.get("rows"), list) or "Ver" not in body:
+                # An answer that cannot be read is not one without rows.
+                raise StoreUnavailableError("the answer cannot be read")
             page = [row for p in _list(body, "rows") if (row := _decode_row(p))]
             rows += page
             if not first_version:
                 first_version = _version(body)
-            if not body.get("HasMore") or not page:
+            enough = limit is not None and len(rows) >= limit
+            if not body.get("HasMore") or not page or enough:
                 return rows, first_version
             start = page[-1].id.key + "\0"
 
@@ -214,14 +240,36 @@
                 plain = _list(outcome.body, "rows")
                 rows = [row for p in plain if (row := _decode_row(p))]
                 return Changes(rows, max(version, _version(outcome.body)))
-        raise StoreUnavailableError(_reason(outcome))
+        raise StoreUnavailableError(_reason(outcome), isinstance(outcome, Answer))
+
+    # Objects
+
+    async def put_object(self, name: str, content: bytes) -> Outcome:
+        """Store raw content under a name, in place of what is there."""
+        self.calls += 1
+        url = f"{self._url}/chivetray/blob-put/{urllib.parse.quote(name, safe='')}"
+        return await self._session.call("PUT", url, self._timeout_s, content=content)
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Read raw content, or ``None`` when there is none of the name.
+
+        :raises StoreUnavailableError: when the store does not answer
+        """
+        path = f"/chivetray/blob-get/{urllib.parse.quote(name, safe='')}"
+        outcome = await self.call("GET", path, None, self._timeout_s)
+        if isinstance(outcome, Answer):
+            if outcome.status == STATUS_NOT_FOUND:
+                return None
+            if outcome.ok:
+                return outcome.raw
+        raise StoreUnavailableError(_reason(outcome), isinstance(outcome, Answer))
 
     async def _get(self, path: str, query: dict[str, str]) -> dict[str, Any]:
         path = f"{path}?{urllib.parse.urlencode(query)}"
-        outcome = await self.call("GET", path, None, CALL_TIMEOUT_S)
+        outcome = await self.call("GET", path, None, self._timeout_s)
         if isinstance(outcome, Answer) and outcome.ok:
             return outcome.body
-        raise StoreUnavailableError(_reason(outcome))
+        raise StoreUnavailableError(_reason(outcome), isinstance(outcome, Answer))
 
 
 def _reason(outcome: Outcome) -> str:
--- a/src/chivetray/platform/claim_rows.py
+++ b/src/chivetray/records/claim_rows.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result
 
 from chivetray.exceptions import PlatformError
-from chivetray.platform.client import PlatformClient, Row, RowWrite, convert_rows
+from chivetray.records.client import RecordClient, Row, RowWrite, convert_rows
 
 CLAIM_TABLE = "claims"
 PAGE_ROWS = 200
@@ -30,7 +30,7 @@
 
 
 async def read_claim_page(
-    client: PlatformClient, after: str
+    client: RecordClient, after: str
 ) -> Result[list[ClaimAge], PlatformError]:
     """Read the next claims after a key; an empty page means that all were read."""
     result = await client.list_rows(CLAIM_TABLE, after, PAGE_ROWS)
--- a/src/chivetray/platform/group_writer.py
+++ b/src/chivetray/records/group_writer.py
@@ -17,7 +17,7 @@
 
 from chivetray.events import Event, log_event
 from chivetray.generated.settings import ClaimSettings
-from chivetray.platform.client import PlatformClient, Row, RowWrite, RowWritten
+from chivetray.records.client import RecordClient, Row, RowWrite, RowWritten
 
 RETRY_PAUSE_S = 0.1
 MAX_RETRY_PAUSE_S = 1.0
@@ -98,7 +98,7 @@
 
     def __init__(
         self,
-        client: PlatformClient,
+        client: RecordClient,
         settings: ClaimSettings,
         on_call: Callable[[int], None] = lambda rows: None,
     ):
--- a/src/chivetray/platform/leases.py
+++ b/src/chivetray/records/leases.py
@@ -13,7 +13,8 @@
 from returns.result import Failure
 
 from chivetray.events import Event, log_event
-from chivetray.platform.client import ABSENT, PlatformClient, Row, RowWrite
+from chivetray.platform.store import ABSENT
+from chivetray.records.client import RecordClient, Row, RowWrite
 
 LEASE_TABLE = "leases"
 LEASE_TTL_S = 6.0
@@ -34,7 +35,7 @@
     :param holder: name and incarnation of the entry
     """
 
-    def __init__(self, client: PlatformClient, holder: str):
+    def __init__(self, client: RecordClient, holder: str):
         self._client = client
         self._holder = holder
         self._seen: dict[str, _Seen] = {}
--- a/src/chivetray/platform/maintenance.py
+++ b/src/chivetray/records/maintenance.py
@@ -19,9 +19,9 @@
 
 from chivetray.exceptions import PlatformError
 from chivetray.fleet.waves import WavePhase
-from chivetray.platform.client import (
-    ABSENT,
-    PlatformClient,
+from chivetray.platform.store import ABSENT
+from chivetray.records.client import (
+    RecordClient,
     Row,
     RowWrite,
     convert_rows,
@@ -120,7 +120,7 @@
 
 
 async def list_all(
-    client: PlatformClient, table: str, prefix: str = ""
+    client: RecordClient, table: str, prefix: str = ""
 ) -> Result[list[Row], PlatformError]:
     """Read every row whose key begins with a prefix."""
     rows: list[Row] = []
@@ -138,7 +138,7 @@
 
 
 async def _read_rows(
-    client: PlatformClient, table: str, prefix: str, convert: Callable[[Row], Value]
+    client: RecordClient, table: str, prefix: str, convert: Callable[[Row], Value]
 ) -> Result[list[Value], PlatformError]:
     """Read and convert every row whose key begins with a prefix."""
     result = await list_all(client, table, prefix)
@@ -146,7 +146,7 @@
 
 
 async def read_under_way(
-    client: PlatformClient,
+    client: RecordClient,
 ) -> Result[dict[str, WaveVm], PlatformError]:
     """Read the VMs that any wave has under way, by VM."""
     vms = await _read_rows(client, WAVE_TABLE, "", _wave_vm)
@@ -154,7 +154,7 @@
 
 
 async def read_done(
-    client: PlatformClient, wave: str
+    client: RecordClient, wave: str
 ) -> Result[dict[str, DoneVms], PlatformError]:
     """Read the VMs that a wave has finished, by pool."""
     done = await _read_rows(
@@ -175,7 +175,7 @@
 
 
 async def read_budgets(
-    client: PlatformClient,
+    client: RecordClient,
 ) -> Result[dict[str, Reservations], PlatformError]:
     """Read the reservations of all budgets."""
     reservations = await _read_rows(
@@ -188,7 +188,7 @@
 
 
 async def read_drains(
-    client: PlatformClient,
+    client: RecordClient,
 ) -> Result[dict[str, Drain], PlatformError]:
     """Read the VMs that receive no new requests."""
     drains = await _read_rows(
@@ -198,7 +198,7 @@
 
 
 async def read_acks(
-    client: PlatformClient, vm: str
+    client: RecordClient, vm: str
 ) -> Result[dict[str, int], PlatformError]:
     """Read which entries have stopped sending to a VM, for which drain."""
     acks = await _read_rows(
@@ -211,7 +211,7 @@
 
 
 async def write_ack(
-    client: PlatformClient, vm: str, entry: str, drain_version: int
+    client: RecordClient, vm: str, entry: str, drain_version: int
 ) -> Result[bool, PlatformError]:
     """Record that an entry has stopped sending to a VM.
 
@@ -222,7 +222,7 @@
 
 
 async def overwrite(
-    client: PlatformClient, table: str, key: str, value: dict[str, Any]
+    client: RecordClient, table: str, key: str, value: dict[str, Any]
 ) -> Result[bool, PlatformError]:
     """Set a row that only one process writes."""
     found = await client.read_row(table, key)
@@ -234,7 +234,7 @@
 
 
 async def read_loads(
-    client: PlatformClient,
+    client: RecordClient,
 ) -> Result[list[EntryLoad], PlatformError]:
     """Read what the entries see of the pools' loads."""
     return await _read_rows(client, LOAD_TABLE, "", _entry_load)
@@ -246,7 +246,7 @@
 
 
 async def read_wave_leftovers(
-    client: PlatformClient,
+    client: RecordClient,
 ) -> Result[list[WaveRow], PlatformError]:
     """Read the rows that are kept of waves after their VMs are done."""
     found: list[WaveRow] = []
--- a/src/chivetray/platform/revisions.py
+++ b/src/chivetray/records/revisions.py
@@ -23,9 +23,9 @@
 from chivetray.exceptions import ChivetrayError, PlatformError
 from chivetray.fleet.catalog import Catalog, Change, digest_of
 from chivetray.fleet.revision import Revision
-from chivetray.platform.client import (
-    ABSENT,
-    PlatformClient,
+from chivetray.platform.store import ABSENT
+from chivetray.records.client import (
+    RecordClient,
     Row,
     RowWrite,
     convert_rows,
@@ -103,7 +103,7 @@
     return f"{number:012d}"
 
 
-async def read_head(client: PlatformClient) -> Result[Head, PlatformError]:
+async def read_head(client: RecordClient) -> Result[Head, PlatformError]:
     """Read the newest revision's number; it is 0 before the first publication."""
     result = await client.read_row(HEAD_TABLE, HEAD_KEY)
     if isinstance(result, Failure):
@@ -121,7 +121,7 @@
 
 
 async def read_after(
-    client: PlatformClient, number: int
+    client: RecordClient, number: int
 ) -> Result[list[Revision], PlatformError]:
     """Read the next revisions that lead on from a number, oldest first.
 
@@ -146,7 +146,7 @@
 
 
 async def _read_snapshot(
-    client: PlatformClient,
+    client: RecordClient,
 ) -> Result[list[Revision], PlatformError]:
     head = await read_head(client)
     if isinstance(head, Failure):
@@ -162,7 +162,7 @@
 
 
 async def read_catalog(
-    client: PlatformClient,
+    client: RecordClient,
 ) -> Result[tuple[int, Catalog], PlatformError]:
     """Read the newest revision's number and its objects."""
     number, catalog = 0, Catalog()
@@ -179,7 +179,7 @@
 
 
 async def read_history(
-    client: PlatformClient, limit: int
+    client: RecordClient, limit: int
 ) -> Result[list[HistoryItem], PlatformError]:
     """Read the newest revisions without their content, newest first."""
     head = await read_head(client)
@@ -193,7 +193,7 @@
 
 
 async def publish_change(
-    client: PlatformClient,
+    client: RecordClient,
     base: int,
     base_catalog: Catalog,
     change: Change,
@@ -233,7 +233,7 @@
 
 
 async def _next_snapshot(
-    client: PlatformClient,
+    client: RecordClient,
     last: Snapshot,
     catalog: Catalog,
     number: int,
@@ -266,7 +266,7 @@
 
 
 async def _commit(
-    client: PlatformClient, number: int, publish_id: str, writes: list[RowWrite]
+    client: RecordClient, number: int, publish_id: str, writes: list[RowWrite]
 ) -> Result[int, ChivetrayError]:
     """Write a revision; a lost answer is resolved by reading it back."""
     for attempt in range(PUBLISH_READ_TRIES):
@@ -299,7 +299,7 @@
 
 
 async def _store_content(
-    client: PlatformClient, value: dict[str, Any]
+    client: RecordClient, value: dict[str, Any]
 ) -> Result[dict[str, Any], PlatformError]:
     """Move large content to the object store and return the row's value."""
     content = value["content"]
@@ -319,7 +319,7 @@
 
 
 async def _read_content(
-    client: PlatformClient, change: StoredChange
+    client: RecordClient, change: StoredChange
 ) -> Result[str, PlatformError]:
     if change.content is None:
         return await _read_object(client, change.digest)
@@ -328,9 +328,7 @@
     return Success(change.content)
 
 
-async def _read_object(
-    client: PlatformClient, digest: str
-) -> Result[str, PlatformError]:
+async def _read_object(client: RecordClient, digest: str) -> Result[str, PlatformError]:
     result = await client.get_object(digest)
     if isinstance(result, Failure):
         return Failure(result.failure())
--- a/src/chivetray/platform/vm_control.py
+++ b/src/chivetray/records/vm_control.py
@@ -10,7 +10,7 @@
 
 from chivetray.exceptions import PlatformError
 from chivetray.fleet.vm_states import VmState
-from chivetray.platform.client import PlatformClient
+from chivetray.records.client import RecordClient
 from chivetray.results import ResultCode
 
 
@@ -31,7 +31,7 @@
 _ADAPTER: TypeAdapter[VmInfo] = TypeAdapter(VmInfo)
 
 
-async def read_vm(client: PlatformClient, name: str) -> Result[VmInfo, PlatformError]:
+async def read_vm(client: RecordClient, name: str) -> Result[VmInfo, PlatformError]:
     """Read one VM."""
     result = await client.get_json(f"/v1/vms/{quote(name, safe='')}")
     if isinstance(result, Failure):
@@ -45,7 +45,7 @@
 
 
 async def reboot_vm(
-    client: PlatformClient, name: str, boot_id: str
+    client: RecordClient, name: str, boot_id: str
 ) -> Result[None, PlatformError]:
     """Reboot a VM if it still runs the boot that the caller saw.
 
--- a/src/chivetray/platform/vm_list.py
+++ b/src/chivetray/records/vm_list.py
@@ -11,7 +11,7 @@
 
 from chivetray.exceptions import PlatformError
 from chivetray.fleet.vm_states import ListedVm
-from chivetray.platform.client import PlatformClient
+from chivetray.records.client import RecordClient
 from chivetray.results import ResultCode
 
 
@@ -30,7 +30,7 @@
 
 
 async def read_vm_changes(
-    client: PlatformClient, after: int
+    client: RecordClient, after: int
 ) -> Result[VmChanges, PlatformError]:
     """Read the VMs that changed after a version; version 0 reads all."""
     query = urlencode({"after": after})
--- a/src/chivetray/platform/watcher.py
+++ b/src/chivetray/records/watcher.py
@@ -13,9 +13,9 @@
 from chivetray.fleet.revision import RevisionState
 from chivetray.fleet.vm_states import ListedVm, VmStates
 from chivetray.generated.settings import PlatformSettings
-from chivetray.platform.client import PlatformClient
-from chivetray.platform.revisions import read_after
-from chivetray.platform.vm_list import read_vm_changes
+from chivetray.records.client import RecordClient
+from chivetray.records.revisions import read_after
+from chivetray.records.vm_list import read_vm_changes
 
 # Share of an interval by which a pause varies, so that entries do not call the
 # platform all at once when it returns.
@@ -32,7 +32,7 @@
 
     def __init__(
         self,
-        client: PlatformClient,
+        client: RecordClient,
         settings: PlatformSettings,
         revisions: RevisionState,
         states: VmStates,
--- a/src/chivetray/requests/claims.py
+++ b/src/chivetray/requests/claims.py
@@ -22,9 +22,10 @@
 from chivetray.events import Event, log_event
 from chivetray.exceptions import ChivetrayError, RefusalError
 from chivetray.generated.settings import ClaimSettings
-from chivetray.platform.claim_rows import CLAIM_TABLE
-from chivetray.platform.client import ABSENT, PlatformClient, Row, RowWrite
-from chivetray.platform.group_writer import (
+from chivetray.platform.store import ABSENT
+from chivetray.records.claim_rows import CLAIM_TABLE
+from chivetray.records.client import RecordClient, Row, RowWrite
+from chivetray.records.group_writer import (
     MARK_FIELD,
     GroupWriter,
     PendingWrite,
@@ -106,7 +107,7 @@
 
     def __init__(
         self,
-        client: PlatformClient,
+        client: RecordClient,
         writer: GroupWriter,
         settings: ClaimSettings,
         entry: str,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import itertools
 import json
 import os
@@ -20,6 +21,8 @@
 import httpcore
 import yaml
 
+from chivetray.records.client import parts_of
+
 ENDPOINT_PORT = 18080
 BEHIND_RELAY_PORT = 18081
 PEERS_PORT = 8082
@@ -333,6 +336,16 @@
     def platform_faults(self, **faults: Any) -> None:
         self.put_json(f"{self.platform}/v1/faults", faults)
 
+    def read_rows(self, table: str) -> dict[str, Any]:
+        """Return the values of a table's rows by key, as the store shows them."""
+        rows: dict[str, Any] = {}
+        for part in parts_of(table):
+            query = f"Table={table}&part={part}"
+            reply = send(f"{self.platform}/chivetray/rows-get?{query}")
+            for row in reply.json()["rows"] if reply.status == 200 else []:
+                rows[row["Key"]] = json.loads(base64.b64decode(row["Value"]))
+        return rows
+
     def endpoint_faults(self, name: str, **faults: Any) -> None:
         self.put_json(self.control_url(name), faults)
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -152,10 +152,9 @@
         duties = {"sweep_interval_s": 0.3}
         settings = {"claims": claims, "duties": duties}
         fleet = start_fleet(FleetPlan(settings=settings))
-        table = f"{fleet.platform}/v1/tables/claims"
 
         def rows():
-            return len(send(table).json()["rows"])
+            return len(fleet.read_rows("claims"))
 
         for number in range(3):
             headers = {"idempotency-key": f"k-{number}"}
--- a/tests/test_group_writer.py
+++ b/tests/test_group_writer.py
@@ -8,8 +8,9 @@
 
 from chivetray.exceptions import PlatformError
 from chivetray.generated.settings import ClaimSettings
-from chivetray.platform.client import ABSENT, Row, RowWrite, RowWritten
-from chivetray.platform.group_writer import GroupWriter, RowAllowance, WriteState
+from chivetray.platform.store import ABSENT
+from chivetray.records.client import Row, RowWrite, RowWritten
+from chivetray.records.group_writer import GroupWriter, RowAllowance, WriteState
 from chivetray.results import ResultCode
 
 
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -1,27 +1,48 @@
 from __future__ import annotations
 
+import base64
+import json
 from functools import partial
 
 import anyio
 import pytest
-from returns.result import Failure, Success
+from returns.result import Failure
 
-from chivetray.platform import maintenance, revisions
-from chivetray.platform.client import ABSENT, PlatformClient, Response, RowWrite
+from chivetray.platform.calls import Answer, CallSession, _decode
+from chivetray.platform.store import (
+    ABSENT,
+    ENTRIES_LIMIT,
+    Committed,
+    Conflict,
+    Refused,
+    Row,
+    RowId,
+    Store,
+    Unknown,
+)
+from chivetray.records import maintenance, revisions
+from chivetray.records.client import RecordClient, RowWrite
 from chivetray.results import ResultCode
 
 
-class CannedClient(PlatformClient):
-    """Client that gets one answer to every call."""
+class CannedSession(CallSession):
+    """Connections on which every call gets one answer."""
 
     def __init__(self, status: int, content: bytes):
-        self._answer = Response(status, content)
+        self._answer = Answer(status, _decode(content), 0.0, content)
 
-    async def _send(self, method, path, body):
-        return Success(self._answer)
+    async def call(self, *_args, **_kwargs):
+        return self._answer
 
 
-async def call_all(client: PlatformClient):
+def canned_client(status: int, content: bytes) -> RecordClient:
+    client = RecordClient("http://platform", 1.0, None)
+    session = CannedSession(status, content)
+    client._opened = session, Store(session, "platform")
+    return client
+
+
+async def call_all(client: RecordClient):
     write = RowWrite("t", "k", ABSENT, {})
     return [
         await client.read_row("t", "k"),
@@ -35,12 +56,12 @@
         "content", [b"", b"not json", b"[]", b"{}", b'{"rows": 1, "results": []}']
     )
     def test_unreadable_answer_is_a_failure_that_may_have_taken_effect(self, content):
-        for result in anyio.run(call_all, CannedClient(200, content)):
+        for result in anyio.run(call_all, canned_client(200, content)):
             assert isinstance(result, Failure)
             assert not result.failure().answered
 
     def test_error_status_is_a_refusal(self):
-        for result in anyio.run(call_all, CannedClient(500, b"")):
+        for result in anyio.run(call_all, canned_client(500, b"")):
             assert isinstance(result, Failure)
             assert result.failure().answered
 
@@ -61,9 +82,75 @@
             partial(revisions.read_history, limit=5),
         ],
     )
-    def test_damaged_row_is_a_failure_and_not_a_crash(self, read):
-        rows = b'{"rows": [{"key": "k/1", "version": 1, "value": {"x": 1}}], '
-        client = CannedClient(200, rows + b'"version": 1, "value": {}}')
+    @pytest.mark.parametrize("content", [b'{"x": 1}', b"[]", b"no json"])
+    def test_damaged_row_is_a_failure_and_not_a_crash(self, read, content):
+        value = base64.b64encode(content).decode()
+        row = {"Table": "t", "part": "entry", "Key": "k/1", "Ver": 1, "Value": value}
+        client = canned_client(200, json.dumps({"rows": [row], "Ver": 1}).encode())
         result = anyio.run(read, client)
         assert isinstance(result, Failure)
         assert result.failure().code is ResultCode.CONTENT_DAMAGED
+
+
+class Versions(Store):
+    """A store in memory that carries out transactions."""
+
+    def __init__(self, *lost: str):
+        self.rows: dict[RowId, int] = {}
+        self.lost = list(lost)
+        self.version = 0
+
+    async def transact(self, expected, writes, removed=()):
+        assert len({row.part for row in expected}) == 1
+        assert 2 * len(expected) <= ENTRIES_LIMIT
+        if self.lost:
+            kind = self.lost.pop(0)
+            return Refused("down") if kind == "refused" else Unknown("silence")
+        if any(self.rows.get(row, 0) != found for row, found in expected.items()):
+            found = [
+                Row(row, b"", self.rows[row]) for row in expected if row in self.rows
+            ]
+            return Conflict({row.id: row for row in found})
+        self.version += 1
+        self.rows |= dict.fromkeys(writes, self.version)
+        return Committed(self.version)
+
+
+def write_each(store, writes):
+    async def main():
+        client = RecordClient("http://platform", 1.0, None)
+        client._opened = CannedSession(200, b""), store
+        return await client.write_each(writes)
+
+    return anyio.run(main)
+
+
+class TestIndependentWrites:
+    """Rows that are written in one call, each on its own condition."""
+
+    def test_a_conflict_keeps_only_its_own_row_from_being_written(self):
+        store = Versions()
+        writes = [RowWrite("claims", f"k{n}", ABSENT, {}) for n in range(120)]
+        store.rows[writes[7].row_id] = 5
+        results = write_each(store, writes).unwrap()
+        assert [n for n, result in enumerate(results) if not result.written] == [7]
+        assert results[7].version == 5
+
+    def test_of_two_writes_that_create_one_row_one_is_written(self):
+        """Both once counted as written, since a transaction names a row once."""
+        writes = [RowWrite("claims", "k", ABSENT, {"mark": n}) for n in range(3)]
+        results = write_each(Versions(), writes).unwrap()
+        assert [result.written for result in results] == [True, False, False]
+
+    def test_a_refusal_beside_a_written_row_is_not_a_refusal_of_all(self):
+        writes = [RowWrite("claims", f"k{n}", ABSENT, {}) for n in range(20)]
+        failure = write_each(Versions("refused"), writes).failure()
+        assert not failure.answered
+
+    def test_a_refusal_of_all_is_answered(self):
+        writes = [RowWrite("t", f"k{n}", ABSENT, {}) for n in range(20)]
+        assert write_each(Versions("refused"), writes).failure().answered
+
+    def test_a_lost_answer_is_not_answered(self):
+        writes = [RowWrite("t", "k", ABSENT, {})]
+        assert not write_each(Versions("lost"), writes).failure().answered
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -91,12 +91,16 @@
         assert isinstance(outcome, Refused)
 
     def test_reads_go_through_a_peer_when_there_is_no_answer(self) -> None:
-        store, mesh, _ = access(NoAnswer("silent"), ["answer", 200, {"rows": []}])
-        assert asyncio.run(store.read("jobs", "q")) == ([], 0)
+        store, mesh, _ = access(
+            NoAnswer("silent"), ["answer", 200, {"rows": [], "Ver": 1}]
+        )
+        assert asyncio.run(store.read("jobs", "q")) == ([], 1)
         assert mesh.asked == 1
 
     def test_after_a_failure_calls_go_through_the_peer_first(self) -> None:
-        store, mesh, session = access(NotSent("x"), ["answer", 200, {"rows": []}])
+        store, mesh, session = access(
+            NotSent("x"), ["answer", 200, {"rows": [], "Ver": 1}]
+        )
 
         async def scenario() -> None:
             for _ in range(3):
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -57,9 +57,9 @@
 
     def _watch(self) -> None:
         while not self._stop.is_set():
-            reply = send(f"{self.fleet.platform}/v1/tables/budgets/work")
-            if reply.status == 200:
-                reserved = len(reply.json()["value"]["vms"])
+            budgets = self.fleet.read_rows("budgets")
+            if "work" in budgets:
+                reserved = len(budgets["work"]["vms"])
                 self.most_reserved = max(self.most_reserved, reserved)
             time.sleep(0.05)
 
@@ -84,9 +84,7 @@
         self.fleet.publish(objects)
 
     def report(self) -> dict:
-        url = f"{self.fleet.platform}/v1/tables/wave-reports/{WAVE}"
-        reply = send(url)
-        return reply.json()["value"] if reply.status == 200 else {}
+        return self.fleet.read_rows("wave-reports").get(WAVE, {})
 
     def reboots(self) -> dict[str, int]:
         url = f"{self.fleet.platform}/v1/statistics"
@@ -107,9 +105,8 @@
         assert self.reboots() == dict.fromkeys(self.fleet.endpoints, 1)
         assert self.cut_requests() == 0
         assert watch.most_reserved == 2
-        url = f"{self.fleet.platform}/v1/tables/budgets/work"
-        assert send(url).json()["value"]["vms"] == {}
-        assert send(f"{self.fleet.platform}/v1/tables/drains").json()["rows"] == []
+        assert self.fleet.read_rows("budgets")["work"]["vms"] == {}
+        assert self.fleet.read_rows("drains") == {}
 
 
 class TestWave:
