Write VM orders ahead; size pools by a forecast; copy tasks that may run twice

Cause: a task on a silent worker waited 7 s for its lease, also where its step allows copies (a third of the quick jobs). Cause: 67 of 182 VMs that came into a pool never got a task, and at the start of a peak orders followed the queue by 2 s. Now the demand at the time when a VM comes: arrivals, and the backlog left by then. Orders written ahead.

Ruled out: refusals (Retry-After 1 s: no difference), tasks of a step kept on one rack (no difference).

--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -21,6 +21,7 @@
     Move,
     PoolState,
     PoolVm,
+    forecast_demand,
     plan_moves,
 )
 from chivetray.cells.configuration import Configuration
@@ -33,6 +34,7 @@
 from chivetray.platform.machines import Machine, MachineAnswer, MachineClient
 from chivetray.platform.store import (
     Committed,
+    Row,
     RowId,
     Store,
     StoreUnavailableError,
@@ -41,8 +43,10 @@
 # Cell that has no workers; its owner gives the orders for VMs.
 FLEET_CELL = "~fleet"
 
-# Rows of the holder: the VMs of each wave whose maintenance has begun.
+# Rows of the holder: the VMs of each wave whose maintenance has begun, and the VMs
+# that got an order lately.
 DUTY_TABLE = "duties"
+ORDERS_ROW = RowId(DUTY_TABLE, FLEET_CELL, "orders")
 
 CAPACITY_CALL = "capacity"
 
@@ -98,10 +102,27 @@
     """What the owner of a cell says of it."""
 
     used_milli: int
-    waiting_milli: int
+    waiting_milli_s: int
+    arriving_milli: int
     workers: dict[str, WorkerReport]
 
 
+def _ordered_vms(rows: Iterable[Row]) -> list[str] | None:
+    """Return the VMs that an earlier holder had stored as getting an order.
+
+    ``None`` when they cannot be read, so that it may be any VM.
+    """
+    for row in rows:
+        if row.id != ORDERS_ROW:
+            continue
+        try:
+            return [str(vm) for vm in msgpack.unpackb(row.value)]
+        except (ValueError, TypeError, msgpack.UnpackException) as error:
+            log_event(Event.ROW_DAMAGED, key=row.id.key, reason=str(error))
+            return None
+    return []
+
+
 class FleetRunner:
     """Moves and maintains VMs while this process holds the duty.
 
@@ -165,18 +186,24 @@
         """Start as the new holder.
 
         Each VM is left alone until the last order of an earlier holder is old. When
-        that holder did not say when it gave its orders, this holds for all VMs.
+        that holder did not say when it gave its orders, those count as given now
+        that it had stored before it gave them.
         """
-        if own.inherited_s is None:
-            await anyio.sleep(self._lease_s + MARGIN_S)
+        rows, _ = await self._store.read(DUTY_TABLE, FLEET_CELL)
+        inherited_s = own.inherited_s
+        if inherited_s is None:
+            ordered = _ordered_vms(rows)
+            if ordered is None:
+                await anyio.sleep(self._lease_s + MARGIN_S)
+            inherited_s = dict.fromkeys(ordered or [], self._lease_s + MARGIN_S)
         now_s = boot_time_s()
-        inherited_s = own.inherited_s or {}
         self._foreign = {vm: now_s + left for vm, left in inherited_s.items()}
         self._ordered.clear()
         own.handover = self._remaining_leases
-        rows, _ = await self._store.read(DUTY_TABLE, FLEET_CELL)
         self._waves = {}
         for row in rows:
+            if row.id == ORDERS_ROW:
+                continue
             try:
                 started_ms, names, completed = msgpack.unpackb(row.value)
             except (ValueError, TypeError, msgpack.UnpackException) as error:
@@ -206,6 +233,22 @@
         await self._maintain(own)
         await self._resize(own)
 
+    async def _store_orders(self, own: CellOwner, names: Iterable[str]) -> bool:
+        """Store which VMs get an order, before any gets it.
+
+        A later holder leaves them alone. One that has lost the duty cannot store
+        anything, so it gives no orders.
+        """
+        vms = sorted({*self._remaining_leases(), *names})
+        outcome = await self._store.transact(
+            {own.guard: own.guard_version}, {ORDERS_ROW: bytes(msgpack.packb(vms))}
+        )
+        if not isinstance(outcome, Committed):
+            reason = getattr(outcome, "reason", "another process has the duty")
+            log_event(Event.STORE_LOST, reason=reason, during="VM orders")
+            return False
+        return True
+
     def _may_order(self, own: CellOwner, machine: str) -> bool:
         """Return whether an order for a VM may be given now, and note that it is."""
         now_s = boot_time_s()
@@ -267,8 +310,8 @@
         if reply is None:
             log_event(Event.MAINTENANCE_WAITS, cell=cell, reason="owner silent")
             return
-        used, waiting, workers = reply
-        report = CellReport(used, waiting, {})
+        used, waiting, arriving_milli, workers = reply
+        report = CellReport(used, waiting, arriving_milli, {})
         for worker_id, tasks, used_milli, idle_ms, usable in workers:
             report.workers[worker_id] = WorkerReport(tasks, used_milli, idle_ms, usable)
         self._reports[cell] = report
@@ -287,7 +330,8 @@
         load = own.state.load(now_s, wall_time_ms())
         return [
             load.used_milli,
-            load.waiting_milli,
+            load.waiting_milli_s,
+            load.arriving_milli,
             [
                 [w.worker_id, w.tasks, w.used_milli, w.idle_ms, w.usable]
                 for w in load.workers
@@ -375,7 +419,7 @@
                 and m.name not in self._emptying
                 and m.state == STATE_UP
             )
-            demand = report_of_cell.used_milli + report_of_cell.waiting_milli
+            demand = report_of_cell.used_milli + report_of_cell.waiting_milli_s
             rooms[cell] = PoolRoom(capacity, demand)
         elapsed_s = (wall_time_ms() - progress.started_ms) / 1000
         return choose_vms(
@@ -390,6 +434,8 @@
     async def _maintain_vm(
         self, own: CellOwner, wave: Wave, progress: WaveProgress, machine: Machine
     ) -> None:
+        if not await self._store_orders(own, [machine.name]):
+            return
         if not self._may_order(own, machine.name):
             return
         # Counted as down from now on, also when the answer is lost.
@@ -471,21 +517,24 @@
             else:
                 leaving[move.machine] = move
         self._leaving = leaving
+        await self._order_moves(own, ready)
+
+    async def _order_moves(self, own: CellOwner, moves: list[Move]) -> None:
+        now_s = boot_time_s()
+        moves = [m for m in moves if self._foreign.get(m.machine, 0.0) <= now_s]
+        if not moves or not await self._store_orders(own, [m.machine for m in moves]):
+            return
         async with anyio.create_task_group() as tasks:
-            for move in ready:
+            for move in moves:
                 tasks.start_soon(self._move, own, move)
 
     def _pool_states(
         self, standby: list[str], now_s: float
     ) -> tuple[list[PoolState], list[PoolVm]]:
         pools: dict[str, PoolState] = {}
-        for cell, report in self._reports.items():
-            if cell in standby:
-                continue
-            meter = self._meters.setdefault(cell, DemandMeter())
-            present = report.used_milli + report.waiting_milli
-            demand = meter.note(present, now_s)
-            pools[cell] = PoolState(cell, demand)
+        for cell in self._reports:
+            if cell not in standby:
+                pools[cell] = PoolState(cell, 0)
         for move, _ in self._moving.values():
             if move.target in pools:
                 pools[move.target].arriving += 1
@@ -511,6 +560,17 @@
                     not busy,
                 )
                 pools[machine.pool].vms.append(vm)
+        for cell, pool in pools.items():
+            report = self._reports[cell]
+            demand_milli = forecast_demand(
+                report.used_milli,
+                report.waiting_milli_s,
+                report.arriving_milli,
+                pool.capacity_milli,
+                self._migrate_s,
+            )
+            meter = self._meters.setdefault(cell, DemandMeter())
+            pool.demand_milli = meter.note(demand_milli, now_s)
         return list(pools.values()), spares
 
     async def _move(self, own: CellOwner, move: Move) -> None:
--- a/src/chivetray/capacity/sizing.py
+++ b/src/chivetray/capacity/sizing.py
@@ -16,6 +16,10 @@
 # of a VM in a pool.
 IDLE_BEFORE_LEAVING_MS = 250
 
+# Time in which what still waits when a VM comes is to be served: about the run time
+# of a task, below which no VM helps.
+DRAIN_S = 1.0
+
 # Time for which the largest demand seen counts as the demand of a pool.
 DEMAND_WINDOW_S = 0.4
 
@@ -41,7 +45,7 @@
 class PoolState:
     """A pool with its demand.
 
-    :ivar demand_milli: thousandths of a core that are used and waited for
+    :ivar demand_milli: thousandths of a core that it should have
     :ivar arriving: VMs that are on their way into the pool
     """
 
@@ -50,6 +54,16 @@
     vms: list[PoolVm] = field(default_factory=list)
     arriving: int = 0
 
+    @property
+    def capacity_milli(self) -> int:
+        """What the pool has on the average until a VM ordered now has come.
+
+        VMs that are on their way are there for half of that time.
+        """
+        present = sum(vm.cpu_milli for vm in self.vms)
+        size = present // len(self.vms) if self.vms else 0
+        return present + self.arriving * size // 2
+
 
 @dataclass(frozen=True, slots=True)
 class Move:
@@ -61,6 +75,25 @@
     target: str
 
 
+def forecast_demand(
+    used_milli: int,
+    waiting_milli_s: int,
+    arriving_milli: int,
+    capacity_milli: int,
+    migrate_s: float,
+) -> int:
+    """Return the demand of a pool when a VM ordered now has come.
+
+    What waits now and is served until then needs no VM; the rest is to be served
+    within :data:`DRAIN_S`. All are thousandths of a core, or of a core-second.
+
+    :param migrate_s: time that a VM takes to change its pool
+    """
+    spare_milli = max(0, capacity_milli - arriving_milli)
+    left_milli_s = max(0.0, waiting_milli_s - spare_milli * migrate_s)
+    return int(max(used_milli, arriving_milli) + left_milli_s / DRAIN_S)
+
+
 def wanted_vms(demand_milli: int, vm_milli: int) -> int:
     """Return the number of VMs that a pool should have."""
     if vm_milli <= 0:
--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -42,7 +42,7 @@
 from chivetray.platform.workers import WorkerClient
 
 # Time after the start in which the managers find each other before cells are taken.
-SETTLE_S = 1.0
+SETTLE_S = 0.5
 
 # Time in which a living owner renews its claim at least once, when the store answers
 # at once. What a reading takes longer comes on top.
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -518,6 +518,7 @@
         if now_s - self._resumed_at_s < TICK_S:
             return
         self._resumed_at_s = now_s
+        self.state.copy_tasks(now_s)
         uncommitted = self.state.dirty_ids()
         for worker in list(self.state.workers.values()):
             if not worker.adopted or worker.silent_since_s or not worker.address:
@@ -527,6 +528,8 @@
                 task = job.tasks.get(ref[1]) if job else None
                 if job is None or task is None or ref[0] in uncommitted:
                     continue
+                if task.worker != worker.worker_id:
+                    continue
                 if task.phase == Phase.PLACED:
                     placement = Placement(
                         ref, task.attempt, worker.worker_id, worker.born
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -10,9 +10,10 @@
 
 from chivetray.cells.workers import TaskRef, WorkerState
 from chivetray.events import Event, log_event
+from chivetray.jobs.arrivals import ArrivalMeter
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import JobSpec, JobState, Phase, Step, Task, TaskKey
-from chivetray.jobs.ordering import order_key
+from chivetray.jobs.ordering import order_key, work_core_s
 from chivetray.jobs.pacing import choose_pace
 from chivetray.jobs.placement import choose_worker
 from chivetray.jobs.runtimes import RunTimes
@@ -40,6 +41,21 @@
 # Longest time since its acceptance that a job is credited with.
 LONGEST_AGE_S = 120.0
 
+# Silence of a worker after which a task that may run twice starts elsewhere as well:
+# longer than one lost call, much shorter than a lease.
+COPY_AFTER_SILENCE_S = 0.5
+
+# Run time, against the expected one, after which such a task starts elsewhere, and
+# the least time for it.
+COPY_AFTER_SHARE = 3.0
+COPY_AFTER_LEAST_S = 1.0
+
+# Run time that a waiting task counts for at least: moving a VM pays for no less.
+LEAST_RUN_S = 0.5
+
+# Time for which nothing is placed on a worker that runs what is not known here.
+STRANGER_PAUSE_S = 0.3
+
 # Time for which a worker stays reserved after the last word of who wants its VM.
 RESERVATION_S = 2.5
 
@@ -91,10 +107,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CellLoad:
-    """What a cell uses and wants, in thousandths of a core."""
+    """What a cell uses and wants, in thousandths of a core.
+
+    :ivar waiting_milli_s: core time that the waiting tasks need
+    :ivar arriving_milli: what keeps up with the jobs that arrive
+    """
 
     used_milli: int
-    waiting_milli: int
+    waiting_milli_s: int
+    arriving_milli: int
     workers: list[WorkerLoad]
 
 
@@ -124,6 +145,7 @@
         # Jobs that may have a task whose turn has come; the others are not looked at.
         self._restless: set[str] = set()
         self._sizes: dict[str, float] = {}
+        self._arrivals = ArrivalMeter()
         self._order: dict[str, tuple[float, int, tuple[float, ...]]] = {}
 
     # Jobs
@@ -138,6 +160,8 @@
             size = sum(step.count * step.cpu_milli for step in spec.steps)
             mean = self._sizes.get(spec.queue, float(size))
             self._sizes[spec.queue] = mean + SIZE_LEARNING_RATE * (size - mean)
+            if not job.long_running and not spec.repeats:
+                self._arrivals.note(now_s, work_core_s(spec, self.times))
         return job
 
     def restore_job(
@@ -177,6 +201,8 @@
         self._change(job.spec.job_id)
         for task in job.active_tasks():
             self._stop(job, task)
+        for task in job.tasks.values():
+            self._stop_copies(job, task)
         self._retire(job)
 
     def _retire(self, job: Job) -> None:
@@ -308,6 +334,8 @@
                     self._retire(job)
                     continue
                 worker.take((job.spec.job_id, task.key), job.spec.steps[task.key[1]])
+            for task in job.tasks.values():
+                self._adopt_copies(job, task)
         for worker in self.workers.values():
             lease_s = remaining_s.get(worker.worker_id, earlier_lease_s)
             worker.lease_unknown_until_s = now_s + lease_s
@@ -340,6 +368,7 @@
             job, task = self._find(ref)
             if job is None or task is None or task.worker != worker.worker_id:
                 worker.free(ref, now_s)
+                self._forget_copies(task, worker.worker_id)
             elif task.phase == Phase.PLACED:
                 task.born = born
                 self._change(ref[0])
@@ -361,6 +390,7 @@
             job, task = self._find(ref)
             if job is None or task is None or task.worker != worker.worker_id:
                 worker.free(ref, now_s)
+                self._forget_copies(task, worker.worker_id)
             else:
                 self._release(worker, job, task, now_s)
 
@@ -405,6 +435,10 @@
             job = self.jobs.get(running.name.job_id)
             task = job.task(running.name.key) if job else None
             listed.add((running.name.job_id, running.name.key, running.attempt))
+            if job is not None and task is not None and not job.state.ended:
+                is_copy = task.copies.get(running.attempt) == worker.worker_id
+                if is_copy and task.phase != Phase.DONE:
+                    continue
             if (
                 job is None
                 or task is None
@@ -415,6 +449,9 @@
                 self.stops.append(
                     StopOrder(running.name, running.attempt, worker.worker_id)
                 )
+                if (running.name.job_id, running.name.key) not in worker.tasks:
+                    # Its room is not among what is counted as used.
+                    worker.unhealthy_until_s = now_s + STRANGER_PAUSE_S
                 continue
             task.percent = running.percent
             task.level = running.level
@@ -440,6 +477,9 @@
                 continue
             if (ref[0], ref[1], task.attempt) in listed:
                 continue
+            if task.worker != worker.worker_id:
+                self._find_vanished_copy(worker, ref, task, listed, now_s)
+                continue
             if task.phase == Phase.DONE:
                 worker.free(ref, now_s)
                 continue
@@ -461,6 +501,9 @@
         task = job.tasks.get(ended.name.key) if job else None
         if job is None or task is None:
             return
+        if task.copies.get(ended.attempt) == worker.worker_id:
+            self._apply_copy_end(worker, job, task, ended, now_s)
+            return
         if task.worker != worker.worker_id or task.attempt != ended.attempt:
             return
         ref = (job.spec.job_id, task.key)
@@ -478,16 +521,8 @@
             worker.free(ref, now_s)
             for member in self._members(job, task, step):
                 job.mark_done(member)
-            self._change(job.spec.job_id)
-            if job.state == JobState.COMPLETED:
-                log_event(
-                    Event.JOB_ENDED,
-                    job=job.spec.job_id,
-                    state="COMPLETED",
-                    cell=self.name,
-                    took_s=round(now_s - job.first_seen_s, 3),
-                )
-            self._retire(job)
+            self._stop_copies(job, task)
+            self._note_done(job, now_s)
             return
         log_event(
             Event.TASK_ENDED_EARLY,
@@ -506,18 +541,131 @@
             worker.failing_jobs.add(job.spec.job_id)
             task.not_before_s = now_s + FAILED_RETRY_S
         self._release(worker, job, task, now_s)
-        limited = ended.how == How.FAILED and not step.long_running
-        exhausted = limited and task.failures >= job.spec.max_attempts
-        if exhausted and not job.state.ended:
-            self._end_job(job, JobState.FAILED)
+        if ended.how == How.FAILED and not step.long_running:
+            self._check_attempts(job, task)
+
+    def _note_done(self, job: Job, now_s: float) -> None:
+        """Note that a task of a job is done, and perhaps the job."""
+        self._change(job.spec.job_id)
+        if job.state == JobState.COMPLETED:
             log_event(
                 Event.JOB_ENDED,
                 job=job.spec.job_id,
-                state="FAILED",
+                state="COMPLETED",
                 cell=self.name,
-                task=str(ended.name),
-                failures=task.failures,
+                took_s=round(now_s - job.first_seen_s, 3),
             )
+        self._retire(job)
+
+    def _check_attempts(self, job: Job, task: Task) -> None:
+        """End a job as failed when a task has failed too often."""
+        if task.failures < job.spec.max_attempts or job.state.ended:
+            return
+        self._end_job(job, JobState.FAILED)
+        log_event(
+            Event.JOB_ENDED,
+            job=job.spec.job_id,
+            state="FAILED",
+            cell=self.name,
+            task=str(TaskName(job.spec.job_id, task.key)),
+            failures=task.failures,
+        )
+
+    # Copies
+
+    def copy_tasks(self, now_s: float) -> None:
+        """Let tasks run a second time elsewhere where the first run is in doubt.
+
+        That is on a worker that is silent, and where a run takes much longer than
+        others of its queue. The older run goes on, and the first end counts.
+        """
+        for worker in self.workers.values():
+            silent = worker.silent_since_s
+            is_silent = silent and now_s - silent >= COPY_AFTER_SILENCE_S
+            for ref, step in worker.tasks.items():
+                if not step.copies or step.gang or step.long_running:
+                    continue
+                job, task = self._find(ref)
+                if job is None or task is None or task.worker != worker.worker_id:
+                    continue
+                if task.phase not in _STARTED or task.copies or job.state.ended:
+                    continue
+                if is_silent or self._takes_long(job, task, step, now_s):
+                    task.copies[task.attempt] = task.worker
+                    task.avoid.add(task.worker)
+                    task.phase, task.worker = Phase.WAITING, ""
+                    self._change(ref[0])
+                    log_event(
+                        Event.TASK_COPIED,
+                        task=str(TaskName(*ref)),
+                        attempt=task.attempt,
+                        worker=worker.worker_id,
+                        silent=bool(is_silent),
+                    )
+
+    def _takes_long(self, job: Job, task: Task, step: Step, now_s: float) -> bool:
+        if task.phase != Phase.RUNNING or not task.running_at_s:
+            return False
+        expected_s = self.times.expected_s(job.spec.queue, step.estimate_ms)
+        limit_s = max(COPY_AFTER_LEAST_S, COPY_AFTER_SHARE * expected_s)
+        return now_s - task.running_at_s > limit_s
+
+    def _apply_copy_end(
+        self, worker: WorkerState, job: Job, task: Task, ended: EndedTask, now_s: float
+    ) -> None:
+        """Take the end of an older run beside which a newer one may be at work."""
+        del task.copies[ended.attempt]
+        if task.worker != worker.worker_id:
+            worker.free((job.spec.job_id, task.key), now_s)
+        self._change(job.spec.job_id)
+        if ended.how == How.DONE and task.phase != Phase.DONE:
+            if task.active:
+                name = TaskName(job.spec.job_id, task.key)
+                self.stops.append(StopOrder(name, task.attempt, task.worker))
+            job.mark_done(task)
+            self._stop_copies(job, task)
+            self._note_done(job, now_s)
+        elif ended.how == How.FAILED:
+            task.failures += 1
+            self._check_attempts(job, task)
+
+    def _stop_copies(self, job: Job, task: Task) -> None:
+        name = TaskName(job.spec.job_id, task.key)
+        for attempt, worker_id in task.copies.items():
+            self.stops.append(StopOrder(name, attempt, worker_id))
+
+    def _adopt_copies(self, job: Job, task: Task) -> None:
+        """Count the room of older runs that an earlier owner has left."""
+        for worker_id in task.copies.values():
+            worker = self.workers.get(worker_id)
+            if worker is not None:
+                step = job.spec.steps[task.key[1]]
+                worker.take((job.spec.job_id, task.key), step)
+
+    def _find_vanished_copy(
+        self,
+        worker: WorkerState,
+        ref: TaskRef,
+        task: Task,
+        listed: set[tuple[str, object, int]],
+        now_s: float,
+    ) -> None:
+        """Free the room of an older run that is not listed any more."""
+        left = [a for a, w in task.copies.items() if w == worker.worker_id]
+        if any((ref[0], ref[1], attempt) in listed for attempt in left):
+            return
+        for attempt in left:
+            # Keeps a late start from being carried out.
+            name = TaskName(*ref)
+            self.stops.append(StopOrder(name, attempt, worker.worker_id))
+        worker.free(ref, now_s)
+        self._forget_copies(task, worker.worker_id)
+
+    @staticmethod
+    def _forget_copies(task: Task | None, worker_id: str) -> None:
+        if task is not None:
+            kept = {a: w for a, w in task.copies.items() if w != worker_id}
+            task.copies = kept
 
     @staticmethod
     def _members(job: Job, task: Task, step: Step) -> list[Task]:
@@ -588,6 +736,8 @@
                 job, task = self._find(ref)
                 if job is None or task is None or task.phase != Phase.RUNNING:
                     continue
+                if task.worker != worker.worker_id:
+                    continue
                 if step.fills:
                     movable = True
                 elif step.long_running:
@@ -621,7 +771,9 @@
                 step = job.spec.steps[number]
                 tasks = job.open_tasks(occurrence, number)
                 count = sum(task.phase == Phase.WAITING for task in tasks)
-                waiting += 0 if step.fills else count * step.cpu_milli
+                if count and not step.fills:
+                    run_s = self.times.expected_s(job.spec.queue, step.estimate_ms)
+                    waiting += int(count * step.cpu_milli * max(LEAST_RUN_S, run_s))
         workers = [
             WorkerLoad(
                 worker.worker_id,
@@ -634,7 +786,8 @@
             if worker.listed
         ]
         used = sum(worker.used_cpu_milli for worker in self.workers.values())
-        return CellLoad(used, waiting, workers)
+        arriving = int(self._arrivals.cores(now_s) * 1000)
+        return CellLoad(used, waiting, arriving, workers)
 
     # Placement
 
@@ -720,6 +873,8 @@
         on_workers: dict[str, int] = {}
         on_racks: dict[str, int] = {}
         for task in tasks:
+            for worker_id in task.copies.values():
+                on_workers[worker_id] = on_workers.get(worker_id, 0) + 1
             if task.active:
                 worker = self.workers.get(task.worker)
                 on_workers[task.worker] = on_workers.get(task.worker, 0) + 1
@@ -733,8 +888,14 @@
         for task in tasks:
             if task.phase != Phase.WAITING or task.not_before_s > now_s:
                 continue
-            room = choose_worker(step, rooms, task.avoid, on_workers, on_racks)
+            places = rooms
+            if task.copies:
+                older = set(task.copies.values())
+                places = [room for room in rooms if room.worker_id not in older]
+            room = choose_worker(step, places, task.avoid, on_workers, on_racks)
             if room is None:
+                if task.copies:
+                    continue
                 break
             worker = self.workers[room.worker_id]
             placements.append(self._place_task(job, task, step, worker, now_s))
@@ -884,6 +1045,8 @@
             job, task = self._find(ref)
             if job is None or task is None or task.phase != Phase.RUNNING:
                 continue
+            if task.worker != worker.worker_id:
+                continue
             if step.fills:
                 fills.append((ref, task))
             elif step.target_ms:
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -100,6 +100,7 @@
     TASK_ENDED_EARLY = (1651, "An attempt has ended otherwise than as done.")
     TASK_VANISHED = (1652, "A worker lists a confirmed attempt no more.")
     ORDER_FAILED = (1653, "An order to a worker was not carried out as meant.")
+    TASK_COPIED = (1655, "A task runs a second time elsewhere, as its step allows.")
     TASK_PACED = (1654, "The share of a filling task was changed.")
 
     WORKER_LISTED = (1660, "A worker has joined its cell.")
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -139,6 +139,7 @@
                 rest.append(
                     [*key, active, task.attempt, task.failures]
                     + [task.worker, task.born, task.checkpoint, task.address]
+                    + [list(task.copies.items())]
                 )
         state = int(self.state)
         return bytes(msgpack.packb([FORMAT, state, int(self.cancelled), ranges, rest]))
@@ -162,6 +163,7 @@
             task.attempt, task.failures = row[4], row[5]
             task.worker, task.born, task.checkpoint = row[6], row[7], row[8]
             task.address = row[9]
+            task.copies = dict(row[10])
         self.state = self.stored_state = JobState(state)
         self.cancelled = bool(cancelled)
 
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -128,6 +128,8 @@
     :ivar unanswered: whether a start of the newest attempt was not answered, so that
         it may still be carried out
     :ivar pace_percent: share at which a filling task may work
+    :ivar copies: workers of older attempts that may still run beside the newest one,
+        by attempt, where the step allows copies
     """
 
     key: TaskKey
@@ -148,6 +150,7 @@
     unanswered: bool = False
     not_before_s: float = 0.0
     avoid: set[str] = field(default_factory=set)
+    copies: dict[int, str] = field(default_factory=dict)
 
     @property
     def active(self) -> bool:
--- a/src/chivetray/jobs/ordering.py
+++ b/src/chivetray/jobs/ordering.py
@@ -23,6 +23,17 @@
     return max(ends, default=0.0)
 
 
+def work_core_s(spec: JobSpec, times: RunTimes) -> float:
+    """Return the core-seconds that a job is expected to need."""
+    return sum(
+        step.count
+        * (step.cpu_milli / 1000)
+        * times.expected_s(spec.queue, step.estimate_ms)
+        for step in spec.steps
+        if not step.fills
+    )
+
+
 def rest_s(job: Job, times: RunTimes) -> float:
     """Return the run time of the longest chain that is not done."""
     ends: list[float] = []
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -13,6 +13,7 @@
     Move,
     PoolState,
     PoolVm,
+    forecast_demand,
     plan_moves,
     wanted_vms,
 )
@@ -43,6 +44,28 @@
         assert plan_moves(pools, "spare", [vm("s1")])[0].target == "b"
 
 
+class TestForecast:
+    """Demand at the time when a VM that is ordered now has come."""
+
+    def test_a_backlog_that_is_served_before_that_needs_no_vm(self) -> None:
+        """At the end of a peak a third of the VMs once came for nothing."""
+        served = forecast_demand(
+            100_000, 80_000, 0, capacity_milli=200_000, migrate_s=1
+        )
+        assert served == 100_000
+
+    def test_a_backlog_that_grows_until_then_is_counted_in_full(self) -> None:
+        grown = forecast_demand(24_000, 50_000, 170_000, 24_000, migrate_s=1.5)
+        assert grown == 220_000
+
+    def test_arrivals_show_a_peak_before_its_tasks_do(self) -> None:
+        assert forecast_demand(20_000, 0, 170_000, 24_000, migrate_s=1.5) == 170_000
+
+    def test_vms_on_their_way_count_for_half(self) -> None:
+        pool = PoolState("a", 0, [vm("a1"), vm("a2")], arriving=4)
+        assert pool.capacity_milli == 64_000
+
+
 class TestTrough:
     def test_idle_vms_leave_and_busy_ones_stay(self) -> None:
         pool = PoolState("a", 1000, [vm("a1", 3), vm("a2"), vm("a3"), vm("a4", 1)])
--- /dev/null
+++ b/tests/test_order_holder.py
@@ -0,0 +1,149 @@
+"""The holder of VM orders: what it stores before an order, and what it inherits."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import msgpack
+
+from chivetray.capacity.runner import (
+    ORDERS_ROW,
+    FleetRunner,
+    Move,
+)
+from chivetray.cells.tables import owner_row
+from chivetray.clocks import boot_time_s
+from chivetray.platform.machines import MachineAnswer
+from chivetray.platform.store import Committed, Conflict, Row, RowId, Unknown
+
+LEASE_S = 0.5
+
+
+class Mesh:
+    name = "m1"
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, object] = {}
+
+
+class Store:
+    """The rows of the duty; ``outcome`` takes the place of a success."""
+
+    def __init__(self, *rows: Row):
+        self.rows = list(rows)
+        self.outcome: object = Committed(1)
+        self.stored: list[dict[RowId, bytes]] = []
+
+    async def read(self, *_: object) -> tuple[list[Row], int]:
+        return self.rows, 1
+
+    async def transact(
+        self, expected: dict[RowId, int], writes: dict[RowId, bytes]
+    ) -> object:
+        assert owner_row("~fleet") in expected, "a later holder would not be told"
+        self.stored.append(writes)
+        return self.outcome
+
+
+class Machines:
+    """Counts the orders that were given."""
+
+    def __init__(self) -> None:
+        self.moved: list[str] = []
+
+    async def move(self, vm: str, *_: object) -> MachineAnswer:
+        self.moved.append(vm)
+        return MachineAnswer.DONE
+
+
+class Own:
+    """The cell of the duty."""
+
+    guard = owner_row("~fleet")
+    guard_version = 3
+    epoch = 2
+    lost = leaving = False
+
+    def __init__(self, inherited_s: dict[str, float] | None):
+        self.inherited_s = inherited_s
+        self.confirmed_at_s = boot_time_s()
+
+
+class Holder:
+    """A process that has just taken the duty."""
+
+    def __init__(self, *rows: Row, inherited_s: dict[str, float] | None = None):
+        self.store = Store(*rows)
+        self.machines = Machines()
+        self.own = Own(inherited_s)
+        self.runner = FleetRunner(
+            Mesh(),  # type: ignore[arg-type]
+            self.store,  # type: ignore[arg-type]
+            None,  # type: ignore[arg-type]
+            None,  # type: ignore[arg-type]
+            self.machines,  # type: ignore[arg-type]
+            LEASE_S,
+            1.5,
+            2.0,
+            lambda: None,
+        )
+
+    def begin_and_move(self, *vms: str) -> list[str]:
+        """Begin, try to move VMs, and return those that got the order."""
+
+        async def main() -> None:
+            await self.runner._begin(self.own)  # type: ignore[arg-type]
+            self.own.confirmed_at_s = boot_time_s()
+            moves = [Move(vm, "", "spare", "pool-a") for vm in vms]
+            await self.runner._order_moves(self.own, moves)  # type: ignore[arg-type]
+
+        asyncio.run(main())
+        return self.machines.moved
+
+
+def orders(content: bytes) -> Row:
+    return Row(ORDERS_ROW, content, 7)
+
+
+class TestEarlierHolderThatFailed:
+    def test_only_the_vms_that_it_had_orders_for_are_left_alone(self) -> None:
+        """All were once left alone for 3.3 s, in which no pool could grow."""
+        holder = Holder(orders(msgpack.packb(["vm-1"])))
+        assert holder.begin_and_move("vm-1", "vm-2") == ["vm-2"]
+
+    def test_the_first_holder_waits_for_nothing(self) -> None:
+        assert Holder().begin_and_move("vm-1") == ["vm-1"]
+
+    def test_orders_that_cannot_be_read_may_be_for_any_vm(self) -> None:
+        began_s = time.monotonic()
+        Holder(orders(b"\xc1")).begin_and_move("vm-1")
+        assert time.monotonic() - began_s >= LEASE_S
+
+    def test_what_it_said_when_it_gave_the_duty_up_goes_first(self) -> None:
+        holder = Holder(orders(msgpack.packb(["vm-1"])), inherited_s={"vm-2": 1.0})
+        assert holder.begin_and_move("vm-1", "vm-2") == ["vm-1"]
+
+
+class TestWriteAhead:
+    def test_an_order_is_stored_before_it_is_given(self) -> None:
+        holder = Holder()
+        holder.begin_and_move("vm-1", "vm-2")
+        (stored,) = holder.store.stored
+        assert msgpack.unpackb(stored[ORDERS_ROW]) == ["vm-1", "vm-2"]
+
+    def test_vms_that_are_left_alone_stay_listed_for_the_next_holder(self) -> None:
+        holder = Holder(orders(msgpack.packb(["vm-9"])))
+        holder.begin_and_move("vm-1")
+        (stored,) = holder.store.stored
+        assert msgpack.unpackb(stored[ORDERS_ROW]) == ["vm-1", "vm-9"]
+
+    def test_without_the_duty_no_order_is_given(self) -> None:
+        holder = Holder()
+        holder.store.outcome = Conflict({})
+        assert holder.begin_and_move("vm-1") == []
+
+    def test_without_an_answer_of_the_store_no_order_is_given(self) -> None:
+        holder = Holder()
+        holder.store.outcome = Unknown("silence")
+        assert holder.begin_and_move("vm-1") == []
--- /dev/null
+++ b/tests/test_task_copies.py
@@ -0,0 +1,182 @@
+"""Tasks that may run twice, on workers that are silent or stand still."""
+
+from __future__ import annotations
+
+from cell_helpers import CELL, job
+
+from chivetray.cells.state import CellState
+from chivetray.jobs.job import Job
+from chivetray.jobs.model import JobState, Phase, Step, Task
+from chivetray.platform.entries import WorkerEntry
+from chivetray.platform.workers import (
+    EndedTask,
+    How,
+    Reply,
+    RunningTask,
+    TaskName,
+    Verdict,
+)
+
+JOB = "00000000000000aa"
+KEY = (0, 0, 0)
+REF = (JOB, KEY)
+
+
+def entry(name: str) -> WorkerEntry:
+    return WorkerEntry(
+        name, CELL, "10.0.0.1:80", "z1", False, 1, 4000, 65536, 0, ("a", "r1")
+    )
+
+
+class Copied:
+    """A cell with one task at work, whose worker has fallen silent."""
+
+    def __init__(self, copies: bool = True, **fields: int):
+        self.state = CellState(CELL)
+        self.state.list_workers([entry("w0"), entry("w1")], 0.0)
+        for worker in self.state.workers.values():
+            worker.adopted = True
+            worker.clock.observe(1000, 0.0, 0.0)
+        spec = job(steps=(Step(1, 3000, estimate_ms=200, copies=copies),), **fields)
+        self.job: Job = self.state.add_job(spec, 0.0)
+        (placed,) = self.state.place(0.0, 0)
+        self.old = placed.worker_id
+        self.new = "w1" if self.old == "w0" else "w0"
+        self.state.confirm_start(REF, 1, 0.1)
+        self.state.take_dirty()
+
+    @property
+    def task(self) -> Task:
+        return self.job.tasks[KEY]
+
+    def silence(self, now_s: float = 1.0) -> list[str]:
+        """Let the worker be silent since 0.2 s; return where the task starts."""
+        self.state.workers[self.old].silent_since_s = 0.2
+        self.state.copy_tasks(now_s)
+        return [p.worker_id for p in self.state.place(now_s, 0)]
+
+    def look(self, worker: str, *ends: EndedTask, running: int = 0) -> None:
+        """Let a worker answer with its ends and the attempt that runs there."""
+        listed = [RunningTask(TaskName(JOB, KEY), running, "", 50, 0)]
+        reply = Reply(Verdict.OK, 2000, 1, listed if running else [], list(ends))
+        self.state.workers[worker].silent_since_s = 0.0
+        self.state.apply_look(self.state.workers[worker], reply, 2.0, 2.1)
+
+    def end(self, worker: str, attempt: int, how: How) -> None:
+        self.look(worker, EndedTask(1, TaskName(JOB, KEY), attempt, how, ""))
+
+    def stopped(self) -> set[tuple[str, int]]:
+        return {(order.worker_id, order.attempt) for order in self.state.stops}
+
+
+class TestSilentWorker:
+    def test_the_task_starts_elsewhere_long_before_its_lease_is_over(self) -> None:
+        """It once waited 7 s for the lease, whatever the step allowed."""
+        copied = Copied()
+        assert copied.silence() == [copied.new]
+        assert copied.task.attempt == 2
+
+    def test_without_leave_for_copies_it_waits(self) -> None:
+        copied = Copied(copies=False)
+        assert copied.silence() == []
+        assert copied.task.attempt == 1
+
+    def test_one_lost_call_is_no_reason(self) -> None:
+        assert Copied().silence(now_s=0.5) == []
+
+    def test_there_is_one_copy_at_most(self) -> None:
+        copied = Copied()
+        copied.silence()
+        copied.state.workers[copied.new].silent_since_s = 1.1
+        copied.state.copy_tasks(3.0)
+        assert copied.task.phase == Phase.PLACED
+
+    def test_the_room_of_the_older_run_stays_taken(self) -> None:
+        copied = Copied()
+        copied.silence()
+        copied.look(copied.old, running=1)
+        assert copied.state.workers[copied.old].used_cpu_milli == 3000
+
+
+class TestSlowRun:
+    def test_a_run_that_takes_several_times_as_long_is_copied(self) -> None:
+        copied = Copied()
+        copied.state.copy_tasks(30.0)
+        (placed,) = copied.state.place(30.0, 0)
+        assert placed.worker_id == copied.new
+
+    def test_a_run_of_usual_length_is_not(self) -> None:
+        copied = Copied()
+        copied.state.copy_tasks(0.4)
+        assert copied.state.place(0.4, 0) == []
+
+
+class TestEnds:
+    def test_the_end_of_the_older_run_counts_and_the_newer_is_stopped(self) -> None:
+        copied = Copied()
+        copied.silence()
+        copied.end(copied.old, 1, How.DONE)
+        assert copied.job.state == JobState.COMPLETED
+        assert (copied.new, 2) in copied.stopped()
+
+    def test_the_end_of_the_newer_run_stops_the_older(self) -> None:
+        copied = Copied()
+        copied.silence()
+        copied.state.confirm_start(REF, 2, 1.1)
+        copied.end(copied.new, 2, How.DONE)
+        assert copied.job.state == JobState.COMPLETED
+        assert (copied.old, 1) in copied.stopped()
+
+    def test_failed_runs_of_both_count_among_the_attempts(self) -> None:
+        copied = Copied(max_attempts=2)
+        copied.silence()
+        copied.state.confirm_start(REF, 2, 1.1)
+        copied.end(copied.old, 1, How.FAILED)
+        assert copied.job.state == JobState.RUNNING
+        copied.end(copied.new, 2, How.FAILED)
+        assert copied.job.state == JobState.FAILED
+
+    def test_a_cancelled_job_stops_both(self) -> None:
+        copied = Copied()
+        copied.silence()
+        copied.state.cancel(JOB)
+        assert copied.stopped() == {(copied.old, 1), (copied.new, 2)}
+
+    def test_an_older_run_that_is_gone_leaves_its_room_and_cannot_come_late(
+        self,
+    ) -> None:
+        copied = Copied()
+        copied.silence()
+        copied.look(copied.old)
+        assert copied.state.workers[copied.old].used_cpu_milli == 0
+        assert copied.stopped() == {(copied.old, 1)}
+        assert copied.task.phase == Phase.PLACED
+
+
+class TestLaterOwner:
+    def test_it_knows_the_older_run_and_counts_its_room(self) -> None:
+        copied = Copied()
+        copied.silence()
+        later = CellState(CELL)
+        later.list_workers([entry("w0"), entry("w1")], 2.0)
+        later.restore_job(copied.job.spec, copied.job.encode(), 7, 2.0)
+        later.adopt_placed(2.0, 0.0, {})
+        assert later.jobs[JOB].tasks[KEY].copies == {1: copied.old}
+        assert later.workers[copied.old].used_cpu_milli == 3000
+        assert later.workers[copied.new].used_cpu_milli == 3000
+
+    def test_a_run_that_it_does_not_know_keeps_its_worker_unused_for_a_while(
+        self,
+    ) -> None:
+        copied = Copied()
+        reply = Reply(
+            Verdict.OK,
+            2000,
+            1,
+            [RunningTask(TaskName("00000000000000bb", KEY), 1, "", 50, 0)],
+            [],
+        )
+        worker = copied.state.workers[copied.new]
+        copied.state.apply_look(worker, reply, 2.0, 2.1)
+        assert not worker.usable(2.2)
+        assert worker.usable(3.0)
