--- a/src/chivetray/border/jobs.py
+++ b/src/chivetray/border/jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -10,7 +11,7 @@
 
 from chivetray.cells.configuration import Configuration
 from chivetray.cells.desk import Desk, DeskAnswer
-from chivetray.metrics import Metrics
+from chivetray.manager_metrics import ManagerMetrics
 from chivetray.platform.submissions import STATE_NAMES, is_job_id
 from chivetray.results import ResultCode
 
@@ -37,7 +38,9 @@
     :ivar closing: whether connections are closed after their next answer
     """
 
-    def __init__(self, configuration: Configuration, desk: Desk, metrics: Metrics):
+    def __init__(
+        self, configuration: Configuration, desk: Desk, metrics: ManagerMetrics
+    ):
         self.closing = False
         self._configuration = configuration
         self._desk = desk
@@ -75,7 +78,10 @@
             return DeskAnswer(ResultCode.NO_JOB, "no such job")
         timeout_s = _timeout_s(headers, queue.timeout_ms)
         if method == "POST":
-            return await self._desk.submit(queue, rest, body, timeout_s)
+            began_s = time.monotonic()
+            answer = await self._desk.submit(queue, rest, body, timeout_s)
+            self._metrics.observe_latency("acceptance", time.monotonic() - began_s)
+            return answer
         if method == "GET":
             return await self._desk.read_state(queue, rest, timeout_s)
         if method == "DELETE":
@@ -84,7 +90,7 @@
 
     async def _send(self, answer: DeskAnswer, send: Send) -> None:
         status = answer.code.http_status or 200
-        self._metrics.job_answers.labels(answer.code.name).inc()
+        self._metrics.count_answer(answer.code.name)
         content: dict[str, Any] = {}
         if answer.state is not None:
             content["State"] = STATE_NAMES[answer.state]
--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -9,25 +9,20 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from chivetray.cells.owner import (
-    EARLIER_LEASE_S,
-    RELEASED_LEASE_S,
-    RENEWAL_INTERVAL_S,
-    CellOwner,
-)
+from chivetray.cells.loading import add_row, load_jobs
+from chivetray.cells.owner import RENEWAL_INTERVAL_S, CellOwner
 from chivetray.cells.ranking import Candidate, rank_candidates
-from chivetray.cells.state import CellState, job_age_s
+from chivetray.cells.state import CellState
 from chivetray.cells.tables import (
     CANCEL_SUFFIX,
     JOB_TABLE,
-    PROGRESS_TABLE,
     Ownership,
     owner_row,
     renewal_row,
 )
-from chivetray.clocks import boot_time_s, wall_time_ms
+from chivetray.cells.timing import EARLIER_LEASE_S, LEASE_S, RELEASED_LEASE_S
+from chivetray.clocks import boot_time_s
 from chivetray.events import Event, log_event
-from chivetray.jobs.job import decode_spec
 from chivetray.peers.mesh import Mesh
 from chivetray.platform.advice import AdviceClient
 from chivetray.platform.entries import WorkerEntry
@@ -105,6 +100,7 @@
         self.owned: dict[str, CellOwner] = {}
         self.leaving = False
         self.scanned_version = 0
+        self.longest_lease_s = LEASE_S
         self._mesh = mesh
         self._store = store
         self._workers = workers
@@ -266,6 +262,7 @@
             self._advice,
         )
         own.confirmed_at_s = taken_s
+        own.longest_lease_s = self.longest_lease_s
         if current is None:
             own.inherited_s = {}
         elif current.released:
@@ -360,39 +357,10 @@
     # Loading jobs
 
     async def _load(self, state: CellState, guard_version: int) -> None:
-        """Read the jobs of a cell and their progress.
-
-        :param guard_version: version of the owner row, which every read must show
-        :raises StoreUnavailableError: when the store does not answer, or with what was
-            true before the cell was taken
-        """
-        rows, version = await self._store.read(PROGRESS_TABLE, state.name)
-        _check_fresh(version, guard_version)
-        progress = {row.id.key: row for row in rows}
-        now_s = boot_time_s()
-        parts = await self._store.parts(JOB_TABLE)
-        found: dict[str, tuple[list[Row], int]] = {}
-
-        async def read(part: str) -> None:
-            found[part] = await self._store.read(JOB_TABLE, part)
-
-        # Together, since a slow store takes half a second for each of them.
-        try:
-            async with anyio.create_task_group() as tasks:
-                for part in parts:
-                    tasks.start_soon(read, part)
-        except* StoreUnavailableError as group:
-            raise StoreUnavailableError(str(group.exceptions[0])) from group
-        for jobs, version in found.values():
-            _check_fresh(version, guard_version)
-            if not self.scanned_version:
-                self.scanned_version = version
-            self.scanned_version = min(self.scanned_version, version)
-            for row in jobs:
-                _add_row(state, row, progress, now_s)
-            for row in jobs:
-                if row.id.key.endswith(CANCEL_SUFFIX):
-                    state.cancel(row.id.key.removesuffix(CANCEL_SUFFIX))
+        version = await load_jobs(self._store, state, guard_version)
+        if version:
+            before = self.scanned_version or version
+            self.scanned_version = min(before, version)
 
     async def scan(self) -> None:
         """Find jobs and cancellations of which no process has told the owner.
@@ -418,32 +386,5 @@
                 if row.id.key.endswith(CANCEL_SUFFIX):
                     own.cancel(row.id.key.removesuffix(CANCEL_SUFFIX))
                 else:
-                    _add_row(own.state, row, {}, now_s)
+                    add_row(own.state, row, {}, now_s)
             own.wake()
-
-
-def _check_fresh(version: int, guard_version: int) -> None:
-    """Refuse an answer that is older than the taking of the cell."""
-    if version < guard_version:
-        raise StoreUnavailableError("the store answered with an older state")
-
-
-def _add_row(
-    state: CellState, row: Row, progress: dict[str, Row], now_s: float
-) -> None:
-    """Add the job of a row if it belongs to a cell and is not known."""
-    if row.id.key.endswith(CANCEL_SUFFIX) or row.id.key in state.jobs:
-        return
-    try:
-        spec = decode_spec(row.value)
-    except (ValueError, TypeError) as error:
-        log_event(Event.ROW_DAMAGED, key=row.id.key, reason=str(error))
-        return
-    if spec.cell != state.name:
-        return
-    now_s -= job_age_s(spec, wall_time_ms())
-    stored = progress.get(spec.job_id)
-    if stored is None:
-        state.add_job(spec, now_s)
-    else:
-        state.restore_job(spec, stored.value, stored.version, now_s)
--- a/src/chivetray/cells/fleet_view.py
+++ b/src/chivetray/cells/fleet_view.py
@@ -28,9 +28,13 @@
 
 
 class FleetView:
-    """Workers as listed in the store."""
+    """Workers as listed in the store.
+
+    :ivar read_at_s: time of the newest reading, 0 before the first
+    """
 
     def __init__(self, store: Store):
+        self.read_at_s = 0.0
         self._store = store
         self._by_service: dict[str, list[WorkerEntry]] = {}
         self._entries: dict[str, WorkerEntry] = {}
@@ -63,9 +67,10 @@
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
             first = False
+            self.read_at_s = boot_time_s()
             self._take({row.id.key: (row.version, row.value) for row in rows})
             on_list()
-            await self._pause(boot_time_s())
+            await self._pause(self.read_at_s)
 
     async def _pause(self, read_at_s: float) -> None:
         while True:
--- /dev/null
+++ b/src/chivetray/cells/loading.py
@@ -0,0 +1,72 @@
+"""Reading the jobs of a cell and their progress from the store."""
+
+from __future__ import annotations
+
+import anyio
+
+from chivetray.cells.state import CellState
+from chivetray.cells.tables import CANCEL_SUFFIX, JOB_TABLE, PROGRESS_TABLE
+from chivetray.clocks import boot_time_s, wall_time_ms
+from chivetray.events import Event, log_event
+from chivetray.jobs.job import decode_spec, job_age_s
+from chivetray.platform.store import Row, Store, StoreUnavailableError
+
+
+async def load_jobs(store: Store, state: CellState, guard_version: int) -> int:
+    """Read the jobs of a cell and their progress.
+
+    :param guard_version: version of the owner row, which every read must show
+    :return: version from which later changes have to be read, 0 without any queue
+    :raises StoreUnavailableError: when the store does not answer, or with what was
+        true before the cell was taken
+    """
+    rows, version = await store.read(PROGRESS_TABLE, state.name)
+    _check_fresh(version, guard_version)
+    progress = {row.id.key: row for row in rows}
+    now_s = boot_time_s()
+    parts = await store.parts(JOB_TABLE)
+    found: dict[str, tuple[list[Row], int]] = {}
+
+    async def read(part: str) -> None:
+        found[part] = await store.read(JOB_TABLE, part)
+
+    # Together, since a slow store takes half a second for each of them.
+    try:
+        async with anyio.create_task_group() as tasks:
+            for part in parts:
+                tasks.start_soon(read, part)
+    except* StoreUnavailableError as group:
+        raise StoreUnavailableError(str(group.exceptions[0])) from group
+    for jobs, version in found.values():
+        _check_fresh(version, guard_version)
+        for row in jobs:
+            add_row(state, row, progress, now_s)
+        for row in jobs:
+            if row.id.key.endswith(CANCEL_SUFFIX):
+                state.cancel(row.id.key.removesuffix(CANCEL_SUFFIX))
+    return min((version for _, version in found.values()), default=0)
+
+
+def _check_fresh(version: int, guard_version: int) -> None:
+    """Refuse an answer that is older than the taking of the cell."""
+    if version < guard_version:
+        raise StoreUnavailableError("the store answered with an older state")
+
+
+def add_row(state: CellState, row: Row, progress: dict[str, Row], now_s: float) -> None:
+    """Add the job of a row if it belongs to a cell and is not known."""
+    if row.id.key.endswith(CANCEL_SUFFIX) or row.id.key in state.jobs:
+        return
+    try:
+        spec = decode_spec(row.value)
+    except (ValueError, TypeError) as error:
+        log_event(Event.ROW_DAMAGED, key=row.id.key, reason=str(error))
+        return
+    if spec.cell != state.name:
+        return
+    now_s -= job_age_s(spec, wall_time_ms())
+    stored = progress.get(spec.job_id)
+    if stored is None:
+        state.add_job(spec, now_s)
+    else:
+        state.restore_job(spec, stored.value, stored.version, now_s)
--- /dev/null
+++ b/src/chivetray/cells/orders.py
@@ -0,0 +1,40 @@
+"""Orders to workers, and the tickets that some of them need."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from chivetray.cells.workers import TaskRef
+from chivetray.platform.workers import TaskName
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """An attempt that is to start on a worker."""
+
+    ref: TaskRef
+    attempt: int
+    worker_id: str
+    born: int
+
+
+@dataclass(frozen=True, slots=True)
+class StopOrder:
+    """An attempt that is to stop on a worker."""
+
+    name: TaskName
+    attempt: int
+    worker_id: str
+
+
+# Job, occurrence and number of a step.
+StepName = tuple[str, int, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Permission to run a step on one life of a worker."""
+
+    text: str
+    born: int
+    until_s: float
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -13,24 +13,25 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from chivetray.cells.state import (
-    CellState,
-    Placement,
-    StepName,
-    StopOrder,
-    job_age_s,
-)
+from chivetray.cells.advice import take_advice
+from chivetray.cells.evacuation import evacuate
+from chivetray.cells.gangs import stop_broken_gangs
+from chivetray.cells.looks import WorkerLooks
+from chivetray.cells.orders import StepName
+from chivetray.cells.placing import place
+from chivetray.cells.sending import OrderSender
+from chivetray.cells.state import CellState
 from chivetray.cells.tables import (
     Ownership,
     owner_row,
     progress_row,
     renewal_row,
 )
-from chivetray.cells.workers import WorkerState
+from chivetray.cells.timing import LEASE_S, RETRY_PAUSE_S, TICK_S
 from chivetray.clocks import boot_time_s, wall_time_ms
 from chivetray.events import Event, log_event
-from chivetray.jobs.job import Job
-from chivetray.jobs.model import JobSpec, Phase
+from chivetray.jobs.job import Job, job_age_s
+from chivetray.jobs.model import JobSpec
 from chivetray.platform.advice import AdviceClient
 from chivetray.platform.entries import WorkerEntry
 from chivetray.platform.store import (
@@ -42,62 +43,17 @@
     Transacted,
     Unknown,
 )
-from chivetray.platform.workers import (
-    Reply,
-    TaskName,
-    Verdict,
-    WorkerAddress,
-    WorkerClient,
-)
-
-# Lease of what runs on a worker, at most the platform's bound. It outlasts an
-# outage of the store of OWNERSHIP_S + LEASE_S, and a dark worker's tasks wait
-# for it.
-LEASE_S = 7.0
-
-# Lease that a start brings along until the next look extends it. A start that is
-# carried out later than that is refused by the worker.
-START_LEASE_S = 4.0
-
-# Time after the last confirmed write during which an owner goes on extending
-# leases. A new owner waits for it at workers that do not answer.
-OWNERSHIP_S = 4.0
-
-# Longest time that the lease of an earlier owner can last, with a clock that runs
-# 2% slow.
-EARLIER_LEASE_S = OWNERSHIP_S + LEASE_S * 1.03
-
-# The same after an owner that gave the cell up, and so stopped extending leases.
-RELEASED_LEASE_S = LEASE_S * 1.03
+from chivetray.platform.workers import WorkerClient
 
 # A process that takes the cell of a silent owner waits for one and a half of these.
 RENEWAL_INTERVAL_S = 0.5
 
-# Longest wait of a look at a worker for an end; the platform's bound is 2 s.
-LOOK_WAIT_MS = 2000
-
-# The same while filling tasks share a worker with serving ones, whose tails are
-# reported for the last half second.
-SHARING_LOOK_WAIT_MS = 500
-
-# Pause between looks at a worker that does not answer.
-SILENT_LOOK_PAUSE_S = 0.25
-
-# Pause after a write that failed, doubled up to a bound.
-RETRY_PAUSE_S = 0.03
+# Longest pause after a write that failed.
 RETRY_PAUSE_MAX_S = 0.5
 
-TICK_S = 0.25
-
 # Time of one round of decisions above which the next one waits as long again.
 LONG_DECISION_S = 0.005
 
-# Tries of one order in a row before the regular round takes it up again.
-ORDER_TRIES = 3
-
-UNHEALTHY_PAUSE_S = 1.0
-NO_ROOM_PAUSE_S = 0.2
-
 # A transaction names each row twice, and the owner row once.
 ROWS_PER_COMMIT = (ENTRIES_LIMIT - 2) // 2
 
@@ -107,6 +63,7 @@
 
     :param guard_version: version of the owner row, which guards all writes
     :param on_lost: called when another process has taken the cell
+    :ivar longest_lease_s: bound on leases that workers grant
     :ivar store_s: time that the last renewal took
     :ivar handover: returns the leases that a later owner has to wait for
     :ivar inherited_s: leases that an earlier owner named when it gave the cell up,
@@ -130,21 +87,18 @@
         self.leaving = False
         self.lost = False
         self.store_s = 0.0
+        self.longest_lease_s = LEASE_S
         self.inherited_s: dict[str, float] | None = None
         self.handover: Callable[[], dict[str, float]] = lambda: (
             state.remaining_leases(boot_time_s())
         )
         self._store = store
-        self._workers = workers
         self._on_lost = on_lost
         self._advice = advice
         self._asking = False
         self._wake = anyio.Event()
-        self._worker_events: dict[str, anyio.Event] = {}
-        self._driven: set[str] = set()
-        self._starting: set[tuple[object, int]] = set()
-        self._stopping: set[tuple[str, str, int]] = set()
-        self._resumed_at_s = 0.0
+        self._looks = WorkerLooks(self, workers)
+        self._orders = OrderSender(self, workers, self._looks)
         self._tasks: TaskGroup | None = None
         self.guard = owner_row(state.name)
 
@@ -191,10 +145,12 @@
             self._wake = anyio.Event()
             now_s = boot_time_s()
             self.state.lost_leases(now_s)
-            self.state.evacuate(now_s)
-            self.state.stop_broken_gangs()
-            self._drive_new_workers(tasks)
-            placements = [] if self.leaving else self.state.place(now_s, wall_time_ms())
+            evacuate(self.state, now_s)
+            stop_broken_gangs(self.state)
+            self._looks.drive_new(tasks)
+            placements = (
+                [] if self.leaving else place(self.state, now_s, wall_time_ms())
+            )
             decided_s = boot_time_s() - now_s
             ends = {w.worker_id: w.seen_end for w in self.state.workers.values()}
             jobs = self.state.take_dirty()
@@ -202,8 +158,8 @@
                 return
             self._release_ends(ends)
             for placement in placements:
-                self._send_start(tasks, placement)
-            self._send_stops(tasks)
+                self._orders.send_start(tasks, placement)
+            self._orders.send_stops(tasks)
             self._ask_advice(tasks)
             done = self.leaving and not self.state.has_dirty()
             if done and await self._give_up():
@@ -213,7 +169,7 @@
                 await anyio.sleep(decided_s)
             with anyio.move_on_after(TICK_S):
                 await self._wake.wait()
-            self._resume_orders(tasks)
+            self._orders.resume(tasks)
 
     def _release_ends(self, ends: dict[str, int]) -> None:
         """Let workers forget the ends that are stored now."""
@@ -221,7 +177,7 @@
             worker = self.state.workers.get(worker_id)
             if worker is not None and worker.observed < number <= worker.seen_end:
                 worker.observed = number
-                self._nudge(worker_id)
+                self._looks.nudge(worker_id)
 
     # Store
 
@@ -353,124 +309,6 @@
 
     # Workers
 
-    def _drive_new_workers(self, tasks: TaskGroup) -> None:
-        for worker in self.state.workers.values():
-            if worker.worker_id not in self._driven and worker.address:
-                self._driven.add(worker.worker_id)
-                self._worker_events[worker.worker_id] = anyio.Event()
-                tasks.start_soon(self._drive, worker)
-
-    def _nudge(self, worker_id: str) -> None:
-        event = self._worker_events.get(worker_id)
-        if event is not None:
-            event.set()
-
-    async def _drive(self, worker: WorkerState) -> None:
-        """Look at one worker as long as it has something of this cell."""
-        worker_id = worker.worker_id
-        try:
-            while not self.lost and self.state.workers.get(worker_id) is worker:
-                event = self._worker_events[worker_id] = anyio.Event()
-                if self._needs_look(worker):
-                    await self._look(worker)
-                else:
-                    with anyio.move_on_after(2.0):
-                        await event.wait()
-        finally:
-            self._driven.discard(worker_id)
-
-    @staticmethod
-    def _needs_look(worker: WorkerState) -> bool:
-        if not worker.address:
-            return False
-        if not worker.adopted:
-            return worker.listed or bool(worker.tasks)
-        return bool(worker.tasks) or worker.observed > worker.acknowledged
-
-    async def _look(self, worker: WorkerState) -> None:
-        """Extend the lease, let stored ends be forgotten, and wait for the next."""
-        address = WorkerAddress(worker.worker_id, worker.address)
-        sent_at_s = boot_time_s()
-        deadline_ms: int | None = None
-        wait_ms = 0
-        owned = sent_at_s - self.confirmed_at_s < OWNERSHIP_S
-        # A look at a silent worker may be carried out any time, so it brings no lease:
-        # otherwise the leases there would never be known to be over.
-        renews = worker.clock.known and worker.adopted and not worker.silent_since_s
-        if renews and owned and worker.tasks:
-            # Counted from a time that the worker's clock has surely passed, so that the
-            # lease is no longer than a later owner waits for.
-            deadline_ms = worker.clock.earliest_ms(sent_at_s) + int(LEASE_S * 1000)
-            worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
-            # A look returns at once while ends are not acknowledged.
-            if worker.observed == worker.seen_end:
-                shares = self.state.shares(worker)
-                wait_ms = SHARING_LOOK_WAIT_MS if shares else LOOK_WAIT_MS
-        observed, born = worker.observed, worker.born
-        reply = await self._workers.hold(
-            address, self.epoch, observed, deadline_ms, wait_ms
-        )
-        if self.lost or self.state.workers.get(worker.worker_id) is not worker:
-            return
-        now_s = boot_time_s()
-        if reply.verdict == Verdict.OK:
-            self._heard(worker, reply, sent_at_s, now_s)
-            if worker.born == born and (not reply.born or reply.born == born):
-                worker.acknowledged = max(worker.acknowledged, observed)
-            self.state.apply_look(worker, reply, sent_at_s, now_s)
-            self.wake()
-            await self._pace(worker)
-            await self._wait_stored(worker)
-            return
-        await self._look_failed(worker, reply, sent_at_s, now_s)
-
-    async def _wait_stored(self, worker: WorkerState) -> None:
-        """Wait until the ends of a look are stored, but not past the lease.
-
-        A look returns at once while ends are not acknowledged.
-        """
-        with anyio.move_on_after(LOOK_WAIT_MS / 1000):
-            while worker.observed < worker.seen_end and not self.lost:
-                event = self._worker_events[worker.worker_id] = anyio.Event()
-                await event.wait()
-
-    async def _look_failed(
-        self, worker: WorkerState, reply: Reply, sent_at_s: float, now_s: float
-    ) -> None:
-        if reply.verdict == Verdict.FENCED:
-            await self.check_guard()
-        elif reply.verdict == Verdict.OTHER_LIFE:
-            # Nothing of this life can run where another life answers.
-            self.state.worker_lost(worker, now_s, "another worker answers")
-            worker.listed = False
-            self.wake()
-        if not worker.silent_since_s:
-            worker.silent_since_s = sent_at_s
-            log_event(
-                Event.WORKER_SILENT,
-                worker=worker.worker_id,
-                cell=self.state.name,
-                verdict=reply.verdict.value,
-                detail=reply.detail,
-            )
-        self.wake()
-        await anyio.sleep(SILENT_LOOK_PAUSE_S)
-
-    def _heard(
-        self, worker: WorkerState, reply: Reply, sent_at_s: float, now_s: float
-    ) -> None:
-        same_life = not reply.born or reply.born == worker.born
-        if reply.clock_ms is not None and same_life:
-            worker.clock.observe(reply.clock_ms, sent_at_s, now_s)
-        if worker.silent_since_s:
-            log_event(
-                Event.WORKER_ANSWERS,
-                worker=worker.worker_id,
-                cell=self.state.name,
-                silent_s=round(now_s - worker.silent_since_s, 3),
-            )
-            worker.silent_since_s = 0.0
-
     def _ask_advice(self, tasks: TaskGroup) -> None:
         """Ask for the next step that has no worker with a valid ticket."""
         if self._advice is None or self._asking or not self.state.advice_wanted:
@@ -493,192 +331,7 @@
             await anyio.sleep(RETRY_PAUSE_S)
         else:
             good, validity_s = reply
-            self.state.take_advice(name, workers, good, asked_s + validity_s)
+            take_advice(self.state, name, workers, good, asked_s + validity_s)
         self.wake()
 
-    async def _pace(self, worker: WorkerState) -> None:
-        """Slow filling tasks down or let them speed up, by the last look."""
-        address = WorkerAddress(worker.worker_id, worker.address)
-        for ref, attempt, percent in self.state.pace_orders(worker):
-            reply = await self._workers.pace(
-                address, self.epoch, TaskName(*ref), attempt, percent
-            )
-            log_event(
-                Event.TASK_PACED,
-                task=str(TaskName(*ref)),
-                percent=percent,
-                verdict=reply.verdict.value,
-            )
-
     # Orders
-
-    def _resume_orders(self, tasks: TaskGroup) -> None:
-        """Repeat the orders of which nobody knows whether they were carried out."""
-        now_s = boot_time_s()
-        if now_s - self._resumed_at_s < TICK_S:
-            return
-        self._resumed_at_s = now_s
-        self.state.copy_tasks(now_s)
-        uncommitted = self.state.dirty_ids()
-        for worker in list(self.state.workers.values()):
-            if not worker.adopted or worker.silent_since_s or not worker.address:
-                continue
-            for ref in worker.tasks:
-                job = self.state.jobs.get(ref[0])
-                task = job.tasks.get(ref[1]) if job else None
-                if job is None or task is None or ref[0] in uncommitted:
-                    continue
-                if task.worker != worker.worker_id:
-                    continue
-                if task.phase == Phase.PLACED:
-                    placement = Placement(
-                        ref, task.attempt, worker.worker_id, worker.born
-                    )
-                    self._send_start(tasks, placement)
-                elif task.phase == Phase.STOPPING and not task.stopped_at_s:
-                    name = TaskName(*ref)
-                    self.state.stops.append(
-                        StopOrder(name, task.attempt, worker.worker_id)
-                    )
-
-    def _send_start(self, tasks: TaskGroup, placement: Placement) -> None:
-        key = (placement.ref, placement.attempt)
-        if key not in self._starting:
-            self._starting.add(key)
-            tasks.start_soon(self._start, placement)
-
-    async def _start(self, placement: Placement) -> None:
-        try:
-            for _ in range(ORDER_TRIES):
-                if await self._start_once(placement):
-                    return
-                await anyio.sleep(RETRY_PAUSE_S)
-        finally:
-            self._starting.discard((placement.ref, placement.attempt))
-
-    async def _start_once(self, placement: Placement) -> bool:
-        """Send a start; return whether nothing is left to do."""
-        job = self.state.jobs.get(placement.ref[0])
-        task = job.tasks.get(placement.ref[1]) if job else None
-        worker = self.state.workers.get(placement.worker_id)
-        if job is None or task is None or worker is None or self.lost:
-            return True
-        if task.phase != Phase.PLACED or task.attempt != placement.attempt:
-            return True
-        if not worker.clock.known or worker.born != placement.born:
-            return True
-        sent_at_s = boot_time_s()
-        if sent_at_s - self.confirmed_at_s >= OWNERSHIP_S:
-            return True
-        deadline_ms = worker.clock.earliest_ms(sent_at_s) + int(START_LEASE_S * 1000)
-        worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
-        reply = await self._workers.start(
-            WorkerAddress(worker.worker_id, worker.address),
-            self.epoch,
-            TaskName(*placement.ref),
-            placement.attempt,
-            job.spec.payload,
-            deadline_ms,
-            task.checkpoint,
-            self.state.ticket_of(placement.ref, worker.worker_id),
-        )
-        now_s = boot_time_s()
-        if self.lost:
-            return True
-        if reply.clock_ms is not None and worker.born == placement.born:
-            worker.clock.observe(reply.clock_ms, sent_at_s, now_s)
-        # An earlier try may still be carried out, whatever this one says.
-        repeated = task.unanswered
-        task.unanswered = repeated or reply.verdict == Verdict.NO_ANSWER
-        return await self._take_start_reply(placement, worker, reply, repeated)
-
-    async def _take_start_reply(
-        self, placement: Placement, worker: WorkerState, reply: Reply, repeated: bool
-    ) -> bool:
-        now_s = boot_time_s()
-        verdict = reply.verdict
-        if verdict in (Verdict.OK, Verdict.OLD):
-            # An old attempt has ended there; the next look shows how.
-            self.state.confirm_start(placement.ref, placement.attempt, now_s)
-            self._nudge(worker.worker_id)
-            return True
-        log_event(
-            Event.ORDER_FAILED,
-            order="start",
-            task=str(TaskName(*placement.ref)),
-            attempt=placement.attempt,
-            worker=worker.worker_id,
-            verdict=verdict.value,
-            detail=reply.detail,
-            used_cpu=worker.used_cpu_milli,
-        )
-        if verdict == Verdict.BAD_TICKET:
-            self.state.drop_ticket(placement.ref, worker.worker_id)
-        if verdict == Verdict.FENCED:
-            await self.check_guard()
-            return True
-        if verdict in (Verdict.NO_ANSWER, Verdict.LATE):
-            return False
-        if verdict == Verdict.OTHER_LIFE:
-            self._nudge(worker.worker_id)
-            return True
-        if verdict == Verdict.NOT_SENT and repeated:
-            # An earlier try may have been taken.
-            return False
-        pause_s = UNHEALTHY_PAUSE_S
-        if verdict in (Verdict.NO_ROOM, Verdict.BAD_TICKET):
-            pause_s = NO_ROOM_PAUSE_S
-        if repeated:
-            # An earlier try that was not answered may still be carried out, which a
-            # stop prevents for good.
-            job = self.state.jobs[placement.ref[0]]
-            self.state.stop_attempt(job, placement.ref[1])
-            self.wake()
-            return True
-        self.state.reject_start(placement, now_s, pause_s)
-        self.wake()
-        return True
-
-    def _send_stops(self, tasks: TaskGroup) -> None:
-        orders, self.state.stops = self.state.stops, []
-        for order in orders:
-            key = (str(order.name), order.worker_id, order.attempt)
-            if key not in self._stopping:
-                self._stopping.add(key)
-                tasks.start_soon(self._stop, order)
-
-    async def _stop(self, order: StopOrder) -> None:
-        try:
-            for _ in range(ORDER_TRIES):
-                worker = self.state.workers.get(order.worker_id)
-                if worker is None or not worker.address or self.lost:
-                    return
-                address = WorkerAddress(worker.worker_id, worker.address)
-                reply = await self._workers.stop(
-                    address, self.epoch, order.name, order.attempt
-                )
-                if self.lost:
-                    return
-                if reply.verdict in (Verdict.OK, Verdict.OLD):
-                    now_s = boot_time_s()
-                    self.state.confirm_stop(order.name, order.attempt, now_s)
-                    self._nudge(order.worker_id)
-                    return
-                log_event(
-                    Event.ORDER_FAILED,
-                    order="stop",
-                    task=str(order.name),
-                    attempt=order.attempt,
-                    worker=order.worker_id,
-                    verdict=reply.verdict.value,
-                )
-                if reply.verdict == Verdict.FENCED:
-                    await self.check_guard()
-                    return
-                if reply.verdict == Verdict.OTHER_LIFE:
-                    self._nudge(order.worker_id)
-                    return
-                await anyio.sleep(RETRY_PAUSE_S)
-        finally:
-            key = (str(order.name), order.worker_id, order.attempt)
-            self._stopping.discard(key)
--- /dev/null
+++ b/src/chivetray/cells/reports.py
@@ -0,0 +1,198 @@
+"""What workers report, and the outcomes of orders to them."""
+
+from __future__ import annotations
+
+from chivetray.cells.copies import apply_copy_end, find_vanished_copy
+from chivetray.cells.orders import Placement, StopOrder
+from chivetray.cells.state import CellState
+from chivetray.cells.workers import TaskRef, WorkerState
+from chivetray.events import Event, log_event
+from chivetray.jobs.job import Job
+from chivetray.jobs.model import JobState, Phase, Step, Task
+from chivetray.platform.workers import EndedTask, How, Reply, TaskName
+
+# Pause before a task runs again after its attempts failed.
+FAILED_RETRY_S = 0.05
+
+# Time for which nothing is placed on a worker that runs what is not known here.
+STRANGER_PAUSE_S = 0.3
+
+
+def apply_look(
+    state: CellState, worker: WorkerState, reply: Reply, sent_at_s: float, now_s: float
+) -> None:
+    """Take what a worker lists as running and ended."""
+    if reply.born and reply.born != worker.born:
+        if reply.born < worker.born:
+            return
+        state.worker_reborn(worker, reply.born, now_s)
+    worker.fenced = worker.adopted = True
+    listed: set[tuple[str, object, int]] = set()
+    for ended in sorted(reply.ended, key=lambda item: item.number):
+        listed.add((ended.name.job_id, ended.name.key, ended.attempt))
+        if ended.number > worker.seen_end:
+            worker.seen_end = ended.number
+            _apply_end(state, worker, ended, now_s)
+    for running in reply.running:
+        job = state.jobs.get(running.name.job_id)
+        task = job.task(running.name.key) if job else None
+        listed.add((running.name.job_id, running.name.key, running.attempt))
+        if job is not None and task is not None and not job.state.ended:
+            is_copy = task.copies.get(running.attempt) == worker.worker_id
+            if is_copy and task.phase != Phase.DONE:
+                continue
+        if (
+            job is None
+            or task is None
+            or task.worker != worker.worker_id
+            or task.attempt != running.attempt
+            or not task.active
+        ):
+            state.stops.append(
+                StopOrder(running.name, running.attempt, worker.worker_id)
+            )
+            if (running.name.job_id, running.name.key) not in worker.tasks:
+                # Its room is not among what is counted as used.
+                worker.unhealthy_until_s = now_s + STRANGER_PAUSE_S
+            continue
+        task.percent = running.percent
+        task.level = running.level
+        if running.checkpoint:
+            step = job.spec.steps[task.key[1]]
+            _note_checkpoint(state, job, task, step, running.checkpoint)
+        if task.phase == Phase.PLACED:
+            confirm_start(state, (job.spec.job_id, task.key), task.attempt, now_s)
+    _find_vanished(state, worker, listed, sent_at_s, now_s)
+
+
+def _find_vanished(
+    state: CellState,
+    worker: WorkerState,
+    listed: set[tuple[str, object, int]],
+    sent_at_s: float,
+    now_s: float,
+) -> None:
+    """Let tasks wait again that ran before the look and are not listed."""
+    for ref in list(worker.tasks):
+        job, task = state.find(ref)
+        if job is None or task is None:
+            worker.free(ref, now_s)
+            continue
+        if (ref[0], ref[1], task.attempt) in listed:
+            continue
+        if task.worker != worker.worker_id:
+            find_vanished_copy(state, worker, ref, task, listed, now_s)
+            continue
+        if task.phase == Phase.DONE:
+            worker.free(ref, now_s)
+            continue
+        if task.phase == Phase.STOPPING:
+            settled_s = task.stopped_at_s
+        else:
+            settled_s = task.running_at_s
+        if task.phase != Phase.PLACED and 0 < settled_s < sent_at_s:
+            log_event(
+                Event.TASK_VANISHED,
+                task=str(TaskName(*ref)),
+                attempt=task.attempt,
+                worker=worker.worker_id,
+            )
+            state.release(worker, job, task, now_s)
+
+
+def _apply_end(
+    state: CellState, worker: WorkerState, ended: EndedTask, now_s: float
+) -> None:
+    job = state.jobs.get(ended.name.job_id)
+    task = job.tasks.get(ended.name.key) if job else None
+    if job is None or task is None:
+        return
+    if task.copies.get(ended.attempt) == worker.worker_id:
+        apply_copy_end(state, worker, job, task, ended, now_s)
+        return
+    if task.worker != worker.worker_id or task.attempt != ended.attempt:
+        return
+    ref = (job.spec.job_id, task.key)
+    if not task.active:
+        # The room of a gang's member that was done with another one.
+        worker.free(ref, now_s)
+        return
+    step = job.spec.steps[task.key[1]]
+    if ended.checkpoint:
+        _note_checkpoint(state, job, task, step, ended.checkpoint)
+    if ended.how == How.DONE:
+        worker.failing_jobs.clear()
+        if task.running_at_s and not task.checkpoint:
+            state.times.learn(job.spec.queue, now_s - task.running_at_s)
+        worker.free(ref, now_s)
+        for member in _members(job, task, step):
+            job.mark_done(member)
+        state.stop_copies(job, task)
+        state.note_done(job, now_s)
+        return
+    log_event(
+        Event.TASK_ENDED_EARLY,
+        task=str(ended.name),
+        attempt=ended.attempt,
+        worker=worker.worker_id,
+        how=ended.how.value,
+    )
+    if ended.how == How.FAILED:
+        # A gang fails once for each attempt.
+        for member in _members(job, task, step):
+            if member.failed_attempt < ended.attempt:
+                member.failed_attempt = ended.attempt
+                member.failures += 1
+        task.avoid.add(worker.worker_id)
+        worker.failing_jobs.add(job.spec.job_id)
+        task.not_before_s = now_s + FAILED_RETRY_S
+    state.release(worker, job, task, now_s)
+    if ended.how == How.FAILED and not step.long_running:
+        state.check_attempts(job, task)
+
+
+def _members(job: Job, task: Task, step: Step) -> list[Task]:
+    """Return the tasks that end together with a task."""
+    if not step.gang:
+        return [task]
+    return job.open_tasks(task.key[0], task.key[1])
+
+
+def _note_checkpoint(
+    state: CellState, job: Job, task: Task, step: Step, checkpoint: str
+) -> None:
+    for member in _members(job, task, step):
+        member.checkpoint = checkpoint
+
+
+def confirm_start(state: CellState, ref: TaskRef, attempt: int, now_s: float) -> None:
+    """Record that a worker has an attempt."""
+    job, task = state.find(ref)
+    if job is None or task is None or task.attempt != attempt:
+        return
+    if task.phase == Phase.PLACED:
+        task.phase = Phase.RUNNING
+        task.running_at_s = now_s
+    if job.state == JobState.QUEUED:
+        job.state = JobState.RUNNING
+
+
+def confirm_stop(state: CellState, name: TaskName, attempt: int, now_s: float) -> None:
+    """Record that a worker has stopped an attempt or will refuse it."""
+    _, task = state.find((name.job_id, name.key))
+    if task is not None and task.attempt == attempt:
+        task.stopped_at_s = now_s
+
+
+def reject_start(
+    state: CellState, placement: Placement, now_s: float, pause_worker_s: float = 0.0
+) -> None:
+    """Record that a worker has refused an attempt and does not run it."""
+    job, task = state.find(placement.ref)
+    worker = state.workers.get(placement.worker_id)
+    if worker is not None and pause_worker_s:
+        worker.unhealthy_until_s = now_s + pause_worker_s
+    if job is None or task is None or worker is None:
+        return
+    if task.attempt == placement.attempt and task.phase == Phase.PLACED:
+        state.release(worker, job, task, now_s)
--- /dev/null
+++ b/src/chivetray/cells/sending.py
@@ -0,0 +1,227 @@
+"""Starts and stops of attempts, repeated until they are answered."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from anyio.abc import TaskGroup
+
+from chivetray.cells.advice import drop_ticket, ticket_of
+from chivetray.cells.copies import copy_tasks
+from chivetray.cells.looks import WorkerLooks
+from chivetray.cells.orders import Placement, StopOrder
+from chivetray.cells.reports import confirm_start, confirm_stop, reject_start
+from chivetray.cells.timing import OWNERSHIP_S, RETRY_PAUSE_S, TICK_S
+from chivetray.cells.workers import WorkerState
+from chivetray.clocks import boot_time_s
+from chivetray.events import Event, log_event
+from chivetray.jobs.model import Phase
+from chivetray.platform.workers import (
+    Reply,
+    TaskName,
+    Verdict,
+    WorkerAddress,
+    WorkerClient,
+)
+
+if TYPE_CHECKING:
+    from chivetray.cells.owner import CellOwner
+
+# Lease that a start brings along until the next look extends it. A start that is
+# carried out later than that is refused by the worker.
+START_LEASE_S = 4.0
+
+# Tries of one order in a row before the regular round takes it up again.
+ORDER_TRIES = 3
+
+UNHEALTHY_PAUSE_S = 1.0
+
+NO_ROOM_PAUSE_S = 0.2
+
+
+class OrderSender:
+    """Sends the orders of one cell, each of them once at a time."""
+
+    def __init__(self, own: CellOwner, workers: WorkerClient, looks: WorkerLooks):
+        self._own = own
+        self._state = own.state
+        self._workers = workers
+        self._looks = looks
+        self._starting: set[tuple[object, int]] = set()
+        self._stopping: set[tuple[str, str, int]] = set()
+        self._resumed_at_s = 0.0
+
+    def resume(self, tasks: TaskGroup) -> None:
+        """Repeat the orders of which nobody knows whether they were carried out."""
+        now_s = boot_time_s()
+        if now_s - self._resumed_at_s < TICK_S:
+            return
+        self._resumed_at_s = now_s
+        copy_tasks(self._state, now_s)
+        uncommitted = self._state.dirty_ids()
+        for worker in list(self._state.workers.values()):
+            if not worker.adopted or worker.silent_since_s or not worker.address:
+                continue
+            for ref in worker.tasks:
+                job = self._state.jobs.get(ref[0])
+                task = job.tasks.get(ref[1]) if job else None
+                if job is None or task is None or ref[0] in uncommitted:
+                    continue
+                if task.worker != worker.worker_id:
+                    continue
+                if task.phase == Phase.PLACED:
+                    placement = Placement(
+                        ref, task.attempt, worker.worker_id, worker.born
+                    )
+                    self.send_start(tasks, placement)
+                elif task.phase == Phase.STOPPING and not task.stopped_at_s:
+                    name = TaskName(*ref)
+                    self._state.stops.append(
+                        StopOrder(name, task.attempt, worker.worker_id)
+                    )
+
+    def send_start(self, tasks: TaskGroup, placement: Placement) -> None:
+        """Begin to send a start whose placement is stored."""
+        key = (placement.ref, placement.attempt)
+        if key not in self._starting:
+            self._starting.add(key)
+            tasks.start_soon(self._start, placement)
+
+    async def _start(self, placement: Placement) -> None:
+        try:
+            for _ in range(ORDER_TRIES):
+                if await self._start_once(placement):
+                    return
+                await anyio.sleep(RETRY_PAUSE_S)
+        finally:
+            self._starting.discard((placement.ref, placement.attempt))
+
+    async def _start_once(self, placement: Placement) -> bool:
+        """Send a start; return whether nothing is left to do."""
+        job = self._state.jobs.get(placement.ref[0])
+        task = job.tasks.get(placement.ref[1]) if job else None
+        worker = self._state.workers.get(placement.worker_id)
+        if job is None or task is None or worker is None or self._own.lost:
+            return True
+        if task.phase != Phase.PLACED or task.attempt != placement.attempt:
+            return True
+        if not worker.clock.known or worker.born != placement.born:
+            return True
+        sent_at_s = boot_time_s()
+        if sent_at_s - self._own.confirmed_at_s >= OWNERSHIP_S:
+            return True
+        lease_s = min(START_LEASE_S, self._own.longest_lease_s)
+        deadline_ms = worker.clock.earliest_ms(sent_at_s) + int(lease_s * 1000)
+        worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
+        reply = await self._workers.start(
+            WorkerAddress(worker.worker_id, worker.address),
+            self._own.epoch,
+            TaskName(*placement.ref),
+            placement.attempt,
+            job.spec.payload,
+            deadline_ms,
+            task.checkpoint,
+            ticket_of(self._state, placement.ref, worker.worker_id),
+        )
+        now_s = boot_time_s()
+        if self._own.lost:
+            return True
+        if reply.clock_ms is not None and worker.born == placement.born:
+            worker.clock.observe(reply.clock_ms, sent_at_s, now_s)
+        # An earlier try may still be carried out, whatever this one says.
+        repeated = task.unanswered
+        task.unanswered = repeated or reply.verdict == Verdict.NO_ANSWER
+        return await self._take_start_reply(placement, worker, reply, repeated)
+
+    async def _take_start_reply(
+        self, placement: Placement, worker: WorkerState, reply: Reply, repeated: bool
+    ) -> bool:
+        now_s = boot_time_s()
+        verdict = reply.verdict
+        if verdict in (Verdict.OK, Verdict.OLD):
+            # An old attempt has ended there; the next look shows how.
+            confirm_start(self._state, placement.ref, placement.attempt, now_s)
+            self._looks.nudge(worker.worker_id)
+            return True
+        log_event(
+            Event.ORDER_FAILED,
+            order="start",
+            task=str(TaskName(*placement.ref)),
+            attempt=placement.attempt,
+            worker=worker.worker_id,
+            verdict=verdict.value,
+            detail=reply.detail,
+            used_cpu=worker.used_cpu_milli,
+        )
+        if verdict == Verdict.BAD_TICKET:
+            drop_ticket(self._state, placement.ref, worker.worker_id)
+        if verdict == Verdict.FENCED:
+            await self._own.check_guard()
+            return True
+        if verdict in (Verdict.NO_ANSWER, Verdict.LATE):
+            return False
+        if verdict == Verdict.OTHER_LIFE:
+            self._looks.nudge(worker.worker_id)
+            return True
+        if verdict == Verdict.NOT_SENT and repeated:
+            # An earlier try may have been taken.
+            return False
+        pause_s = UNHEALTHY_PAUSE_S
+        if verdict in (Verdict.NO_ROOM, Verdict.BAD_TICKET):
+            pause_s = NO_ROOM_PAUSE_S
+        if repeated:
+            # An earlier try that was not answered may still be carried out, which a
+            # stop prevents for good.
+            job = self._state.jobs[placement.ref[0]]
+            self._state.stop_attempt(job, placement.ref[1])
+            self._own.wake()
+            return True
+        reject_start(self._state, placement, now_s, pause_s)
+        self._own.wake()
+        return True
+
+    def send_stops(self, tasks: TaskGroup) -> None:
+        """Begin to send the stops that were decided."""
+        orders, self._state.stops = self._state.stops, []
+        for order in orders:
+            key = (str(order.name), order.worker_id, order.attempt)
+            if key not in self._stopping:
+                self._stopping.add(key)
+                tasks.start_soon(self._stop, order)
+
+    async def _stop(self, order: StopOrder) -> None:
+        try:
+            for _ in range(ORDER_TRIES):
+                worker = self._state.workers.get(order.worker_id)
+                if worker is None or not worker.address or self._own.lost:
+                    return
+                address = WorkerAddress(worker.worker_id, worker.address)
+                reply = await self._workers.stop(
+                    address, self._own.epoch, order.name, order.attempt
+                )
+                if self._own.lost:
+                    return
+                if reply.verdict in (Verdict.OK, Verdict.OLD):
+                    now_s = boot_time_s()
+                    confirm_stop(self._state, order.name, order.attempt, now_s)
+                    self._looks.nudge(order.worker_id)
+                    return
+                log_event(
+                    Event.ORDER_FAILED,
+                    order="stop",
+                    task=str(order.name),
+                    attempt=order.attempt,
+                    worker=order.worker_id,
+                    verdict=reply.verdict.value,
+                )
+                if reply.verdict == Verdict.FENCED:
+                    await self._own.check_guard()
+                    return
+                if reply.verdict == Verdict.OTHER_LIFE:
+                    self._looks.nudge(order.worker_id)
+                    return
+                await anyio.sleep(RETRY_PAUSE_S)
+        finally:
+            key = (str(order.name), order.worker_id, order.attempt)
+            self._stopping.discard(key)
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import sys
+import time
+from collections.abc import Callable, Mapping
 from enum import Enum
 from typing import Any, TextIO
 
 import eliot
 
 from chivetray.log_queue import LogQueue
+from chivetray.log_repeats import RepeatFilter
 
 
 class Event(Enum):
@@ -141,6 +144,35 @@
     return {"message_type": event.name, "number": event.number, "lines": count}
 
 
+# Events that a lost dependency repeats several times a second.
+FOLDED = frozenset(
+    {
+        Event.CELL_TAKE_FAILED,
+        Event.COMMIT_FAILED,
+        Event.CONFIG_SILENT,
+        Event.MAINTENANCE_WAITS,
+        Event.STORE_LOST,
+    }
+)
+_repeats = RepeatFilter()
+
+# Called with each event and its fields.
+_observers: list[Callable[[Event, Mapping[str, Any]], None]] = []
+
+
+def observe_events(observer: Callable[[Event, Mapping[str, Any]], None]) -> None:
+    """Call an observer with each event from now on."""
+    _observers.append(observer)
+
+
 def log_event(event: Event, **fields: Any) -> None:
     """Write one event with its fields."""
+    for observer in _observers:
+        observer(event, fields)
+    if event in FOLDED:
+        repeated = _repeats.admit(event.name, fields, time.monotonic())
+        if repeated is None:
+            return
+        if repeated:
+            fields = {**fields, "repeated": repeated}
     eliot.log_message(message_type=event.name, number=event.number, **fields)
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -13,6 +13,9 @@
 # Number of the format of stored progress.
 FORMAT = 1
 
+# Longest time since its acceptance that a job is credited with.
+LONGEST_AGE_S = 120.0
+
 # Mark of a stored task that was told to stop. A later owner counts it as away.
 STOPPING = 2
 _PHASES = {0: Phase.WAITING, 1: Phase.PLACED, STOPPING: Phase.STOPPING}
@@ -175,6 +178,15 @@
     return values
 
 
+def job_age_s(spec: JobSpec, now_ms: int) -> float:
+    """Return the time since a job was accepted.
+
+    Times of day differ between VMs and may jump; an age that cannot be is none.
+    """
+    age_s = (now_ms - spec.accepted_ms) / 1000
+    return age_s if 0 <= age_s <= LONGEST_AGE_S else 0.0
+
+
 def encode_spec(spec: JobSpec) -> bytes:
     """Return a specification as it is stored."""
     steps = [[getattr(step, name) for name in _STEP_FIELDS] for step in spec.steps]
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -111,6 +111,10 @@
     DONE = 4
 
 
+# Phases in which the newest attempt runs or is about to.
+STARTED = (Phase.PLACED, Phase.RUNNING)
+
+
 @dataclass(slots=True)
 class Task:
     """One task and where its newest attempt runs.
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -12,7 +12,8 @@
 from pydantic import ValidationError
 
 from chivetray.border.jobs import JobsApp
-from chivetray.capacity.runner import FLEET_CELL, FleetRunner
+from chivetray.capacity.order_book import FLEET_CELL
+from chivetray.capacity.runner import FleetRunner
 from chivetray.cells.configuration import Configuration
 from chivetray.cells.desk import Desk
 from chivetray.cells.directory import CellDirectory
@@ -21,11 +22,11 @@
 from chivetray.cells.tables import MEMBER_TABLE, member_row
 from chivetray.clocks import boot_time_s
 from chivetray.connection_limits import ConnectionLimits
-from chivetray.events import Event, log_event, open_log
+from chivetray.events import Event, log_event, observe_events, open_log
 from chivetray.exceptions import Fault, FaultsError
 from chivetray.generated.manager_models import ManagerSettings
 from chivetray.generated.messages import CellClaim, NodeHeartbeat
-from chivetray.metrics import Metrics
+from chivetray.manager_metrics import ManagerMetrics
 from chivetray.peers.mesh import Mesh
 from chivetray.platform.advice import AdviceClient
 from chivetray.platform.calls import CallSession
@@ -94,10 +95,13 @@
         self._path = path
         self._incarnation = uuid.uuid4().hex
         self._leaving = anyio.Event()
-        self._metrics = Metrics()
+        self._metrics = ManagerMetrics(self._read_gauges)
         self._session = CallSession.open()
         self._store = StoreAccess(self._session, settings.store)
         self._workers = WorkerClient(self._session)
+        self._store.on_latency = self._metrics.observe_latency
+        self._workers.on_latency = self._metrics.observe_latency
+        observe_events(self._metrics.observe_event)
         self._configuration = Configuration(self._store, self._config_changed)
         self._mesh = Mesh(
             settings.name,
@@ -118,6 +122,7 @@
             self._capacity(),
             AdviceClient(self._session, settings.advice) if settings.advice else None,
         )
+        self._directory.longest_lease_s = settings.longest_lease_ms / 1000
         self._desk = Desk(self._mesh, self._store, self._directory, self._configuration)
         self._runner: FleetRunner | None = None
         self._machines: MachineClient | None = None
@@ -355,6 +360,27 @@
         status = 200 if self.is_ready() else 503
         await _send_text(send, status, b"")
 
+    def _read_gauges(self) -> dict[tuple[str, str], float]:
+        """Return what the process believes and how old that is."""
+        now_s = boot_time_s()
+        values = {
+            ("chivetray_peers", ""): float(len(self._mesh.peers)),
+            ("chivetray_relayed_store_calls", ""): float(self._store.relayed),
+        }
+        if self._configuration.current is not None:
+            age_s = now_s - self._configuration.applied_at_s
+            version = float(self._configuration.version)
+            values["chivetray_configuration_version", ""] = version
+            values["chivetray_configuration_age_seconds", ""] = age_s
+        if self._fleet.read_at_s:
+            list_age_s = now_s - self._fleet.read_at_s
+            values["chivetray_worker_list_age_seconds", ""] = list_age_s
+        for cell, own in self._directory.owned.items():
+            confirmed_age_s = now_s - own.confirmed_at_s
+            values["chivetray_cell_jobs", cell] = float(len(own.state.active))
+            values["chivetray_cell_confirmed_age_seconds", cell] = confirmed_age_s
+        return values
+
     async def _metrics_app(self, scope, receive, send) -> None:  # type: ignore[no-untyped-def]
         await _send_text(send, 200, self._metrics.render())
 
--- /dev/null
+++ b/src/chivetray/manager_metrics.py
@@ -0,0 +1,106 @@
+"""Metrics of a manager: counters of its decisions, latencies, ages of its beliefs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any
+
+from prometheus_client import CollectorRegistry, Counter, generate_latest
+from prometheus_client.core import GaugeMetricFamily, SummaryMetricFamily
+
+from chivetray.events import Event
+from chivetray.metrics import QUANTILES, LatencyHistogram
+
+LATENCY_NAME = "chivetray_manager_latency_seconds"
+
+# Fields of events whose few values tell outcomes apart.
+OUTCOME_FIELDS = ("verdict", "answer", "how", "state", "code", "released", "order")
+
+# Events that tell a latency: its name, and the field with it.
+LATENCY_EVENTS = {
+    Event.TASK_PLACED.name: ("acceptance to placement", "waited_s"),
+    Event.JOB_ENDED.name: ("acceptance to completion", "took_s"),
+}
+
+# Returns the value of each gauge, by name and what it is about.
+ReadGauges = Callable[[], Mapping[tuple[str, str], float]]
+
+GAUGES = {
+    "chivetray_configuration_version": "Configuration version in force.",
+    "chivetray_configuration_age_seconds": "Time since that version was applied.",
+    "chivetray_worker_list_age_seconds": "Time since the workers were last read.",
+    "chivetray_cell_jobs": "Jobs of an owned cell that have not ended.",
+    "chivetray_cell_confirmed_age_seconds": "Time since the last write of an owned "
+    "cell; its leases are not extended after 4 s.",
+    "chivetray_peers": "Managers with an open stream.",
+    "chivetray_relayed_store_calls": "Calls of the store that went through a peer.",
+}
+
+
+class ManagerMetrics:
+    """All metrics of one manager.
+
+    :param read_gauges: called for each rendering
+    """
+
+    def __init__(self, read_gauges: ReadGauges):
+        self.registry = CollectorRegistry()
+        self._events = Counter(
+            "chivetray_events",
+            "Decisions and changes of belief, as in the log; see EVENTS.md.",
+            ("event", "outcome"),
+            registry=self.registry,
+        )
+        self._answers = Counter(
+            "chivetray_job_answers",
+            "Answers to callers by result.",
+            ("code",),
+            registry=self.registry,
+        )
+        self._latencies: dict[str, LatencyHistogram] = {}
+        self._read_gauges = read_gauges
+        self.registry.register(self)
+
+    def observe_event(self, event: Event, fields: Mapping[str, Any]) -> None:
+        """Count an event, and record the latency that it tells."""
+        outcomes = [str(fields[name]) for name in OUTCOME_FIELDS if name in fields]
+        self._events.labels(event.name, " ".join(outcomes)).inc()
+        name, field = LATENCY_EVENTS.get(event.name, ("", ""))
+        # A later step of a job is placed when its earlier ones are done.
+        if field in fields and fields.get("step", 0) == 0:
+            self.observe_latency(name, fields[field])
+
+    def observe_latency(self, name: str, latency_s: float) -> None:
+        """Record one latency."""
+        histogram = self._latencies.get(name)
+        if histogram is None:
+            histogram = self._latencies[name] = LatencyHistogram()
+        histogram.record(latency_s)
+
+    def count_answer(self, code: str) -> None:
+        """Count one answer to a caller."""
+        self._answers.labels(code).inc()
+
+    def collect(self) -> Iterator[SummaryMetricFamily | GaugeMetricFamily]:
+        """Yield the latencies and the gauges, as the registry asks for them."""
+        latencies = SummaryMetricFamily(
+            LATENCY_NAME, "Latencies of calls and of jobs.", labels=["of"]
+        )
+        for name, histogram in self._latencies.items():
+            latencies.add_metric([name], histogram.count, histogram.sum_s)
+            for quantile in QUANTILES:
+                labels = {"of": name, "quantile": str(quantile)}
+                value_s = histogram.quantile_s(quantile)
+                latencies.add_sample(LATENCY_NAME, labels, value_s)
+        yield latencies
+        values = self._read_gauges()
+        for name, text in GAUGES.items():
+            gauge = GaugeMetricFamily(name, text, labels=["about"])
+            for (of, about), value in values.items():
+                if of == name:
+                    gauge.add_metric([about], value)
+            yield gauge
+
+    def render(self) -> bytes:
+        """Return the text format that Prometheus reads."""
+        return generate_latest(self.registry)
--- a/src/chivetray/metrics.py
+++ b/src/chivetray/metrics.py
@@ -96,9 +96,6 @@
         self.ejections = self._counter(
             "chivetray_ejections", "Ejected endpoints by reason.", "reason"
         )
-        self.job_answers = self._counter(
-            "chivetray_job_answers", "Answers to callers of jobs by result.", "code"
-        )
         self.rows_written = self._counter(
             "chivetray_rows_written", "Rows sent to the table service."
         )
--- a/src/chivetray/platform/store.py
+++ b/src/chivetray/platform/store.py
@@ -4,8 +4,9 @@
 
 import base64
 import binascii
+import time
 import urllib.parse
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -117,6 +118,7 @@
         self._session = session
         self._timeout_s = timeout_s
         self.calls = 0
+        self.on_latency: Callable[[str, float], None] = lambda _name, _latency_s: None
         self.move_to(address)
 
     def move_to(self, address: str) -> None:
@@ -148,7 +150,9 @@
             "Remove": [_name(row) for row in removed],
         }
         path = "/chivetray/rows-tx"
+        began_s = time.monotonic()
         outcome = await self.call("POST", path, body, self._timeout_s)
+        self.on_latency("store transaction", time.monotonic() - began_s)
         if isinstance(outcome, NotSent):
             return Refused(outcome.reason)
         if isinstance(outcome, NoAnswer):
@@ -266,7 +270,9 @@
 
     async def _get(self, path: str, query: dict[str, str]) -> dict[str, Any]:
         path = f"{path}?{urllib.parse.urlencode(query)}"
+        began_s = time.monotonic()
         outcome = await self.call("GET", path, None, self._timeout_s)
+        self.on_latency("store reading", time.monotonic() - began_s)
         if isinstance(outcome, Answer) and outcome.ok:
             return outcome.body
         raise StoreUnavailableError(_reason(outcome), isinstance(outcome, Answer))
--- a/src/chivetray/platform/workers.py
+++ b/src/chivetray/platform/workers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -17,6 +19,9 @@
 
 STATUS_OTHER_LIFE = 421
 
+# Calls whose latencies are observed; a look waits for an end on purpose.
+ORDER_CALLS = {"run-start": "start order", "run-stop": "stop order"}
+
 
 @dataclass(frozen=True, slots=True)
 class TaskName:
@@ -130,8 +135,8 @@
 
     def __init__(self, session: CallSession):
         self._session = session
-        self.orders = 0
         self.looks = 0
+        self.on_latency: Callable[[str, float], None] = lambda _name, _latency_s: None
 
     async def hold(
         self,
@@ -163,7 +168,6 @@
         ticket: str = "",
     ) -> Reply:
         """Start an attempt; repeating the order changes nothing."""
-        self.orders += 1
         body: dict[str, Any] = {
             "Task": str(name),
             "Attempt": attempt,
@@ -181,7 +185,6 @@
         self, worker: WorkerAddress, fence: int, name: TaskName, attempt: int
     ) -> Reply:
         """Stop an attempt, and keep it from starting there later."""
-        self.orders += 1
         body = {"Task": str(name), "Attempt": attempt, "FencingToken": fence}
         return await self._call(worker, "run-stop", body, ORDER_TIMEOUT_S)
 
@@ -194,7 +197,6 @@
         percent: int,
     ) -> Reply:
         """Let a task work at a share of its speed."""
-        self.orders += 1
         body = {
             "Task": str(name),
             "Attempt": attempt,
@@ -208,7 +210,10 @@
     ) -> Reply:
         url = f"http://{worker.address}/chivetray/{call}"
         headers = {"Chivetray-Expect-Instance": worker.worker_id}
+        began_s = time.monotonic()
         outcome = await self._session.call("POST", url, timeout_s, body, headers)
+        if call in ORDER_CALLS:
+            self.on_latency(ORDER_CALLS[call], time.monotonic() - began_s)
         return decode_reply(outcome)
 
 
--- a/tests/test_cell_owner.py
+++ b/tests/test_cell_owner.py
@@ -10,7 +10,7 @@
 import pytest
 from cell_helpers import CELL, World, job, until
 
-from chivetray.cells import owner as owner_module
+from chivetray.cells import looks, sending, timing
 from chivetray.cells.owner import CellOwner
 from chivetray.clocks import boot_time_s
 from chivetray.jobs.model import JobState, Step
@@ -212,7 +212,7 @@
                 await until(lambda: worker.deadline_ms > 0)
                 worker.silent_since_s = boot_time_s()
                 left_s = first.state.remaining_leases(boot_time_s())[busy]
-            assert 0 < left_s <= owner_module.RELEASED_LEASE_S
+            assert 0 < left_s <= timing.RELEASED_LEASE_S
 
         asyncio.run(scenario())
 
@@ -220,8 +220,8 @@
 class TestSilentWorkers:
     def test_lease_of_a_silent_worker_runs_out(self, monkeypatch) -> None:
         """A look at a silent worker once asked for a longer lease each time."""
-        monkeypatch.setattr(owner_module, "LEASE_S", 0.6)
-        monkeypatch.setattr(owner_module, "START_LEASE_S", 0.6)
+        monkeypatch.setattr(looks, "LEASE_S", 0.6)
+        monkeypatch.setattr(sending, "START_LEASE_S", 0.6)
 
         async def scenario() -> None:
             world = World(work_s=30)
@@ -266,7 +266,24 @@
                     await asyncio.sleep(0.01)
                     left_ms = model.deadline_ms - model.clock_ms()
                     longest_ms = max(longest_ms, left_ms)
-            assert 0 < longest_ms <= owner_module.LEASE_S * 1000 + 5
+            assert 0 < longest_ms <= timing.LEASE_S * 1000 + 5
+
+        asyncio.run(scenario())
+
+    def test_no_lease_is_longer_than_workers_grant(self) -> None:
+        """A worker shortens it, and the task would end between two looks."""
+
+        async def scenario() -> None:
+            world = World(workers=1, work_s=30)
+            owner = await world.own()
+            owner.longest_lease_s = 0.5
+            async with running(world, owner):
+                owner.add_job(job(steps=(Step(1, 1000),)))
+                await asyncio.sleep(0.7)
+            holds = [body for _, call, body in world.workers.calls if call == "hold"]
+            assert max(body.get("WaitMs", 0) for body in holds) <= 150
+            model = world.models["w0"]
+            assert 0 < model.deadline_ms - model.clock_ms() <= 500 + 5
 
         asyncio.run(scenario())
 
--- a/tests/test_cell_state.py
+++ b/tests/test_cell_state.py
@@ -4,8 +4,14 @@
 
 from cell_helpers import CELL, job
 
-from chivetray.cells.state import CellState, job_age_s
-from chivetray.jobs.job import Job, decode_spec, encode_spec
+from chivetray.cells.advice import take_advice, ticket_of
+from chivetray.cells.evacuation import evacuate, reserve
+from chivetray.cells.gangs import stop_broken_gangs
+from chivetray.cells.placing import place
+from chivetray.cells.reports import apply_look, confirm_start, reject_start
+from chivetray.cells.sharing import pace_orders, shares
+from chivetray.cells.state import CellState
+from chivetray.jobs.job import Job, decode_spec, encode_spec, job_age_s
 from chivetray.jobs.model import JobState, Phase, Step
 from chivetray.jobs.ordering import order_key
 from chivetray.jobs.pacing import choose_pace
@@ -41,25 +47,25 @@
     task = state.jobs[JOB].tasks[(0, 0, index)]
     ended = EndedTask(number, TaskName(JOB, task.key), task.attempt, how, "")
     reply = Reply(Verdict.OK, 2000, 1, [], [ended])
-    state.apply_look(state.workers[worker], reply, 0.0, 1.0)
+    apply_look(state, state.workers[worker], reply, 0.0, 1.0)
 
 
 class TestGangs:
     def test_nothing_starts_until_all_members_have_room(self) -> None:
         state = cell(entry("w0"))
         state.add_job(job(steps=(Step(5, 1000, gang=True),)), 0.0)
-        assert state.place(0.0, 0) == []
+        assert place(state, 0.0, 0) == []
         state.list_workers([entry("w0"), entry("w1")], 0.0)
         state.workers["w1"].adopted = True
         state.workers["w1"].clock.observe(1000, 0.0, 0.0)
-        placed = state.place(0.0, 0)
+        placed = place(state, 0.0, 0)
         assert len(placed) == 5
         assert {p.attempt for p in placed} == {1}
 
     def test_one_end_done_is_the_end_of_all(self) -> None:
         state = cell(entry("w0"))
         state.add_job(job(steps=(Step(3, 1000, gang=True),)), 0.0)
-        state.place(0.0, 0)
+        place(state, 0.0, 0)
         end(state, "w0", 1, 0, How.DONE)
         assert state.jobs[JOB].state == JobState.COMPLETED
 
@@ -68,16 +74,16 @@
     ) -> None:
         state = cell(entry("w0"), entry("w1"))
         state.add_job(job(steps=(Step(4, 2000, gang=True),)), 0.0)
-        placed = state.place(0.0, 0)
-        state.reject_start(placed[0], 0.5)
-        state.stop_broken_gangs()
+        placed = place(state, 0.0, 0)
+        reject_start(state, placed[0], 0.5)
+        stop_broken_gangs(state)
         assert len(state.stops) == 3
-        assert state.place(0.6, 0) == []
+        assert place(state, 0.6, 0) == []
 
     def test_an_attempt_of_a_gang_fails_once(self) -> None:
         state = cell(entry("w0"))
         state.add_job(job(steps=(Step(3, 1000, gang=True),), max_attempts=2), 0.0)
-        state.place(0.0, 0)
+        place(state, 0.0, 0)
         end(state, "w0", 1, 0, How.FAILED)
         end(state, "w0", 2, 1, How.FAILED)
         assert state.jobs[JOB].state != JobState.FAILED
@@ -87,29 +93,29 @@
         state = cell(entry("w0", "r1"), entry("w1", "r2"), entry("w2", "r2"))
         step = Step(6, 1000, gang=True, same_rack=True)
         state.add_job(job(steps=(step,)), 0.0)
-        assert {p.worker_id for p in state.place(0.0, 0)} == {"w1", "w2"}
+        assert {p.worker_id for p in place(state, 0.0, 0)} == {"w1", "w2"}
 
 
 class TestAdvice:
     def test_a_step_waits_for_tickets_and_uses_only_workers_with_one(self) -> None:
         state = cell(entry("w0"), entry("w1"))
         state.add_job(job(steps=(Step(2, 1000),), advice_ms=3000), 0.0)
-        assert state.place(0.0, 0) == []
+        assert place(state, 0.0, 0) == []
         (name, asked), *_ = state.advice_wanted.items()
         assert sorted(asked) == ["w0", "w1"]
-        state.take_advice(name, asked, {"w1": "t-1"}, until_s=3.0)
-        placed = state.place(0.1, 0)
+        take_advice(state, name, asked, {"w1": "t-1"}, until_s=3.0)
+        placed = place(state, 0.1, 0)
         assert {p.worker_id for p in placed} == {"w1"}
-        assert state.ticket_of(placed[0].ref, "w1") == "t-1"
+        assert ticket_of(state, placed[0].ref, "w1") == "t-1"
 
     def test_workers_that_may_not_run_a_step_are_not_asked_about_again(self) -> None:
         state = cell(entry("w0"), entry("w1"))
         state.add_job(job(steps=(Step(1, 1000),), advice_ms=3000), 0.0)
-        state.place(0.0, 0)
+        place(state, 0.0, 0)
         (name, asked), *_ = state.advice_wanted.items()
-        state.take_advice(name, asked, {"w1": "t-1"}, until_s=1.0)
+        take_advice(state, name, asked, {"w1": "t-1"}, until_s=1.0)
         state.advice_wanted.clear()
-        state.place(2.0, 0)
+        place(state, 2.0, 0)
         assert state.advice_wanted[name] == ["w1"]
 
 
@@ -125,19 +131,19 @@
         serving = Step(1, 1000, long_running=True, target_ms=100)
         filling = Step(1, 1000, long_running=True, fills=True)
         state.add_job(job(steps=(serving, filling)), 0.0)
-        placed = state.place(0.0, 0)
+        placed = place(state, 0.0, 0)
         running = [
             RunningTask(TaskName(*p.ref), p.attempt, "", 100, 150) for p in placed
         ]
         worker = state.workers["w0"]
-        state.apply_look(worker, Reply(Verdict.OK, 1, 1, running), 0.0, 1.0)
-        assert state.shares(worker)
-        assert [order[2] for order in state.pace_orders(worker)] == [0]
+        apply_look(state, worker, Reply(Verdict.OK, 1, 1, running), 0.0, 1.0)
+        assert shares(state, worker)
+        assert [order[2] for order in pace_orders(state, worker)] == [0]
 
     def test_fills_use_no_processor_room(self) -> None:
         state = cell(entry("w0", cpu=1000))
         state.add_job(job(steps=(Step(1, 1000), Step(3, 1000, fills=True))), 0.0)
-        assert len(state.place(0.0, 0)) == 4
+        assert len(place(state, 0.0, 0)) == 4
 
 
 class TestEvacuation:
@@ -145,35 +151,35 @@
         state = cell(entry("w0"), entry("w1"))
         step = Step(2, 1000, long_running=True, may_miss=1)
         state.add_job(job(steps=(step,)), 0.0)
-        placed = state.place(0.0, 0)
+        placed = place(state, 0.0, 0)
         for p in placed:
-            state.confirm_start(p.ref, p.attempt, 0.1)
+            confirm_start(state, p.ref, p.attempt, 0.1)
         for task in state.jobs[JOB].tasks.values():
             task.percent = 100
-        state.reserve({p.worker_id for p in placed}, 1.0)
-        state.evacuate(1.0)
+        reserve(state, {p.worker_id for p in placed}, 1.0)
+        evacuate(state, 1.0)
         phases = [t.phase for t in state.jobs[JOB].tasks.values()]
         assert sorted(phases) == [Phase.RUNNING, Phase.STOPPING]
 
     def test_nothing_is_placed_on_a_reserved_worker(self) -> None:
         state = cell(entry("w0"))
-        state.reserve({"w0"}, 0.0)
+        reserve(state, {"w0"}, 0.0)
         state.add_job(job(), 0.0)
-        assert state.place(0.1, 0) == []
+        assert place(state, 0.1, 0) == []
 
     def test_a_later_owner_counts_a_task_that_is_being_stopped_as_away(self) -> None:
         """It once moved a second task while the first was still being stopped."""
         state = cell(entry("w0"), entry("w1"))
         step = Step(2, 1000, long_running=True, may_miss=1)
         state.add_job(job(steps=(step,)), 0.0)
-        for p in state.place(0.0, 0):
-            state.confirm_start(p.ref, p.attempt, 0.1)
+        for p in place(state, 0.0, 0):
+            confirm_start(state, p.ref, p.attempt, 0.1)
         for task in state.jobs[JOB].tasks.values():
             task.percent = 100
         state.take_dirty()
         workers = {task.worker for task in state.jobs[JOB].tasks.values()}
-        state.reserve(workers, 1.0)
-        state.evacuate(1.0)
+        reserve(state, workers, 1.0)
+        evacuate(state, 1.0)
         assert [changed.spec.job_id for changed in state.take_dirty()] == [JOB]
         later = cell(entry("w0"), entry("w1"))
         progress = state.jobs[JOB].encode()
@@ -184,9 +190,9 @@
         for task in later.jobs[JOB].tasks.values():
             task.percent = 100
             if task.phase == Phase.PLACED:
-                later.confirm_start((JOB, task.key), task.attempt, 2.1)
-        later.reserve(workers, 3.0)
-        later.evacuate(3.0)
+                confirm_start(later, (JOB, task.key), task.attempt, 2.1)
+        reserve(later, workers, 3.0)
+        evacuate(later, 3.0)
         phases = [t.phase for t in later.jobs[JOB].tasks.values()]
         assert sorted(phases) == [Phase.RUNNING, Phase.STOPPING]
 
@@ -196,8 +202,8 @@
         state = cell(entry("w0"))
         spec = job(steps=(Step(1, 500),), repeats=3, start_at_ms=1000, interval_ms=500)
         state.add_job(spec, 0.0)
-        assert state.place(0.0, 999) == []
-        assert [p.ref[1][0] for p in state.place(0.0, 1500)] == [0, 1]
+        assert place(state, 0.0, 999) == []
+        assert [p.ref[1][0] for p in place(state, 0.0, 1500)] == [0, 1]
 
 
 class TestPeakOfOneQueue:
@@ -223,7 +229,7 @@
         state = cell(entry("w0"))
         spec = job(steps=(Step(3, 1000), Step(1, 500, depends_on=(0,))))
         state.add_job(spec, 0.0)
-        state.place(0.0, 0)
+        place(state, 0.0, 0)
         end(state, "w0", 1, 1, How.DONE)
         restored = Job(decode_spec(encode_spec(spec)))
         restored.restore(state.jobs[JOB].encode())
--- a/tests/test_log_queue.py
+++ b/tests/test_log_queue.py
@@ -10,6 +10,7 @@
 
 from chivetray.events import Event
 from chivetray.log_queue import LogQueue
+from chivetray.log_repeats import RepeatFilter
 
 
 def _dropped(count: int) -> dict[str, object]:
@@ -53,3 +54,19 @@
         numbers = [json.loads(line)["number"] for line in stream.getvalue().split()]
         assert numbers == list(range(200))
         assert queue.dropped == 0
+
+
+class TestRepeats:
+    def test_a_matter_is_written_once_a_second_with_the_count_of_the_rest(self) -> None:
+        repeats = RepeatFilter()
+        answers = [
+            repeats.admit("STORE_LOST", {"during": "scan", "reason": str(n)}, n / 10)
+            for n in range(11)
+        ]
+        assert answers == [0, *[None] * 9, 9]
+
+    def test_another_matter_is_not_held_back(self) -> None:
+        repeats = RepeatFilter()
+        assert repeats.admit("CELL_TAKE_FAILED", {"cell": "a"}, 0.0) == 0
+        assert repeats.admit("CELL_TAKE_FAILED", {"cell": "b"}, 0.1) == 0
+        assert repeats.admit("COMMIT_FAILED", {"cell": "a"}, 0.2) == 0
--- a/tests/test_order_holder.py
+++ b/tests/test_order_holder.py
@@ -4,16 +4,18 @@
 
 import asyncio
 import time
+from typing import ClassVar
 
 import msgpack
 
-from chivetray.capacity.runner import (
-    ORDERS_ROW,
-    FleetRunner,
-    Move,
-)
+from chivetray.capacity.order_book import ORDERS_ROW
+from chivetray.capacity.reports import CellReports
+from chivetray.capacity.runner import FleetRunner
+from chivetray.capacity.sizing import Move
+from chivetray.cells.state import CellState
 from chivetray.cells.tables import owner_row
 from chivetray.clocks import boot_time_s
+from chivetray.platform.entries import WorkerEntry
 from chivetray.platform.machines import MachineAnswer
 from chivetray.platform.store import Committed, Conflict, Row, RowId, Unknown
 
@@ -21,6 +23,8 @@
 
 
 class Mesh:
+    """A process without peers."""
+
     name = "m1"
 
     def __init__(self) -> None:
@@ -147,3 +151,31 @@
         holder = Holder()
         holder.store.outcome = Unknown("silence")
         assert holder.begin_and_move("vm-1") == []
+
+
+class TestReports:
+    def test_an_owner_tells_its_load_and_keeps_wanted_workers_empty(self) -> None:
+        """A name that hid a function once ended every holder at its first round."""
+
+        class Owner:
+            state = CellState("pool-a")
+            leaving = False
+
+            def wake(self) -> None:
+                pass
+
+        class Directory:
+            owned: ClassVar = {"pool-a": Owner()}
+
+            def owner_of(self, cell: str) -> str | None:
+                return Mesh.name if cell in self.owned else None
+
+        entry = WorkerEntry(
+            "w0", "pool-a", "10.0.0.1:80", "z1", False, 1, 4000, 8192, 0, ()
+        )
+        Owner.state.list_workers([entry], 0.0)
+        reports = CellReports(Mesh(), Directory(), lambda: None)  # type: ignore[arg-type]
+        asyncio.run(reports.read(["pool-a", "pool-b"], ["w0"], {}))
+        assert list(reports.cells) == ["pool-a"]
+        assert not reports.cells["pool-a"].workers["w0"].usable
+        assert Owner.state.workers["w0"].reserved(boot_time_s())
--- a/tests/test_task_copies.py
+++ b/tests/test_task_copies.py
@@ -4,6 +4,9 @@
 
 from cell_helpers import CELL, job
 
+from chivetray.cells.copies import copy_tasks
+from chivetray.cells.placing import place
+from chivetray.cells.reports import apply_look, confirm_start
 from chivetray.cells.state import CellState
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import JobState, Phase, Step, Task
@@ -39,10 +42,10 @@
             worker.clock.observe(1000, 0.0, 0.0)
         spec = job(steps=(Step(1, 3000, estimate_ms=200, copies=copies),), **fields)
         self.job: Job = self.state.add_job(spec, 0.0)
-        (placed,) = self.state.place(0.0, 0)
+        (placed,) = place(self.state, 0.0, 0)
         self.old = placed.worker_id
         self.new = "w1" if self.old == "w0" else "w0"
-        self.state.confirm_start(REF, 1, 0.1)
+        confirm_start(self.state, REF, 1, 0.1)
         self.state.take_dirty()
 
     @property
@@ -52,15 +55,15 @@
     def silence(self, now_s: float = 1.0) -> list[str]:
         """Let the worker be silent since 0.2 s; return where the task starts."""
         self.state.workers[self.old].silent_since_s = 0.2
-        self.state.copy_tasks(now_s)
-        return [p.worker_id for p in self.state.place(now_s, 0)]
+        copy_tasks(self.state, now_s)
+        return [p.worker_id for p in place(self.state, now_s, 0)]
 
     def look(self, worker: str, *ends: EndedTask, running: int = 0) -> None:
         """Let a worker answer with its ends and the attempt that runs there."""
         listed = [RunningTask(TaskName(JOB, KEY), running, "", 50, 0)]
         reply = Reply(Verdict.OK, 2000, 1, listed if running else [], list(ends))
         self.state.workers[worker].silent_since_s = 0.0
-        self.state.apply_look(self.state.workers[worker], reply, 2.0, 2.1)
+        apply_look(self.state, self.state.workers[worker], reply, 2.0, 2.1)
 
     def end(self, worker: str, attempt: int, how: How) -> None:
         self.look(worker, EndedTask(1, TaskName(JOB, KEY), attempt, how, ""))
@@ -88,7 +91,7 @@
         copied = Copied()
         copied.silence()
         copied.state.workers[copied.new].silent_since_s = 1.1
-        copied.state.copy_tasks(3.0)
+        copy_tasks(copied.state, 3.0)
         assert copied.task.phase == Phase.PLACED
 
     def test_the_room_of_the_older_run_stays_taken(self) -> None:
@@ -101,14 +104,14 @@
 class TestSlowRun:
     def test_a_run_that_takes_several_times_as_long_is_copied(self) -> None:
         copied = Copied()
-        copied.state.copy_tasks(30.0)
-        (placed,) = copied.state.place(30.0, 0)
+        copy_tasks(copied.state, 30.0)
+        (placed,) = place(copied.state, 30.0, 0)
         assert placed.worker_id == copied.new
 
     def test_a_run_of_usual_length_is_not(self) -> None:
         copied = Copied()
-        copied.state.copy_tasks(0.4)
-        assert copied.state.place(0.4, 0) == []
+        copy_tasks(copied.state, 0.4)
+        assert place(copied.state, 0.4, 0) == []
 
 
 class TestEnds:
@@ -122,7 +125,7 @@
     def test_the_end_of_the_newer_run_stops_the_older(self) -> None:
         copied = Copied()
         copied.silence()
-        copied.state.confirm_start(REF, 2, 1.1)
+        confirm_start(copied.state, REF, 2, 1.1)
         copied.end(copied.new, 2, How.DONE)
         assert copied.job.state == JobState.COMPLETED
         assert (copied.old, 1) in copied.stopped()
@@ -130,7 +133,7 @@
     def test_failed_runs_of_both_count_among_the_attempts(self) -> None:
         copied = Copied(max_attempts=2)
         copied.silence()
-        copied.state.confirm_start(REF, 2, 1.1)
+        confirm_start(copied.state, REF, 2, 1.1)
         copied.end(copied.old, 1, How.FAILED)
         assert copied.job.state == JobState.RUNNING
         copied.end(copied.new, 2, How.FAILED)
@@ -177,6 +180,6 @@
             [],
         )
         worker = copied.state.workers[copied.new]
-        copied.state.apply_look(worker, reply, 2.0, 2.1)
+        apply_look(copied.state, worker, reply, 2.0, 2.1)
         assert not worker.usable(2.2)
         assert worker.usable(3.0)
