--- /dev/null
+++ b/tests/test_fleet_view.py
@@ -0,0 +1,89 @@
+"""The list of workers while the store loses entries, and workers that leave."""
+
+from __future__ import annotations
+
+import json
+
+from cell_helpers import CELL, job
+
+from chivetray.cells import fleet_view
+from chivetray.cells.fleet_view import FleetView
+from chivetray.cells.placing import place
+from chivetray.cells.state import CellState
+from chivetray.platform.store import Store
+
+
+def content(state: str = "ready", **fields: object) -> bytes:
+    plain = {
+        "Service": CELL,
+        "Address": "10.0.0.1:80",
+        "Zone": "z1",
+        "State": state,
+        "Capacity": {"Cpu": 4000, "MemMb": 8192, "Gpu": 0},
+        "Labels": ["a", "r1"],
+        "born": 5,
+    }
+    return json.dumps({**plain, **fields}).encode()
+
+
+class Views:
+    """A list that is read at times that the test sets."""
+
+    def __init__(self, monkeypatch) -> None:
+        self.now_s = 100.0
+        monkeypatch.setattr(fleet_view, "boot_time_s", lambda: self.now_s)
+        self.view = FleetView(Store(None, "store"))  # type: ignore[arg-type]
+        self.version = 0
+
+    def read(self, **workers: bytes) -> set[str]:
+        self.version += 1
+        self.view._take({w: (self.version, value) for w, value in workers.items()})
+        return {entry.worker_id for entry in self.view.workers_of(CELL)}
+
+
+class TestLapsedEntries:
+    def test_those_lost_during_an_outage_count_until_they_can_be_back(
+        self, monkeypatch
+    ) -> None:
+        views = Views(monkeypatch)
+        views.read(w0=content(), w1=content())
+        views.view._failed_at_s = views.now_s
+        views.now_s += 1.0
+        assert views.read(w0=content()) == {"w0", "w1"}
+        views.now_s += 3.0
+        assert views.read(w0=content()) == {"w0"}
+
+    def test_without_an_outage_a_missing_entry_is_gone(self, monkeypatch) -> None:
+        views = Views(monkeypatch)
+        views.read(w0=content(), w1=content())
+        assert views.read(w0=content()) == {"w0"}
+
+
+class TestForeignEntries:
+    def test_what_cannot_be_read_names_no_worker_and_the_others_hold(
+        self, monkeypatch
+    ) -> None:
+        found = Views(monkeypatch).read(
+            w0=content(),
+            w1=b"\xff no json",
+            w2=content(state="odd"),
+            w3=content(Address=5),
+            w4=content(Capacity="much"),
+        )
+        assert found == {"w0"}
+
+
+class TestDraining:
+    def test_a_draining_worker_gets_nothing_new(self, monkeypatch) -> None:
+        views = Views(monkeypatch)
+        views.read(w0=content(state="draining"))
+        state = CellState(CELL)
+        state.add_job(job(), 100.0)
+        state.list_workers(views.view.workers_of(CELL), 100.0)
+        worker = state.workers["w0"]
+        worker.adopted = True
+        worker.clock.observe(1000, 100.0, 100.0)
+        assert place(state, 100.0, 0) == []
+        views.read(w0=content())
+        state.list_workers(views.view.workers_of(CELL), 101.0)
+        assert len(place(state, 101.0, 0)) == 3
