Count an earlier holder's orders among the VMs of a wave that are down

Found while writing tests of the wave runner: since a new holder of VM orders begins at once, an order of the one before might not show in the list yet, so the cap could be passed; such VMs were also chosen first, and blocked the wave.

--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -97,6 +97,8 @@
         rows, _ = await self._store.read(DUTY_TABLE, FLEET_CELL)
         await self._orders.begin(own, rows)
         self._waves.restore(rows)
+        # What this process listed as an earlier holder may be old.
+        self._machines = []
         self._moving.clear()
         self._leaving.clear()
         self._holder = own
--- a/src/chivetray/capacity/wave_runner.py
+++ b/src/chivetray/capacity/wave_runner.py
@@ -140,8 +140,12 @@
         self, wave: Wave, progress: WaveProgress, by_name: dict[str, Machine]
     ) -> int:
         states = {n: by_name[n].state for n in wave.machines if n in by_name}
+        now_s = boot_time_s()
+        # What an earlier holder ordered a moment ago need not show in the list yet.
+        foreign_s = {n: now_s for n in states if not self._orders.is_free(n)}
+        ordered_s = {**progress.ordered_s, **foreign_s}
         lasting_s = self._maintenance_s + MARGIN_S
-        return count_under_way(states, progress.ordered_s, boot_time_s(), lasting_s)
+        return count_under_way(states, ordered_s, now_s, lasting_s)
 
     def _choose(
         self,
@@ -157,11 +161,12 @@
             if machine is None or name in progress.done:
                 continue
             report = self._reports.worker(machine)
+            up = machine.state == STATE_UP and name not in moving
             left.append(
                 WaveVm(
                     name,
                     machine.pool,
-                    machine.state == STATE_UP and name not in moving,
+                    up and self._orders.is_free(name),
                     machine.pool in standby,
                     report.tasks if report else 0,
                     machine.cpu_milli,
