--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -236,7 +236,7 @@
     async def _acquire(self, cell: str) -> CellOwner | None:
         row = await self._store.read_row(owner_row(cell))
         current = Ownership.decode(row.value) if row else None
-        if row is not None and not await self._may_take(cell, row, current):
+        if row is not None and not await self._may_take(cell, current):
             return None
         epoch = (current.epoch if current else 0) + 1
         ownership = Ownership(epoch, self._mesh.name, self._mesh.incarnation)
@@ -276,7 +276,7 @@
         state.adopt_placed(boot_time_s(), earlier_lease_s, leases_s)
         return own
 
-    async def _may_take(self, cell: str, row: Row, current: Ownership | None) -> bool:
+    async def _may_take(self, cell: str, current: Ownership | None) -> bool:
         """Return whether the last owner is gone."""
         if current is None or current.released or self._has_restarted(current):
             return True
--- a/src/chivetray/cells/looks.py
+++ b/src/chivetray/cells/looks.py
@@ -102,7 +102,7 @@
             worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
             # A look returns at once while ends are not acknowledged.
             if worker.observed == worker.seen_end:
-                sharing = shares(self._state, worker)
+                sharing = shares(worker)
                 wait_ms = SHARING_LOOK_WAIT_MS if sharing else LOOK_WAIT_MS
                 wait_ms = min(wait_ms, int(lease_s * 1000 * LOOK_SHARE))
         observed, born = worker.observed, worker.born
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -59,7 +59,7 @@
         task.level = running.level
         if running.checkpoint:
             step = job.spec.steps[task.key[1]]
-            _note_checkpoint(state, job, task, step, running.checkpoint)
+            _note_checkpoint(job, task, step, running.checkpoint)
         if task.phase == Phase.PLACED:
             confirm_start(state, (job.spec.job_id, task.key), task.attempt, now_s)
     _find_vanished(state, worker, listed, sent_at_s, now_s)
@@ -119,7 +119,7 @@
         return
     step = job.spec.steps[task.key[1]]
     if ended.checkpoint:
-        _note_checkpoint(state, job, task, step, ended.checkpoint)
+        _note_checkpoint(job, task, step, ended.checkpoint)
     if ended.how == How.DONE:
         worker.failing_jobs.clear()
         if task.running_at_s and not task.checkpoint:
@@ -158,9 +158,7 @@
     return job.open_tasks(task.key[0], task.key[1])
 
 
-def _note_checkpoint(
-    state: CellState, job: Job, task: Task, step: Step, checkpoint: str
-) -> None:
+def _note_checkpoint(job: Job, task: Task, step: Step, checkpoint: str) -> None:
     for member in _members(job, task, step):
         member.checkpoint = checkpoint
 
--- a/src/chivetray/cells/sharing.py
+++ b/src/chivetray/cells/sharing.py
@@ -36,7 +36,7 @@
     return orders
 
 
-def shares(state: CellState, worker: WorkerState) -> bool:
+def shares(worker: WorkerState) -> bool:
     """Return whether a worker has filling tasks beside serving ones."""
     steps = worker.tasks.values()
     serving = any(step.target_ms and not step.fills for step in steps)
--- a/tests/test_cell_state.py
+++ b/tests/test_cell_state.py
@@ -137,7 +137,7 @@
         ]
         worker = state.workers["w0"]
         apply_look(state, worker, Reply(Verdict.OK, 1, 1, running), 0.0, 1.0)
-        assert shares(state, worker)
+        assert shares(worker)
         assert [order[2] for order in pace_orders(state, worker)] == [0]
 
     def test_fills_use_no_processor_room(self) -> None:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -10,7 +10,7 @@
 
 from chivetray.cells.directory import RENEWAL_PROOF_S, CellDirectory, Renewal
 from chivetray.cells.state import CellState
-from chivetray.cells.tables import Ownership, owner_row
+from chivetray.cells.tables import Ownership
 from chivetray.clocks import boot_time_s
 from chivetray.platform.store import Changes, Row, RowId, StoreUnavailableError
 
@@ -119,8 +119,7 @@
             read_at_s = boot_time_s() - watched_s
             directory._renewals["a"] = Renewal(store.version, read_at_s, 0.0)
         began_s = time.monotonic()
-        row = Row(owner_row("a"), b"", 1)
-        may = await directory._may_take("a", row, Ownership(1, "q", "1"))
+        may = await directory._may_take("a", Ownership(1, "q", "1"))
         return may, time.monotonic() - began_s
 
     return asyncio.run(main())
