--- a/tests/test_job_processes.py
+++ b/tests/test_job_processes.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 
 import pytest
-from job_fleet import JobFleet, job_body, wait_for
+from job_fleet import WORKER_PORT, JobFleet, job_body, wait_for
 
 from chivetray.cmdline import main
 
@@ -78,8 +78,18 @@
         assert fault in answer["Error"]
         assert fleet.call("m0", "GET", "00000000000000b1")[0] == 410
 
-    def test_metrics_count_answers(self, fleet) -> None:
-        assert "chivetray_job_answers_total" in fleet.metrics("m0")
+    def test_metrics_show_answers_decisions_latencies_and_ages(self, fleet) -> None:
+        shown = "".join(fleet.metrics(name) for name in fleet.managers)
+        for part in (
+            'chivetray_job_answers_total{code="OK"}',
+            'chivetray_events_total{event="CELL_TAKEN",outcome="False"}',
+            'chivetray_manager_latency_seconds{of="acceptance",quantile="0.99"}',
+            'chivetray_manager_latency_seconds{of="store transaction",quantile="0.5"}',
+            'chivetray_manager_latency_seconds{of="start order",quantile="0.5"}',
+            "chivetray_configuration_version",
+            "chivetray_cell_confirmed_age_seconds",
+        ):
+            assert part in shown, part
 
 
 class TestKilledOwner:
@@ -96,6 +106,19 @@
         fleet.start_manager(owner)
         wait_for(lambda: fleet.state(owner, "00000000000000c1") == "completed")
 
+    def test_the_story_of_the_job_names_the_change_of_its_owner(
+        self, fleet, capsys
+    ) -> None:
+        """The way of docs/OPERATIONS.md, on the logs of the test before."""
+        logs = [str(fleet.folder / f"{name}.log") for name in fleet.managers]
+        assert main(["trace", "00000000000000c1", *logs]) == 0
+        lines = capsys.readouterr().out.splitlines()
+        (taken,) = [line for line in lines if " CELL_TAKEN " in line]
+        assert "released=False" in taken
+        order = [line.split()[2] for line in lines]
+        assert order.index("TASK_PLACED") < order.index("CELL_TAKEN")
+        assert order.index("CELL_TAKEN") < order.index("JOB_ENDED")
+
 
 class TestTrace:
     def test_the_story_of_a_job_names_its_owners_and_tasks(self, fleet, capsys) -> None:
@@ -113,6 +136,28 @@
         assert main(["trace", "00000000000000f2", *logs]) == 0
         assert "not JSON" in capsys.readouterr().out
 
+    def test_a_job_that_failed_on_bad_workers_names_each_attempt(
+        self, fleet, capsys
+    ) -> None:
+        """The third way of docs/OPERATIONS.md."""
+        addresses = [
+            f"{fleet.worker_address(name)}:{WORKER_PORT}" for name in fleet.workers
+        ]
+        for address in addresses:
+            fleet.post(address, "/standin/faults", {"failing": True})
+        fleet.call("m0", "POST", "00000000000000f3", job_body(count=1, work_s=0.1))
+        wait_for(lambda: fleet.state("m0", "00000000000000f3") == "failed")
+        for address in addresses:
+            fleet.post(address, "/standin/faults", {})
+        logs = [str(fleet.folder / f"{name}.log") for name in fleet.managers]
+        wait_for(lambda: _kinds("00000000000000f3", logs, capsys))
+        assert main(["trace", "00000000000000f3", *logs]) == 0
+        lines = capsys.readouterr().out.splitlines()
+        ended = [line for line in lines if " TASK_ENDED_EARLY " in line]
+        assert all("how=failed" in line and "worker=w" in line for line in ended)
+        (last,) = [line for line in lines if " JOB_ENDED " in line]
+        assert f"failures={len(ended)}" in last
+
 
 def _kinds(job_id, logs, capsys):
     if main(["trace", job_id, *logs]) != 0:
