--- a/src/chivetray/capacity/maintenance.py
+++ b/src/chivetray/capacity/maintenance.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from chivetray.platform.machines import MachineState
+
 # Time that emptying and maintaining one VM usually takes.
 STEP_S = 6.0
 
@@ -13,10 +15,6 @@
 SPARE_SHARE = 0.15
 
 
-STATE_UP = "up"
-STATE_MAINTENANCE = "upkeep"
-
-
 @dataclass(frozen=True, slots=True)
 class WaveVm:
     """A VM that has not begun its maintenance.
@@ -42,7 +40,10 @@
 
 
 def count_under_way(
-    states: dict[str, str], ordered_s: dict[str, float], now_s: float, lasting_s: float
+    states: dict[str, MachineState],
+    ordered_s: dict[str, float],
+    now_s: float,
+    lasting_s: float,
 ) -> int:
     """Return how many VMs of a wave are or may be down for their maintenance.
 
@@ -55,8 +56,8 @@
     count = 0
     for machine, state in states.items():
         recent = now_s - ordered_s.get(machine, -lasting_s) < lasting_s
-        ordered_down = machine in ordered_s and state != STATE_UP
-        count += recent or ordered_down or state == STATE_MAINTENANCE
+        ordered_down = machine in ordered_s and state != MachineState.UP
+        count += recent or ordered_down or state == MachineState.MAINTENANCE
     return count
 
 
--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -7,7 +7,6 @@
 
 import anyio
 
-from chivetray.capacity.maintenance import STATE_UP
 from chivetray.capacity.order_book import DUTY_TABLE, FLEET_CELL, OrderBook
 from chivetray.capacity.reports import CellReports
 from chivetray.capacity.sizing import (
@@ -25,9 +24,15 @@
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event, log_event
 from chivetray.peers.mesh import Mesh
-from chivetray.platform.machines import Machine, MachineAnswer, MachineClient
+from chivetray.platform.machines import (
+    Machine,
+    MachineAnswer,
+    MachineClient,
+    MachineState,
+)
 from chivetray.platform.store import Store, StoreUnavailableError
 
+# Interval between two rounds of orders; a VM takes five times as long to move.
 TICK_S = 0.3
 
 # Interval between readings of the VM list when nothing is expected to change.
@@ -128,7 +133,7 @@
                 arrived = (
                     machine is not None
                     and machine.pool == move.target
-                    and machine.state == STATE_UP
+                    and machine.state == MachineState.UP
                     and now_s - at_s > self._migrate_s
                 )
                 if machine is None or arrived:
@@ -202,14 +207,16 @@
         for machine in self._machines:
             if machine.name in self._moving:
                 continue
-            busy = machine.name in self._waves.emptying or machine.state != STATE_UP
+            busy = (
+                machine.name in self._waves.emptying or machine.state != MachineState.UP
+            )
             if machine.pool in standby:
                 spares.append(
                     PoolVm(machine.name, "", machine.cpu_milli, 0, 0, not busy)
                 )
             elif machine.pool in pools:
                 found = self._reports.worker(machine)
-                if machine.state != STATE_UP or found is None:
+                if not up or found is None:
                     continue
                 vm = PoolVm(
                     machine.name,
--- a/src/chivetray/capacity/wave_runner.py
+++ b/src/chivetray/capacity/wave_runner.py
@@ -8,7 +8,6 @@
 import msgpack
 
 from chivetray.capacity.maintenance import (
-    STATE_UP,
     PoolRoom,
     WaveVm,
     choose_vms,
@@ -27,7 +26,12 @@
 from chivetray.clocks import boot_time_s, wall_time_ms
 from chivetray.events import Event, log_event
 from chivetray.platform.entries import STATUS_TABLE, Wave, encode_wave_status
-from chivetray.platform.machines import Machine, MachineAnswer, MachineClient
+from chivetray.platform.machines import (
+    Machine,
+    MachineAnswer,
+    MachineClient,
+    MachineState,
+)
 from chivetray.platform.store import Committed, Row, RowId, Store
 
 # Time after which a worker that has ended is listed no more: three heartbeats and a
@@ -161,7 +165,7 @@
             if machine is None or name in progress.done:
                 continue
             report = self._reports.worker(machine)
-            up = machine.state == STATE_UP and name not in moving
+            up = machine.state == MachineState.UP and name not in moving
             left.append(
                 WaveVm(
                     name,
@@ -179,7 +183,7 @@
                 for m in by_name.values()
                 if m.pool == cell
                 and m.name not in self.emptying
-                and m.state == STATE_UP
+                and m.state == MachineState.UP
             )
             demand = report_of_cell.used_milli + report_of_cell.waiting_milli_s
             rooms[cell] = PoolRoom(capacity, demand)
--- a/src/chivetray/cells/copies.py
+++ b/src/chivetray/cells/copies.py
@@ -17,7 +17,6 @@
 # Run time, against the expected one, after which such a task starts elsewhere, and
 # the least time for it.
 COPY_AFTER_SHARE = 3.0
-
 COPY_AFTER_LEAST_S = 1.0
 
 
--- a/src/chivetray/cells/sending.py
+++ b/src/chivetray/cells/sending.py
@@ -35,8 +35,9 @@
 # Tries of one order in a row before the regular round takes it up again.
 ORDER_TRIES = 3
 
+# Time for which nothing is placed on a worker that refused a start: one that says it
+# is unhealthy recovers in seconds, one without room at its next end.
 UNHEALTHY_PAUSE_S = 1.0
-
 NO_ROOM_PAUSE_S = 0.2
 
 
--- a/src/chivetray/cells/timing.py
+++ b/src/chivetray/cells/timing.py
@@ -21,4 +21,6 @@
 # Pause after a write that failed, doubled up to a bound.
 RETRY_PAUSE_S = 0.03
 
+# Longest time between two rounds of decisions when nothing happens, and between two
+# tries of orders that are still open.
 TICK_S = 0.25
--- a/src/chivetray/platform/machines.py
+++ b/src/chivetray/platform/machines.py
@@ -31,17 +31,33 @@
 }
 
 
+class MachineState(Enum):
+    """What the platform says of a VM."""
+
+    UP = "up"
+    MOVING = "moving"
+    MAINTENANCE = "maintenance"
+    DOWN = "down"
+
+
+# States by the platform's names; any other counts as down.
+_STATES = {
+    "up": MachineState.UP,
+    "moving": MachineState.MOVING,
+    "upkeep": MachineState.MAINTENANCE,
+}
+
+
 @dataclass(frozen=True, slots=True)
 class Machine:
     """A VM as the platform lists it.
 
-    :ivar state: ``up``, ``moving``, ``upkeep`` or ``down``
     :ivar worker_id: its worker, or empty
     """
 
     name: str
     pool: str
-    state: str
+    state: MachineState
     zone: str
     labels: tuple[str, ...]
     cpu_milli: int
@@ -131,7 +147,7 @@
     return Machine(
         name=str(texts[0]),
         pool=str(texts[1]),
-        state=str(texts[2]),
+        state=_STATES.get(str(texts[2]), MachineState.DOWN),
         zone=str(plain.get("Zone") or ""),
         labels=tuple(str(x) for x in labels) if isinstance(labels, list) else (),
         cpu_milli=cpu if isinstance(cpu, int) else 0,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -17,6 +17,9 @@
     plan_moves,
     wanted_vms,
 )
+from chivetray.platform.machines import MachineState
+
+UP, MAINTENANCE = MachineState.UP, MachineState.MAINTENANCE
 
 
 def vm(name: str, tasks: int = 0, idle_ms: int = 5000, free: bool = True) -> PoolVm:
@@ -91,12 +94,12 @@
 class TestCapOfAWave:
     def test_an_order_without_answer_counts_as_down(self) -> None:
         """Such a VM was once not counted, and one too many was taken down."""
-        states = {"m1": "up", "m2": "upkeep", "m3": "up"}
+        states = {"m1": UP, "m2": MAINTENANCE, "m3": UP}
         assert count_under_way(states, {"m1": 10.0}, 11.0, 2.3) == 2
         assert count_under_way(states, {"m1": 10.0}, 13.0, 2.3) == 1
 
     def test_a_vm_that_an_earlier_holder_took_down_counts(self) -> None:
-        assert count_under_way({"m1": "upkeep"}, {}, 5.0, 2.3) == 1
+        assert count_under_way({"m1": MAINTENANCE}, {}, 5.0, 2.3) == 1
 
     def test_no_more_are_emptied_than_may_be_down(self) -> None:
         left = [WaveVm(f"m{n}", "a", True, False, 0, 16000) for n in range(9)]
--- a/tests/test_wave_runner.py
+++ b/tests/test_wave_runner.py
@@ -11,7 +11,12 @@
 from chivetray.cells.tables import owner_row
 from chivetray.clocks import boot_time_s
 from chivetray.platform.entries import STATUS_TABLE, Wave, encode_wave_status
-from chivetray.platform.machines import Machine, MachineAnswer
+from chivetray.platform.machines import (
+    Machine,
+    MachineAnswer,
+    MachineState,
+    _decode_machine,
+)
 from chivetray.platform.store import Committed, Row, RowId
 
 VMS = tuple(f"vm-{number}" for number in range(6))
@@ -94,7 +99,7 @@
             Reports(),  # type: ignore[arg-type]
             2.0,
         )
-        self.states = dict.fromkeys(VMS, "up")
+        self.states = dict.fromkeys(VMS, MachineState.UP)
         self.rows = [Row(ORDERS_ROW, bytes(msgpack.packb(list(earlier))), 1)]
 
     def rounds(self, count: int = 1) -> list[str]:
@@ -136,7 +141,7 @@
 
     def test_vms_that_are_listed_as_down_count(self) -> None:
         holder = Holder()
-        holder.states |= {VMS[4]: "upkeep", VMS[5]: "upkeep"}
+        holder.states |= dict.fromkeys(VMS[4:], MachineState.MAINTENANCE)
         assert holder.rounds(5) == []
 
 
@@ -148,13 +153,21 @@
 
     def test_it_is_completed_when_the_last_order_is_confirmed(self) -> None:
         holder = Holder()
-        holder.states = {vm: "up" for vm in VMS[:2]}
+        holder.states = dict.fromkeys(VMS[:2], MachineState.UP)
         holder.rounds(2)
         assert holder.status() == encode_wave_status(completed=True)
 
     def test_an_unanswered_order_completes_nothing(self) -> None:
         holder = Holder()
         holder.machines.answer = MachineAnswer.UNKNOWN
-        holder.states = {vm: "up" for vm in VMS[:2]}
+        holder.states = dict.fromkeys(VMS[:2], MachineState.UP)
         holder.rounds(2)
         assert holder.status() == encode_wave_status(completed=False)
+
+
+class TestListedStates:
+    def test_a_state_that_is_not_known_counts_as_down(self) -> None:
+        plain = {"Machine": "m", "Pool": "p", "State": "odd"}
+        machine = _decode_machine(plain)
+        assert machine is not None and machine.state == MachineState.DOWN
+        assert _decode_machine({**plain, "State": 5}) is None
