--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -207,9 +207,8 @@
         for machine in self._machines:
             if machine.name in self._moving:
                 continue
-            busy = (
-                machine.name in self._waves.emptying or machine.state != MachineState.UP
-            )
+            up = machine.state == MachineState.UP
+            busy = machine.name in self._waves.emptying or not up
             if machine.pool in standby:
                 spares.append(
                     PoolVm(machine.name, "", machine.cpu_milli, 0, 0, not busy)
--- a/tests/test_order_holder.py
+++ b/tests/test_order_holder.py
@@ -9,14 +9,14 @@
 import msgpack
 
 from chivetray.capacity.order_book import ORDERS_ROW
-from chivetray.capacity.reports import CellReports
+from chivetray.capacity.reports import CellReport, CellReports, WorkerReport
 from chivetray.capacity.runner import FleetRunner
 from chivetray.capacity.sizing import Move
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import owner_row
 from chivetray.clocks import boot_time_s
 from chivetray.platform.entries import WorkerEntry
-from chivetray.platform.machines import MachineAnswer
+from chivetray.platform.machines import Machine, MachineAnswer, MachineState
 from chivetray.platform.store import Committed, Conflict, Row, RowId, Unknown
 
 LEASE_S = 0.5
@@ -153,6 +153,31 @@
         assert holder.begin_and_move("vm-1") == []
 
 
+class TestPoolStates:
+    def test_vms_that_are_not_up_are_neither_room_nor_spare(self) -> None:
+        holder = Holder()
+        up, down = MachineState.UP, MachineState.MAINTENANCE
+        holder.runner._machines = [
+            Machine(name, pool, state, "z1", (), 4000, f"w-{name}")
+            for name, pool, state in [
+                ("vm-1", "pool-a", up),
+                ("vm-2", "pool-a", down),
+                ("vm-3", "spare", up),
+                ("vm-4", "spare", down),
+            ]
+        ]
+        workers = {f"w-vm-{n}": WorkerReport(1, 1000, 0, True) for n in (1, 2)}
+        report = CellReport(6000, 0, 9000, workers)
+        holder.runner._reports.cells["pool-a"] = report
+        (pool,), spares = holder.runner._pool_states(["spare"], 1.0)
+        assert [vm.machine for vm in pool.vms] == ["vm-1"]
+        assert pool.demand_milli == 9000
+        assert [(vm.machine, vm.free) for vm in spares] == [
+            ("vm-3", True),
+            ("vm-4", False),
+        ]
+
+
 class TestReports:
     def test_an_owner_tells_its_load_and_keeps_wanted_workers_empty(self) -> None:
         """A name that hid a function once ended every holder at its first round."""
