--- a/src/chivetray/records/client.py
+++ b/src/chivetray/records/client.py
@@ -29,6 +29,7 @@
     RowId,
     Store,
     StoreUnavailableError,
+    Transacted,
     Unknown,
 )
 from chivetray.platform.store import Row as StoreRow
@@ -231,7 +232,7 @@
             group = left
         return None
 
-    async def _transact(self, writes: Sequence[RowWrite]) -> Any:
+    async def _transact(self, writes: Sequence[RowWrite]) -> Transacted:
         return await self._store.transact(
             {write.row_id: write.expected_version for write in writes},
             {
