Follow a settings file that changes while the process starts

Cause: the text to compare with was read by the first look, after the settings were; a change between the two was never noticed.

--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -65,10 +65,18 @@
 def load_settings(path: Path) -> ManagerSettings:
     """Read and check a settings file.
 
+    :raises FaultsError: naming every fault
+    """
+    return parse_settings(path.read_text(), path)
+
+
+def parse_settings(text: str, path: Path) -> ManagerSettings:
+    """Check the text of a settings file.
+
     :raises FaultsError: naming every fault
     """
     try:
-        plain = yaml.safe_load(path.read_text())
+        plain = yaml.safe_load(text)
         return ManagerSettings.model_validate(plain)
     except yaml.YAMLError as error:
         fault = Fault(ResultCode.BAD_VALUE, str(path), 1, "settings", str(error))
@@ -88,11 +96,15 @@
 
 
 class Manager:
-    """A manager process."""
+    """A manager process.
+
+    :param text: text of the settings file that the settings were read from
+    """
 
-    def __init__(self, settings: ManagerSettings, path: Path):
+    def __init__(self, settings: ManagerSettings, path: Path, text: str):
         self._settings = settings
         self._path = path
+        self._text = text
         self._incarnation = uuid.uuid4().hex
         self._leaving = anyio.Event()
         self._metrics = ManagerMetrics(self._read_gauges)
@@ -147,7 +159,8 @@
 
         :raises FaultsError: naming every fault of the file
         """
-        return cls(load_settings(path), path)
+        text = path.read_text()
+        return cls(parse_settings(text, path), path, text)
 
     # Life
 
@@ -200,12 +213,11 @@
 
     async def _follow_settings(self) -> None:
         """Notice that the settings file has changed, also without a signal."""
-        seen = self._read_settings_text()
         while True:
             await anyio.sleep(SETTINGS_INTERVAL_S)
             text = self._read_settings_text()
-            if text and text != seen:
-                seen = text
+            if text and text != self._text:
+                self._text = text
                 self._reload()
 
     def _read_settings_text(self) -> str:
--- a/src/chivetray/standins/jobs.py
+++ b/src/chivetray/standins/jobs.py
@@ -118,7 +118,7 @@
                 store,
             )
         await anyio.sleep(0.3)
-        manager = Manager(settings, Path())
+        manager = Manager(settings, Path(), "")
         tasks.start_soon(_announce, manager)
         await manager.run()
         tasks.cancel_scope.cancel()
--- a/tests/test_job_processes.py
+++ b/tests/test_job_processes.py
@@ -182,6 +182,8 @@
 
 class TestSettings:
     def test_a_changed_file_is_followed_without_a_signal(self, fleet) -> None:
+        # One that has not read its file yet would start with the changed one.
+        wait_for(lambda: fleet.pending("m0") is not None)
         path = fleet.folder / "m0.yaml"
         path.write_text(path.read_text().replace("grace_s: 3", "grace_s: 2"))
         reloaded = wait_for(lambda: _reloads(fleet))
