--- a/tests/test_job_processes.py
+++ b/tests/test_job_processes.py
@@ -109,9 +109,18 @@
     def test_the_story_of_the_job_names_the_change_of_its_owner(
         self, fleet, capsys
     ) -> None:
-        """The way of docs/OPERATIONS.md, on the logs of the test before."""
+        """The second way of docs/OPERATIONS.md."""
+        job_id = "00000000000000c3"
+        before = len(fleet.starts())
+        fleet.call("m0", "POST", job_id, job_body(count=4, work_s=1.5))
+        wait_for(lambda: len(fleet.starts()) == before + 4)
+        owner = fleet.owner()
+        other = next(name for name in fleet.managers if name != owner)
+        fleet.kill(owner)
+        wait_for(lambda: fleet.state(other, job_id) == "completed")
         logs = [str(fleet.folder / f"{name}.log") for name in fleet.managers]
-        assert main(["trace", "00000000000000c1", *logs]) == 0
+        wait_for(lambda: _kinds(job_id, logs, capsys))
+        assert main(["trace", job_id, *logs]) == 0
         lines = capsys.readouterr().out.splitlines()
         (taken,) = [line for line in lines if " CELL_TAKEN " in line]
         assert "released=False" in taken
