--- a/src/chivetray/cells/copies.py
+++ b/src/chivetray/cells/copies.py
@@ -32,9 +32,10 @@
         for ref, step in worker.tasks.items():
             if not step.copies or step.gang or step.long_running:
                 continue
-            job, task = state.find(ref)
-            if job is None or task is None or task.worker != worker.worker_id:
+            found = state.newest_run(worker, ref)
+            if found is None:
                 continue
+            job, task = found
             if task.phase not in STARTED or task.copies or job.state.ended:
                 continue
             if is_silent or _takes_long(state, job, task, step, now_s):
@@ -102,5 +103,4 @@
         # Keeps a late start from being carried out.
         name = TaskName(*ref)
         state.stops.append(StopOrder(name, attempt, worker.worker_id))
-    worker.free(ref, now_s)
-    state.forget_copies(task, worker.worker_id)
+    state.forget_run(worker, ref, now_s)
--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -35,11 +35,10 @@
             continue
         overdue = reserved and now_s - worker.reserved_since_s > EMPTY_S
         for ref, step in list(worker.tasks.items()):
-            job, task = state.find(ref)
-            if job is None or task is None or task.phase != Phase.RUNNING:
-                continue
-            if task.worker != worker.worker_id:
+            found = state.newest_run(worker, ref)
+            if found is None or found[1].phase != Phase.RUNNING:
                 continue
+            job, task = found
             if step.fills:
                 movable = True
             elif step.long_running:
--- a/src/chivetray/cells/sending.py
+++ b/src/chivetray/cells/sending.py
@@ -65,12 +65,10 @@
             if not worker.adopted or worker.silent_since_s or not worker.address:
                 continue
             for ref in worker.tasks:
-                job = self._state.jobs.get(ref[0])
-                task = job.tasks.get(ref[1]) if job else None
-                if job is None or task is None or ref[0] in uncommitted:
-                    continue
-                if task.worker != worker.worker_id:
+                found = self._state.newest_run(worker, ref)
+                if found is None or ref[0] in uncommitted:
                     continue
+                _, task = found
                 if task.phase == Phase.PLACED:
                     placement = Placement(
                         ref, task.attempt, worker.worker_id, worker.born
--- a/src/chivetray/cells/sharing.py
+++ b/src/chivetray/cells/sharing.py
@@ -18,11 +18,10 @@
     worst = 0.0
     fills: list[tuple[TaskRef, Task]] = []
     for ref, step in worker.tasks.items():
-        job, task = state.find(ref)
-        if job is None or task is None or task.phase != Phase.RUNNING:
-            continue
-        if task.worker != worker.worker_id:
+        found = state.newest_run(worker, ref)
+        if found is None or found[1].phase != Phase.RUNNING:
             continue
+        _, task = found
         if step.fills:
             fills.append((ref, task))
         elif step.target_ms:
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -270,15 +270,14 @@
         worker.clock.known = False
         worker.failing_jobs.clear()
         for ref in list(worker.tasks):
-            job, task = self.find(ref)
-            if job is None or task is None or task.worker != worker.worker_id:
-                worker.free(ref, now_s)
-                self.forget_copies(task, worker.worker_id)
-            elif task.phase == Phase.PLACED:
-                task.born = born
+            found = self.newest_run(worker, ref)
+            if found is None:
+                self.forget_run(worker, ref, now_s)
+            elif found[1].phase == Phase.PLACED:
+                found[1].born = born
                 self.change(ref[0])
             else:
-                self.release(worker, job, task, now_s)
+                self.release(worker, *found, now_s)
 
     def worker_lost(self, worker: WorkerState, now_s: float, reason: str) -> None:
         """Let the tasks of a worker wait again, since none of them can run."""
@@ -292,18 +291,32 @@
             reason=reason,
         )
         for ref in list(worker.tasks):
-            job, task = self.find(ref)
-            if job is None or task is None or task.worker != worker.worker_id:
-                worker.free(ref, now_s)
-                self.forget_copies(task, worker.worker_id)
+            found = self.newest_run(worker, ref)
+            if found is None:
+                self.forget_run(worker, ref, now_s)
             else:
-                self.release(worker, job, task, now_s)
+                self.release(worker, *found, now_s)
 
     def find(self, ref: TaskRef) -> tuple[Job | None, Task | None]:
         """Return a job and its task, as far as they are known."""
         job = self.jobs.get(ref[0])
         return (job, job.tasks.get(ref[1])) if job else (None, None)
 
+    def newest_run(self, worker: WorkerState, ref: TaskRef) -> tuple[Job, Task] | None:
+        """Return a task of a worker, unless its newest attempt is elsewhere."""
+        job, task = self.find(ref)
+        if job is None or task is None or task.worker != worker.worker_id:
+            return None
+        return job, task
+
+    def forget_run(self, worker: WorkerState, ref: TaskRef, now_s: float) -> None:
+        """Free the room of an older run that a worker has lost."""
+        worker.free(ref, now_s)
+        _, task = self.find(ref)
+        if task is not None:
+            left = task.copies.items()
+            task.copies = {a: w for a, w in left if w != worker.worker_id}
+
     def release(self, worker: WorkerState, job: Job, task: Task, now_s: float) -> None:
         """Free the room of an attempt that runs no more; the task waits again."""
         worker.free((job.spec.job_id, task.key), now_s)
@@ -320,7 +333,7 @@
             if worker.tasks and silent and worker.lease_over(now_s):
                 self.worker_lost(worker, now_s, "the lease is over")
 
-    # What workers report
+    # Ends
 
     def note_done(self, job: Job, now_s: float) -> None:
         """Note that a task of a job is done, and perhaps the job."""
@@ -365,21 +378,6 @@
                 step = job.spec.steps[task.key[1]]
                 worker.take((job.spec.job_id, task.key), step)
 
-    @staticmethod
-    def forget_copies(task: Task | None, worker_id: str) -> None:
-        """Forget the older runs of a task on a worker that has lost them."""
-        if task is not None:
-            kept = {a: w for a, w in task.copies.items() if w != worker_id}
-            task.copies = kept
-
-    # Outcomes of orders
-
-    # Capacity
-
-    # Placement
-
-    # Advice
-
     # Placement
 
     def assign(
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -8,8 +8,6 @@
 from pathlib import Path
 
 import anyio
-import yaml
-from pydantic import ValidationError
 
 from chivetray.border.jobs import JobsApp
 from chivetray.capacity.order_book import FLEET_CELL
@@ -23,17 +21,17 @@
 from chivetray.clocks import boot_time_s
 from chivetray.connection_limits import ConnectionLimits
 from chivetray.events import Event, log_event, observe_events, open_log
-from chivetray.exceptions import Fault, FaultsError
+from chivetray.exceptions import FaultsError
 from chivetray.generated.manager_models import ManagerSettings
 from chivetray.generated.messages import CellClaim, NodeHeartbeat
 from chivetray.manager_metrics import ManagerMetrics
+from chivetray.manager_settings import load_settings, parse_settings
 from chivetray.peers.mesh import Mesh
 from chivetray.platform.advice import AdviceClient
 from chivetray.platform.calls import CallSession
 from chivetray.platform.machines import MachineClient
 from chivetray.platform.store import Committed, StoreUnavailableError
 from chivetray.platform.workers import WorkerClient
-from chivetray.results import ResultCode
 from chivetray.servers import HttpServer, bind_listener
 
 # Variable that holds the path of the settings file in a deployment.
@@ -62,39 +60,6 @@
 STOP_MARGIN_S = 1.2
 
 
-def load_settings(path: Path) -> ManagerSettings:
-    """Read and check a settings file.
-
-    :raises FaultsError: naming every fault
-    """
-    return parse_settings(path.read_text(), path)
-
-
-def parse_settings(text: str, path: Path) -> ManagerSettings:
-    """Check the text of a settings file.
-
-    :raises FaultsError: naming every fault
-    """
-    try:
-        plain = yaml.safe_load(text)
-        return ManagerSettings.model_validate(plain)
-    except yaml.YAMLError as error:
-        fault = Fault(ResultCode.BAD_VALUE, str(path), 1, "settings", str(error))
-        raise FaultsError([fault]) from error
-    except ValidationError as error:
-        faults = [
-            Fault(
-                ResultCode.BAD_VALUE,
-                str(path),
-                1,
-                ".".join(str(part) for part in item["loc"]),
-                item["msg"],
-            )
-            for item in error.errors()
-        ]
-        raise FaultsError(faults) from error
-
-
 class Manager:
     """A manager process.
 
--- /dev/null
+++ b/src/chivetray/manager_settings.py
@@ -0,0 +1,45 @@
+"""Reads and checks the settings file of a manager."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import yaml
+from pydantic import ValidationError
+
+from chivetray.exceptions import Fault, FaultsError
+from chivetray.generated.manager_models import ManagerSettings
+from chivetray.results import ResultCode
+
+
+def load_settings(path: Path) -> ManagerSettings:
+    """Read and check a settings file.
+
+    :raises FaultsError: naming every fault
+    """
+    return parse_settings(path.read_text(), path)
+
+
+def parse_settings(text: str, path: Path) -> ManagerSettings:
+    """Check the text of a settings file.
+
+    :raises FaultsError: naming every fault
+    """
+    try:
+        plain = yaml.safe_load(text)
+        return ManagerSettings.model_validate(plain)
+    except yaml.YAMLError as error:
+        fault = Fault(ResultCode.BAD_VALUE, str(path), 1, "settings", str(error))
+        raise FaultsError([fault]) from error
+    except ValidationError as error:
+        faults = [
+            Fault(
+                ResultCode.BAD_VALUE,
+                str(path),
+                1,
+                ".".join(str(part) for part in item["loc"]),
+                item["msg"],
+            )
+            for item in error.errors()
+        ]
+        raise FaultsError(faults) from error
