Repeat VM orders without an answer until they are settled

Cause: a move whose answer was lost counted as arriving until the list of VMs showed the VM in its new pool. If the platform had never carried it out, that was for ever: the pool waited for VMs that did not come, and no other pool got them. An upkeep order without an answer was repeated, but nothing kept the VM from being moved meanwhile, and a VM whose upkeep began at the end of its call counted as down for too short a time.

Change: `capacity/moves.py` keeps each move from its order to its arrival. An order without an answer is sent again, unchanged, when a list read after it shows the VM in its old pool; it counts as arriving only until then; its worker stays reserved. A list that shows the effect settles it. No order is given on a list that could not be read anew. Upkeep orders are settled the same way and count as down from the end of their call.

--- a/src/chivetray/capacity/maintenance.py
+++ b/src/chivetray/capacity/maintenance.py
@@ -39,32 +39,34 @@
     demand_milli: int
 
 
-def count_under_way(
+def find_vms_under_way(
     states: dict[str, PlatformVmState],
     ordered_at_s: dict[str, float],
     now_s: float,
     maintenance_s: float,
-) -> int:
-    """Return how many VMs of a wave are or may be down for maintenance.
+) -> set[str]:
+    """Return the VMs of a wave that are or may be down for maintenance.
 
     An unanswered order counts as carried out.
 
     :param states: state of each VM of the wave in the platform's list
-    :param ordered_at_s: time of the last order for each VM that got one
+    :param ordered_at_s: latest time at which the last order for a VM may have been
+        carried out, for each VM that got one
     :param maintenance_s: duration of a maintenance, including a margin
     """
-    count = 0
+    under_way = set()
     for machine, state in states.items():
         recent = now_s - ordered_at_s.get(machine, -maintenance_s) < maintenance_s
         ordered_down = machine in ordered_at_s and state != PlatformVmState.UP
-        count += recent or ordered_down or state == PlatformVmState.MAINTENANCE
-    return count
+        if recent or ordered_down or state == PlatformVmState.MAINTENANCE:
+            under_way.add(machine)
+    return under_way
 
 
 def choose_vms(
     pending: Iterable[PendingVm],
     chosen: set[str],
-    under_way: int,
+    under_way: set[str],
     max_down: int,
     pool_capacities: dict[str, PoolCapacity],
     time_left_s: float,
@@ -73,14 +75,14 @@
 
     :param pending: VMs of the wave whose maintenance has not begun
     :param chosen: VMs that are being emptied
-    :param under_way: number of VMs of the wave that are down for maintenance
+    :param under_way: VMs of the wave that are or may be down for maintenance
     :param max_down: number of VMs of the wave that may be down at once
     :param pool_capacities: capacity and demand by pool
     :param time_left_s: time until the wave should be complete
     """
     available = [vm for vm in pending if vm.up]
     kept = [vm.machine for vm in available if vm.machine in chosen]
-    budget = max_down - under_way - len(kept)
+    budget = max_down - len(under_way.union(kept))
     batches = -(-len(available) // max(1, max_down))
     is_late = time_left_s < batches * VM_MAINTENANCE_ESTIMATE_S
     free_milli = {
--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -5,11 +5,11 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Callable
 
 import anyio
 
+from chivetray.capacity.moves import VmMoves
 from chivetray.capacity.recent_orders import DUTY_TABLE, FLEET_CELL, RecentOrders
 from chivetray.capacity.reports import CellReports
 from chivetray.capacity.sizing import (
@@ -20,7 +20,7 @@
     forecast_demand,
     plan_moves,
 )
-from chivetray.capacity.wave_runner import WORKER_UNLISTED_AFTER_S, WaveRunner
+from chivetray.capacity.wave_runner import WaveRunner
 from chivetray.cells.configuration import Configuration
 from chivetray.cells.directory import CellDirectory
 from chivetray.cells.owner import CellOwner
@@ -79,9 +79,8 @@
             store, configuration, machines, self._orders, self._reports, maintenance_s
         )
         self._demand_meters: dict[str, DemandMeter] = {}
-        self._moving: dict[str, tuple[Move, float]] = {}
+        self._moves = VmMoves(migrate_s, boot_time_s)
         self._emptying: dict[str, Move] = {}
-        self._listed_until_s: dict[str, float] = {}
         self._active_owner: CellOwner | None = None
         self._sizes_logged_at_s = 0.0
 
@@ -109,57 +108,48 @@
         self._waves.restore(rows)
         # A VM list from an earlier time as holder may be outdated.
         self._machines = []
-        self._moving.clear()
+        self._moves.forget()
         self._emptying.clear()
         self._active_owner = owner
 
     async def _run_round(self, owner: CellOwner) -> None:
-        await self._refresh_machines()
+        is_list_current = await self._refresh_machines()
         await self._refresh_reports()
+        if not is_list_current:
+            # Orders are decided on the state of VMs; that of an old list may be wrong.
+            return
         by_name = {machine.name: machine for machine in self._machines}
-        await self._waves.maintain(owner, by_name, self._standby_pools(), self._moving)
+        await self._waves.maintain(owner, by_name, self._standby_pools(), self._moves)
         await self._resize_pools(owner)
 
     # Input of a round
 
-    async def _refresh_machines(self) -> None:
-        now_s = boot_time_s()
-        busy = bool(self._moving or self._emptying or self._waves.emptying)
+    async def _refresh_machines(self) -> bool:
+        """Read the list of VMs if it is due; return whether the list is current."""
+        requested_at_s = boot_time_s()
+        busy = bool(self._moves or self._emptying or self._waves.emptying)
         interval_s = ROUND_INTERVAL_S if busy else LIST_INTERVAL_S
-        if self._machines and now_s - self._listed_at_s < interval_s:
-            return
+        if self._machines and requested_at_s - self._listed_at_s < interval_s:
+            return True
         machines = await self._client.list_vms()
-        if machines is not None:
-            self._machines = machines
-            self._listed_at_s = now_s
-            by_name = {machine.name: machine for machine in machines}
-            for name, (move, at_s) in list(self._moving.items()):
-                machine = by_name.get(name)
-                arrived = (
-                    machine is not None
-                    and machine.pool == move.target
-                    and machine.state == PlatformVmState.UP
-                    and now_s - at_s > self._migrate_s
-                )
-                if machine is None or arrived:
-                    del self._moving[name]
+        if machines is None:
+            log_event(Event.VM_LIST_MISSING)
+            return False
+        self._machines = machines
+        self._listed_at_s = boot_time_s()
+        by_name = {machine.name: machine for machine in machines}
+        self._moves.apply_list(by_name, requested_at_s)
+        return True
 
     async def _refresh_reports(self) -> None:
         """Request the load of every cell, and have workers of leaving VMs reserved."""
         reserved_workers = {move.worker_id for move in self._emptying.values()}
         reserved_workers |= set(self._waves.emptying.values())
-        reserved_workers |= self._waves.ended_workers() | self._ended_workers()
-        arriving = Counter(move.target for move, _ in self._moving.values())
+        reserved_workers |= self._waves.ended_workers() | self._moves.ended_workers()
         cells = sorted(self._configuration.services)
-        await self._reports.request_all(cells, sorted(reserved_workers), arriving)
-
-    def _ended_workers(self) -> set[str]:
-        """Return the workers of moved VMs that may still be listed."""
-        now_s = boot_time_s()
-        self._listed_until_s = {
-            w: s for w, s in self._listed_until_s.items() if s > now_s
-        }
-        return set(self._listed_until_s)
+        await self._reports.request_all(
+            cells, sorted(reserved_workers), self._moves.arriving()
+        )
 
     def _standby_pools(self) -> set[str]:
         config = self._configuration.current
@@ -178,10 +168,14 @@
             sizes = {p.name: [len(p.vms), p.arriving, p.demand_milli] for p in pools}
             log_event(Event.POOL_SIZES, pools=sizes, spares=len(spares))
         planned_moves = plan_moves(pools, standby[0], spares)
+        by_name = {machine.name: machine for machine in self._machines}
+        ready = [
+            move
+            for move in self._moves.moves_to_repeat()
+            if self._reports.is_empty(by_name[move.machine], set(standby))
+        ]
         # Reservations of workers whose VM is no longer in the plan are dropped.
-        ready = []
         emptying: dict[str, Move] = {}
-        by_name = {machine.name: machine for machine in self._machines}
         for move in planned_moves:
             machine = by_name[move.machine]
             is_empty = self._reports.is_empty(machine, set(standby))
@@ -209,15 +203,15 @@
         for cell in self._reports.cells:
             if cell not in standby:
                 pools[cell] = PoolState(cell, 0)
-        for move, _ in self._moving.values():
-            if move.target in pools:
-                pools[move.target].arriving += 1
+        for target, count in self._moves.arriving().items():
+            if target in pools:
+                pools[target].arriving = count
         spares = []
         for machine in self._machines:
-            if machine.name in self._moving:
+            if machine.name in self._moves:
                 continue
             up = machine.state == PlatformVmState.UP
-            busy = machine.name in self._waves.emptying or not up
+            busy = not up or self._waves.claims(machine.name)
             if machine.pool in standby:
                 spares.append(
                     PoolVm(machine.name, "", machine.cpu_milli, 0, 0, not busy)
@@ -251,12 +245,9 @@
     async def _move_vm(self, owner: CellOwner, move: Move) -> None:
         if not self._orders.try_record_order(owner, move.machine):
             return
-        self._moving[move.machine] = (move, boot_time_s())
-        if move.worker_id:
-            self._listed_until_s[move.worker_id] = (
-                boot_time_s() + WORKER_UNLISTED_AFTER_S
-            )
+        self._moves.begin_order(move)
         answer = await self._client.move(move.machine, move.target, owner.epoch)
+        self._moves.end_order(move, answer)
         if answer == VmOrderOutcome.DONE:
             log_event(
                 Event.VM_MOVED,
@@ -265,9 +256,6 @@
                 target=move.target,
             )
             return
-        if answer != VmOrderOutcome.UNKNOWN:
-            self._moving.pop(move.machine, None)
-            self._listed_until_s.pop(move.worker_id, None)
         log_event(
             Event.VM_ORDER_FAILED,
             vm=move.machine,
--- a/src/chivetray/capacity/wave_runner.py
+++ b/src/chivetray/capacity/wave_runner.py
@@ -11,8 +11,9 @@
     PendingVm,
     PoolCapacity,
     choose_vms,
-    count_under_way,
+    find_vms_under_way,
 )
+from chivetray.capacity.moves import WORKER_UNLISTED_AFTER_S
 from chivetray.capacity.recent_orders import (
     DUTY_TABLE,
     FLEET_CELL,
@@ -34,17 +35,16 @@
     VmOrderOutcome,
 )
 
-# Time after which a worker that has ended is no longer listed: three heartbeats and one
-# read of the list.
-WORKER_UNLISTED_AFTER_S = 6.0
-
 
 @dataclass(slots=True)
 class WaveProgress:
     """Progress of one wave.
 
     :ivar done: VMs whose maintenance the platform has accepted
-    :ivar ordered_at_s: time of this holder's last order for each VM, answered or not
+    :ivar ordered_at_s: latest time at which this holder's last order for a VM may have
+        been carried out, for each VM that got one
+    :ivar unanswered: VMs whose order has no answer; it is sent again until it has one
+        or the list of VMs shows its effect
     :ivar version: version of the stored row
     :ivar stored: size of ``done`` in the stored row, -1 if the row must be written
     :ivar announced: whether the status of the wave was published
@@ -53,6 +53,7 @@
     started_ms: int
     done: set[str] = field(default_factory=set)
     ordered_at_s: dict[str, float] = field(default_factory=dict)
+    unanswered: set[str] = field(default_factory=set)
     version: int = 0
     stored: int = -1
     completed: bool = False
@@ -109,6 +110,12 @@
         }
         return set(self._listed_until_s)
 
+    def claims(self, vm: str) -> bool:
+        """Return whether a VM is being emptied, or may be about to go down."""
+        return vm in self.emptying or any(
+            vm in progress.unanswered for progress in self._progress_by_key.values()
+        )
+
     async def maintain(
         self,
         owner: CellOwner,
@@ -129,13 +136,15 @@
             )
             if progress.completed:
                 continue
+            _settle_orders(progress, by_name)
             if not progress.announced:
                 progress.announced = await self._publish_status(wave, completed=False)
             chosen = self._choose_vms(wave, progress, by_name, standby, moving)
             emptying |= {name: by_name[name].worker_id for name in chosen}
             for name in chosen:
-                if self._count_under_way(wave, progress, by_name) >= wave.cap:
-                    break
+                under_way = self._find_under_way(wave, progress, by_name)
+                if len(under_way | {name}) > wave.cap:
+                    continue
                 machine = by_name[name]
                 if name in moving or not self._reports.is_empty(machine, standby):
                     continue
@@ -146,16 +155,16 @@
             await self._store_wave(owner, key, wave, progress, by_name)
         self.emptying = {n: w for n, w in emptying.items() if n in by_name}
 
-    def _count_under_way(
+    def _find_under_way(
         self, wave: Wave, progress: WaveProgress, by_name: dict[str, PlatformVm]
-    ) -> int:
+    ) -> set[str]:
         states = {n: by_name[n].state for n in wave.machines if n in by_name}
         now_s = boot_time_s()
         # The list may not yet show the effect of an earlier holder's last orders.
         inherited_at_s = {n: now_s for n in states if not self._orders.is_unblocked(n)}
         ordered_at_s = {**progress.ordered_at_s, **inherited_at_s}
         maintenance_s = self._maintenance_s + TIME_MARGIN_S
-        return count_under_way(states, ordered_at_s, now_s, maintenance_s)
+        return find_vms_under_way(states, ordered_at_s, now_s, maintenance_s)
 
     def _choose_vms(
         self,
@@ -197,7 +206,7 @@
         return choose_vms(
             pending,
             set(self.emptying),
-            self._count_under_way(wave, progress, by_name),
+            self._find_under_way(wave, progress, by_name),
             wave.cap,
             pool_capacities,
             wave.duration_s - elapsed_s,
@@ -210,17 +219,24 @@
             return
         if not self._orders.try_record_order(owner, machine.name):
             return
-        # The VM counts as down from now on, even if the answer is lost.
-        progress.ordered_at_s[machine.name] = boot_time_s()
-        answer = await self._client.maintain(machine.name, wave.number, owner.epoch)
-        if answer not in (VmOrderOutcome.DONE, VmOrderOutcome.UNKNOWN):
-            progress.ordered_at_s.pop(machine.name, None)
-        if answer in (VmOrderOutcome.DONE, VmOrderOutcome.UNKNOWN):
+        name = machine.name
+        # The VM counts as down from now on, even if the answer is lost. The platform
+        # may begin with its maintenance until the call has ended.
+        progress.ordered_at_s[name] = boot_time_s()
+        answer = await self._client.maintain(name, wave.number, owner.epoch)
+        if answer == VmOrderOutcome.UNKNOWN:
+            progress.unanswered.add(name)
+        if answer == VmOrderOutcome.DONE or name in progress.unanswered:
+            # A refusal tells nothing about an earlier order without an answer.
+            progress.ordered_at_s[name] = boot_time_s()
             self._listed_until_s[machine.worker_id] = (
                 boot_time_s() + WORKER_UNLISTED_AFTER_S
             )
+        else:
+            progress.ordered_at_s.pop(name, None)
         if answer == VmOrderOutcome.DONE:
-            progress.done.add(machine.name)
+            progress.done.add(name)
+            progress.unanswered.discard(name)
             log_event(Event.VM_MAINTAINED, vm=machine.name, wave=wave.number)
         else:
             log_event(
@@ -265,3 +281,19 @@
         version = found.version if found else 0
         outcome = await self._store.transact({row: version}, {row: value})
         return isinstance(outcome, Committed)
+
+
+def _settle_orders(progress: WaveProgress, by_name: dict[str, PlatformVm]) -> None:
+    """Count unanswered orders as accepted if a list of VMs shows their effect.
+
+    A VM is up in the list that an order for it is decided on, so any list that shows it
+    in maintenance is newer.
+    """
+    for name in list(progress.unanswered):
+        vm = by_name.get(name)
+        if vm is None:
+            progress.unanswered.discard(name)
+        elif vm.state == PlatformVmState.MAINTENANCE:
+            progress.unanswered.discard(name)
+            progress.done.add(name)
+            log_event(Event.VM_MAINTAINED, vm=name, answered=False)
--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -8,8 +8,10 @@
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import Phase, Step, Task
 
-# Time for which a worker stays reserved after the last request for its VM.
-RESERVATION_S = 2.5
+# Time for which a worker stays reserved after the last request for its VM. Requests
+# repeat in each round of VM orders, which takes 3.3 s while the platform's VM calls
+# time out. A later request releases the worker.
+RESERVATION_S = 4.0
 
 # Time after which tasks that cannot be moved, since they keep no checkpoints, are
 # stopped on a reserved worker.
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -131,6 +131,11 @@
     MAINTENANCE_WAITS = (1673, "A VM of a wave cannot be taken down yet.")
     MAINTENANCE_COMPLETED = (1674, "All VMs of a wave were maintained.")
 
+    VM_LIST_MISSING = (
+        1676,
+        "The platform does not answer with its VMs; no orders are given until then.",
+    )
+
     POOL_SIZES = (
         1675,
         "VMs, arriving VMs and demand of each pool, demand in thousandths of a core.",
@@ -164,6 +169,7 @@
         Event.CONFIG_SILENT,
         Event.MAINTENANCE_WAITS,
         Event.STORE_LOST,
+        Event.VM_LIST_MISSING,
     }
 )
 _repeat_filter = RepeatFilter()
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -6,7 +6,7 @@
     PendingVm,
     PoolCapacity,
     choose_vms,
-    count_under_way,
+    find_vms_under_way,
 )
 from chivetray.capacity.sizing import (
     DemandMeter,
@@ -95,22 +95,22 @@
     def test_an_order_without_answer_counts_as_down(self) -> None:
         """Such a VM was once not counted, and one too many was taken down."""
         states = {"m1": UP, "m2": MAINTENANCE, "m3": UP}
-        assert count_under_way(states, {"m1": 10.0}, 11.0, 2.3) == 2
-        assert count_under_way(states, {"m1": 10.0}, 13.0, 2.3) == 1
+        assert len(find_vms_under_way(states, {"m1": 10.0}, 11.0, 2.3)) == 2
+        assert len(find_vms_under_way(states, {"m1": 10.0}, 13.0, 2.3)) == 1
 
     def test_a_vm_that_an_earlier_holder_took_down_counts(self) -> None:
-        assert count_under_way({"m1": MAINTENANCE}, {}, 5.0, 2.3) == 1
+        assert len(find_vms_under_way({"m1": MAINTENANCE}, {}, 5.0, 2.3)) == 1
 
     def test_no_more_are_emptied_than_may_be_down(self) -> None:
         pending = [PendingVm(f"m{n}", "a", True, False, 0, 16000) for n in range(9)]
         capacities = {"a": PoolCapacity(16000 * 40, 0)}
-        assert len(choose_vms(pending, set(), 1, 4, capacities, 100.0)) == 3
+        assert len(choose_vms(pending, set(), {"m9"}, 4, capacities, 100.0)) == 3
 
     def test_vms_wait_while_their_pool_is_in_need(self) -> None:
         pending = [PendingVm(f"m{n}", "a", True, False, 5, 16000) for n in range(4)]
         capacities = {"a": PoolCapacity(64000, 60000)}
-        assert choose_vms(pending, set(), 0, 4, capacities, 100.0) == []
-        assert len(choose_vms(pending, set(), 0, 4, capacities, 1.0)) == 4
+        assert choose_vms(pending, set(), set(), 4, capacities, 100.0) == []
+        assert len(choose_vms(pending, set(), set(), 4, capacities, 1.0)) == 4
 
     def test_standby_vms_come_first(self) -> None:
         pending = [
@@ -118,4 +118,4 @@
             PendingVm("m2", "spare", True, True, 0, 16000),
         ]
         capacities = {"a": PoolCapacity(160000, 0)}
-        assert choose_vms(pending, set(), 0, 1, capacities, 100.0) == ["m2"]
+        assert choose_vms(pending, set(), set(), 1, capacities, 100.0) == ["m2"]
