--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -165,7 +165,15 @@
         pools, spares = self._pool_states(standby, now_s)
         if now_s - self._sizes_logged_at_s >= SIZES_LOG_INTERVAL_S:
             self._sizes_logged_at_s = now_s
-            sizes = {p.name: [len(p.vms), p.arriving, p.demand_milli] for p in pools}
+            sizes = {
+                pool.name: [
+                    len(pool.vms),
+                    pool.arriving,
+                    pool.demand_milli,
+                    self._reports.cells[pool.name].used_milli,
+                ]
+                for pool in pools
+            }
             log_event(Event.POOL_SIZES, pools=sizes, spares=len(spares))
         planned_moves = plan_moves(pools, standby[0], spares)
         by_name = {machine.name: machine for machine in self._machines}
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -15,7 +15,7 @@
 from chivetray.jobs.arrivals import ArrivalMeter
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import JobSpec, JobState, Phase, Step, Task, TaskKey
-from chivetray.jobs.ordering import work_core_s
+from chivetray.jobs.ordering import full_value_deadline_s, work_core_s
 from chivetray.jobs.runtimes import RunTimes
 from chivetray.platform.stored_records import WorkerRecord
 from chivetray.platform.workers import TaskName
@@ -394,7 +394,11 @@
                 job=job.spec.job_id,
                 state="COMPLETED",
                 cell=self.name,
+                queue=job.spec.queue,
                 took_s=round(now_s - job.first_seen_s, 3),
+                objective_s=round(
+                    full_value_deadline_s(job, self.times) - job.first_seen_s, 3
+                ),
             )
         self.deactivate_if_finished(job)
 
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -138,7 +138,8 @@
 
     POOL_SIZES = (
         1675,
-        "VMs, arriving VMs and demand of each pool, demand in thousandths of a core.",
+        "VMs, arriving VMs, demand and used CPU of each pool, both in thousandths of a "
+        "core.",
     )
 
     INVARIANT_BROKEN = (1900, "An invariant does not hold; this is a defect.")
