Mend faults found by reading in streams, cells and answers to callers

Each has a test that fails on the code before (named in brackets).

- An answer or call that is not msgpack, or a handler that raises, ended the streams to all peers; now its own stream, or just the call (test_mesh.py::TestDamagedMessages).
Streams are fuzzed with hypothesis.
- Both sides opened a stream for each check until the first hello came (TestOpening); a stream that was replaced is closed.
Heartbeats that are cut short leave the frames whole on this event loop: shown, nothing to mend.
- An owner row that cannot be read counted as none: epoch 1, no wait for leases (test_directory.py::TestOwnerRowThatCannotBeRead).
- Restored jobs counted as arrivals (test_cell_state.py::TestRestoredJobs).
- Gangs and steps with tickets put several tasks on a quarantined worker (TestQuarantine); a pace order without answer was not repeated (TestSharing).
- A wave added milli-cores to milli-core-seconds; the drain time is 1 s, so the numbers are the same: no test can fail first.

--- a/src/chivetray/capacity/wave_runner.py
+++ b/src/chivetray/capacity/wave_runner.py
@@ -22,6 +22,7 @@
     RecentOrders,
 )
 from chivetray.capacity.reports import CellReports
+from chivetray.capacity.sizing import BACKLOG_DRAIN_S
 from chivetray.cells.configuration import Configuration
 from chivetray.cells.owner import CellOwner
 from chivetray.clocks import boot_time_s, wall_time_ms
@@ -200,7 +201,8 @@
                 and m.name not in self.emptying
                 and m.state == PlatformVmState.UP
             )
-            demand = cell_report.used_milli + cell_report.waiting_milli_s
+            waiting_milli = int(cell_report.waiting_milli_s / BACKLOG_DRAIN_S)
+            demand = cell_report.used_milli + waiting_milli
             pool_capacities[cell] = PoolCapacity(capacity, demand)
         elapsed_s = (wall_time_ms() - progress.started_ms) / 1000
         return choose_vms(
--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -252,7 +252,7 @@
         current = Ownership.decode(row.value) if row else None
         if row is not None and not await self._is_previous_owner_gone(cell, current):
             return None
-        epoch = (current.epoch if current else 0) + 1
+        epoch = _next_epoch(cell, row, current)
         ownership = Ownership(epoch, self._mesh.name, self._mesh.incarnation)
         acquired_at_s = boot_time_s()
         version = await self._write_ownership(cell, row, ownership)
@@ -277,16 +277,17 @@
         )
         cell_owner.confirmed_at_s = acquired_at_s
         cell_owner.longest_lease_s = self.longest_lease_s
-        if current is None:
+        if row is None:
             cell_owner.inherited_leases_s = {}
-        elif current.released:
+        elif current is not None and current.released:
             cell_owner.inherited_leases_s = current.leases_s
         state.update_workers(self._workers_of(cell), boot_time_s())
         await self._load_jobs(state, version)
         earlier_lease_s = 0.0
-        if current is not None:
+        if row is not None:
+            is_released = current is not None and current.released
             earlier_lease_s = (
-                MAX_RELEASED_LEASE_S if current.released else MAX_EARLIER_LEASE_S
+                MAX_RELEASED_LEASE_S if is_released else MAX_EARLIER_LEASE_S
             )
         leases_s = current.leases_s if current is not None else {}
         state.attach_restored_tasks(boot_time_s(), earlier_lease_s, leases_s)
@@ -296,9 +297,10 @@
         self, cell: str, current: Ownership | None
     ) -> bool:
         """Return whether the owner released the cell, restarted or stopped renewing."""
-        if current is None or current.released or self._has_restarted(current):
+        holder = current.holder if current is not None else ""
+        if current is not None and (current.released or self._has_restarted(current)):
             return True
-        log_event(Event.CELL_SUSPECTED, cell=cell, holder=current.holder)
+        log_event(Event.CELL_SUSPECTED, cell=cell, holder=holder)
         before = self._renewals.pop(cell, None) or await self._read_renewal(cell)
         # A slow store delays the owner's renewals as much as this read.
         observed_until_s = before.read_at_s + RENEWAL_OBSERVATION_S + before.took_s
@@ -306,7 +308,7 @@
         after = await self._read_renewal(cell)
         if before.version == after.version:
             return self.owner_of(cell) is None
-        log_event(Event.CELL_OWNER_ALIVE, cell=cell, holder=current.holder)
+        log_event(Event.CELL_OWNER_ALIVE, cell=cell, holder=holder)
         self._unclaimed_since_s.pop(cell, None)
         return False
 
@@ -411,3 +413,20 @@
                 else:
                     add_job_from_row(cell_owner.state, row, {}, now_s)
             cell_owner.wake()
+
+
+def _next_epoch(cell: str, row: Row | None, current: Ownership | None) -> int:
+    """Return an epoch above all earlier ones of a cell.
+
+    Each epoch took a transaction of its own, so the version of a row that cannot be
+    decoded is at least as high as the epoch in it.
+
+    :param row: owner row of the cell, if there is one
+    :param current: its decoded content, if it can be decoded
+    """
+    if row is None:
+        return 1
+    if current is None:
+        log_event(Event.ROW_DAMAGED, key=row.id.key, reason=f"owner row of {cell}")
+        return row.version + 1
+    return current.epoch + 1
--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -22,6 +22,7 @@
     ABSENT,
     Committed,
     Conflict,
+    Row,
     RowId,
     StoreUnavailableError,
 )
@@ -142,7 +143,8 @@
             try:
                 with anyio.fail_after(timeout_s):
                     state = await self._read_stored_state(queue, job_id)
-            except (StoreUnavailableError, TimeoutError) as error:
+            except (StoreUnavailableError, TimeoutError, ValueError) as error:
+                # A damaged row tells no more than an absent answer.
                 message = str(error) or "the store does not answer"
                 return JobAnswer(
                     ResultCode.STATE_UNREADABLE, message, STORE_RETRY_AFTER_S
@@ -208,9 +210,7 @@
                 )
                 if isinstance(outcome, Committed | Conflict):
                     log_event(Event.JOB_CANCELLED, job=job_id)
-                    self._cancellations_to_notify[job_id] = decode_spec(
-                        found.value
-                    ).cell
+                    self._cancellations_to_notify[job_id] = _cell_of(found, queue)
                     self._notify_event.set()
                     return JobAnswer(ResultCode.OK)
                 reason = outcome.reason
@@ -226,22 +226,25 @@
 
     def count_pending(self, queue: Queue) -> JobAnswer:
         """Count the jobs of a queue of which no task has started."""
-        count = 0
-        owned = False
+        # Of two claims of a cell, as while its owner changes, the newer one counts.
+        newest: dict[str, tuple[int, int]] = {}
         for cell_owner in self._directory.owned_cells.values():
-            count += cell_owner.state.count_queued_jobs().get(queue.key, 0)
-            owned = owned or cell_owner.state.name == queue.service
+            count = cell_owner.state.count_queued_jobs().get(queue.key, 0)
+            newest[cell_owner.state.name] = (cell_owner.epoch, count)
         for peer in self._mesh.peers.values():
             for claim in peer.claims():
-                count += claim.pending.get(queue.key, 0)
-                owned = owned or claim.cell == queue.service
-        if not owned:
+                known_epoch, _ = newest.get(claim.cell, (-1, 0))
+                if claim.epoch > known_epoch:
+                    count = claim.pending.get(queue.key, 0)
+                    newest[claim.cell] = (claim.epoch, count)
+        if queue.service not in newest:
             message = "the queue's cell has no owner at the moment"
             return JobAnswer(ResultCode.STATE_UNREADABLE, message, 1.0)
         not_notified = (
             spec.queue == queue.key for spec in self._jobs_to_notify.values()
         )
-        return JobAnswer(ResultCode.OK, pending=count + sum(not_notified))
+        count = sum(pending for _, pending in newest.values()) + sum(not_notified)
+        return JobAnswer(ResultCode.OK, pending=count)
 
     # Notifications of owners
 
@@ -311,3 +314,12 @@
                     acknowledged.append(job_id)
                     break
         return acknowledged
+
+
+def _cell_of(row: Row, queue: Queue) -> str:
+    """Return the cell of a stored job; that of its queue if the row is damaged."""
+    try:
+        return decode_spec(row.value).cell
+    except ValueError as error:
+        log_event(Event.ROW_DAMAGED, key=row.id.key, reason=str(error))
+        return queue.service
--- a/src/chivetray/cells/loading.py
+++ b/src/chivetray/cells/loading.py
@@ -40,7 +40,7 @@
     for jobs, version in rows_by_queue.values():
         _check_fresh(version, guard_version)
         for row in jobs:
-            add_job_from_row(state, row, progress, now_s)
+            add_job_from_row(state, row, progress, now_s, is_new=False)
         for row in jobs:
             if row.id.key.endswith(CANCEL_SUFFIX):
                 state.cancel(row.id.key.removesuffix(CANCEL_SUFFIX))
@@ -56,9 +56,16 @@
 
 
 def add_job_from_row(
-    state: CellState, row: Row, progress: dict[str, Row], now_s: float
+    state: CellState,
+    row: Row,
+    progress: dict[str, Row],
+    now_s: float,
+    is_new: bool = True,
 ) -> None:
-    """Add the job of a row if it belongs to the cell and is not yet known."""
+    """Add the job of a row if it belongs to the cell and is not yet known.
+
+    :param is_new: whether the job has just arrived
+    """
     if row.id.key.endswith(CANCEL_SUFFIX) or row.id.key in state.jobs:
         return
     try:
@@ -71,6 +78,6 @@
     now_s -= job_age_s(spec, wall_time_ms())
     stored = progress.get(spec.job_id)
     if stored is None:
-        state.add_job(spec, now_s)
+        state.add_job(spec, now_s, is_new)
     else:
         state.restore_job(spec, stored.value, stored.version, now_s)
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -339,16 +339,19 @@
         requested_at_s = boot_time_s()
         try:
             reply = await advice.request_tickets(*step_ref, workers)
+            if reply is None:
+                log_event(
+                    Event.ORDER_FAILED,
+                    order="advice",
+                    job=step_ref[0],
+                    step=step_ref[2],
+                )
+                await anyio.sleep(RETRY_PAUSE_S)
+            else:
+                tickets, validity_s = reply
+                record_tickets(
+                    self.state, step_ref, workers, tickets, requested_at_s + validity_s
+                )
         finally:
             self._advice_requested = False
-        if reply is None:
-            log_event(
-                Event.ORDER_FAILED, order="advice", job=step_ref[0], step=step_ref[2]
-            )
-            await anyio.sleep(RETRY_PAUSE_S)
-        else:
-            tickets, validity_s = reply
-            record_tickets(
-                self.state, step_ref, workers, tickets, requested_at_s + validity_s
-            )
         self.wake()
--- a/src/chivetray/cells/placing.py
+++ b/src/chivetray/cells/placing.py
@@ -147,7 +147,4 @@
             tasks_per_worker.get(worker.worker_id, 0) + 1
         )
         tasks_per_rack[worker.rack] = tasks_per_rack.get(worker.rack, 0) + 1
-        if worker.quarantined:
-            worker.probed_at_s = now_s
-            workers.remove(worker)
     return placements
--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -8,7 +8,11 @@
 from anyio.abc import TaskGroup
 
 from chivetray.cells.reports import apply_poll_reply
-from chivetray.cells.sharing import has_mixed_tasks, update_pace
+from chivetray.cells.sharing import (
+    confirm_pace,
+    find_pace_changes,
+    has_mixed_tasks,
+)
 from chivetray.cells.timing import LEASE_EXTENSION_WINDOW_S, LEASE_S
 from chivetray.cells.workers import WorkerState
 from chivetray.clocks import boot_time_s
@@ -197,10 +201,12 @@
     async def _send_pace_orders(self, worker: WorkerState) -> None:
         """Adjust the pace of best-effort tasks to the latencies in the last reply."""
         address = WorkerAddress(worker.worker_id, worker.address)
-        for ref, attempt, percent in update_pace(self._state, worker):
+        for ref, attempt, percent in find_pace_changes(self._state, worker):
             reply = await self._workers.pace(
                 address, self._cell_owner.epoch, TaskName(*ref), attempt, percent
             )
+            if reply.verdict == Verdict.OK:
+                confirm_pace(self._state, worker, ref, attempt, percent)
             log_event(
                 Event.TASK_PACED,
                 task=str(TaskName(*ref)),
--- a/src/chivetray/cells/sharing.py
+++ b/src/chivetray/cells/sharing.py
@@ -11,10 +11,13 @@
 from chivetray.jobs.pacing import choose_pace
 
 
-def update_pace(
+def find_pace_changes(
     state: CellState, worker: WorkerState
 ) -> list[tuple[TaskRef, int, int]]:
-    """Update the pace of a worker's best-effort tasks and return the changes.
+    """Return the changes of pace that a worker's best-effort tasks need.
+
+    A change takes effect once the worker has confirmed it; one without an answer
+    follows again from the worker's next report.
 
     :return: task, attempt and new pace in percent
     """
@@ -33,11 +36,19 @@
     for ref, task in best_effort_tasks:
         percent = choose_pace(task.pace_percent, worst_latency_ratio)
         if percent != task.pace_percent:
-            task.pace_percent = percent
             orders.append((ref, task.attempt, percent))
     return orders
 
 
+def confirm_pace(
+    state: CellState, worker: WorkerState, ref: TaskRef, attempt: int, percent: int
+) -> None:
+    """Record that a worker has changed the pace of an attempt."""
+    found = state.find_newest_attempt(worker, ref)
+    if found is not None and found[1].attempt == attempt:
+        found[1].pace_percent = percent
+
+
 def has_mixed_tasks(worker: WorkerState) -> bool:
     """Return whether a worker has best-effort tasks beside serving ones."""
     steps = worker.tasks.values()
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -65,8 +65,11 @@
 
     # Jobs
 
-    def add_job(self, spec: JobSpec, now_s: float) -> Job:
-        """Add an accepted job, or return the known job with its id."""
+    def add_job(self, spec: JobSpec, now_s: float, is_new: bool = True) -> Job:
+        """Add an accepted job, or return the known job with its id.
+
+        :param is_new: whether the job has just arrived, and was not restored
+        """
         job = self.jobs.get(spec.job_id)
         if job is None:
             job = self.jobs[spec.job_id] = Job(spec, now_s)
@@ -77,7 +80,7 @@
             self.mean_job_cpu_milli[spec.queue] = mean + SIZE_LEARNING_RATE * (
                 size - mean
             )
-            if not job.long_running and not spec.repeats:
+            if is_new and not job.long_running and not spec.repeats:
                 self.arrivals.record(now_s, work_core_s(spec, self.times))
         return job
 
@@ -85,7 +88,7 @@
         self, spec: JobSpec, progress: bytes, version: int, now_s: float
     ) -> None:
         """Add a job with the progress stored by an earlier owner."""
-        job = self.add_job(spec, now_s)
+        job = self.add_job(spec, now_s, is_new=False)
         job.version = version
         try:
             job.restore(progress)
@@ -451,5 +454,7 @@
         task.start_unanswered = False
         task.pace_percent = 100
         worker.allocate(ref, step)
+        if worker.quarantined:
+            worker.probed_at_s = now_s
         self.mark_changed(job.spec.job_id)
         return Placement(ref, task.attempt, worker.worker_id, worker.incarnation)
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -128,7 +128,12 @@
         return True
 
     def fits(self, step: Step) -> bool:
-        """Return whether one more task of a step fits into the free resources."""
+        """Return whether one more task of a step fits into the free resources.
+
+        A quarantined worker runs one task at a time.
+        """
+        if self.quarantined and self.tasks:
+            return False
         cpu = 0 if step.best_effort else step.cpu_milli
         return (
             self.used_cpu_milli + cpu <= self.cpu_milli
--- a/src/chivetray/peers/codec.py
+++ b/src/chivetray/peers/codec.py
@@ -116,6 +116,22 @@
             raise _protocol_error(error) from error
 
 
+def encode_content(value: Any) -> bytes:
+    """Return the encoded form of the argument or result of a call."""
+    return bytes(msgpack.packb(value))
+
+
+def decode_content(content: bytes) -> Any:
+    """Decode the argument or result of a call.
+
+    :raises PeerProtocolError: when the bytes are not one valid value
+    """
+    try:
+        return msgpack.unpackb(content)
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise _protocol_error(error) from error
+
+
 def _validate(unpacked: Any) -> PeerMessage:
     number, *values = unpacked
     kind = _KINDS_BY_NUMBER[number]
--- a/src/chivetray/peers/mesh.py
+++ b/src/chivetray/peers/mesh.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import anyio
-import msgpack
 from anyio.abc import SocketStream, TaskGroup
 
 from chivetray.clocks import boot_time_s
@@ -21,7 +20,12 @@
     NodeHeartbeat,
     NodeHello,
 )
-from chivetray.peers.codec import PeerMessage, PeerProtocolError
+from chivetray.peers.codec import (
+    PeerMessage,
+    PeerProtocolError,
+    decode_content,
+    encode_content,
+)
 from chivetray.peers.stream import PeerStream
 
 # Heartbeats carry cell claims and pending counts. A count may be up to 2 s old.
@@ -176,8 +180,8 @@
         finished = peer.pending_calls[call_number] = anyio.Event()
         try:
             with anyio.move_on_after(timeout_s):
-                content = bytes(msgpack.packb(argument))
-                await peer.stream.send(NodeCall(call_number, kind, content))
+                call = NodeCall(call_number, kind, encode_content(argument))
+                await peer.stream.send(call)
                 await finished.wait()
         except _STREAM_ERRORS:
             return None
@@ -191,12 +195,16 @@
             handler = self.handlers.get(call.kind)
             if handler is None:
                 return
-            result = await handler(peer.name, msgpack.unpackb(call.content))
-            await peer.stream.send(NodeAnswer(call.number, msgpack.packb(result)))
+            result = await handler(peer.name, decode_content(call.content))
+            await peer.stream.send(NodeAnswer(call.number, encode_content(result)))
+        except PeerProtocolError as error:
+            log_event(Event.PEER_PROTOCOL_ERROR, peer=peer.name, reason=str(error))
+            await peer.stream.aclose()
         except _STREAM_ERRORS:
             # The calling manager notices the closed stream itself.
             return
-        except (ValueError, TypeError, KeyError, IndexError) as error:
+        except Exception as error:
+            # One call must not end the streams of all peers. The caller gets no answer.
             log_event(Event.PEER_PROTOCOL_ERROR, peer=peer.name, reason=repr(error))
         finally:
             peer.serving -= 1
@@ -226,14 +234,14 @@
                 return
             with anyio.fail_after(DIAL_TIMEOUT_S):
                 stream = await PeerStream.connect(host, int(port))
+            # Until this stream ends, no second one is opened.
+            await self._serve_stream(stream, dialed=True)
         except (OSError, TimeoutError, ValueError):
             await anyio.sleep(
                 random.uniform(DIAL_RETRY_DELAY_MIN_S, DIAL_RETRY_DELAY_MAX_S)
             )
-            return
         finally:
             self._dialing.discard(name)
-        await self._serve_stream(stream, dialed=True)
 
     async def _serve_stream(self, stream: PeerStream, dialed: bool) -> None:
         try:
@@ -254,6 +262,8 @@
                     self._handle_message(peer, message)
             finally:
                 self._remove_peer(peer)
+        except PeerProtocolError as error:
+            log_event(Event.PEER_PROTOCOL_ERROR, reason=str(error))
         except (*_STREAM_ERRORS, StopAsyncIteration):
             # _dial_all reopens a closed or corrupted stream.
             return
@@ -285,6 +295,8 @@
             boot_time_s(),
         )
         self.peers[hello.name] = peer
+        if previous is not None and self._tasks is not None:
+            self._tasks.start_soon(previous.stream.aclose)
         if previous is None:
             log_event(Event.PEER_CONNECTED, peer=hello.name)
         elif previous.incarnation != hello.incarnation:
@@ -314,7 +326,7 @@
         elif isinstance(message, NodeAnswer):
             finished = peer.pending_calls.get(message.number)
             if finished is not None:
-                peer.answers[message.number] = msgpack.unpackb(message.content)
+                peer.answers[message.number] = decode_content(message.content)
                 finished.set()
 
     async def _remove_unresponsive(self) -> None:
--- a/src/chivetray/records/watcher.py
+++ b/src/chivetray/records/watcher.py
@@ -21,6 +21,9 @@
 # it all entries would call the platform at once when it becomes available again.
 JITTER_FRACTION = 0.5
 
+# Doublings of the polling interval after which a longer backoff makes no difference.
+MAX_BACKOFF_DOUBLINGS = 16
+
 
 class PlatformWatcher:
     """Polls the platform; while it is unavailable, the last known state stays.
@@ -105,7 +108,8 @@
         if failures == 0:
             jitter = 1 + JITTER_FRACTION * (random.random() - 0.5)
             return interval_s * pollers * jitter
-        backoff_limit_s = min(self._settings.max_backoff_s, interval_s * 2**failures)
+        longest_s = interval_s * 2 ** min(failures, MAX_BACKOFF_DOUBLINGS)
+        backoff_limit_s = min(self._settings.max_backoff_s, longest_s)
         return random.uniform(interval_s, max(interval_s, backoff_limit_s))
 
     def _record_failure(self, error: PlatformError) -> None:
--- a/tests/test_cell_state.py
+++ b/tests/test_cell_state.py
@@ -9,7 +9,11 @@
 from chivetray.cells.gangs import stop_broken_gangs
 from chivetray.cells.placing import place_tasks
 from chivetray.cells.reports import apply_poll_reply, confirm_start, reject_start
-from chivetray.cells.sharing import has_mixed_tasks, update_pace
+from chivetray.cells.sharing import (
+    confirm_pace,
+    find_pace_changes,
+    has_mixed_tasks,
+)
 from chivetray.cells.state import CellState
 from chivetray.jobs.job import Job, decode_spec, encode_spec, job_age_s
 from chivetray.jobs.model import JobState, Phase, Step
@@ -142,7 +146,23 @@
         worker = state.workers["w0"]
         apply_poll_reply(state, worker, Reply(Verdict.OK, 1, 1, running), 0.0, 1.0)
         assert has_mixed_tasks(worker)
-        assert [order[2] for order in update_pace(state, worker)] == [0]
+        assert [order[2] for order in find_pace_changes(state, worker)] == [0]
+
+    def test_a_pace_that_no_worker_confirmed_is_sent_again(self) -> None:
+        state = cell(entry("w0"))
+        serving = Step(1, 1000, long_running=True, target_ms=100)
+        filling = Step(1, 1000, long_running=True, best_effort=True)
+        state.add_job(job(steps=(serving, filling)), 0.0)
+        placed = place_tasks(state, 0.0, 0)
+        running = [
+            RunningTask(TaskName(*p.ref), p.attempt, "", 100, 150) for p in placed
+        ]
+        worker = state.workers["w0"]
+        apply_poll_reply(state, worker, Reply(Verdict.OK, 1, 1, running), 0.0, 1.0)
+        (change,) = find_pace_changes(state, worker)
+        assert find_pace_changes(state, worker) == [change]
+        confirm_pace(state, worker, *change)
+        assert find_pace_changes(state, worker) == []
 
     def test_fills_use_no_processor_room(self) -> None:
         state = cell(entry("w0", cpu=1000))
@@ -201,6 +221,41 @@
         assert sorted(phases) == [Phase.RUNNING, Phase.STOPPING]
 
 
+class TestQuarantine:
+    """A worker on which tasks of many jobs fail runs one task at a time."""
+
+    @staticmethod
+    def quarantined() -> CellState:
+        state = cell(entry("w0"))
+        state.workers["w0"].failing_jobs = {f"job-{number}" for number in range(4)}
+        return state
+
+    def test_a_gang_does_not_start_there(self) -> None:
+        state = self.quarantined()
+        state.add_job(job(steps=(Step(3, 500, gang=True),)), 0.0)
+        assert place_tasks(state, 10.0, 0) == []
+        assert not state.workers["w0"].tasks
+
+    def test_a_step_with_tickets_puts_one_task_there(self) -> None:
+        state = self.quarantined()
+        steps = (Step(3, 500), Step(3, 500))
+        state.add_job(job(steps=steps, ticket_validity_ms=5000), 0.0)
+        for number in range(2):
+            record_tickets(state, (JOB, 0, number), ["w0"], {"w0": "t"}, 100.0)
+        assert len(place_tasks(state, 10.0, 0)) == 1
+        assert state.workers["w0"].probed_at_s == 10.0
+
+
+class TestRestoredJobs:
+    def test_they_are_no_arrivals(self) -> None:
+        """After a take-over, 20 old jobs once counted as a peak of 155 cores."""
+        state = cell(entry("w0"))
+        for number in range(20):
+            spec = job(f"{number:016x}", (Step(4, 4000, estimate_ms=2000),))
+            state.restore_job(spec, Job(spec).encode(), 1, 0.0)
+        assert state.arrivals.required_cores(0.1) == 0.0
+
+
 class TestOccurrences:
     def test_an_occurrence_starts_when_it_is_due(self) -> None:
         state = cell(entry("w0"))
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -12,7 +12,13 @@
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import Ownership
 from chivetray.clocks import boot_time_s
-from chivetray.platform.store import Changes, Row, RowId, StoreUnavailableError
+from chivetray.platform.store import (
+    Changes,
+    Conflict,
+    Row,
+    RowId,
+    StoreUnavailableError,
+)
 
 
 class StaleStore:
@@ -146,3 +152,45 @@
         is_gone, took_s = check_owner(RenewalStore(delay_s=0.4), watched_s=None)
         assert is_gone
         assert took_s >= RENEWAL_OBSERVATION_S + 2 * 0.4
+
+
+class TestOwnerRowThatCannotBeRead:
+    """It names no owner, yet an owner with any epoch may be at work."""
+
+    @staticmethod
+    def acquire(renews: bool) -> list[dict[RowId, bytes]]:
+        class Store(RenewalStore):
+            written: ClassVar[list[dict[RowId, bytes]]] = []
+
+            async def read_row(self, row: RowId) -> Row:
+                if row.key == "owner":
+                    return Row(row, b"\xc1", 41)
+                return await super().read_row(row)
+
+            async def transact(self, _: object, writes: dict[RowId, bytes]) -> Conflict:
+                self.written.append(writes)
+                return Conflict({})
+
+        class Mesh:
+            name = "p"
+            incarnation = "1"
+            peers: ClassVar[dict[str, object]] = {}
+
+        directory = CellDirectory.__new__(CellDirectory)
+        directory._store = Store(renews=renews)  # type: ignore[assignment]
+        directory._mesh = Mesh()  # type: ignore[assignment]
+        directory.owned_cells = {}
+        directory._renewals = {}
+        directory._unclaimed_since_s = {}
+        Store.written.clear()
+        assert asyncio.run(directory._acquire("a")) is None
+        return Store.written
+
+    def test_the_next_epoch_is_above_any_that_it_may_have_held(self) -> None:
+        """The epoch once began at 1 again, below that of the fences in use."""
+        ((content,),) = (writes.values() for writes in self.acquire(renews=False))
+        ownership = Ownership.decode(content)
+        assert ownership is not None and ownership.epoch == 42
+
+    def test_an_owner_that_renews_keeps_the_cell(self) -> None:
+        assert self.acquire(renews=True) == []
--- /dev/null
+++ b/tests/test_mesh.py
@@ -0,0 +1,228 @@
+"""Streams between managers: damaged messages, stalled readers, streams opened twice."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import anyio
+import msgpack
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chivetray.generated.messages import (
+    CellClaim,
+    NodeAnswer,
+    NodeCall,
+    NodeHeartbeat,
+    NodeHello,
+)
+from chivetray.peers.codec import (
+    MessageDecoder,
+    PeerProtocolError,
+    decode_content,
+    encode_content,
+    encode_message,
+)
+from chivetray.peers.mesh import Mesh
+from chivetray.peers.stream import PeerStream
+
+LIMIT_S = 5.0
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def make_heartbeat() -> NodeHeartbeat:
+    return NodeHeartbeat(1000, 1, False, True, [CellClaim("a", 1, {}, [])])
+
+
+def make_mesh(name: str) -> Mesh:
+    address = free_address()
+    return Mesh(name, "z1", f"i-{name}", address, make_heartbeat, lambda: None)
+
+
+@contextlib.asynccontextmanager
+async def running(*meshes: Mesh) -> AsyncIterator[None]:
+    """Run meshes that know each other."""
+    for mesh in meshes:
+        for other in meshes:
+            mesh.add_address(other.name, other.address)
+    async with anyio.create_task_group() as tasks:
+        for mesh in meshes:
+            tasks.start_soon(mesh.run)
+        await until(lambda: all(len(m.peers) == len(meshes) - 1 for m in meshes))
+        yield
+        tasks.cancel_scope.cancel()
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    with anyio.fail_after(LIMIT_S):
+        while not condition():  # noqa: ASYNC110
+            await anyio.sleep(0.01)
+
+
+async def open_stream(mesh: Mesh, name: str) -> PeerStream:
+    """Open a stream to a mesh as another manager."""
+    host, _, port = mesh.address.rpartition(":")
+    while True:
+        try:
+            stream = await PeerStream.connect(host, int(port))
+            break
+        except OSError:
+            # The mesh does not listen yet.
+            await anyio.sleep(0.02)
+    await stream.send(NodeHello(name, "z1", f"i-{name}", ""))
+    await until(lambda: name in mesh.peers)
+    return stream
+
+
+async def call_until_answered(mesh: Mesh, other: Mesh) -> None:
+    """Call one mesh from another; a stream that both opened may be closed meanwhile."""
+
+    async def echo(_peer: str, argument: Any) -> Any:
+        return argument
+
+    other.handlers["echo"] = echo
+    with anyio.fail_after(LIMIT_S):
+        while await mesh.call(other.name, "echo", 7, timeout_s=0.5) != 7:  # noqa: ASYNC110
+            await anyio.sleep(0.05)
+
+
+class TestDamagedMessages:
+    """A bad frame costs the connection that it came on, and nothing else."""
+
+    @pytest.mark.parametrize(
+        "send",
+        [
+            lambda stream, _: stream.send(NodeCall(1, "echo", b"\xc1")),
+            lambda stream, _: stream._stream.send(b"\xc1\xc1\xc1"),
+            lambda stream, number: stream.send(NodeAnswer(number, b"\xc1")),
+        ],
+        ids=["call", "frame", "answer"],
+    )
+    def test_the_stream_is_closed_and_the_others_go_on(self, send: Any) -> None:
+        async def main() -> None:
+            first, second = make_mesh("m1"), make_mesh("m2")
+            async with running(first, second), anyio.create_task_group() as tasks:
+                stream = await open_stream(first, "m3")
+                peer = first.peers["m3"]
+                tasks.start_soon(first.call, "m3", "x", None)
+                await until(lambda: bool(peer.pending_calls))
+                await send(stream, next(iter(peer.pending_calls)))
+                await until(lambda: "m3" not in first.peers)
+                await call_until_answered(second, first)
+                await stream.aclose()
+
+        anyio.run(main)
+
+    def test_a_handler_that_fails_leaves_the_streams_open(self) -> None:
+        async def fail(_peer: str, _argument: Any) -> None:
+            raise AttributeError("a defect")
+
+        async def main() -> None:
+            first, second = make_mesh("m1"), make_mesh("m2")
+            first.handlers["fail"] = fail
+            async with running(first, second):
+                assert await second.call("m1", "fail", None, timeout_s=0.1) is None
+                await call_until_answered(second, first)
+
+        anyio.run(main)
+
+
+class TestStalledReader:
+    def test_heartbeats_that_were_cut_short_leave_the_frames_whole(self) -> None:
+        """A heartbeat is given up after 50 ms, also while its bytes are written."""
+
+        async def main() -> int:
+            mesh = make_mesh("m1")
+            big = NodeHeartbeat(
+                1000, 1, False, True, [CellClaim("a" * 2**20, 1, {}, [])]
+            )
+            mesh._make_heartbeat = lambda: big
+            seen = 0
+            async with running(mesh):
+                stream = await open_stream(mesh, "m2")
+                for _ in range(5):
+                    mesh.request_heartbeat()
+                    await anyio.sleep(0.06)
+                with anyio.move_on_after(LIMIT_S):
+                    async for message in stream.messages():
+                        seen += isinstance(message, NodeHeartbeat)
+                        mesh.request_heartbeat()
+                        await stream.send(make_heartbeat())
+                        if seen == 4:
+                            break
+                await stream.aclose()
+            return seen
+
+        assert anyio.run(main) == 4
+
+
+class TestOpening:
+    def test_one_slow_peer_is_dialed_once_at_a_time(self) -> None:
+        """Each check for missing peers once opened one more stream."""
+
+        async def main() -> int:
+            mesh = make_mesh("m1")
+            accepted = []
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.listeners[0].extra(anyio.abc.SocketAttribute.local_port)
+
+            async def accept(stream: Any) -> None:
+                accepted.append(stream)
+                await anyio.sleep(LIMIT_S)
+
+            mesh.add_address("m2", f"127.0.0.1:{port}")
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, accept)
+                tasks.start_soon(mesh.run)
+                await anyio.sleep(0.7)
+                tasks.cancel_scope.cancel()
+            return len(accepted)
+
+        assert anyio.run(main) == 1
+
+
+class TestFuzzedStream:
+    MESSAGES = (
+        NodeHello("m1", "z1", "i", "127.0.0.1:1"),
+        NodeHeartbeat(1000, 3, False, True, [CellClaim("a", 2, {"q": 1}, [])]),
+        NodeCall(1, "submitted", encode_content(["x", 1])),
+        NodeAnswer(1, encode_content(None)),
+    )
+
+    @given(st.binary(max_size=400))
+    @settings(max_examples=300, deadline=None)
+    def test_any_bytes_are_decoded_or_refused(self, content: bytes) -> None:
+        with contextlib.suppress(PeerProtocolError):
+            list(MessageDecoder().feed(content))
+        with contextlib.suppress(PeerProtocolError):
+            decode_content(content)
+
+    @given(st.data())
+    @settings(max_examples=300, deadline=None)
+    def test_a_changed_message_is_decoded_or_refused(self, data: st.DataObject) -> None:
+        content = bytearray(encode_message(data.draw(st.sampled_from(self.MESSAGES))))
+        position = data.draw(st.integers(0, len(content) - 1))
+        content[position] = data.draw(st.integers(0, 255))
+        with contextlib.suppress(PeerProtocolError):
+            list(MessageDecoder().feed(bytes(content)))
+
+    @given(
+        st.recursive(
+            st.none() | st.integers(-(2**63), 2**64 - 1) | st.text() | st.binary(),
+            lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+            max_leaves=20,
+        )
+    )
+    @settings(max_examples=300, deadline=None)
+    def test_any_value_is_decoded_or_refused(self, value: Any) -> None:
+        with contextlib.suppress(PeerProtocolError):
+            list(MessageDecoder().feed(bytes(msgpack.packb(value))))
