Size pools without VMs that a wave empties, in shorter rounds, from onsets

Changes, in this order: VMs that a wave empties are no capacity; idle VMs leave in the round that plans it, rounds each 0.15 s; arrivals are counted over 0.4 s too.

--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import anyio
 
@@ -35,10 +35,12 @@
     VmOrderOutcome,
 )
 
-# Interval between two rounds of orders. A move of a VM takes five times as long.
-ROUND_INTERVAL_S = 0.3
+# Interval between two rounds of orders. A move of a VM takes ten times as long.
+ROUND_INTERVAL_S = 0.15
 
-# Interval between reads of the VM list while no change is expected.
+# Intervals between reads of the VM list, while VMs are moved or emptied and while no
+# change is expected.
+BUSY_LIST_INTERVAL_S = 0.3
 LIST_INTERVAL_S = 1.0
 
 # Interval between log lines about pool sizes.
@@ -114,7 +116,7 @@
 
     async def _run_round(self, owner: CellOwner) -> None:
         is_list_current = await self._refresh_machines()
-        await self._refresh_reports()
+        await self._refresh_reports(self._configuration.services)
         if not is_list_current:
             # Orders are decided on the state of VMs; that of an old list may be wrong.
             return
@@ -128,7 +130,7 @@
         """Read the list of VMs if it is due; return whether the list is current."""
         requested_at_s = boot_time_s()
         busy = bool(self._moves or self._emptying or self._waves.emptying)
-        interval_s = ROUND_INTERVAL_S if busy else LIST_INTERVAL_S
+        interval_s = BUSY_LIST_INTERVAL_S if busy else LIST_INTERVAL_S
         if self._machines and requested_at_s - self._listed_at_s < interval_s:
             return True
         machines = await self._client.list_vms()
@@ -141,14 +143,13 @@
         self._moves.apply_list(by_name, requested_at_s)
         return True
 
-    async def _refresh_reports(self) -> None:
-        """Request the load of every cell, and have workers of leaving VMs reserved."""
+    async def _refresh_reports(self, cells: Iterable[str]) -> None:
+        """Request the load of cells, and have workers of leaving VMs reserved."""
         reserved_workers = {move.worker_id for move in self._emptying.values()}
         reserved_workers |= set(self._waves.emptying.values())
         reserved_workers |= self._waves.ended_workers() | self._moves.ended_workers()
-        cells = sorted(self._configuration.services)
         await self._reports.request_all(
-            cells, sorted(reserved_workers), self._moves.arriving()
+            sorted(cells), sorted(reserved_workers), self._moves.arriving()
         )
 
     def _standby_pools(self) -> set[str]:
@@ -176,22 +177,23 @@
             }
             log_event(Event.POOL_SIZES, pools=sizes, spares=len(spares))
         planned_moves = plan_moves(pools, standby[0], spares)
+        # Reservations of workers whose VM is no longer in the plan are dropped.
+        before = self._emptying
+        self._emptying = {
+            m.machine: m for m in planned_moves if m.source not in standby
+        }
+        new_sources = {m.source for vm, m in self._emptying.items() if vm not in before}
+        if new_sources:
+            # The owners reserve these workers at once, so that empty ones leave now.
+            await self._refresh_reports(new_sources)
         by_name = {machine.name: machine for machine in self._machines}
         ready = [
             move
-            for move in self._moves.moves_to_repeat()
+            for move in [*self._moves.moves_to_repeat(), *planned_moves]
             if self._reports.is_empty(by_name[move.machine], set(standby))
         ]
-        # Reservations of workers whose VM is no longer in the plan are dropped.
-        emptying: dict[str, Move] = {}
-        for move in planned_moves:
-            machine = by_name[move.machine]
-            is_empty = self._reports.is_empty(machine, set(standby))
-            if is_empty and (move.source in standby or move.machine in self._emptying):
-                ready.append(move)
-            else:
-                emptying[move.machine] = move
-        self._emptying = emptying
+        for move in ready:
+            self._emptying.pop(move.machine, None)
         await self._order_moves(owner, ready)
 
     async def _order_moves(self, owner: CellOwner, moves: list[Move]) -> None:
@@ -219,14 +221,15 @@
             if machine.name in self._moves:
                 continue
             up = machine.state == PlatformVmState.UP
-            busy = not up or self._waves.claims(machine.name)
+            movable = up and not self._waves.claims(machine.name)
             if machine.pool in standby:
                 spares.append(
-                    PoolVm(machine.name, "", machine.cpu_milli, 0, 0, not busy)
+                    PoolVm(machine.name, "", machine.cpu_milli, 0, 0, movable)
                 )
-            elif machine.pool in pools:
+            elif machine.pool in pools and movable:
+                # A VM that a wave empties is no capacity: its pool gets another first.
                 worker_report = self._reports.worker(machine)
-                if not up or worker_report is None:
+                if worker_report is None:
                     continue
                 vm = PoolVm(
                     machine.name,
@@ -234,7 +237,7 @@
                     machine.cpu_milli,
                     worker_report.tasks,
                     worker_report.idle_ms,
-                    not busy,
+                    True,
                 )
                 pools[machine.pool].vms.append(vm)
         for cell, pool in pools.items():
--- a/src/chivetray/jobs/arrivals.py
+++ b/src/chivetray/jobs/arrivals.py
@@ -5,9 +5,11 @@
 import math
 from collections import deque
 
-# Sliding window over which arrivals are counted. Moving a VM into a pool takes 1.5 s,
-# and peaks build up within about 2 s.
+# Sliding windows over which arrivals are counted. Moving a VM into a pool takes 1.5 s,
+# and peaks build up within about 2 s: the short window shows the onset of a large peak,
+# the long one a small peak that the short one cannot tell from chance.
 WINDOW_S = 1.0
+ONSET_WINDOW_S = 0.4
 
 
 class ArrivalMeter:
@@ -29,9 +31,15 @@
         """Return the number of cores that would keep up with the arrival rate."""
         while self._arrivals and now_s - self._arrivals[0][0] > WINDOW_S:
             self._arrivals.popleft()
-        count = len(self._arrivals)
-        if not count:
+        return max(
+            self._rate_within(window_s, now_s)
+            for window_s in (ONSET_WINDOW_S, WINDOW_S)
+        )
+
+    def _rate_within(self, window_s: float, now_s: float) -> float:
+        """Return the cores that keep up with the arrivals of the last seconds."""
+        recent = [core_s for at_s, core_s in self._arrivals if now_s - at_s <= window_s]
+        if not recent:
             return 0.0
-        total_core_s = sum(core_s for _, core_s in self._arrivals)
-        confidence = (count - math.sqrt(count)) / count
-        return confidence * total_core_s / WINDOW_S
+        confidence = (len(recent) - math.sqrt(len(recent))) / len(recent)
+        return confidence * sum(recent) / window_s
--- a/tests/test_order_holder.py
+++ b/tests/test_order_holder.py
@@ -11,7 +11,7 @@
 from chivetray.capacity.recent_orders import ORDERS_ROW
 from chivetray.capacity.reports import CellReport, CellReports, WorkerReport
 from chivetray.capacity.runner import FleetRunner
-from chivetray.capacity.sizing import Move
+from chivetray.capacity.sizing import Move, PoolVm, plan_moves
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import owner_row
 from chivetray.clocks import boot_time_s
@@ -20,6 +20,7 @@
 from chivetray.platform.vm_api import PlatformVm, PlatformVmState, VmOrderOutcome
 
 LEASE_S = 0.5
+SPARE = PoolVm("vm-9", "", 4000, 0, 0, True)
 
 
 class Mesh:
@@ -206,3 +207,51 @@
         assert list(reports.cells) == ["pool-a"]
         assert not reports.cells["pool-a"].workers["w0"].usable
         assert Owner.state.workers["w0"].is_reserved(boot_time_s())
+
+
+class TestWaveInAPoolWithFewVms:
+    def test_a_vm_that_a_wave_empties_is_no_capacity_of_its_pool(self) -> None:
+        """A queue once peaked on one of its two VMs; the other was being emptied."""
+        holder = Holder()
+        holder.runner._machines = [
+            PlatformVm(f"vm-{n}", "pool-a", PlatformVmState.UP, "z1", (), 4000, f"w{n}")
+            for n in (1, 2)
+        ]
+        workers = {f"w{n}": WorkerReport(1, 1000, 0, True) for n in (1, 2)}
+        holder.runner._reports.cells["pool-a"] = CellReport(2000, 0, 0, workers)
+        holder.runner._waves.emptying = {"vm-2": "w2"}
+        (pool,), _ = holder.runner._pool_states(["spare"], 1.0)
+        assert [vm.machine for vm in pool.vms] == ["vm-1"]
+        assert [m.target for m in plan_moves([pool], "spare", [SPARE])] == ["pool-a"]
+
+
+class TestPeakThatIsOver:
+    def test_an_idle_vm_leaves_in_the_round_that_plans_it(self) -> None:
+        """Its worker was once reserved in one round and the order sent in the next."""
+        holder = Holder()
+        holder.runner._machines = [
+            PlatformVm(f"vm-{n}", "pool-a", PlatformVmState.UP, "z1", (), 4000, f"w{n}")
+            for n in range(4)
+        ]
+        reserved: list[str] = []
+
+        async def request_all(cells, reserved_workers, arriving) -> None:  # type: ignore[no-untyped-def]
+            reserved[:] = reserved_workers
+            workers = {
+                f"w{n}": WorkerReport(0, 0, 5000, f"w{n}" not in reserved)
+                for n in range(4)
+            }
+            holder.runner._reports.cells["pool-a"] = CellReport(0, 0, 0, workers)
+
+        async def main() -> None:
+            await request_all([], [], {})
+            holder.runner._reports.request_all = request_all  # type: ignore[method-assign]
+            holder.runner._standby_pools = lambda: {"spare"}  # type: ignore[method-assign]
+            await holder.runner._begin(holder.own)  # type: ignore[arg-type]
+            holder.runner._machines = machines
+            await holder.runner._resize_pools(holder.own)  # type: ignore[arg-type]
+
+        machines = holder.runner._machines
+        asyncio.run(main())
+        assert len(holder.machines.moved) == 2
+        assert {f"w{vm[-1]}" for vm in holder.machines.moved} == set(reserved)
