Mend faults found by reading in duties, settings, logs and the command line

Without a test: the member row is written again when it is missing, the name in an `explain` request is quoted. Unused fields and functions are gone (fenced, listed_at_s, placed_at_s, remaining_ms, service_vms, RECEIVE_BYTES of the relay).

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -85,7 +85,7 @@
 
     :param cells: returns the names of all cells
     :param workers_of: returns the listed workers of a service
-    :param capacity: capacity of this process in thousandths of a core
+    :ivar capacity: capacity of this process in thousandths of a core
     :ivar scanned_version: version of the job table that ``scan`` has read up to
     :ivar longest_lease_s: upper bound of the leases that workers grant
     """
@@ -109,7 +109,7 @@
         self._workers = workers
         self._cells = cells
         self._workers_of = workers_of
-        self._capacity = capacity
+        self.capacity = capacity
         self._advice = advice
         self._acquiring: set[str] = set()
         self._unclaimed_since_s: dict[str, float] = {}
@@ -192,7 +192,7 @@
             for peer in self._mesh.peers.values()
             if not peer.leaving and peer.store_reached
         }
-        candidates[self._mesh.name] = Candidate(self._capacity, len(self.owned_cells))
+        candidates[self._mesh.name] = Candidate(self.capacity, len(self.owned_cells))
         return candidates
 
     async def _read_suspect_renewal(self, cell: str) -> None:
@@ -221,7 +221,7 @@
         ):
             return
         candidates = self._candidates()
-        own_share = self._capacity / len(self.owned_cells)
+        own_share = self.capacity / len(self.owned_cells)
         del candidates[self._mesh.name]
         best_share = max(
             (candidate.capacity_per_cell for candidate in candidates.values()),
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -30,7 +30,7 @@
         if reply.incarnation < worker.incarnation:
             return
         state.handle_worker_restart(worker, reply.incarnation, now_s)
-    worker.fenced = worker.tasks_known = True
+    worker.tasks_known = True
     listed: set[tuple[str, object, int]] = set()
     for ended in sorted(reply.ended, key=lambda item: item.number):
         listed.add((ended.name.job_id, ended.name.key, ended.attempt))
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -222,7 +222,6 @@
             mem_mb=entry.mem_mb,
             gpu=entry.gpu,
             idle_since_s=now_s,
-            listed_at_s=now_s,
         )
         self.workers[entry.worker_id] = worker
         log_event(
@@ -306,7 +305,7 @@
             before=worker.incarnation,
         )
         worker.incarnation = incarnation
-        worker.fenced = worker.tasks_known = False
+        worker.tasks_known = False
         worker.last_applied_end = worker.last_stored_end = (
             worker.last_acknowledged_end
         ) = 0
@@ -449,7 +448,6 @@
         task.attempt += 1
         task.worker, task.incarnation = worker.worker_id, worker.incarnation
         task.address = worker.address
-        task.placed_at_s = now_s
         task.running_at_s = task.stopped_at_s = 0.0
         task.start_unanswered = False
         task.pace_percent = 100
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -54,7 +54,6 @@
 
     :ivar incarnation: start of the worker in ms since 1970, which identifies its
         incarnation
-    :ivar fenced: whether the worker has accepted the owner's fencing token
     :ivar tasks_known: whether a poll has shown which tasks run there
     :ivar last_applied_end: number of the last ended attempt that was applied
     :ivar last_stored_end: number of the last ended attempt that is stored
@@ -84,7 +83,6 @@
     gpu: int
     listed: bool = True
     draining: bool = False
-    fenced: bool = False
     tasks_known: bool = False
     last_applied_end: int = 0
     last_stored_end: int = 0
@@ -97,7 +95,6 @@
     reserved_until_s: float = 0.0
     reserved_since_s: float = 0.0
     idle_since_s: float = 0.0
-    listed_at_s: float = 0.0
     failing_jobs: set[str] = field(default_factory=set)
     probed_at_s: float = 0.0
     clock: WorkerClock = field(default_factory=WorkerClock)
--- a/src/chivetray/commands.py
+++ b/src/chivetray/commands.py
@@ -59,8 +59,11 @@
 
 def run_manager(arguments: argparse.Namespace) -> int:
     """Run a job manager until SIGTERM."""
-    path = arguments.settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    run_from_file(path)
+    name = arguments.settings or os.environ.get(SETTINGS_VARIABLE)
+    if not name:
+        message = f"no settings file: pass --settings or set {SETTINGS_VARIABLE}"
+        raise ChivetrayError(ResultCode.BAD_VALUE, message)
+    run_from_file(Path(name))
     return EXIT_OK
 
 
--- a/src/chivetray/control.py
+++ b/src/chivetray/control.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import getpass
+import urllib.parse
 from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import UTC, datetime
@@ -239,7 +240,9 @@
             found["wave"] = describe_wave(wave.value)
         for vm in await self.entries():
             url = f"http://{vm.address}:{vm.operators_port}"
-            document = await _get_json(url, f"/explain?name={name}")
+            document = await _get_json(
+                url, f"/explain?name={urllib.parse.quote(name, safe='')}"
+            )
             if document and document["lines"]:
                 found[vm.name] = document["lines"]
         if not found:
--- a/src/chivetray/duties/loads.py
+++ b/src/chivetray/duties/loads.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 import anyio
+from returns.result import Failure
 
 from chivetray.fleet.revision import RevisionState
 from chivetray.generated.settings import DutySettings
@@ -57,12 +58,14 @@
         self._peak_busy_slots |= busy
 
     async def _write(self) -> None:
-        busy = dict(self._peak_busy_slots)
-        self._peak_busy_slots.clear()
+        peak, self._peak_busy_slots = self._peak_busy_slots, Counter()
+        busy = dict(peak)
         if not busy and self._last_write_was_idle:
             # Readers ignore outdated loads, so an idle entry need not write again.
             return
         self._last_write_was_idle = not busy
         value = {"written_at_s": time.time(), "busy_slots": busy}
-        # A failed write is not retried; the next periodic write replaces it.
-        await replace_row(self._client, LOAD_TABLE, self._entry, value)
+        result = await replace_row(self._client, LOAD_TABLE, self._entry, value)
+        if isinstance(result, Failure) or not result.unwrap():
+            # The next periodic write includes this peak.
+            self._peak_busy_slots |= peak
--- a/src/chivetray/duties/sweeper.py
+++ b/src/chivetray/duties/sweeper.py
@@ -62,6 +62,9 @@
         self._claims_cursor = page[-1].key if page else ""
         now_s = time.time()
         expired = [claim for claim in page if claim.expires_at_s <= now_s]
+        if len(expired) > self._settings.sweep_rows:
+            # The next sweep goes on behind the last claim that this one deletes.
+            self._claims_cursor = expired[self._settings.sweep_rows - 1].key
         await self._delete_rows([claim.removal() for claim in expired])
 
     async def _sweep_waves(self) -> None:
--- a/src/chivetray/duties/waves.py
+++ b/src/chivetray/duties/waves.py
@@ -196,7 +196,8 @@
         if rows is None:
             return
         inputs = self._wave_inputs(name, rows)
-        if vm not in plan_wave(inputs.catalog.waves[name], inputs).vms_to_reserve:
+        wave = inputs.catalog.waves.get(name)
+        if wave is None or vm not in plan_wave(wave, inputs).vms_to_reserve:
             return
         item = WaveVm(name, vm.name, ABSENT, WavePhase.DRAINING, "", time.time())
         writes = [
--- a/src/chivetray/fleet/catalog.py
+++ b/src/chivetray/fleet/catalog.py
@@ -149,9 +149,3 @@
         for kind in KINDS:
             if name in getattr(self, kind):
                 yield kind, getattr(self, kind)[name]
-
-    def service_vms(self, service: Service) -> list[Vm]:
-        """Return the VMs in the pools of a service, sorted by name."""
-        pools = set(service.pools)
-        vms = (vm for vm in self.vms.values() if vm.pool in pools)
-        return sorted(vms, key=lambda vm: vm.name)
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -164,7 +164,6 @@
     level: int = 0
     failed_attempt: int = 0
     pace_percent: int = 100
-    placed_at_s: float = 0.0
     running_at_s: float = 0.0
     stopped_at_s: float = 0.0
     start_unanswered: bool = False
--- a/src/chivetray/log_queue.py
+++ b/src/chivetray/log_queue.py
@@ -69,4 +69,5 @@
                 self._stream.flush()
             except (OSError, ValueError):
                 # The output is closed, so the failure cannot be logged either.
+                self.dropped += len(chunk)
                 return
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -25,7 +25,7 @@
 from chivetray.generated.manager_models import ManagerSettings
 from chivetray.generated.messages import CellClaim, NodeHeartbeat
 from chivetray.manager_metrics import ManagerMetrics
-from chivetray.manager_settings import load_settings, parse_settings
+from chivetray.manager_settings import parse_settings, read_settings_text
 from chivetray.peers.mesh import Mesh
 from chivetray.platform.advice import AdviceClient
 from chivetray.platform.calls import CallSession
@@ -132,7 +132,7 @@
 
         :raises FaultsError: with every fault in the file
         """
-        text = path.read_text()
+        text = read_settings_text(path)
         return cls(parse_settings(text, path), path, text)
 
     # Lifecycle
@@ -198,13 +198,12 @@
             await anyio.sleep(SETTINGS_CHECK_INTERVAL_S)
             text = self._read_settings_text()
             if text and text != self._text:
-                self._text = text
                 self._reload()
 
     def _read_settings_text(self) -> str:
         try:
-            return self._path.read_text()
-        except OSError:
+            return read_settings_text(self._path)
+        except (FaultsError, OSError):
             # The file is being replaced, or the settings did not come from a file.
             return ""
 
@@ -215,7 +214,8 @@
         process listens on, need a restart; the log event lists them.
         """
         try:
-            settings = load_settings(self._path)
+            self._text = read_settings_text(self._path)
+            settings = parse_settings(self._text, self._path)
         except (FaultsError, OSError) as error:
             log_event(Event.SETTINGS_RELOADED, fault=str(error))
             return
@@ -225,6 +225,7 @@
             for name in type(settings).model_fields
             if getattr(settings, name) != getattr(previous, name)
         ]
+        self._directory.capacity = self._compute_capacity()
         if settings.store != previous.store:
             self._store.move_to(settings.store)
         if (
@@ -317,7 +318,7 @@
         while True:
             try:
                 members, _ = await self._store.read(MEMBER_TABLE, "")
-                version = 0
+                version, written = 0, False
                 for row in members:
                     self._mesh.add_address(row.id.key, row.value.decode())
                     if row.id.key == own_row.key:
--- a/src/chivetray/manager_settings.py
+++ b/src/chivetray/manager_settings.py
@@ -12,12 +12,17 @@
 from chivetray.results import ResultCode
 
 
-def load_settings(path: Path) -> ManagerSettings:
-    """Read and check a settings file.
+def read_settings_text(path: Path) -> str:
+    """Read the text of a settings file.
 
-    :raises FaultsError: with every fault
+    :raises FaultsError: when it is no text
+    :raises OSError: when it cannot be read
     """
-    return parse_settings(path.read_text(), path)
+    try:
+        return path.read_text(encoding="utf-8")
+    except UnicodeDecodeError as error:
+        fault = Fault(ResultCode.BAD_VALUE, str(path), 1, "settings", str(error))
+        raise FaultsError([fault]) from error
 
 
 def parse_settings(text: str, path: Path) -> ManagerSettings:
--- a/src/chivetray/platform/stored_records.py
+++ b/src/chivetray/platform/stored_records.py
@@ -81,7 +81,6 @@
     :ivar incarnation: start of the worker in ms since 1970, which identifies its
         incarnation
     :ivar cpu_milli: capacity in thousandths of a core
-    :ivar remaining_ms: time left as the worker reports it, 0 when it reports none
     """
 
     worker_id: str
@@ -94,7 +93,6 @@
     mem_mb: int
     gpu: int
     labels: tuple[str, ...]
-    remaining_ms: int = 0
 
     @property
     def rack(self) -> str:
@@ -153,7 +151,6 @@
         return None
     if not all(isinstance(label, str) for label in labels):
         return None
-    remaining = plain.get("RemainingMs")
     return WorkerRecord(
         worker_id=worker_id,
         service=service,
@@ -165,7 +162,6 @@
         mem_mb=sizes[1],
         gpu=sizes[2],
         labels=tuple(labels),
-        remaining_ms=remaining if isinstance(remaining, int) else 0,
     )
 
 
--- a/src/chivetray/standins/relay.py
+++ b/src/chivetray/standins/relay.py
@@ -12,8 +12,6 @@
 import anyio
 from anyio.abc import SocketStream
 
-RECEIVE_BYTES = 65536
-
 
 class Relay:
     """Forwards bytes between clients and one target.
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -36,6 +36,11 @@
         for parser in parsers:
             assert "example: chivetray" in parser.format_help()
 
+    def test_a_manager_without_a_settings_file_says_so(self, capsys, monkeypatch):
+        monkeypatch.delenv("CHIVETRAY_BOOT", raising=False)
+        assert cmdline.main(["manager"]) != 0
+        assert "no settings file" in capsys.readouterr().err
+
     def test_check_prints_the_counts(self, capsys):
         assert cmdline.main(["check", EXAMPLE]) == 0
         assert "40 vms" in capsys.readouterr().out
--- a/tests/test_log_queue.py
+++ b/tests/test_log_queue.py
@@ -42,6 +42,20 @@
         assert lost and lost[0] > 0
 
 
+class TestOutputThatIsClosed:
+    def test_the_lines_that_could_not_be_written_are_counted(self) -> None:
+        stream = io.StringIO()
+        stream.close()
+        queue = LogQueue(stream, _dropped)
+        for number in range(3):
+            queue.put({"number": number})
+        deadline_s = time.monotonic() + 5
+        while queue.dropped < 3 and time.monotonic() < deadline_s:
+            queue._has_lines.set()
+            time.sleep(0.01)
+        assert queue.dropped == 3
+
+
 class TestReaderThatReads:
     def test_every_message_is_written_in_order(self) -> None:
         stream = io.StringIO()
--- a/tests/test_manager_settings.py
+++ b/tests/test_manager_settings.py
@@ -8,6 +8,7 @@
 import yaml
 
 from chivetray import manager as manager_module
+from chivetray.events import Event
 from chivetray.manager import Manager
 
 
@@ -36,3 +37,61 @@
             return started._settings.grace_s
 
         assert asyncio.run(main()) == 2
+
+
+class TestReload:
+    def test_a_file_that_is_no_text_changes_nothing(self, tmp_path: Path) -> None:
+        """The process once ended at the next check of such a file."""
+        path = tmp_path / "m0.yaml"
+        write(path, 3)
+
+        async def main() -> float:
+            started = Manager.from_file(path)
+            path.write_bytes(b"\xff\xfe grace_s: 2")
+            assert started._read_settings_text() == ""
+            started._reload()
+            await started._session.aclose()
+            return started._settings.grace_s
+
+        assert asyncio.run(main()) == 3
+
+    def test_a_signal_and_the_next_check_apply_a_change_once(
+        self, tmp_path: Path, monkeypatch
+    ) -> None:
+        monkeypatch.setattr(manager_module, "SETTINGS_CHECK_INTERVAL_S", 0.02)
+        path = tmp_path / "m0.yaml"
+        write(path, 3)
+        reloads = []
+        monkeypatch.setattr(
+            manager_module, "log_event", lambda event, **_: reloads.append(event)
+        )
+
+        async def main() -> None:
+            started = Manager.from_file(path)
+            write(path, 2)
+            started._reload()
+            following = asyncio.ensure_future(started._follow_settings())
+            await asyncio.sleep(0.1)
+            following.cancel()
+            await started._session.aclose()
+
+        asyncio.run(main())
+        assert reloads.count(Event.SETTINGS_RELOADED) == 1
+
+    def test_a_new_share_of_the_processor_counts_in_its_own_rank(
+        self, tmp_path: Path
+    ) -> None:
+        """Peers once ranked the process by the new share, itself by the old one."""
+        path = tmp_path / "m0.yaml"
+        write(path, 3)
+
+        async def main() -> tuple[int, int]:
+            started = Manager.from_file(path)
+            before = started._directory.capacity
+            path.write_text(path.read_text() + "cpu_share: 0.25\ncores: 1\n")
+            started._reload()
+            await started._session.aclose()
+            return before, started._directory.capacity
+
+        before, after = asyncio.run(main())
+        assert after == 250 != before
