--- a/src/chivetray/cells/store_access.py
+++ b/src/chivetray/cells/store_access.py
@@ -9,7 +9,7 @@
 from chivetray.events import Event, log_event
 from chivetray.peers.mesh import Mesh
 from chivetray.platform.calls import Answer, CallSession, NoAnswer, NotSent, Outcome
-from chivetray.platform.store import Store
+from chivetray.platform.store import FEED_PATH, Store
 
 # Time after a failed direct call in which calls go through a peer first.
 RELAY_FIRST_S = 1.5
@@ -21,9 +21,6 @@
 STATUS_BUSY = 429
 REJECTION_STATUSES = (STATUS_BUSY, 503)
 
-# Calls that the store may hold until something changes; they tell nothing of its speed.
-FEED_PATH = "/chivetray/rows-feed"
-
 # Weight of the newest call in the moving mean of the store's latency.
 LATENCY_LEARNING_RATE = 0.3
 
@@ -111,6 +108,7 @@
         if isinstance(outcome, Answer) and outcome.status not in REJECTION_STATUSES:
             self.reached_at_s = max(self.reached_at_s, started_s)
             self.usable_at_s = boot_time_s()
+            # The store holds a call for changes, which tells nothing of its speed.
             if not path.startswith(FEED_PATH):
                 took_s = self.usable_at_s - started_s
                 self.latency_s += LATENCY_LEARNING_RATE * (took_s - self.latency_s)
--- a/src/chivetray/platform/store.py
+++ b/src/chivetray/platform/store.py
@@ -21,6 +21,9 @@
 
 PAGE_ROWS = 500
 
+# Path of the calls that the store may hold until a row changes.
+FEED_PATH = "/chivetray/rows-feed"
+
 # Version to expect of a row that must not exist.
 ABSENT = 0
 
@@ -251,7 +254,7 @@
         """
         # The platform calls the version after which changes are wanted "DependsOn".
         query = {"Table": table, "DependsOn": str(version), "WaitMs": str(wait_ms)}
-        path = "/chivetray/rows-feed?" + urllib.parse.urlencode(query)
+        path = f"{FEED_PATH}?{urllib.parse.urlencode(query)}"
         timeout_s = wait_ms / 1000 + CALL_TIMEOUT_S / 2
         outcome = await self.call("GET", path, None, timeout_s)
         if isinstance(outcome, Answer):
