Move long-running tasks only where there is room, and bring a VM where there is none

Change: a task on a VM that is to be emptied is stopped only once another worker could take it; a long-running task that fits on no worker asks for one more VM. Tests: test_cell_state.py::TestLongRunningTaskWithoutRoom (fails before), test_capacity.py.

--- a/src/chivetray/capacity/reports.py
+++ b/src/chivetray/capacity/reports.py
@@ -37,6 +37,7 @@
     waiting_milli_s: int
     arriving_milli: int
     workers: dict[str, WorkerReport]
+    required_workers: int = 0
 
 
 class CellReports:
@@ -83,8 +84,8 @@
         if reply is None:
             log_event(Event.MAINTENANCE_WAITS, cell=cell, reason="owner did not answer")
             return
-        used, waiting, arriving, workers = reply
-        report = CellReport(used, waiting, arriving, {})
+        used, waiting, arriving, workers, required_workers = reply
+        report = CellReport(used, waiting, arriving, {}, required_workers)
         for worker_id, tasks, used_milli, idle_ms, usable in workers:
             report.workers[worker_id] = WorkerReport(tasks, used_milli, idle_ms, usable)
         self.cells[cell] = report
@@ -109,6 +110,7 @@
                 [w.worker_id, w.tasks, w.used_milli, w.idle_ms, w.usable]
                 for w in load.workers
             ],
+            load.required_workers,
         ]
 
     def worker(self, machine: PlatformVm) -> WorkerReport | None:
--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -277,6 +277,7 @@
                 pool.capacity_milli,
                 self._migrate_s,
             )
+            pool.required_vms = report.required_workers
             meter = self._demand_meters.setdefault(cell, DemandMeter())
             pool.demand_milli = meter.record(demand_milli, now_s)
         return list(pools.values()), spares
--- a/src/chivetray/capacity/sizing.py
+++ b/src/chivetray/capacity/sizing.py
@@ -46,12 +46,14 @@
 
     :ivar demand_milli: demand in thousandths of a core
     :ivar arriving: number of VMs that are on their way into the pool
+    :ivar required_vms: number of VMs that the pool should have whatever its demand
     """
 
     name: str
     demand_milli: int
     vms: list[PoolVm] = field(default_factory=list)
     arriving: int = 0
+    required_vms: int = 0
 
     @property
     def capacity_milli(self) -> int:
@@ -122,9 +124,8 @@
             vm.cpu_milli for vm in available
         ]
         vm_milli = sum(vm_sizes) // len(vm_sizes) if vm_sizes else 0
-        missing = (
-            target_vm_count(pool.demand_milli, vm_milli) - len(pool.vms) - pool.arriving
-        )
+        target = max(target_vm_count(pool.demand_milli, vm_milli), pool.required_vms)
+        missing = target - len(pool.vms) - pool.arriving
         if missing > 0:
             urgency = pool.demand_milli / max(1, len(pool.vms) * max(1, vm_milli))
             shortages.append((-urgency, missing, pool))
--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 
 from chivetray.cells.state import CellState
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import Phase, Step, Task
+from chivetray.jobs.placement import choose_worker
 
 # Time for which a worker stays reserved after the last request for its VM. Requests
 # repeat in each round of VM orders, which takes 3.3 s while the platform's VM calls
@@ -45,13 +47,34 @@
             if step.best_effort:
                 movable = True
             elif step.long_running:
-                movable = worker.draining or can_interrupt_task(state, job, task, step)
+                movable = worker.draining or (
+                    can_interrupt_task(state, job, task, step)
+                    and has_room(state, job, task, now_s)
+                )
             else:
                 movable = reserved and (step.checkpointing or overdue)
             if movable:
                 state.stop_task(job, task)
 
 
+def has_room(state: CellState, job: Job, task: Task, now_s: float) -> bool:
+    """Return whether a worker other than a task's own could take the task now."""
+    occurrence, step_number, _ = task.key
+    step = job.spec.steps[step_number]
+    others = [
+        other
+        for other in job.step_tasks(occurrence, step_number)
+        if other.active and other is not task
+    ]
+    tasks_per_worker = Counter(other.worker for other in others)
+    candidates = [
+        worker
+        for worker in state.workers.values()
+        if worker.worker_id != task.worker and worker.accepts_tasks(now_s)
+    ]
+    return choose_worker(step, candidates, set(), tasks_per_worker, {}) is not None
+
+
 def can_interrupt_task(state: CellState, job: Job, task: Task, step: Step) -> bool:
     """Return whether a long-running task may be stopped now.
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -39,6 +39,12 @@
         pool = PoolState("a", 64000, [vm("a1", 9), vm("a2", 9)], arriving=3)
         assert plan_moves([pool], "spare", [vm("s1")]) == []
 
+    def test_a_pool_gets_the_vms_that_its_tasks_need_apart_from_their_demand(
+        self,
+    ) -> None:
+        pool = PoolState("a", 1000, [vm("a1", 1), vm("a2", 1)], required_vms=3)
+        assert [m.target for m in plan_moves([pool], "spare", [vm("s1")])] == ["a"]
+
     def test_the_pool_that_is_shortest_of_cores_comes_first(self) -> None:
         pools = [
             PoolState("a", 64000, [vm("a1", 9), vm("a2", 9)]),
--- a/tests/test_cell_state.py
+++ b/tests/test_cell_state.py
@@ -7,6 +7,7 @@
 from chivetray.cells.advice import get_ticket, record_tickets
 from chivetray.cells.evacuation import evacuate, reserve_workers
 from chivetray.cells.gangs import stop_broken_gangs
+from chivetray.cells.load import measure_load
 from chivetray.cells.placing import place_tasks
 from chivetray.cells.reports import apply_poll_reply, confirm_start, reject_start
 from chivetray.cells.sharing import (
@@ -221,6 +222,38 @@
         assert sorted(phases) == [Phase.RUNNING, Phase.STOPPING]
 
 
+class TestLongRunningTaskWithoutRoom:
+    """A wave empties a VM of a small pool, whose tasks may not share a worker."""
+
+    @staticmethod
+    def running(*workers: str) -> CellState:
+        state = cell(*(entry(name) for name in workers))
+        step = Step(2, 1000, long_running=True, per_worker=1, max_unavailable=1)
+        state.add_job(job(steps=(step,)), 0.0)
+        for placement in place_tasks(state, 0.0, 0):
+            confirm_start(state, placement.ref, placement.attempt, 0.0)
+        for task in state.jobs[JOB].tasks.values():
+            task.percent = 100
+        return state
+
+    def test_it_is_not_stopped_before_it_can_go_elsewhere(self) -> None:
+        """One was once away for 14 s, until a peak brought another VM."""
+        state = self.running("w0", "w1")
+        reserve_workers(state, ["w0"], 1.0)
+        evacuate(state, 1.0)
+        assert not state.stop_orders
+        state.update_workers([entry("w0"), entry("w1"), entry("w2")], 1.5)
+        state.workers["w2"].tasks_known = True
+        state.workers["w2"].clock.observe(1000, 0.0, 0.0)
+        evacuate(state, 1.6)
+        assert [order.worker_id for order in state.stop_orders] == ["w0"]
+
+    def test_one_that_waits_asks_for_another_vm(self) -> None:
+        state = self.running("w0")
+        assert measure_load(state, 1.0, 0).required_workers == 2
+        assert measure_load(self.running("w0", "w1"), 1.0, 0).required_workers == 0
+
+
 class TestQuarantine:
     """A worker on which tasks of many jobs fail runs one task at a time."""
 
