Let timeouts of transactions follow the observed latency

When the store turns slow the same timeout is too short.

Change: RFC 6298's estimate with bounds, doubled after a silence. Repeating a transaction early is safe: its preconditions show whether it was carried out. Reads keep their time.

--- a/src/chivetray/cells/store_access.py
+++ b/src/chivetray/cells/store_access.py
@@ -5,11 +5,12 @@
 from collections.abc import Callable
 from typing import Any
 
+from chivetray.cells.answer_timeout import AnswerTimeout
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event, log_event
 from chivetray.peers.mesh import Mesh
 from chivetray.platform.calls import Answer, CallSession, NoAnswer, NotSent, Outcome
-from chivetray.platform.store import FEED_PATH, Store
+from chivetray.platform.store import TRANSACTION_PATH, Store
 
 # Time after a failed direct call in which calls go through a peer first.
 RELAY_FIRST_S = 1.5
@@ -21,19 +22,10 @@
 STATUS_BUSY = 429
 REJECTION_STATUSES = (STATUS_BUSY, 503)
 
-# Weight of the newest call in the moving mean of the store's latency.
-LATENCY_LEARNING_RATE = 0.3
-
 # Latency above which a rejected transaction is taken for one that a busy partition had
 # no time for; the usual latency is a tenth of it. A peer's call would only add to it.
 SLOW_LATENCY_S = 0.1
 
-# Timeout of a call as a multiple of the observed latency, if that is longer than the
-# usual timeout, and its upper bound. A call that is given up too early is repeated, and
-# adds to the load of a slow store.
-TIMEOUT_LATENCIES = 4.0
-LONGEST_TIMEOUT_S = 2.8
-
 RELAY_CALL = "store"
 
 
@@ -44,7 +36,7 @@
     :ivar failed_at_s: start of the newest direct call that failed or was rejected
     :ivar usable_at_s: time of the last answer to a direct or relayed call
     :ivar relayed_calls: number of calls that this process has sent through peers
-    :ivar latency_s: moving mean of the duration of the calls that were served
+    :ivar answer_timeout: estimate of how long the store's answers can take
     """
 
     def __init__(self, session: CallSession, address: str):
@@ -53,7 +45,7 @@
         self.failed_at_s = 0.0
         self.usable_at_s = 0.0
         self.relayed_calls = 0
-        self.latency_s = 0.0
+        self.answer_timeout = AnswerTimeout()
         self._mesh: Mesh | None = None
         self._on_served_change: Callable[[], None] = lambda: None
 
@@ -80,8 +72,12 @@
     ) -> Outcome:
         """Make one call, directly or relayed through a peer."""
         started_s = boot_time_s()
-        patience_s = min(LONGEST_TIMEOUT_S, TIMEOUT_LATENCIES * self.latency_s)
-        timeout_s = max(timeout_s, patience_s)
+        if path == TRANSACTION_PATH:
+            # A lost answer never comes, and repeating the call shows what was done.
+            timeout_s = self.answer_timeout.timeout_s
+        else:
+            # Reads can be large, and their answers are not lost.
+            timeout_s = max(timeout_s, self.answer_timeout.timeout_s)
         if not self.is_served and started_s - self.failed_at_s < RELAY_FIRST_S:
             outcome = await self._relay(method, path, body, timeout_s)
             if outcome is not None:
@@ -89,7 +85,7 @@
         outcome = await super().call(method, path, body, timeout_s)
         if self._is_partition_busy(outcome):
             return outcome
-        self._record_outcome(path, outcome, started_s)
+        self._record_outcome(path, outcome, started_s, timeout_s)
         if _was_not_executed(outcome) or (
             method == "GET" and isinstance(outcome, NoAnswer)
         ):
@@ -101,19 +97,23 @@
     def _is_partition_busy(self, outcome: Outcome) -> bool:
         """Return whether a slow store rejected a call for want of time."""
         is_busy = isinstance(outcome, Answer) and outcome.status == STATUS_BUSY
-        return is_busy and self.is_served and self.latency_s > SLOW_LATENCY_S
+        return (
+            is_busy and self.is_served and self.answer_timeout.mean_s > SLOW_LATENCY_S
+        )
 
-    def _record_outcome(self, path: str, outcome: Outcome, started_s: float) -> None:
+    def _record_outcome(
+        self, path: str, outcome: Outcome, started_s: float, timeout_s: float
+    ) -> None:
         was_served = self.is_served
         if isinstance(outcome, Answer) and outcome.status not in REJECTION_STATUSES:
             self.reached_at_s = max(self.reached_at_s, started_s)
             self.usable_at_s = boot_time_s()
-            # The store holds a call for changes, which tells nothing of its speed.
-            if not path.startswith(FEED_PATH):
-                took_s = self.usable_at_s - started_s
-                self.latency_s += LATENCY_LEARNING_RATE * (took_s - self.latency_s)
+            if path == TRANSACTION_PATH:
+                self.answer_timeout.record_answer(self.usable_at_s - started_s)
         else:
             self.failed_at_s = max(self.failed_at_s, started_s)
+            if path == TRANSACTION_PATH and isinstance(outcome, NoAnswer):
+                self.answer_timeout.record_silence(timeout_s)
         if self.is_served != was_served:
             reason = getattr(outcome, "reason", "") or getattr(outcome, "status", 0)
             log_event(
--- a/src/chivetray/platform/store.py
+++ b/src/chivetray/platform/store.py
@@ -21,8 +21,8 @@
 
 PAGE_ROWS = 500
 
-# Path of the calls that the store may hold until a row changes.
-FEED_PATH = "/chivetray/rows-feed"
+# Path of transactions.
+TRANSACTION_PATH = "/chivetray/rows-tx"
 
 # Version to expect of a row that must not exist.
 ABSENT = 0
@@ -157,9 +157,8 @@
             ],
             "Remove": [_encode_row_id(row) for row in removed],
         }
-        path = "/chivetray/rows-tx"
         started_s = time.monotonic()
-        outcome = await self.call("POST", path, body, self._timeout_s)
+        outcome = await self.call("POST", TRANSACTION_PATH, body, self._timeout_s)
         self.on_latency("store transaction", time.monotonic() - started_s)
         if isinstance(outcome, NotSent):
             return Refused(outcome.reason)
@@ -254,7 +253,7 @@
         """
         # The platform calls the version after which changes are wanted "DependsOn".
         query = {"Table": table, "DependsOn": str(version), "WaitMs": str(wait_ms)}
-        path = f"{FEED_PATH}?{urllib.parse.urlencode(query)}"
+        path = f"/chivetray/rows-feed?{urllib.parse.urlencode(query)}"
         timeout_s = wait_ms / 1000 + CALL_TIMEOUT_S / 2
         outcome = await self.call("GET", path, None, timeout_s)
         if isinstance(outcome, Answer):
