Gather the ends of busy workers while nothing waits for them

Change: after a report the next poll waits 0.1 s, unless a task waits for room, a job would be late by it, or the worker is nearly empty.

Test: test_cell_owner.py::TestPollsOfBusyWorkers (fails without the pause).

--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -13,6 +13,7 @@
     find_pace_changes,
     has_mixed_tasks,
 )
+from chivetray.cells.slack import is_short_of_room, is_urgent
 from chivetray.cells.timing import LEASE_EXTENSION_WINDOW_S, LEASE_S
 from chivetray.cells.workers import WorkerState
 from chivetray.clocks import boot_time_s
@@ -39,6 +40,17 @@
 # fail before the lease expires.
 POLL_WAIT_LEASE_FRACTION = 0.3
 
+# Pause before the next poll of a worker whose ends nothing waits for, so that one poll
+# returns several of them.
+GATHER_S = 0.1
+
+# Slack before the deadline of a job within which its ends are reported at once.
+GATHER_SLACK_S = 0.3
+
+# Tasks on a worker below which its ends are reported at once, since an idle worker
+# may leave its pool.
+GATHER_TASKS = 3
+
 # Pause between polls of a worker that does not answer.
 SILENT_WORKER_POLL_PAUSE_S = 0.25
 
@@ -142,9 +154,21 @@
             self._cell_owner.wake()
             await self._send_pace_orders(worker)
             await self._wait_until_ends_stored(worker)
+            if self._may_gather_ends(worker):
+                await anyio.sleep(GATHER_S)
             return
         await self._handle_poll_failure(worker, reply, sent_at_s, now_s)
 
+    def _may_gather_ends(self, worker: WorkerState) -> bool:
+        """Return whether a later report of the next ends makes no job late."""
+        if len(worker.tasks) < GATHER_TASKS or is_short_of_room(self._state):
+            return False
+        now_s = boot_time_s()
+        return not any(
+            is_urgent(self._state, job_id, now_s, GATHER_SLACK_S)
+            for job_id in {job_id for job_id, _ in worker.tasks}
+        )
+
     async def _wait_until_ends_stored(self, worker: WorkerState) -> None:
         """Wait until the reported ends are stored or the lease has to be extended.
 
--- a/tests/test_cell_owner.py
+++ b/tests/test_cell_owner.py
@@ -12,8 +12,11 @@
 
 from chivetray.cells import order_sender, polling, timing
 from chivetray.cells.owner import CellOwner
+from chivetray.cells.slack import is_short_of_room, is_urgent
+from chivetray.cells.state import CellState
 from chivetray.clocks import boot_time_s
 from chivetray.jobs.model import JobState, Step
+from chivetray.jobs.ordering import full_value_deadline_s, remaining_critical_path_s
 from chivetray.platform.calls import NoAnswer
 
 
@@ -387,3 +390,50 @@
 def test_cell_name_is_the_service() -> None:
     world = World()
     assert {entry.service for entry in world.entries()} == {CELL}
+
+
+class TestPollsOfBusyWorkers:
+    """Ends are gathered while nothing waits for them."""
+
+    JOBS = 24
+
+    def polls(self, target_ms: int) -> int:
+        """Run jobs that end one after another; return the number of polls."""
+
+        async def main() -> int:
+            world = World(workers=1, cpu_milli=self.JOBS * 1000)
+            owner = await world.own()
+            for number in range(self.JOBS):
+                spec = job(
+                    f"{number:016x}",
+                    (Step(1, 1000, estimate_ms=700),),
+                    target_ms=target_ms,
+                )
+                payload = f"{0.2 + number * 0.02:.2f}"
+                owner.add_job(replace(spec, payload=payload))
+            async with running(world, owner):
+                await until(lambda: not owner.state.active)
+            return sum(call == "hold" for _, call, _ in world.workers.calls)
+
+        return asyncio.run(main())
+
+    def test_jobs_with_time_to_spare_share_polls(self) -> None:
+        """Nearly every end once took a poll of its own."""
+        assert self.polls(target_ms=20_000) <= self.JOBS / 2
+
+    def test_a_job_that_would_be_late_waits_for_no_other_end(self) -> None:
+        state = CellState(CELL)
+        spec = job(steps=(Step(4, 1000, estimate_ms=1000),), target_ms=500)
+        added = state.add_job(spec, 0.0)
+        path_s = remaining_critical_path_s(added, state.times)
+        latest_start_s = full_value_deadline_s(added, state.times) - path_s
+        assert is_urgent(state, spec.job_id, latest_start_s - 0.2, 0.3)
+        assert not is_urgent(state, spec.job_id, latest_start_s - 0.4, 0.3)
+        assert not is_urgent(state, spec.job_id, latest_start_s + 0.1, 0.3)
+
+    def test_tasks_that_wait_for_room_are_seen(self) -> None:
+        state = CellState(CELL)
+        state.add_job(job(), 0.0)
+        assert is_short_of_room(state)
+        state.schedulable_job_ids.clear()
+        assert not is_short_of_room(state)
