--- a/lab/draw_days.py
+++ b/lab/draw_days.py
@@ -105,6 +105,7 @@
     parser.add_argument("--plays", type=int, default=3, help="seeds of each file")
     parser.add_argument("--checkout", action="append", required=True)
     parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("--calm", action="store_true", help="leave faults out")
     parser.add_argument("--cpu", action="store_true", help="charge processor time")
     parser.add_argument("--why", default="drawn days side by side")
     arguments = parser.parse_args()
@@ -127,8 +128,11 @@
                 first, last = map(int, arguments.seeds.split("-"))
                 for seed in range(first, last + 1):
                     file = Path(folder) / f"{site['name']}-{seed}.toml"
-                    write_day(draw_day(site, seed), file)
+                    day = draw_day(site, seed)
                     label = f"{site['name']}/drawn-{seed}"
+                    if arguments.calm:
+                        day, label = {**day, "faults": []}, f"{label}-calm"
+                    write_day(day, file)
                     days.append(Day(label, path, str(file), seed))
         options = () if arguments.cpu else ("--no-cpu",)
         plays = play_all(
