Let the random run wait for an endpoint that was started again

The call is the script's own, no promise is checked by it; it waits now until the endpoint answers. No check or bound is changed.

--- a/tests/random_run.py
+++ b/tests/random_run.py
@@ -8,8 +8,9 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import Any
 
-from helpers import Fleet, FleetPlan, Reply, send
+from helpers import Fleet, FleetPlan, Reply, send, wait_until
 
 METHODS = ("GET", "POST", "KEYED")
 CALLER_PAUSE_S = 0.02
@@ -130,9 +131,15 @@
             time.sleep(rng.uniform(0.2, 1.0))
         self.fleet.platform_faults()
         for name in self.fleet.endpoints:
-            self.fleet.endpoint_faults(name)
+            self._set_endpoint_faults(name)
         time.sleep(3.0)
 
+    def _set_endpoint_faults(self, name: str, **faults: Any) -> None:
+        """Set the faults of an endpoint, which may just have been started again."""
+        url = self.fleet.control_url(name)
+        wait_until(lambda: send(url).status == 200, f"{name} answers")
+        self.fleet.endpoint_faults(name, **faults)
+
     def _note(self, text: str) -> None:
         self.outcome.faults.append(text)
 
@@ -180,7 +187,7 @@
     def _try_faults(self, name: str, **fault) -> None:
         """Set faults of an endpoint, which may be dead at the moment."""
         if self.fleet.processes[name].poll() is None:
-            self.fleet.endpoint_faults(name, **fault)
+            self._set_endpoint_faults(name, **fault)
 
     def _silence(self, rng: random.Random):
         name = rng.choice(self.fleet.endpoints + self.fleet.entries)
