Let two tests of sharing use one set-up

The pace test had copied the ten lines that put a slow serving task beside a best-effort one. Behaviour and assertions are as before (same count); test_cell_state.py, linters and types pass.

--- a/tests/test_cell_state.py
+++ b/tests/test_cell_state.py
@@ -16,6 +16,7 @@
     has_mixed_tasks,
 )
 from chivetray.cells.state import CellState
+from chivetray.cells.workers import WorkerState
 from chivetray.jobs.job import Job, decode_spec, encode_spec, job_age_s
 from chivetray.jobs.model import JobState, Phase, Step
 from chivetray.jobs.ordering import order_key
@@ -129,13 +130,9 @@
 
 
 class TestSharing:
-    def test_fills_are_slowed_down_fast_and_speed_up_slowly(self) -> None:
-        assert choose_pace(100, 1.2) == 0
-        assert choose_pace(100, 0.9) == 40
-        assert choose_pace(40, 0.7) == 40
-        assert choose_pace(40, 0.3) == 48
-
-    def test_a_tail_above_its_target_stops_fills_on_its_worker(self) -> None:
+    @staticmethod
+    def worker_over_its_target() -> tuple[CellState, WorkerState]:
+        """Return a worker whose serving task is slow beside a best-effort one."""
         state = cell(entry("w0"))
         serving = Step(1, 1000, long_running=True, target_ms=100)
         filling = Step(1, 1000, long_running=True, best_effort=True)
@@ -146,20 +143,21 @@
         ]
         worker = state.workers["w0"]
         apply_poll_reply(state, worker, Reply(Verdict.OK, 1, 1, running), 0.0, 1.0)
+        return state, worker
+
+    def test_fills_are_slowed_down_fast_and_speed_up_slowly(self) -> None:
+        assert choose_pace(100, 1.2) == 0
+        assert choose_pace(100, 0.9) == 40
+        assert choose_pace(40, 0.7) == 40
+        assert choose_pace(40, 0.3) == 48
+
+    def test_a_tail_above_its_target_stops_fills_on_its_worker(self) -> None:
+        state, worker = self.worker_over_its_target()
         assert has_mixed_tasks(worker)
         assert [order[2] for order in find_pace_changes(state, worker)] == [0]
 
     def test_a_pace_that_no_worker_confirmed_is_sent_again(self) -> None:
-        state = cell(entry("w0"))
-        serving = Step(1, 1000, long_running=True, target_ms=100)
-        filling = Step(1, 1000, long_running=True, best_effort=True)
-        state.add_job(job(steps=(serving, filling)), 0.0)
-        placed = place_tasks(state, 0.0, 0)
-        running = [
-            RunningTask(TaskName(*p.ref), p.attempt, "", 100, 150) for p in placed
-        ]
-        worker = state.workers["w0"]
-        apply_poll_reply(state, worker, Reply(Verdict.OK, 1, 1, running), 0.0, 1.0)
+        state, worker = self.worker_over_its_target()
         (change,) = find_pace_changes(state, worker)
         assert find_pace_changes(state, worker) == [change]
         confirm_pace(state, worker, *change)
