Log what each start, stop, lease and VM order was decided on

What callers saw: two runs of one task, and too many tasks of a step away. The logs could not tell the causes apart: they named neither the attempt, worker incarnation and epoch of a placement nor the lease under which a start was sent, the lease that ended the wait for a silent worker, the reason and age of a stop, the other tasks that were away at an evacuation, ends without effect, nor the report behind a VM order.

Only lines and their fields change. TASK_PLACED lists its attempts in one line a batch; a start that is accepted at once has no other line. New are ATTEMPT_UNKNOWN, END_IGNORED, START_CONFIRMED, STOP_CONFIRMED, TASK_EVACUATED, ATTEMPT_OUTLIVED, VM_ORDERED, LEASES_PAUSED and LEASES_RESUMED; WORKER_SILENT, WORKER_ANSWERS, WORKER_REBORN and WORKER_LOST carry the lease, CELL_TAKEN the wait for earlier leases, CELL_LEFT those that remain. Stop orders keep their reason and the time of the decision over their repeats, for 1,000 unconfirmed ones at most. The reason of WORKER_LOST names the lease that expired last instead of "the lease has expired".

--- a/src/chivetray/capacity/reports.py
+++ b/src/chivetray/capacity/reports.py
@@ -31,13 +31,41 @@
 
 @dataclass(slots=True)
 class CellReport:
-    """Load of a cell, as reported by its owner."""
+    """Load of a cell, as reported by its owner.
+
+    :ivar owner: process that reported it
+    :ivar requested_at_s: time at which the report was requested
+    """
 
     used_milli: int
     waiting_milli_s: int
     arriving_milli: int
     workers: dict[str, WorkerReport]
     required_workers: int = 0
+    owner: str = ""
+    requested_at_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class OrderBasis:
+    """Report that an order for a VM is decided on, for the log.
+
+    :ivar requested_at_s: time at which the report was requested, 0 without a report
+    """
+
+    owner: str = ""
+    requested_at_s: float = 0.0
+    worker: WorkerReport | None = None
+
+    def log_order(self, order: str, vm: str, worker_id: str, **fields: Any) -> None:
+        """Log an order that is about to be sent."""
+        if self.requested_at_s:
+            fields["report_age_s"] = round(boot_time_s() - self.requested_at_s, 3)
+            fields["report_from"] = self.owner
+        if self.worker is not None:
+            fields["tasks"] = self.worker.tasks
+            fields["usable"] = self.worker.usable
+        log_event(Event.VM_ORDERED, order=order, vm=vm, worker=worker_id, **fields)
 
 
 class CellReports:
@@ -73,6 +101,7 @@
                 tasks.start_soon(self._request_report, cell, argument)
 
     async def _request_report(self, cell: str, argument: list[Any]) -> None:
+        requested_at_s = boot_time_s()
         owner = self._directory.owner_of(cell)
         self.cells.pop(cell, None)
         if owner is None:
@@ -85,7 +114,9 @@
             log_event(Event.MAINTENANCE_WAITS, cell=cell, reason="owner did not answer")
             return
         used, waiting, arriving, workers, required_workers = reply
-        report = CellReport(used, waiting, arriving, {}, required_workers)
+        report = CellReport(
+            used, waiting, arriving, {}, required_workers, owner, requested_at_s
+        )
         for worker_id, tasks, used_milli, idle_ms, usable in workers:
             report.workers[worker_id] = WorkerReport(tasks, used_milli, idle_ms, usable)
         self.cells[cell] = report
@@ -118,6 +149,14 @@
         report = self.cells.get(machine.pool)
         return report.workers.get(machine.worker_id) if report else None
 
+    def basis(self, pool: str, worker_id: str) -> OrderBasis:
+        """Return the report that an order for the VM of a worker is decided on."""
+        report = self.cells.get(pool)
+        if report is None:
+            return OrderBasis()
+        worker = report.workers.get(worker_id)
+        return OrderBasis(report.owner, report.requested_at_s, worker)
+
     def is_empty(self, machine: PlatformVm, standby: set[str]) -> bool:
         """Return whether an order for a VM would interrupt no task.
 
--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -285,6 +285,14 @@
     async def _move_vm(self, owner: CellOwner, move: Move) -> None:
         if not self._orders.try_record_order(owner, move.machine):
             return
+        self._reports.basis(move.source, move.worker_id).log_order(
+            "move",
+            move.machine,
+            move.worker_id,
+            source=move.source,
+            target=move.target,
+            epoch=owner.epoch,
+        )
         self._moves.begin_order(move)
         answer = await self._client.move(move.machine, move.target, owner.epoch)
         self._moves.end_order(move, answer)
--- a/src/chivetray/capacity/wave_runner.py
+++ b/src/chivetray/capacity/wave_runner.py
@@ -21,7 +21,7 @@
     TIME_MARGIN_S,
     RecentOrders,
 )
-from chivetray.capacity.reports import CellReports
+from chivetray.capacity.reports import CellReports, OrderBasis
 from chivetray.capacity.sizing import BACKLOG_DRAIN_S
 from chivetray.cells.configuration import Configuration
 from chivetray.cells.owner import CellOwner
@@ -63,11 +63,12 @@
 
 @dataclass(frozen=True, slots=True)
 class MaintenanceOrder:
-    """An order for one VM of a wave."""
+    """An order for one VM of a wave, and the report that it is decided on."""
 
     wave: Wave
     progress: WaveProgress
     vm: PlatformVm
+    basis: OrderBasis
 
 
 class WaveRunner:
@@ -165,7 +166,8 @@
                     # The owner must learn of the reservation first.
                     continue
                 progress.ordered_at_s[name] = boot_time_s()
-                orders.append(MaintenanceOrder(wave, progress, machine))
+                basis = self._reports.basis(machine.pool, machine.worker_id)
+                orders.append(MaintenanceOrder(wave, progress, machine, basis))
         self.emptying = {n: w for n, w in emptying.items() if n in by_name}
         return orders
 
@@ -239,6 +241,14 @@
         if not self._orders.try_record_order(owner, name):
             self.withdraw(order)
             return
+        order.basis.log_order(
+            "maintenance",
+            name,
+            machine.worker_id,
+            source=machine.pool,
+            wave=wave.number,
+            epoch=owner.epoch,
+        )
         # The VM counts as down from now on, even if the answer is lost. The platform
         # may begin with its maintenance until the call has ended.
         progress.ordered_at_s[name] = boot_time_s()
--- a/src/chivetray/cells/copies.py
+++ b/src/chivetray/cells/copies.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from chivetray.cells.orders import StopOrder
+from chivetray.cells.orders import StopOrder, StopReason
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import TaskRef, WorkerState
 from chivetray.events import Event, log_event
@@ -78,9 +78,10 @@
     if ended.how == AttemptEnd.DONE and task.phase != Phase.DONE:
         if task.active:
             name = TaskName(job.spec.job_id, task.key)
-            state.stop_orders.append(StopOrder(name, task.attempt, task.worker))
+            reason = StopReason.DONE_ELSEWHERE
+            state.stop_orders.append(StopOrder(name, task.attempt, task.worker, reason))
         job.mark_done(task)
-        state.stop_copies(job, task)
+        state.stop_copies(job, task, StopReason.DONE_ELSEWHERE)
         state.record_task_done(job, now_s)
     elif ended.how == AttemptEnd.FAILED:
         task.failures += 1
@@ -102,5 +103,7 @@
     for attempt in copy_attempts:
         # A stop keeps a delayed start order from being carried out.
         name = TaskName(*ref)
-        state.stop_orders.append(StopOrder(name, attempt, worker.worker_id))
+        state.stop_orders.append(
+            StopOrder(name, attempt, worker.worker_id, StopReason.VANISHED_COPY)
+        )
     state.free_older_attempts(worker, ref, now_s)
--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -258,12 +258,21 @@
         version = await self._write_ownership(cell, row, ownership)
         if version is None:
             return None
+        is_released = bool(current and current.released)
+        earlier_lease_s = 0.0
+        if row is not None:
+            earlier_lease_s = (
+                MAX_RELEASED_LEASE_S if is_released else MAX_EARLIER_LEASE_S
+            )
+        leases_s = current.leases_s if current is not None else {}
         log_event(
             Event.CELL_TAKEN,
             cell=cell,
             epoch=epoch,
             before=current.holder if current else "",
-            released=bool(current and current.released),
+            released=is_released,
+            earlier_lease_s=round(earlier_lease_s, 3),
+            leases_s={w: round(s, 3) for w, s in leases_s.items()},
         )
         state = CellState(cell)
         cell_owner = CellOwner(
@@ -283,13 +292,6 @@
             cell_owner.inherited_leases_s = current.leases_s
         state.update_workers(self._workers_of(cell), boot_time_s())
         await self._load_jobs(state, version)
-        earlier_lease_s = 0.0
-        if row is not None:
-            is_released = current is not None and current.released
-            earlier_lease_s = (
-                MAX_RELEASED_LEASE_S if is_released else MAX_EARLIER_LEASE_S
-            )
-        leases_s = current.leases_s if current is not None else {}
         state.attach_restored_tasks(boot_time_s(), earlier_lease_s, leases_s)
         return cell_owner
 
--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -4,11 +4,16 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from typing import Any
 
+from chivetray.cells.orders import StopReason
 from chivetray.cells.state import CellState
+from chivetray.cells.workers import WorkerState
+from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import Phase, Step, Task
 from chivetray.jobs.placement import choose_worker
+from chivetray.platform.workers import TaskName
 
 # Time for which a worker stays reserved after the last request for its VM. Requests
 # repeat in each round of VM orders, which takes 3.3 s while the platform's VM calls
@@ -19,6 +24,9 @@
 # stopped on a reserved worker.
 EVACUATION_GRACE_S = 6.0
 
+# Unavailable tasks that one log line lists at most.
+MAX_LISTED_TASKS = 20
+
 
 def reserve_workers(state: CellState, worker_ids: Iterable[str], now_s: float) -> None:
     """Reserve workers, so that nothing new is placed there; release all others."""
@@ -54,7 +62,9 @@
             else:
                 movable = reserved and (step.checkpointing or overdue)
             if movable:
-                state.stop_task(job, task)
+                if step.long_running:
+                    _log_evacuated(state, worker, job, task, step, now_s)
+                state.stop_task(job, task, StopReason.EVACUATION)
 
 
 def has_room(state: CellState, job: Job, task: Task, now_s: float) -> bool:
@@ -89,6 +99,50 @@
     return unavailable_count < max(1, step.max_unavailable)
 
 
+def _log_evacuated(
+    state: CellState,
+    worker: WorkerState,
+    job: Job,
+    task: Task,
+    step: Step,
+    now_s: float,
+) -> None:
+    """Log which other tasks of a step are unavailable when one is stopped."""
+    occurrence, step_number, _ = task.key
+    others = [t for t in job.step_tasks(occurrence, step_number) if t is not task]
+    unavailable: list[list[Any]] = []
+    reply_ages_s = []
+    for other in others:
+        if not _is_available(state, other):
+            unavailable.append([other.key[2], _unavailable_because(state, other)])
+            continue
+        reply_ages_s.append(now_s - state.workers[other.worker].reported_at_s)
+    log_event(
+        Event.TASK_EVACUATED,
+        task=str(TaskName(job.spec.job_id, task.key)),
+        attempt=task.attempt,
+        worker=worker.worker_id,
+        cell=state.name,
+        epoch=state.epoch,
+        draining=worker.draining,
+        reserved=worker.is_reserved(now_s),
+        unavailable=unavailable[:MAX_LISTED_TASKS],
+        unavailable_count=len(unavailable),
+        limit=step.max_unavailable,
+        tasks=len(others) + 1,
+        oldest_reply_s=round(max(reply_ages_s, default=0.0), 3),
+    )
+
+
+def _unavailable_because(state: CellState, task: Task) -> str:
+    if task.phase != Phase.RUNNING:
+        return task.phase.name.lower()
+    worker = state.workers.get(task.worker)
+    if worker is None or worker.silent_since_s:
+        return "silent"
+    return f"{task.percent} percent"
+
+
 def _is_available(state: CellState, task: Task) -> bool:
     worker = state.workers.get(task.worker)
     is_answering = worker is not None and not worker.silent_since_s
--- a/src/chivetray/cells/gangs.py
+++ b/src/chivetray/cells/gangs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from chivetray.cells.orders import Placement
+from chivetray.cells.orders import Placement, StopReason
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import WorkerState
 from chivetray.jobs.job import Job
@@ -90,4 +90,4 @@
                 running = [t for t in members if t.phase in STARTED_PHASES]
                 if running and len(running) < step.count:
                     for task in running:
-                        state.stop_task(job, task)
+                        state.stop_task(job, task, StopReason.BROKEN_GANG)
--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -2,21 +2,22 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
 
 import anyio
 from anyio.abc import TaskGroup
 
 from chivetray.cells.advice import drop_ticket, get_ticket
 from chivetray.cells.copies import copy_tasks
-from chivetray.cells.orders import Placement, StopOrder
+from chivetray.cells.orders import Placement, StopOrder, StopReason
 from chivetray.cells.polling import WorkerPoller
 from chivetray.cells.reports import confirm_start, confirm_stop, reject_start
 from chivetray.cells.timing import LEASE_EXTENSION_WINDOW_S, RETRY_PAUSE_S, TICK_S
 from chivetray.cells.workers import WorkerState
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event, log_event
-from chivetray.jobs.model import Phase
+from chivetray.jobs.model import Phase, Task
 from chivetray.platform.workers import (
     Reply,
     TaskName,
@@ -40,6 +41,17 @@
 UNHEALTHY_PAUSE_S = 1.0
 NO_ROOM_PAUSE_S = 0.2
 
+# Unconfirmed stop orders whose first decision is remembered for the log.
+MAX_REMEMBERED_STOPS = 1000
+
+
+@dataclass(slots=True)
+class _StopProgress:
+    """First decision to stop an attempt, and the number of tries since."""
+
+    order: StopOrder
+    tries: int = 0
+
 
 class OrderSender:
     """Sends the orders of one cell, with at most one call in flight for each order."""
@@ -53,6 +65,7 @@
         self._poller = poller
         self._starting: set[tuple[object, int]] = set()
         self._stopping: set[tuple[str, str, int]] = set()
+        self._stops: dict[tuple[str, str, int], _StopProgress] = {}
         self._resent_at_s = 0.0
 
     def resend_unconfirmed(self, task_group: TaskGroup) -> None:
@@ -79,7 +92,12 @@
                 elif task.phase == Phase.STOPPING and not task.stopped_at_s:
                     name = TaskName(*ref)
                     self._state.stop_orders.append(
-                        StopOrder(name, task.attempt, worker.worker_id)
+                        StopOrder(
+                            name,
+                            task.attempt,
+                            worker.worker_id,
+                            StopReason.EARLIER_OWNER,
+                        )
                     )
 
     def send_start(self, task_group: TaskGroup, placement: Placement) -> None:
@@ -135,10 +153,47 @@
         task.start_unanswered = (
             earlier_try_unanswered or reply.verdict == Verdict.NO_ANSWER
         )
+        if reply.verdict == Verdict.NO_ANSWER and task.attempt == placement.attempt:
+            task.unanswered_starts += 1
+        self._log_start(placement, task, worker, reply, deadline_ms, sent_at_s)
         return await self._handle_start_reply(
             placement, worker, reply, earlier_try_unanswered
         )
 
+    def _log_start(
+        self,
+        placement: Placement,
+        task: Task,
+        worker: WorkerState,
+        reply: Reply,
+        deadline_ms: int,
+        sent_at_s: float,
+    ) -> None:
+        """Log the outcome of a start, unless the first try was simply accepted."""
+        fields: dict[str, Any] = {
+            "task": str(TaskName(*placement.ref)),
+            "attempt": placement.attempt,
+            "worker": worker.worker_id,
+            "verdict": reply.verdict.value,
+            "epoch": self._cell_owner.epoch,
+            "incarnation": placement.incarnation,
+            "deadline_ms": deadline_ms,
+            "clock_ms": reply.clock_ms,
+            "took_s": round(boot_time_s() - sent_at_s, 3),
+            "unanswered_tries": task.unanswered_starts,
+        }
+        if reply.verdict in (Verdict.OK, Verdict.OLD):
+            if task.unanswered_starts or reply.verdict == Verdict.OLD:
+                log_event(Event.START_CONFIRMED, **fields)
+            return
+        log_event(
+            Event.ORDER_FAILED,
+            order="start",
+            detail=reply.detail,
+            used_cpu=worker.used_cpu_milli,
+            **fields,
+        )
+
     async def _handle_start_reply(
         self,
         placement: Placement,
@@ -153,16 +208,6 @@
             confirm_start(self._state, placement.ref, placement.attempt, now_s)
             self._poller.wake_worker(worker.worker_id)
             return True
-        log_event(
-            Event.ORDER_FAILED,
-            order="start",
-            task=str(TaskName(*placement.ref)),
-            attempt=placement.attempt,
-            worker=worker.worker_id,
-            verdict=verdict.value,
-            detail=reply.detail,
-            used_cpu=worker.used_cpu_milli,
-        )
         if verdict == Verdict.BAD_TICKET:
             drop_ticket(self._state, placement.ref, worker.worker_id)
         if verdict == Verdict.FENCED:
@@ -183,7 +228,7 @@
             # An earlier unanswered try may still be executed. A stop order prevents
             # that permanently.
             job = self._state.jobs[placement.ref[0]]
-            self._state.stop_attempt(job, placement.ref[1])
+            self._state.stop_attempt(job, placement.ref[1], StopReason.REFUSED_START)
             self._cell_owner.wake()
             return True
         reject_start(self._state, placement, now_s, pause_s)
@@ -200,30 +245,25 @@
                 task_group.start_soon(self._send_stop_with_retries, order)
 
     async def _send_stop_with_retries(self, order: StopOrder) -> None:
+        progress = self._remember_stop(order)
         try:
             for _ in range(ORDER_TRIES):
                 worker = self._state.workers.get(order.worker_id)
                 if worker is None or not worker.address or self._cell_owner.lost:
                     return
                 address = WorkerAddress(worker.worker_id, worker.address)
+                progress.tries += 1
                 reply = await self._workers.stop(
                     address, self._cell_owner.epoch, order.name, order.attempt
                 )
                 if self._cell_owner.lost:
                     return
+                self._log_stop(progress, worker, reply)
                 if reply.verdict in (Verdict.OK, Verdict.OLD):
                     now_s = boot_time_s()
                     confirm_stop(self._state, order.name, order.attempt, now_s)
                     self._poller.wake_worker(order.worker_id)
                     return
-                log_event(
-                    Event.ORDER_FAILED,
-                    order="stop",
-                    task=str(order.name),
-                    attempt=order.attempt,
-                    worker=order.worker_id,
-                    verdict=reply.verdict.value,
-                )
                 if reply.verdict == Verdict.FENCED:
                     await self._cell_owner.verify_ownership()
                     return
@@ -234,3 +274,34 @@
         finally:
             key = (str(order.name), order.worker_id, order.attempt)
             self._stopping.discard(key)
+
+    def _remember_stop(self, order: StopOrder) -> _StopProgress:
+        """Return the first order to stop an attempt, with the number of its tries."""
+        key = (str(order.name), order.worker_id, order.attempt)
+        if key not in self._stops:
+            if len(self._stops) >= MAX_REMEMBERED_STOPS:
+                del self._stops[next(iter(self._stops))]
+            self._stops[key] = _StopProgress(order)
+        return self._stops[key]
+
+    def _log_stop(
+        self, progress: _StopProgress, worker: WorkerState, reply: Reply
+    ) -> None:
+        """Log the outcome of one try to stop an attempt."""
+        order = progress.order
+        fields: dict[str, Any] = {
+            "task": str(order.name),
+            "attempt": order.attempt,
+            "worker": order.worker_id,
+            "verdict": reply.verdict.value,
+            "reason": order.reason.value,
+            "try_number": progress.tries,
+            "decided_age_s": round(boot_time_s() - order.decided_at_s, 3),
+            "epoch": self._cell_owner.epoch,
+            "incarnation": worker.incarnation,
+        }
+        if reply.verdict in (Verdict.OK, Verdict.OLD):
+            self._stops.pop((str(order.name), order.worker_id, order.attempt), None)
+            log_event(Event.STOP_CONFIRMED, **fields)
+        else:
+            log_event(Event.ORDER_FAILED, order="stop", **fields)
--- a/src/chivetray/cells/orders.py
+++ b/src/chivetray/cells/orders.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import Enum
 
 from chivetray.cells.workers import TaskRef
+from chivetray.clocks import boot_time_s
 from chivetray.platform.workers import TaskName
 
 
@@ -18,13 +20,31 @@
     incarnation: int
 
 
+class StopReason(Enum):
+    """Why an attempt is stopped."""
+
+    BROKEN_GANG = "broken gang"
+    DONE_ELSEWHERE = "done elsewhere"
+    EARLIER_OWNER = "earlier owner"
+    EVACUATION = "evacuation"
+    JOB_ENDED = "job ended"
+    REFUSED_START = "refused start"
+    UNKNOWN_ATTEMPT = "unknown attempt"
+    VANISHED_COPY = "vanished copy"
+
+
 @dataclass(frozen=True, slots=True)
 class StopOrder:
-    """An attempt that is to stop on a worker."""
+    """An attempt that is to stop on a worker.
+
+    :ivar decided_at_s: time of the decision, for the log
+    """
 
     name: TaskName
     attempt: int
     worker_id: str
+    reason: StopReason = field(compare=False)
+    decided_at_s: float = field(compare=False, default_factory=boot_time_s)
 
 
 # Job id, occurrence and number of a step.
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import replace
+from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
@@ -86,6 +87,7 @@
         advice: AdviceClient | None = None,
     ):
         self.state = state
+        state.epoch = ownership.epoch
         self.ownership = ownership
         self.guard_version = guard_version
         self.confirmed_at_s = boot_time_s()
@@ -290,22 +292,28 @@
         self.mark_lost("another process has taken the cell")
         return False
 
-    def _log_failure(self, outcome: TransactionOutcome) -> None:
+    def _log_failure(self, outcome: TransactionOutcome, during: str = "") -> None:
         reason = getattr(outcome, "reason", "")
         log_event(
             Event.COMMIT_FAILED,
             cell=self.state.name,
             reason=reason,
             unknown=isinstance(outcome, OutcomeUnknown),
+            **({"during": during} if during else {}),
         )
 
-    def mark_lost(self, reason: str) -> None:
+    def mark_lost(self, reason: str, **fields: Any) -> None:
         """Stop all work on the cell and report the loss to ``on_lost``."""
         if self.lost:
             return
         self.lost = True
         log_event(
-            Event.CELL_LEFT, cell=self.state.name, epoch=self.epoch, reason=reason
+            Event.CELL_LEFT,
+            cell=self.state.name,
+            epoch=self.epoch,
+            reason=reason,
+            confirmed_age_s=round(boot_time_s() - self.confirmed_at_s, 3),
+            **fields,
         )
         self._wake.set()
         self._on_lost(self.state.name)
@@ -334,9 +342,11 @@
             {self.guard_row: self.guard_version}, {self.guard_row: released.encode()}
         )
         if isinstance(outcome, Committed | Conflict):
-            self.mark_lost("released")
+            leases_s = {w: round(s, 3) for w, s in released.leases_s.items()}
+            is_confirmed = isinstance(outcome, Committed)
+            self.mark_lost("released", confirmed=is_confirmed, leases_s=leases_s)
             return True
-        self._log_failure(outcome)
+        self._log_failure(outcome, during="release")
         return False
 
     async def verify_ownership(self) -> None:
--- a/src/chivetray/cells/placing.py
+++ b/src/chivetray/cells/placing.py
@@ -78,6 +78,8 @@
         waited_s=round(now_s - job.first_seen_s, 3),
         jobs=len(state.active),
         cell=state.name,
+        epoch=state.epoch,
+        placed=[[*p.ref[1], p.attempt, p.worker_id, p.incarnation] for p in placed],
     )
 
 
--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -64,6 +64,7 @@
         self._workers = workers
         self._wake_events: dict[str, anyio.Event] = {}
         self._polled_worker_ids: set[str] = set()
+        self._leases_paused = False
 
     def poll_new_workers(self, task_group: TaskGroup) -> None:
         """Start a poll loop for each worker that has none."""
@@ -121,6 +122,8 @@
         may_extend_lease = (
             worker.clock.known and worker.tasks_known and not worker.silent_since_s
         )
+        if may_extend_lease and worker.tasks:
+            self._log_extension(sent_at_s, ownership_confirmed)
         if may_extend_lease and ownership_confirmed and worker.tasks:
             # Counted from a time that the worker's clock has certainly passed, so that
             # the lease does not outlast the wait of the next owner.
@@ -159,6 +162,18 @@
             return
         await self._handle_poll_failure(worker, reply, sent_at_s, now_s)
 
+    def _log_extension(self, now_s: float, extends: bool) -> None:
+        """Log that leases of this cell are no longer extended, or are again."""
+        if extends != self._leases_paused:
+            return
+        self._leases_paused = not extends
+        log_event(
+            Event.LEASES_RESUMED if extends else Event.LEASES_PAUSED,
+            cell=self._state.name,
+            epoch=self._cell_owner.epoch,
+            confirmed_age_s=round(now_s - self._cell_owner.confirmed_at_s, 3),
+        )
+
     def _may_gather_ends(self, worker: WorkerState) -> bool:
         """Return whether a later report of the next ends makes no job late."""
         if len(worker.tasks) < GATHER_TASKS or is_short_of_room(self._state):
@@ -201,6 +216,9 @@
                 cell=self._state.name,
                 verdict=reply.verdict.value,
                 detail=reply.detail,
+                epoch=self._cell_owner.epoch,
+                tasks=len(worker.tasks),
+                **worker.describe_lease(now_s),
             )
         self._cell_owner.wake()
         await anyio.sleep(SILENT_WORKER_POLL_PAUSE_S)
@@ -218,7 +236,9 @@
                 Event.WORKER_ANSWERS,
                 worker=worker.worker_id,
                 cell=self._state.name,
-                silent_s=round(now_s - worker.silent_since_s, 3),
+                epoch=self._cell_owner.epoch,
+                tasks=len(worker.tasks),
+                **worker.describe_lease(now_s),
             )
             worker.silent_since_s = 0.0
 
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from chivetray.cells.copies import apply_copy_end, free_vanished_copies
-from chivetray.cells.orders import Placement, StopOrder
+from chivetray.cells.orders import Placement, StopOrder, StopReason
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import TaskRef, WorkerState
 from chivetray.events import Event, log_event
@@ -31,6 +33,7 @@
             return
         state.handle_worker_restart(worker, reply.incarnation, now_s)
     worker.tasks_known = True
+    worker.reported_at_s = now_s
     listed: set[tuple[str, object, int]] = set()
     for ended in sorted(reply.ended, key=lambda item: item.number):
         listed.add((ended.name.job_id, ended.name.key, ended.attempt))
@@ -52,8 +55,16 @@
             or task.attempt != running.attempt
             or not task.active
         ):
+            _log_unexpected(
+                Event.ATTEMPT_UNKNOWN, state, worker, running.name, running.attempt
+            )
             state.stop_orders.append(
-                StopOrder(running.name, running.attempt, worker.worker_id)
+                StopOrder(
+                    running.name,
+                    running.attempt,
+                    worker.worker_id,
+                    StopReason.UNKNOWN_ATTEMPT,
+                )
             )
             if (running.name.job_id, running.name.key) not in worker.tasks:
                 # The capacity of this attempt is missing in the worker's used capacity.
@@ -65,6 +76,17 @@
             step = job.spec.steps[task.key[1]]
             _set_checkpoint(job, task, step, running.checkpoint)
         if task.phase == Phase.PLACED:
+            if task.unanswered_starts:
+                log_event(
+                    Event.START_CONFIRMED,
+                    task=str(running.name),
+                    attempt=running.attempt,
+                    worker=worker.worker_id,
+                    epoch=state.epoch,
+                    incarnation=worker.incarnation,
+                    verdict="listed",
+                    unanswered_tries=task.unanswered_starts,
+                )
             confirm_start(state, (job.spec.job_id, task.key), task.attempt, now_s)
     _release_missing_attempts(state, worker, listed, sent_at_s, now_s)
 
@@ -104,21 +126,50 @@
             state.release_attempt(worker, job, task, now_s)
 
 
+def _log_unexpected(
+    event: Event,
+    state: CellState,
+    worker: WorkerState,
+    name: TaskName,
+    attempt: int,
+    **fields: Any,
+) -> None:
+    """Log an attempt that is not the one that this owner expects on a worker."""
+    job, task = state.find_task((name.job_id, name.key))
+    log_event(
+        event,
+        task=str(name),
+        attempt=attempt,
+        worker=worker.worker_id,
+        incarnation=worker.incarnation,
+        epoch=state.epoch,
+        job_state=job.state.name if job else "unknown",
+        newest_attempt=task.attempt if task else None,
+        newest_worker=task.worker if task else None,
+        phase=task.phase.name if task else None,
+        copies=list(task.copies.items()) if task else [],
+        **fields,
+    )
+
+
 def _apply_end(
     state: CellState, worker: WorkerState, ended: EndedTask, now_s: float
 ) -> None:
     job = state.jobs.get(ended.name.job_id)
     task = job.tasks.get(ended.name.key) if job else None
     if job is None or task is None:
+        _log_ignored_end(state, worker, ended, job, task)
         return
     if task.copies.get(ended.attempt) == worker.worker_id:
         apply_copy_end(state, worker, job, task, ended, now_s)
         return
     if task.worker != worker.worker_id or task.attempt != ended.attempt:
+        _log_ignored_end(state, worker, ended, job, task)
         return
     ref = (job.spec.job_id, task.key)
     if not task.active:
         # A gang member that was marked done together with another member.
+        _log_ignored_end(state, worker, ended, job, task)
         worker.free(ref, now_s)
         return
     step = job.spec.steps[task.key[1]]
@@ -131,7 +182,7 @@
         worker.free(ref, now_s)
         for member in _gang_members(job, task, step):
             job.mark_done(member)
-        state.stop_copies(job, task)
+        state.stop_copies(job, task, StopReason.DONE_ELSEWHERE)
         state.record_task_done(job, now_s)
         return
     log_event(
@@ -155,6 +206,28 @@
         state.fail_if_attempts_exhausted(job, task)
 
 
+def _log_ignored_end(
+    state: CellState,
+    worker: WorkerState,
+    ended: EndedTask,
+    job: Job | None,
+    task: Task | None,
+) -> None:
+    """Log an end that has no effect, unless its job or task is over."""
+    if job is not None and job.state.ended:
+        return
+    if task is not None and task.phase == Phase.DONE:
+        return
+    _log_unexpected(
+        Event.END_IGNORED,
+        state,
+        worker,
+        ended.name,
+        ended.attempt,
+        how=ended.how.value,
+    )
+
+
 def _gang_members(job: Job, task: Task, step: Step) -> list[Task]:
     """Return the open tasks of a task's gang, or the task alone without a gang."""
     if not step.gang:
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -8,8 +8,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-
-from chivetray.cells.orders import Placement, StepRef, StopOrder, Ticket
+from typing import Any
+
+from chivetray.cells.orders import (
+    Placement,
+    StepRef,
+    StopOrder,
+    StopReason,
+    Ticket,
+)
 from chivetray.cells.workers import TaskRef, WorkerState
 from chivetray.events import Event, log_event
 from chivetray.jobs.arrivals import ArrivalMeter
@@ -31,6 +38,7 @@
     """Jobs and workers of one cell, as its owner keeps them in memory.
 
     :param name: service whose workers belong to the cell
+    :ivar epoch: epoch of the owner, for the log
     :ivar jobs: all known jobs by job id, ended ones included
     :ivar active: jobs that have not ended or still have active tasks, by job id
     :ivar times: run times learned from done tasks
@@ -49,6 +57,7 @@
 
     def __init__(self, name: str):
         self.name = name
+        self.epoch = 0
         self.jobs: dict[str, Job] = {}
         self.active: dict[str, Job] = {}
         self.workers: dict[str, WorkerState] = {}
@@ -103,7 +112,7 @@
             step = job.spec.steps[task.key[1]]
             worker.allocate((spec.job_id, task.key), step)
             if job.state.ended:
-                self.stop_task(job, task)
+                self.stop_task(job, task, StopReason.JOB_ENDED)
 
     def cancel(self, job_id: str) -> bool:
         """Cancel a job; return whether it is known."""
@@ -121,9 +130,9 @@
         job.state = state
         self.mark_changed(job.spec.job_id)
         for task in job.active_tasks():
-            self.stop_task(job, task)
+            self.stop_task(job, task, StopReason.JOB_ENDED)
         for task in job.tasks.values():
-            self.stop_copies(job, task)
+            self.stop_copies(job, task, StopReason.JOB_ENDED)
         self.deactivate_if_finished(job)
 
     def deactivate_if_finished(self, job: Job) -> None:
@@ -132,14 +141,14 @@
             self.active.pop(job.spec.job_id, None)
             self.cached_order_keys.pop(job.spec.job_id, None)
 
-    def stop_task(self, job: Job, task: Task) -> None:
+    def stop_task(self, job: Job, task: Task, reason: StopReason) -> None:
         """Queue a stop order for a task's newest attempt, unless it is stopping."""
         if task.phase == Phase.STOPPING:
             return
         task.phase = Phase.STOPPING
         self.mark_changed(job.spec.job_id)
         name = TaskName(job.spec.job_id, task.key)
-        self.stop_orders.append(StopOrder(name, task.attempt, task.worker))
+        self.stop_orders.append(StopOrder(name, task.attempt, task.worker, reason))
 
     def count_queued_jobs(self) -> dict[str, int]:
         """Return the number of jobs in each queue that have not started any task."""
@@ -170,11 +179,11 @@
         """Return the ids of the jobs whose progress must be stored."""
         return set(self._changed_job_ids)
 
-    def stop_attempt(self, job: Job, key: TaskKey) -> None:
+    def stop_attempt(self, job: Job, key: TaskKey, reason: StopReason) -> None:
         """Stop the newest attempt of a task, which waits again after its end."""
         task = job.tasks[key]
         if task.active:
-            self.stop_task(job, task)
+            self.stop_task(job, task, reason)
 
     # Workers
 
@@ -185,7 +194,9 @@
             seen.add(entry.worker_id)
             worker = self.workers.get(entry.worker_id)
             if worker is not None and entry.incarnation > worker.incarnation:
-                self.handle_worker_restart(worker, entry.incarnation, now_s)
+                self.handle_worker_restart(
+                    worker, entry.incarnation, now_s, source="list"
+                )
             elif worker is not None and entry.incarnation < worker.incarnation:
                 # The worker itself has already reported a newer incarnation.
                 continue
@@ -266,6 +277,15 @@
                     self.workers[task.worker] = worker
                 elif worker.incarnation > task.incarnation > 0:
                     # The incarnation of the worker that had the task has ended.
+                    log_event(
+                        Event.ATTEMPT_OUTLIVED,
+                        task=str(TaskName(job.spec.job_id, task.key)),
+                        attempt=task.attempt,
+                        worker=task.worker,
+                        placed_on=task.incarnation,
+                        listed=worker.incarnation,
+                        phase=task.phase.name,
+                    )
                     task.phase = Phase.WAITING
                     self.mark_changed(job.spec.job_id)
                     self.deactivate_if_finished(job)
@@ -291,18 +311,28 @@
         return remaining
 
     def handle_worker_restart(
-        self, worker: WorkerState, incarnation: int, now_s: float
+        self,
+        worker: WorkerState,
+        incarnation: int,
+        now_s: float,
+        source: str = "reply",
     ) -> None:
         """Record that a worker has restarted and runs none of its earlier tasks.
 
         The new incarnation may still carry out a start order that was not confirmed,
         so such a task stays placed there and its start order is sent again.
+
+        :param source: what showed the restart, for the log
         """
         log_event(
             Event.WORKER_REBORN,
             worker=worker.worker_id,
+            cell=self.name,
             born=incarnation,
             before=worker.incarnation,
+            source=source,
+            attempts=self._describe_attempts(worker),
+            lease=worker.describe_lease(now_s),
         )
         worker.incarnation = incarnation
         worker.tasks_known = False
@@ -335,6 +365,9 @@
             cell=self.name,
             tasks=len(worker.tasks),
             reason=reason,
+            epoch=self.epoch,
+            attempts=self._describe_attempts(worker),
+            **worker.describe_lease(now_s),
         )
         for ref in list(worker.tasks):
             found = self.find_newest_attempt(worker, ref)
@@ -343,6 +376,23 @@
             else:
                 self.release_attempt(worker, *found, now_s)
 
+    def _describe_attempts(self, worker: WorkerState) -> list[list[Any]]:
+        """Return task, attempt and phase of what may run on a worker, for the log."""
+        rows: list[list[Any]] = []
+        for ref in worker.tasks:
+            _, task = self.find_task(ref)
+            if task is None:
+                continue
+            name = str(TaskName(*ref))
+            if task.worker == worker.worker_id:
+                rows.append([name, task.attempt, task.phase.name])
+            rows += [
+                [name, attempt, "COPY"]
+                for attempt, worker_id in task.copies.items()
+                if worker_id == worker.worker_id
+            ]
+        return rows
+
     def find_task(self, ref: TaskRef) -> tuple[Job | None, Task | None]:
         """Return a job and its task, with ``None`` for what is unknown."""
         job = self.jobs.get(ref[0])
@@ -383,7 +433,9 @@
         for worker in self.workers.values():
             silent = worker.silent_since_s or not worker.address
             if worker.tasks and silent and worker.has_lease_expired(now_s):
-                self.reschedule_worker_tasks(worker, now_s, "the lease has expired")
+                self.reschedule_worker_tasks(
+                    worker, now_s, worker.describe_expiry(now_s)
+                )
 
     # Ended tasks
 
@@ -420,11 +472,11 @@
 
     # Copies
 
-    def stop_copies(self, job: Job, task: Task) -> None:
+    def stop_copies(self, job: Job, task: Task, reason: StopReason) -> None:
         """Queue stop orders for the older attempts of a task."""
         name = TaskName(job.spec.job_id, task.key)
         for attempt, worker_id in task.copies.items():
-            self.stop_orders.append(StopOrder(name, attempt, worker_id))
+            self.stop_orders.append(StopOrder(name, attempt, worker_id, reason))
 
     def _adopt_copies(self, job: Job, task: Task) -> None:
         """Allocate resources to older attempts that an earlier owner left running."""
@@ -450,6 +502,7 @@
         task.address = worker.address
         task.running_at_s = task.stopped_at_s = 0.0
         task.start_unanswered = False
+        task.unanswered_starts = 0
         task.pace_percent = 100
         worker.allocate(ref, step)
         if worker.quarantined:
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Any
 
 from chivetray.jobs.model import Step, TaskKey
 
@@ -63,6 +64,7 @@
     :ivar earlier_lease_until_s: time until which a lease of an earlier owner may last
     :ivar silent_since_s: time of the first call without an answer, 0 while the worker
         answers
+    :ivar reported_at_s: time of the last poll reply that was applied
     :ivar missing_since_s: time at which the worker disappeared from the list
     :ivar unhealthy_until_s: time until which nothing new is placed
     :ivar reserved_until_s: time until which nothing new is placed, since the VM is
@@ -90,6 +92,7 @@
     deadline_ms: int = 0
     earlier_lease_until_s: float = 0.0
     silent_since_s: float = 0.0
+    reported_at_s: float = 0.0
     missing_since_s: float = 0.0
     unhealthy_until_s: float = 0.0
     reserved_until_s: float = 0.0
@@ -175,6 +178,31 @@
             left_s = max(left_s, left_ms / 1000 / (1 - CLOCK_DRIFT))
         return max(0.0, left_s)
 
+    def describe_lease(self, now_s: float) -> dict[str, Any]:
+        """Return what is known of the lease, as fields for the log.
+
+        ``deadline_ms`` and ``clock_ms``, a lower bound, are on the worker's clock.
+        """
+        clock_ms = self.clock.lower_bound_ms(now_s) if self.clock.known else None
+        silent_s = now_s - self.silent_since_s if self.silent_since_s else 0.0
+        earlier_lease_s = max(0.0, self.earlier_lease_until_s - now_s)
+        return {
+            "incarnation": self.incarnation,
+            "deadline_ms": self.deadline_ms,
+            "clock_ms": clock_ms,
+            "earlier_lease_s": round(earlier_lease_s, 3),
+            "silent_s": round(silent_s, 3),
+        }
+
+    def describe_expiry(self, now_s: float) -> str:
+        """Return which lease was the last to expire, as a reason for the log."""
+        if not self.deadline_ms:
+            return "earlier lease expired" if self.earlier_lease_until_s else "no lease"
+        own_age_ms = self.clock.lower_bound_ms(now_s) - self.deadline_ms
+        earlier_age_ms = (now_s - self.earlier_lease_until_s) * 1000
+        is_own_last = own_age_ms < earlier_age_ms
+        return "own lease expired" if is_own_last else "earlier lease expired"
+
     def has_lease_expired(self, now_s: float) -> bool:
         """Return whether every task that ran here has certainly been killed."""
         if now_s < self.earlier_lease_until_s:
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -102,6 +102,12 @@
     CELL_TAKE_FAILED = (1624, "The process could not become the owner of a cell.")
     COMMIT_FAILED = (1625, "A transaction of a cell failed and is retried.")
 
+    LEASES_PAUSED = (
+        1627,
+        "Leases in a cell are not extended, since its last write is too old.",
+    )
+    LEASES_RESUMED = (1628, "Leases in a cell are extended again.")
+
     JOB_ACCEPTED = (1640, "A job was stored.")
     JOB_REFUSED = (1641, "A job was not accepted.")
     JOB_ENDED = (1642, "A job has reached its final state.")
@@ -118,6 +124,22 @@
     TASK_COPIED = (1655, "A copy of a task runs on another worker, as its step allows.")
     TASK_PACED = (1654, "The share of a best-effort task was changed.")
 
+    ATTEMPT_UNKNOWN = (1680, "A worker runs an attempt that this owner does not know.")
+    END_IGNORED = (1681, "The end of an attempt has no effect on its open task.")
+    START_CONFIRMED = (
+        1682,
+        "A start was carried out after tries without an answer, or had already ended.",
+    )
+    STOP_CONFIRMED = (1683, "A worker has carried out a stop order.")
+    TASK_EVACUATED = (
+        1684,
+        "A long-running task is stopped to move it; lists the unavailable ones.",
+    )
+    ATTEMPT_OUTLIVED = (
+        1685,
+        "A worker has restarted since an earlier owner placed an attempt there.",
+    )
+
     WORKER_LISTED = (1660, "A worker has joined its cell.")
     WORKER_DRAINING = (1661, "A worker is draining and receives no new tasks.")
     WORKER_REBORN = (1662, "A worker has restarted.")
@@ -127,6 +149,7 @@
 
     VM_MOVED = (1670, "A VM was sent to another pool.")
     VM_MAINTAINED = (1671, "A VM was taken down for maintenance.")
+    VM_ORDERED = (1677, "An order for a VM is sent; names the report it is based on.")
     VM_ORDER_FAILED = (1672, "An order for a VM was not carried out.")
     MAINTENANCE_WAITS = (1673, "A VM of a wave cannot be taken down yet.")
     MAINTENANCE_COMPLETED = (1674, "All VMs of a wave were maintained.")
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -145,6 +145,8 @@
     :ivar failed_attempt: newest attempt that is counted in ``failures``
     :ivar unanswered: whether a start request of the newest attempt got no answer,
         so that the worker may still carry it out
+    :ivar unanswered_starts: number of start requests of the newest attempt that got no
+        answer
     :ivar pace_percent: share of full speed at which a best-effort task may run
     :ivar not_before_s: time before which the task is not placed again
     :ivar avoided_workers: workers to use for the task only if no other has capacity
@@ -167,6 +169,7 @@
     running_at_s: float = 0.0
     stopped_at_s: float = 0.0
     start_unanswered: bool = False
+    unanswered_starts: int = 0
     not_before_s: float = 0.0
     avoided_workers: set[str] = field(default_factory=set)
     copies: dict[int, str] = field(default_factory=dict)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,14 @@
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from typing import Any
 
 import pytest
 from helpers import Fleet, FleetPlan
 from hypothesis import settings
 
+from chivetray import events
+
 # The same verdict every time; lab runs search with other seeds.
 settings.register_profile("same", derandomize=True, deadline=None)
 settings.load_profile("same")
@@ -25,3 +28,23 @@
     yield start
     for fleet in fleets:
         fleet.close()
+
+
+class LoggedEvents(list[tuple[events.Event, dict[str, Any]]]):
+    """Events in the order in which they were logged."""
+
+    def of(self, event: events.Event) -> list[dict[str, Any]]:
+        """Return the fields of each line of an event."""
+        return [fields for logged, fields in self if logged == event]
+
+
+@pytest.fixture
+def logged(monkeypatch: pytest.MonkeyPatch) -> LoggedEvents:
+    """Return the events that the test logs."""
+    found = LoggedEvents()
+
+    def observe(event: events.Event, fields: Mapping[str, Any]) -> None:
+        found.append((event, dict(fields)))
+
+    monkeypatch.setattr(events, "_observers", [observe])
+    return found
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from types import SimpleNamespace
 from typing import ClassVar
 
 import pytest
@@ -11,9 +12,12 @@
 from chivetray.cells.directory import RENEWAL_OBSERVATION_S, CellDirectory, Renewal
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import Ownership
+from chivetray.cells.timing import MAX_RELEASED_LEASE_S
 from chivetray.clocks import boot_time_s
+from chivetray.events import Event
 from chivetray.platform.store import (
     Changes,
+    Committed,
     Conflict,
     Row,
     RowId,
@@ -194,3 +198,39 @@
 
     def test_an_owner_that_renews_keeps_the_cell(self) -> None:
         assert self.acquire(renews=True) == []
+
+
+class TestLogOfTakeOver:
+    """The log did not say how long a new owner waits for which leases."""
+
+    def test_it_names_the_leases_of_the_earlier_owner(self, logged) -> None:
+        before = Ownership(4, "m1", "1", released=True, leases_s={"w0": 1.25})
+
+        class Store:
+            async def read_row(self, row: RowId) -> Row:
+                return Row(row, before.encode(), 41)
+
+            async def transact(self, *_: object) -> Committed:
+                return Committed(42)
+
+        async def load_jobs(*_: object) -> None:
+            pass
+
+        directory = CellDirectory.__new__(CellDirectory)
+        directory._store = Store()  # type: ignore[assignment]
+        directory._mesh = SimpleNamespace(name="m2", incarnation="2")  # type: ignore[assignment]
+        directory._workers = directory._advice = None  # type: ignore[assignment]
+        directory.longest_lease_s = 7.0
+        directory._workers_of = lambda _: []  # type: ignore[method-assign]
+        directory._load_jobs = load_jobs  # type: ignore[method-assign]
+        owner = asyncio.run(directory._acquire("a"))
+        assert owner is not None
+        (line,) = logged.of(Event.CELL_TAKEN)
+        assert line == {
+            "cell": "a",
+            "epoch": owner.epoch,
+            "before": "m1",
+            "released": True,
+            "earlier_lease_s": round(MAX_RELEASED_LEASE_S, 3),
+            "leases_s": {"w0": 1.25},
+        }
--- a/tests/test_order_holder.py
+++ b/tests/test_order_holder.py
@@ -15,6 +15,7 @@
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import owner_row
 from chivetray.clocks import boot_time_s
+from chivetray.events import Event
 from chivetray.platform.store import Committed, Conflict, OutcomeUnknown, Row, RowId
 from chivetray.platform.stored_records import WorkerRecord
 from chivetray.platform.vm_api import PlatformVm, PlatformVmState, VmOrderOutcome
@@ -229,6 +230,38 @@
         assert [m.target for m in plan_moves([pool], "spare", [SPARE])] == ["pool-a"]
 
 
+class TestLogOfOrders:
+    """A VM order could not be told from one that was based on an old report."""
+
+    def test_an_order_names_the_report_that_it_is_based_on(self, logged) -> None:
+        holder = Holder()
+        worker = WorkerReport(0, 0, 5000, False)
+        holder.runner._reports.cells["pool-a"] = CellReport(
+            0, 0, 0, {"w1": worker}, 0, "m2", boot_time_s() - 2.0
+        )
+
+        async def main() -> None:
+            await holder.runner._begin(holder.own)  # type: ignore[arg-type]
+            moves = [Move("vm-1", "w1", "pool-a", "spare")]
+            await holder.runner._send_orders(holder.own, [], moves)  # type: ignore[arg-type]
+
+        asyncio.run(main())
+        (line,) = logged.of(Event.VM_ORDERED)
+        age_s = line.pop("report_age_s")
+        assert 2.0 <= age_s < 3.0
+        assert line == {
+            "order": "move",
+            "vm": "vm-1",
+            "worker": "w1",
+            "source": "pool-a",
+            "target": "spare",
+            "epoch": 2,
+            "report_from": "m2",
+            "tasks": 0,
+            "usable": False,
+        }
+
+
 class TestPeakThatIsOver:
     def test_an_idle_vm_leaves_in_the_round_that_plans_it(self) -> None:
         """Its worker was once reserved in one round and the order sent in the next."""
--- a/tests/test_unanswered_vm_orders.py
+++ b/tests/test_unanswered_vm_orders.py
@@ -20,6 +20,7 @@
 from chivetray.capacity.wave_runner import WaveRunner
 from chivetray.cells.tables import owner_row
 from chivetray.clocks import boot_time_s
+from chivetray.events import Event
 from chivetray.platform.store import Committed
 from chivetray.platform.stored_records import Wave
 from chivetray.platform.vm_api import PlatformVm, PlatformVmState, VmOrderOutcome
@@ -232,6 +233,21 @@
 class TestMaintenanceOrders:
     WAVE = Wave(3, ("s0", "s1", "s2"), 60.0, cap=1)
 
+    def test_each_sending_is_logged_with_the_epoch_of_the_holder(self, logged) -> None:
+        """The log once named orders by their answers only."""
+        fleet = Fleet(*standby(3), waves=(self.WAVE,))
+        fleet.platform.loses = "orders"
+        fleet.rounds(2)
+        lines = logged.of(Event.VM_ORDERED)
+        sent = [
+            (line["vm"], line.get("target", "maintenance"), line["epoch"])
+            for line in lines
+        ]
+        assert sent == fleet.platform.orders
+        first, again = (line for line in lines if line["order"] == "maintenance")
+        assert (first["vm"], first["wave"]) == (again["vm"], again["wave"])
+        assert "report_age_s" not in first, "nothing runs in the standby pool"
+
     def test_a_lost_order_is_sent_again_and_moves_nothing_meanwhile(self) -> None:
         fleet = Fleet(*standby(3), waves=(self.WAVE,))
         fleet.platform.loses = "orders"
--- a/tests/test_wave_runner.py
+++ b/tests/test_wave_runner.py
@@ -7,6 +7,7 @@
 import msgpack
 
 from chivetray.capacity.recent_orders import ORDERS_ROW, RecentOrders
+from chivetray.capacity.reports import OrderBasis
 from chivetray.capacity.wave_runner import WaveRunner
 from chivetray.cells.tables import owner_row
 from chivetray.clocks import boot_time_s
@@ -61,6 +62,9 @@
     def worker(self, _: PlatformVm) -> None:
         return None
 
+    def basis(self, *_: str) -> OrderBasis:
+        return OrderBasis()
+
 
 class Configuration:
     """One wave."""
