Count only recent reports before a long-running task is stopped

Callers saw more tasks of a long-running step unavailable at once than the step allows. A task counted as available by the last poll of its worker, however old that reply was: a process that was suspended, or whose poll loop waited for the store, went on with old reports and stopped a second task.

A task now counts as available only if a reply to a poll sent within the longest duration of a poll lists it at work. The send time counts, since a suspended process reads answers that have waited for it. Reports of several workers are seldom recent together while polls wait for 2 s, so polls are short while a decision lacks reports.

The age that TASK_EVACUATED logs is that of the same reports, so it counts from the request too; test_a_reply_is_as_old_as_its_request takes the place of a test of the receive time.

--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -27,6 +27,15 @@
 # Unavailable tasks that one log line lists at most.
 MAX_LISTED_TASKS = 20
 
+# Age up to which a report proves that a long-running task is at work: the longest wait
+# of a poll and the time that its answer may take. Counted from the send time of the
+# poll, since a process that was suspended reads old answers.
+MAX_REPORT_AGE_S = 2.7
+
+# Time for which workers are polled at short intervals when a decision lacks recent
+# reports: a poll with the longest wait, and a short one after it.
+REPORTS_WANTED_S = 3.0
+
 
 def reserve_workers(state: CellState, worker_ids: Iterable[str], now_s: float) -> None:
     """Reserve workers, so that nothing new is placed there; release all others."""
@@ -56,7 +65,7 @@
                 movable = True
             elif step.long_running:
                 movable = worker.draining or (
-                    can_interrupt_task(state, job, task, step)
+                    can_interrupt_task(state, job, task, step, now_s)
                     and has_room(state, job, task, now_s)
                 )
             else:
@@ -85,18 +94,26 @@
     return choose_worker(step, candidates, set(), tasks_per_worker, {}) is not None
 
 
-def can_interrupt_task(state: CellState, job: Job, task: Task, step: Step) -> bool:
+def can_interrupt_task(
+    state: CellState, job: Job, task: Task, step: Step, now_s: float
+) -> bool:
     """Return whether a long-running task may be stopped now.
 
     One task of its step may always be unavailable, and up to
-    ``max_unavailable`` at once.
+    ``max_unavailable`` at once. If old reports prevent that, newer ones are requested.
     """
     occurrence, step_number, _ = task.key
-    unavailable_count = 0
-    for other in job.step_tasks(occurrence, step_number):
-        if other is not task and not _is_available(state, other):
-            unavailable_count += 1
-    return unavailable_count < max(1, step.max_unavailable)
+    others = [t for t in job.step_tasks(occurrence, step_number) if t is not task]
+    max_unavailable = max(1, step.max_unavailable)
+    at_work = [other for other in others if _is_at_work(state, other)]
+    recent = [t for t in at_work if now_s - t.listed_at_s < MAX_REPORT_AGE_S]
+    if len(others) - len(recent) < max_unavailable:
+        return True
+    if len(others) - len(at_work) < max_unavailable:
+        for other in at_work:
+            worker = state.workers[other.worker]
+            worker.reports_wanted_until_s = now_s + REPORTS_WANTED_S
+    return False
 
 
 def _log_evacuated(
@@ -113,10 +130,10 @@
     unavailable: list[list[Any]] = []
     reply_ages_s = []
     for other in others:
-        if not _is_available(state, other):
+        if not _is_at_work(state, other):
             unavailable.append([other.key[2], _unavailable_because(state, other)])
             continue
-        reply_ages_s.append(now_s - state.workers[other.worker].reported_at_s)
+        reply_ages_s.append(now_s - other.listed_at_s)
     log_event(
         Event.TASK_EVACUATED,
         task=str(TaskName(job.spec.job_id, task.key)),
@@ -143,7 +160,8 @@
     return f"{task.percent} percent"
 
 
-def _is_available(state: CellState, task: Task) -> bool:
+def _is_at_work(state: CellState, task: Task) -> bool:
+    """Return whether a task was at work by the last report of its worker."""
     worker = state.workers.get(task.worker)
     is_answering = worker is not None and not worker.silent_since_s
     return is_answering and task.phase == Phase.RUNNING and task.percent >= 100
--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -36,6 +36,9 @@
 # tasks. Workers report the tail latency of serving tasks over the last 500 ms.
 SHARED_WORKER_POLL_WAIT_MS = 500
 
+# The same while a decision needs a recent report of the worker.
+RECENT_REPORT_POLL_WAIT_MS = 500
+
 # A poll waits for at most this fraction of the lease, so that two polls in a row can
 # fail before the lease expires.
 POLL_WAIT_LEASE_FRACTION = 0.3
@@ -134,6 +137,8 @@
             if worker.last_stored_end == worker.last_applied_end:
                 is_shared = has_mixed_tasks(worker)
                 wait_ms = SHARED_WORKER_POLL_WAIT_MS if is_shared else POLL_WAIT_MS
+                if sent_at_s < worker.reports_wanted_until_s:
+                    wait_ms = min(wait_ms, RECENT_REPORT_POLL_WAIT_MS)
                 wait_ms = min(wait_ms, int(lease_s * 1000 * POLL_WAIT_LEASE_FRACTION))
         observed, incarnation = worker.last_stored_end, worker.incarnation
         reply = await self._workers.poll(
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -33,7 +33,6 @@
             return
         state.handle_worker_restart(worker, reply.incarnation, now_s)
     worker.tasks_known = True
-    worker.reported_at_s = now_s
     listed: set[tuple[str, object, int]] = set()
     for ended in sorted(reply.ended, key=lambda item: item.number):
         listed.add((ended.name.job_id, ended.name.key, ended.attempt))
@@ -70,7 +69,7 @@
                 # The capacity of this attempt is missing in the worker's used capacity.
                 worker.unhealthy_until_s = now_s + UNKNOWN_ATTEMPT_PAUSE_S
             continue
-        task.percent = running.percent
+        task.percent, task.listed_at_s = running.percent, sent_at_s
         task.level = running.level
         if running.checkpoint:
             step = job.spec.steps[task.key[1]]
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -64,11 +64,12 @@
     :ivar earlier_lease_until_s: time until which a lease of an earlier owner may last
     :ivar silent_since_s: time of the first call without an answer, 0 while the worker
         answers
-    :ivar reported_at_s: time of the last poll reply that was applied
     :ivar missing_since_s: time at which the worker disappeared from the list
     :ivar unhealthy_until_s: time until which nothing new is placed
     :ivar reserved_until_s: time until which nothing new is placed, since the VM is
         needed elsewhere
+    :ivar reports_wanted_until_s: time until which polls are short, since a decision
+        needs recent reports
     :ivar failing_jobs: jobs whose tasks failed here since the last task was done
     :ivar probed_at_s: time of the last placement while in quarantine
     :ivar tasks: steps of the tasks that hold resources, by task
@@ -92,12 +93,12 @@
     deadline_ms: int = 0
     earlier_lease_until_s: float = 0.0
     silent_since_s: float = 0.0
-    reported_at_s: float = 0.0
     missing_since_s: float = 0.0
     unhealthy_until_s: float = 0.0
     reserved_until_s: float = 0.0
     reserved_since_s: float = 0.0
     idle_since_s: float = 0.0
+    reports_wanted_until_s: float = 0.0
     failing_jobs: set[str] = field(default_factory=set)
     probed_at_s: float = 0.0
     clock: WorkerClock = field(default_factory=WorkerClock)
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -140,6 +140,8 @@
         incarnation
     :ivar checkpoint: newest checkpoint, or empty
     :ivar percent: progress in the worker's last report
+    :ivar listed_at_s: send time of the last poll whose reply listed the newest attempt
+        as running
     :ivar level: value in the worker's last report: tail latency in ms of a serving
         task, CPU in use in thousandths of a core of any other
     :ivar failed_attempt: newest attempt that is counted in ``failures``
@@ -163,6 +165,7 @@
     incarnation: int = 0
     checkpoint: str = ""
     percent: int = 0
+    listed_at_s: float = 0.0
     level: int = 0
     failed_attempt: int = 0
     pace_percent: int = 100
--- a/tests/test_log_fields.py
+++ b/tests/test_log_fields.py
@@ -260,8 +260,8 @@
         tasks = list(state.jobs[JOB].tasks.values())
         for task, percent in zip(tasks, [100, 40, 100, 100], strict=True):
             task.percent = percent
-        for placement, at_s in zip(placed, [4.9, 4.9, 4.0, 4.5], strict=True):
-            state.workers[placement.worker_id].reported_at_s = at_s
+        for task, at_s in zip(tasks, [4.9, 4.9, 4.0, 4.5], strict=True):
+            task.listed_at_s = at_s
         reserve_workers(state, [placed[0].worker_id], 5.0)
         evacuate(state, 5.0)
         (line,) = logged.of(Event.TASK_EVACUATED)
@@ -273,10 +273,13 @@
         (order,) = state.stop_orders
         assert order.reason.value == "evacuation"
 
-    def test_a_reply_is_as_old_as_its_arrival(self) -> None:
+    def test_a_reply_is_as_old_as_its_request(self) -> None:
         state = make_state("w0")
-        apply_poll_reply(state, state.workers["w0"], Reply(Verdict.OK, 9, 1), 1.0, 1.5)
-        assert state.workers["w0"].reported_at_s == 1.5
+        start_tasks(state, Step(1, 1000, long_running=True))
+        (task,) = state.jobs[JOB].tasks.values()
+        reply = Reply(Verdict.OK, 9, 1, [RunningTask(NAME, 1, "", 100, 0)])
+        apply_poll_reply(state, state.workers["w0"], reply, 1.0, 1.5)
+        assert task.listed_at_s == 1.0
 
 
 class TestUnexpectedAttempts:
