Stop best-effort tasks within the limit of their step

Tasks of a long-running best-effort step that sets max_unavailable were stopped all at once when their workers were reserved: best-effort tasks were movable without a count. They now leave like the other long-running tasks of such a step.

Before, test_they_leave_within_the_limit_of_their_step failed with "assert 2 == 1".

--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -61,7 +61,8 @@
             if found is None or found[1].phase != Phase.RUNNING:
                 continue
             job, task = found
-            if step.best_effort:
+            is_limited = step.long_running and step.max_unavailable > 0
+            if step.best_effort and not is_limited:
                 movable = True
             elif step.long_running:
                 movable = worker.draining or (
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import anyio
 from cell_helpers import CELL, World, job, until
@@ -80,6 +81,23 @@
         return [order.worker_id for order in self.state.stop_orders]
 
 
+class TestBestEffortTasks:
+    """Best-effort tasks may belong to a step that limits how many are unavailable."""
+
+    def test_they_leave_within_the_limit_of_their_step(self) -> None:
+        """All of them on reserved workers were once stopped at the same time."""
+        cell = Serving(replace(STEP, best_effort=True))
+        reserve_workers(cell.state, [task.worker for task in cell.tasks], 1.1)
+        evacuate(cell.state, 1.1)
+        assert len(cell.state.stop_orders) == 1
+
+    def test_others_leave_at_once(self) -> None:
+        cell = Serving(replace(STEP, best_effort=True, max_unavailable=0))
+        reserve_workers(cell.state, [task.worker for task in cell.tasks], 1.1)
+        evacuate(cell.state, 1.1)
+        assert len(cell.state.stop_orders) == 2
+
+
 class TestAgeOfReports:
     """A process that is suspended or waits for the store goes on with old reports."""
 
