Let an end "done" of any attempt of a task count

What callers saw: a task ran again after it was done, and its job was late.

Cause: an end had an effect only if its attempt was the newest one or a known older copy. Any other end was dropped while the number of the last applied end advanced, so the worker was told to forget it and the task was started again.

Attempt numbers are stored before a start is sent, so every attempt up to the stored number is one of this task and its end is the task's end. It marks the job as changed, and an end is acknowledged only after that is stored. Newer attempts and older copies are stopped. An attempt number that the task never had still has no effect, and ends other than "done" count as before.

The test of the log line for ends without effect uses an end that still has none (a lapsed lease), since "done" of an earlier attempt now has one; its assertions are the same.

--- a/src/chivetray/cells/copies.py
+++ b/src/chivetray/cells/copies.py
@@ -62,7 +62,7 @@
     return now_s - task.running_at_s > limit_s
 
 
-def apply_copy_end(
+def apply_copy_failure(
     state: CellState,
     worker: WorkerState,
     job: Job,
@@ -70,20 +70,12 @@
     ended: EndedTask,
     now_s: float,
 ) -> None:
-    """Apply the end of an older attempt while a newer one may still run."""
+    """Apply the end of an older attempt that is not done."""
     del task.copies[ended.attempt]
     if task.worker != worker.worker_id:
         worker.free((job.spec.job_id, task.key), now_s)
     state.mark_changed(job.spec.job_id)
-    if ended.how == AttemptEnd.DONE and task.phase != Phase.DONE:
-        if task.active:
-            name = TaskName(job.spec.job_id, task.key)
-            reason = StopReason.DONE_ELSEWHERE
-            state.stop_orders.append(StopOrder(name, task.attempt, task.worker, reason))
-        job.mark_done(task)
-        state.stop_copies(job, task, StopReason.DONE_ELSEWHERE)
-        state.record_task_done(job, now_s)
-    elif ended.how == AttemptEnd.FAILED:
+    if ended.how == AttemptEnd.FAILED:
         task.failures += 1
         state.fail_if_attempts_exhausted(job, task)
 
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from chivetray.cells.copies import apply_copy_end, free_vanished_copies
+from chivetray.cells.copies import apply_copy_failure, free_vanished_copies
 from chivetray.cells.orders import Placement, StopOrder, StopReason
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import TaskRef, WorkerState
@@ -159,31 +159,23 @@
     if job is None or task is None:
         _log_ignored_end(state, worker, ended, job, task)
         return
+    if ended.how == AttemptEnd.DONE and 0 < ended.attempt <= task.attempt:
+        _apply_done(state, worker, job, task, ended, now_s)
+        return
     if task.copies.get(ended.attempt) == worker.worker_id:
-        apply_copy_end(state, worker, job, task, ended, now_s)
+        apply_copy_failure(state, worker, job, task, ended, now_s)
         return
     if task.worker != worker.worker_id or task.attempt != ended.attempt:
         _log_ignored_end(state, worker, ended, job, task)
         return
-    ref = (job.spec.job_id, task.key)
     if not task.active:
         # A gang member that was marked done together with another member.
         _log_ignored_end(state, worker, ended, job, task)
-        worker.free(ref, now_s)
+        worker.free((job.spec.job_id, task.key), now_s)
         return
     step = job.spec.steps[task.key[1]]
     if ended.checkpoint:
         _set_checkpoint(job, task, step, ended.checkpoint)
-    if ended.how == AttemptEnd.DONE:
-        worker.failing_jobs.clear()
-        if task.running_at_s and not task.checkpoint:
-            state.times.record(job.spec.queue, now_s - task.running_at_s)
-        worker.free(ref, now_s)
-        for member in _gang_members(job, task, step):
-            job.mark_done(member)
-        state.stop_copies(job, task, StopReason.DONE_ELSEWHERE)
-        state.record_task_done(job, now_s)
-        return
     log_event(
         Event.TASK_ENDED_EARLY,
         task=str(ended.name),
@@ -227,6 +219,45 @@
     )
 
 
+def _apply_done(
+    state: CellState,
+    worker: WorkerState,
+    job: Job,
+    task: Task,
+    ended: EndedTask,
+    now_s: float,
+) -> None:
+    """Mark a task as done by any of its attempts, and stop the others.
+
+    The worker forgets the end once it is acknowledged, so an end without effect would
+    let the task run again.
+    """
+    ref = (job.spec.job_id, task.key)
+    is_newest = task.worker == worker.worker_id and task.attempt == ended.attempt
+    if task.copies.get(ended.attempt) == worker.worker_id:
+        del task.copies[ended.attempt]
+        state.mark_changed(job.spec.job_id)
+    if is_newest or task.worker != worker.worker_id:
+        worker.free(ref, now_s)
+    if task.phase == Phase.DONE:
+        return
+    if is_newest and task.active:
+        worker.failing_jobs.clear()
+        if task.running_at_s and not task.checkpoint:
+            state.times.record(job.spec.queue, now_s - task.running_at_s)
+    step = job.spec.steps[task.key[1]]
+    for member in _gang_members(job, task, step):
+        if member.active and member.attempt > ended.attempt:
+            name = TaskName(job.spec.job_id, member.key)
+            order = StopOrder(
+                name, member.attempt, member.worker, StopReason.DONE_ELSEWHERE
+            )
+            state.stop_orders.append(order)
+        job.mark_done(member)
+        state.stop_copies(job, member, StopReason.DONE_ELSEWHERE)
+    state.record_task_done(job, now_s)
+
+
 def _gang_members(job: Job, task: Task, step: Step) -> list[Task]:
     """Return the open tasks of a task's gang, or the task alone without a gang."""
     if not step.gang:
--- a/tests/test_log_fields.py
+++ b/tests/test_log_fields.py
@@ -289,11 +289,11 @@
         state = make_state("w0")
         start_tasks(state, Step(1, 1000))
         state.jobs[JOB].tasks[NAME.key].attempt = 2
-        ended = EndedTask(1, NAME, 1, AttemptEnd.DONE, "")
+        ended = EndedTask(1, NAME, 1, AttemptEnd.LEASE_EXPIRED, "")
         reply = Reply(Verdict.OK, 2000, 1, [], [ended])
         apply_poll_reply(state, state.workers["w0"], reply, 0.05, 1.0)
         (line,) = logged.of(Event.END_IGNORED)
-        assert (line["task"], line["attempt"], line["how"]) == (str(NAME), 1, "done")
+        assert (line["task"], line["attempt"], line["how"]) == (str(NAME), 1, "lapsed")
         assert (line["newest_attempt"], line["newest_worker"]) == (2, "w0")
         assert (line["phase"], line["copies"]) == ("RUNNING", [])
 
--- a/tests/test_task_copies.py
+++ b/tests/test_task_copies.py
@@ -156,6 +156,64 @@
         assert copied.task.phase == Phase.PLACED
 
 
+class TestEndOfAForgottenAttempt:
+    """Its end once had no effect and was acknowledged; the task ran again."""
+
+    def test_an_end_done_counts_and_the_newest_attempt_is_stopped(self) -> None:
+        copied = Copied()
+        copied.silence()
+        copied.task.copies.clear()
+        copied.end(copied.old, 1, AttemptEnd.DONE)
+        assert copied.job.state == JobState.COMPLETED
+        assert (copied.new, 2) in copied.stopped()
+
+    def test_an_end_done_counts_while_the_task_waits(self) -> None:
+        copied = Copied(copies=False)
+        copied.state.reschedule_worker_tasks(
+            copied.state.workers[copied.old], 1.0, "the lease has expired"
+        )
+        copied.end(copied.old, 1, AttemptEnd.DONE)
+        assert copied.job.state == JobState.COMPLETED
+        assert place_tasks(copied.state, 3.0, 0) == []
+
+    def test_the_end_is_stored_before_it_is_acknowledged(self) -> None:
+        copied = Copied(copies=False)
+        worker = copied.state.workers[copied.old]
+        copied.state.reschedule_worker_tasks(worker, 1.0, "the lease has expired")
+        copied.state.take_changed_jobs()
+        copied.end(copied.old, 1, AttemptEnd.DONE)
+        assert copied.state.changed_job_ids() == {JOB}
+
+    def test_an_attempt_that_the_task_never_had_does_not_count(self) -> None:
+        copied = Copied()
+        copied.end(copied.old, 2, AttemptEnd.DONE)
+        assert copied.job.state == JobState.RUNNING
+
+    def test_an_end_that_is_not_done_changes_nothing(self) -> None:
+        copied = Copied()
+        copied.silence()
+        copied.task.copies.clear()
+        copied.end(copied.old, 1, AttemptEnd.FAILED)
+        assert copied.task.failures == 0
+        assert copied.task.phase == Phase.PLACED
+
+    def test_one_end_done_of_an_older_attempt_of_a_gang_counts_for_all(self) -> None:
+        state = CellState(CELL)
+        state.update_workers([entry("w0")], 0.0)
+        worker = state.workers["w0"]
+        worker.tasks_known = True
+        worker.clock.observe(1000, 0.0, 0.0)
+        gang = state.add_job(job(steps=(Step(3, 1000, gang=True),)), 0.0)
+        place_tasks(state, 0.0, 0)
+        state.reschedule_worker_tasks(worker, 1.0, "the lease has expired")
+        place_tasks(state, 1.1, 0)
+        ended = EndedTask(1, TaskName(JOB, KEY), 1, AttemptEnd.DONE, "")
+        apply_poll_reply(state, worker, Reply(Verdict.OK, 2000, 1, [], [ended]), 2, 2.1)
+        assert gang.state == JobState.COMPLETED
+        assert {order.attempt for order in state.stop_orders} == {2}
+        assert len({order.name.key for order in state.stop_orders}) == 3
+
+
 class TestLaterOwner:
     def test_it_knows_the_older_run_and_counts_its_room(self) -> None:
         copied = Copied()
