Count again before each sending of a stop that evacuates a task

Callers saw a task of a long-running step stopped while more of its step were unavailable than the step allows. The tasks were counted once, when the stop was decided. The stop is then stored, which takes seconds while the store is slow, and sent again until it is answered, by a later owner too; others of the step may have ended by then.

The count now precedes each sending. A stop that is not allowed any more is withdrawn if no try of it can be under way and the worker still lists the attempt: the task is running again, and the change is stored. One that may be under way is put off, and its task counts as unavailable. A stop of an attempt that its worker does not list makes nothing unavailable, so it goes ahead. Two stops that were not sent can therefore not wait for each other. A later owner cannot know why a task is being stopped, so it treats the tasks of a long-running step whose job has not ended as evacuated. An earlier owner's stop is fenced once the later owner has polled the worker.

The same covers a start that a worker refuses after an unanswered one: the attempt may be at work, and goes on if its worker lists it.

Before, test_no_stop_is_sent_while_the_other_task_is_unavailable failed with "assert [1] == [2]" (tasks at work when the stop was sent), in a cell whose store was held back.

--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -6,12 +6,13 @@
 from collections.abc import Iterable
 from typing import Any
 
-from chivetray.cells.orders import StopReason
+from chivetray.cells.orders import StopOrder, StopReason
+from chivetray.cells.reports import confirm_start
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import WorkerState
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job
-from chivetray.jobs.model import Phase, Step, Task
+from chivetray.jobs.model import STARTED_PHASES, Phase, Step, Task
 from chivetray.jobs.placement import choose_worker
 from chivetray.platform.workers import TaskName
 
@@ -117,6 +118,43 @@
     return False
 
 
+def may_send_stop(state: CellState, order: StopOrder, now_s: float) -> bool:
+    """Return whether a stop order may be sent now, for the first time or again.
+
+    Others of a long-running task's step may have become unavailable since the stop was
+    decided. The stop is withdrawn then, unless it may already be under way.
+    """
+    ref = (order.name.job_id, order.name.key)
+    job, task = state.find_task(ref)
+    worker = state.workers.get(order.worker_id)
+    if job is None or task is None or worker is None:
+        return True
+    if task.worker != order.worker_id or task.attempt != order.attempt:
+        return True
+    if task.phase in STARTED_PHASES:
+        # The stop was withdrawn.
+        return False
+    step = job.spec.steps[task.key[1]]
+    if task.phase != Phase.STOPPING or job.state.ended:
+        return True
+    if not step.long_running or step.gang or worker.draining:
+        return True
+    if can_interrupt_task(state, job, task, step, now_s):
+        return True
+    report_age_s = now_s - worker.answered_poll_sent_at_s
+    if not worker.tasks_known or report_age_s >= MAX_REPORT_AGE_S:
+        worker.reports_wanted_until_s = now_s + REPORTS_WANTED_S
+        return False
+    if task.listed_at_s < worker.answered_poll_sent_at_s:
+        # The attempt does not run, so that the stop makes nothing unavailable.
+        return True
+    if not task.stop_sent:
+        task.phase = Phase.PLACED
+        confirm_start(state, ref, task.attempt, now_s)
+        state.mark_changed(job.spec.job_id)
+    return False
+
+
 def _log_evacuated(
     state: CellState,
     worker: WorkerState,
--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -10,6 +10,7 @@
 
 from chivetray.cells.advice import drop_ticket, get_ticket
 from chivetray.cells.copies import copy_tasks
+from chivetray.cells.evacuation import may_send_stop
 from chivetray.cells.orders import Placement, StopOrder, StopReason
 from chivetray.cells.polling import WorkerPoller
 from chivetray.cells.reports import confirm_start, confirm_stop, reject_start
@@ -244,6 +245,22 @@
                 self._stopping.add(key)
                 task_group.start_soon(self._send_stop_with_retries, order)
 
+    async def _send_stop_once(self, order: StopOrder, worker: WorkerState) -> Reply:
+        _, task = self._state.find_task((order.name.job_id, order.name.key))
+        if task is not None and task.attempt != order.attempt:
+            task = None
+        sent_before = task is not None and task.stop_sent
+        if task is not None:
+            task.stop_sent = True
+        address = WorkerAddress(worker.worker_id, worker.address)
+        reply = await self._workers.stop(
+            address, self._cell_owner.epoch, order.name, order.attempt
+        )
+        is_unsent = reply.verdict == Verdict.NOT_SENT and not sent_before
+        if task is not None and task.attempt == order.attempt and is_unsent:
+            task.stop_sent = False
+        return reply
+
     async def _send_stop_with_retries(self, order: StopOrder) -> None:
         progress = self._remember_stop(order)
         try:
@@ -251,11 +268,11 @@
                 worker = self._state.workers.get(order.worker_id)
                 if worker is None or not worker.address or self._cell_owner.lost:
                     return
-                address = WorkerAddress(worker.worker_id, worker.address)
+                if not may_send_stop(self._state, order, boot_time_s()):
+                    self._cell_owner.wake()
+                    return
                 progress.tries += 1
-                reply = await self._workers.stop(
-                    address, self._cell_owner.epoch, order.name, order.attempt
-                )
+                reply = await self._send_stop_once(order, worker)
                 if self._cell_owner.lost:
                     return
                 self._log_stop(progress, worker, reply)
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -33,6 +33,7 @@
             return
         state.handle_worker_restart(worker, reply.incarnation, now_s)
     worker.tasks_known = True
+    worker.answered_poll_sent_at_s = sent_at_s
     listed: set[tuple[str, object, int]] = set()
     for ended in sorted(reply.ended, key=lambda item: item.number):
         listed.add((ended.name.job_id, ended.name.key, ended.attempt))
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -500,8 +500,8 @@
         task.attempt += 1
         task.worker, task.incarnation = worker.worker_id, worker.incarnation
         task.address = worker.address
-        task.running_at_s = task.stopped_at_s = 0.0
-        task.start_unanswered = False
+        task.running_at_s = task.stopped_at_s = task.listed_at_s = 0.0
+        task.start_unanswered = task.stop_sent = False
         task.unanswered_starts = 0
         task.pace_percent = 100
         worker.allocate(ref, step)
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -68,6 +68,7 @@
     :ivar unhealthy_until_s: time until which nothing new is placed
     :ivar reserved_until_s: time until which nothing new is placed, since the VM is
         needed elsewhere
+    :ivar answered_poll_sent_at_s: send time of the last poll with an answer
     :ivar reports_wanted_until_s: time until which polls are short, since a decision
         needs recent reports
     :ivar failing_jobs: jobs whose tasks failed here since the last task was done
@@ -98,6 +99,7 @@
     reserved_until_s: float = 0.0
     reserved_since_s: float = 0.0
     idle_since_s: float = 0.0
+    answered_poll_sent_at_s: float = 0.0
     reports_wanted_until_s: float = 0.0
     failing_jobs: set[str] = field(default_factory=set)
     probed_at_s: float = 0.0
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -149,6 +149,8 @@
         so that the worker may still carry it out
     :ivar unanswered_starts: number of start requests of the newest attempt that got no
         answer
+    :ivar stop_sent: whether a stop of the newest attempt was sent, which the worker may
+        still carry out
     :ivar pace_percent: share of full speed at which a best-effort task may run
     :ivar not_before_s: time before which the task is not placed again
     :ivar avoided_workers: workers to use for the task only if no other has capacity
@@ -173,6 +175,7 @@
     stopped_at_s: float = 0.0
     start_unanswered: bool = False
     unanswered_starts: int = 0
+    stop_sent: bool = False
     not_before_s: float = 0.0
     avoided_workers: set[str] = field(default_factory=set)
     copies: dict[int, str] = field(default_factory=dict)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -4,25 +4,36 @@
 
 import asyncio
 from dataclasses import replace
+from typing import Any
 
 import anyio
-from cell_helpers import CELL, World, job, until
+from cell_helpers import CELL, MemoryWorkers, World, job, until
 
 from chivetray.cells import polling
-from chivetray.cells.evacuation import MAX_REPORT_AGE_S, evacuate, reserve_workers
+from chivetray.cells.evacuation import (
+    MAX_REPORT_AGE_S,
+    evacuate,
+    may_send_stop,
+    reserve_workers,
+)
+from chivetray.cells.orders import StopOrder, StopReason
 from chivetray.cells.placing import place_tasks
 from chivetray.cells.reports import apply_poll_reply
 from chivetray.cells.state import CellState
 from chivetray.clocks import boot_time_s
 from chivetray.jobs.job import Job
-from chivetray.jobs.model import Step, Task
+from chivetray.jobs.model import Phase, Step, Task
+from chivetray.platform.standins.worker import WorkerModel
 from chivetray.platform.stored_records import WorkerRecord
 from chivetray.platform.workers import (
     POLL_SLACK_S,
+    AttemptEnd,
+    EndedTask,
     Reply,
     RunningTask,
     TaskName,
     Verdict,
+    WorkerAddress,
 )
 
 JOB = "00000000000000aa"
@@ -74,6 +85,15 @@
         reply = Reply(Verdict.OK, 2000, worker.incarnation, listed)
         apply_poll_reply(self.state, worker, reply, sent_at_s, sent_at_s + 0.01)
 
+    def end(self, task: Task, sent_at_s: float) -> None:
+        """Apply a reply of a task's worker that lists the task as failed."""
+        worker = self.state.workers[task.worker]
+        number = worker.last_applied_end + 1
+        name = TaskName(JOB, task.key)
+        ended = EndedTask(number, name, task.attempt, AttemptEnd.FAILED, "")
+        reply = Reply(Verdict.OK, 2000, worker.incarnation, [], [ended])
+        apply_poll_reply(self.state, worker, reply, sent_at_s, sent_at_s + 0.01)
+
     def evacuate(self, task: Task, now_s: float) -> list[str]:
         """Reserve the worker of a task, and return the workers that get a stop."""
         reserve_workers(self.state, [task.worker], now_s)
@@ -81,6 +101,171 @@
         return [order.worker_id for order in self.state.stop_orders]
 
 
+class TestStopThatIsSentLater:
+    """A stop is stored before it is sent, and sent again until it is answered."""
+
+    def stopping(self, step: Step = STEP) -> tuple[Serving, Task, Task, StopOrder]:
+        """Return a cell that has decided to stop its first task, at 1.1 s."""
+        cell = Serving(step)
+        leaving, other = cell.tasks[:2]
+        cell.evacuate(leaving, 1.1)
+        (order,) = cell.state.stop_orders
+        cell.state.take_changed_jobs()
+        return cell, leaving, other, order
+
+    def test_it_is_withdrawn_when_another_task_ended_meanwhile(self) -> None:
+        """Both were once unavailable, since the first count was not repeated."""
+        cell, leaving, other, order = self.stopping()
+        cell.end(other, 1.5)
+        cell.report(leaving, 1.5)
+        assert not may_send_stop(cell.state, order, 1.6)
+        assert leaving.phase == Phase.RUNNING
+        assert [j.spec.job_id for j in cell.state.take_changed_jobs()] == [JOB]
+        assert not may_send_stop(cell.state, order, 1.6)
+
+    def test_one_that_may_be_under_way_is_only_put_off(self) -> None:
+        """The worker may still carry it out, so the task counts as unavailable."""
+        cell, leaving, other, order = self.stopping()
+        leaving.stop_sent = True
+        cell.end(other, 1.5)
+        cell.report(leaving, 1.5)
+        assert not may_send_stop(cell.state, order, 1.6)
+        assert leaving.phase == Phase.STOPPING
+        place_tasks(cell.state, 1.7, 0)
+        cell.report(other, 2.0)
+        assert may_send_stop(cell.state, order, 2.1)
+
+    def test_stops_of_two_tasks_do_not_wait_for_each_other(self) -> None:
+        cell, leaving, other, order = self.stopping()
+        cell.state.stop_task(cell.job, other, StopReason.EVACUATION)
+        orders = list(cell.state.stop_orders)
+        for task in (leaving, other):
+            cell.report(task, 1.5)
+        assert [may_send_stop(cell.state, o, 1.6) for o in orders] == [False, True]
+
+    def test_a_later_owner_counts_again(self) -> None:
+        cell, leaving, other, order = self.stopping()
+        later = Serving()
+        later.state = CellState(CELL)
+        later.state.update_workers([cell.entry(f"w{n}") for n in range(3)], 2.0)
+        later.state.restore_job(cell.job.spec, cell.job.encode(), 1, 2.0)
+        later.state.attach_restored_tasks(2.0, 0.0, {})
+        later.job = later.state.jobs[JOB]
+        assert later.tasks[0].phase == Phase.STOPPING
+        assert not may_send_stop(later.state, order, 2.1)
+        assert later.tasks[0].phase == Phase.STOPPING, "no report yet"
+        later.report(later.tasks[0], 2.2)
+        assert not may_send_stop(later.state, order, 2.3)
+        assert later.tasks[0].phase == Phase.RUNNING
+        later.report(later.tasks[1], 2.4)
+        later.state.workers["w2"].tasks_known = True
+        later.state.workers["w2"].clock.observe(1000, 2.4, 2.4)
+        assert later.evacuate(later.tasks[0], 2.5) == ["w0"]
+
+    def test_a_task_of_a_draining_worker_is_stopped_at_once(self) -> None:
+        cell, leaving, other, order = self.stopping()
+        cell.end(other, 1.5)
+        cell.state.workers[leaving.worker].draining = True
+        assert may_send_stop(cell.state, order, 1.6)
+
+    def test_a_cancelled_job_is_stopped_at_once(self) -> None:
+        cell, leaving, other, order = self.stopping()
+        cell.end(other, 1.5)
+        cell.state.cancel(JOB)
+        assert may_send_stop(cell.state, order, 1.6)
+
+
+class TestRefusedStartAfterAnUnansweredOne:
+    """A worker that was unhealthy for the second start may have carried out the first.
+
+    The attempt is stopped, so that it cannot start later; it may be at work already.
+    """
+
+    def stopping(self) -> tuple[Serving, Task, StopOrder]:
+        cell = Serving()
+        other, restarting = cell.tasks
+        cell.end(restarting, 1.5)
+        place_tasks(cell.state, 1.6, 0)
+        cell.state.stop_attempt(cell.job, restarting.key, StopReason.REFUSED_START)
+        cell.end(other, 1.7)
+        (order,) = cell.state.stop_orders
+        return cell, restarting, order
+
+    def test_it_is_stopped_if_it_does_not_run(self) -> None:
+        cell, restarting, order = self.stopping()
+        cell.report(
+            restarting, 2.0, RunningTask(TaskName("other", (0, 0, 0)), 1, "", 0, 0)
+        )
+        assert may_send_stop(cell.state, order, 2.1)
+
+    def test_it_goes_on_if_it_runs(self) -> None:
+        """It was once stopped while it was the only one of its step at work."""
+        cell, restarting, order = self.stopping()
+        cell.report(restarting, 2.0)
+        assert not may_send_stop(cell.state, order, 2.1)
+        assert restarting.phase == Phase.RUNNING
+
+
+class RecordingWorkers(MemoryWorkers):
+    """Workers without network.
+
+    :ivar at_work_at_stops: number of tasks at work anywhere, for each stop that is sent
+    """
+
+    def __init__(self, models: dict[str, WorkerModel]):
+        super().__init__(models)
+        self.at_work_at_stops: list[int] = []
+
+    async def _call(
+        self, worker: WorkerAddress, call: str, body: Any, timeout_s: float
+    ) -> Reply:
+        if call == "run-stop":
+            running = sum(len(model.running) for model in self.models.values())
+            self.at_work_at_stops.append(running)
+        return await super()._call(worker, call, body, timeout_s)
+
+
+class TestStopWhileTheStoreIsSlow:
+    def test_no_stop_is_sent_while_the_other_task_is_unavailable(self) -> None:
+        """The stop once followed the write, whatever had happened in between."""
+
+        async def scenario() -> None:
+            world = World(workers=3, work_s=30)
+            workers = world.workers = RecordingWorkers(world.models)
+            owner = await world.own()
+            call = world.store.call
+            is_served = asyncio.Event()
+            is_served.set()
+
+            async def call_slowly(*arguments: Any) -> Any:
+                await is_served.wait()
+                return await call(*arguments)
+
+            world.store.call = call_slowly  # type: ignore[method-assign]
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(world.work)
+                tasks.start_soon(owner.run)
+                owner.add_job(job(steps=(STEP,)))
+                found = owner.state.jobs[JOB]
+                await until(lambda: len(found.active_tasks()) == 2)
+                leaving, other = (found.tasks[(0, 0, index)] for index in (0, 1))
+                await until(lambda: leaving.percent == other.percent == 100)
+                is_served.clear()
+                reserve_workers(owner.state, [leaving.worker], boot_time_s())
+                owner.wake()
+                await until(lambda: leaving.phase == Phase.STOPPING)
+                model = world.models[other.worker]
+                model.end(next(iter(model.running.values())), "failed")
+                await until(lambda: other.phase == Phase.WAITING)
+                is_served.set()
+                await until(lambda: other.percent == 100)
+                await until(lambda: bool(workers.at_work_at_stops))
+                tasks.cancel_scope.cancel()
+            assert workers.at_work_at_stops == [2]
+
+        asyncio.run(scenario())
+
+
 class TestBestEffortTasks:
     """Best-effort tasks may belong to a step that limits how many are unavailable."""
 
