Keep an older attempt until it certainly cannot start any more

What callers saw: a task ran again after it was done.

Cause: an older attempt that one poll did not list was forgotten at once. A start of it without an answer could still be carried out. The stop that was to prevent that was tried three times and then given up, and its answer was not recorded.

Evidence: before the change the first unit test fails with "assert {} == {1: 'w0'}": one poll made the owner forget the attempt. The test of an owner whose stops are lost fails with "the condition did not come to hold": stops end before an answer. Eight other unit tests fail as well, four of them because what they look at did not exist.

An older attempt now stays known until its end is listed, its lease has expired, or a stop of it was answered by the present incarnation of its worker and a later poll does not list it. The mark of an answered stop makes the worker reject every delayed start. Until then the stop is sent again with the other unconfirmed orders, in a later incarnation of the worker too. An unlisted attempt holds no resources, but nothing new is placed on its worker until the stop is answered. The newest attempt of a task that was done by an older one is stopped in the same way.

Progress rows grow a column at their end, which earlier releases ignore.

--- a/src/chivetray/cells/copies.py
+++ b/src/chivetray/cells/copies.py
@@ -14,6 +14,10 @@
 # started elsewhere as well: longer than one lost call, much shorter than a lease.
 COPY_AFTER_SILENCE_S = 0.5
 
+# Pause of placements on a worker where an older attempt may still start, renewed until
+# its stop is answered.
+UNANSWERED_STOP_PAUSE_S = 0.3
+
 # Multiple of the expected run time after which such a task is started elsewhere as
 # well, and the shortest run time for which that is done.
 STRAGGLER_RUN_TIME_FACTOR = 3.0
@@ -39,9 +43,8 @@
             if task.phase not in STARTED_PHASES or task.copies or job.state.ended:
                 continue
             if is_silent or _is_straggler(state, job, task, step, now_s):
-                task.copies[task.attempt] = task.worker
                 task.avoided_workers.add(task.worker)
-                task.phase, task.worker = Phase.WAITING, ""
+                task.retire_newest_attempt()
                 state.mark_changed(ref[0])
                 log_event(
                     Event.TASK_COPIED,
@@ -71,7 +74,7 @@
     now_s: float,
 ) -> None:
     """Apply the end of an older attempt that is not done."""
-    del task.copies[ended.attempt]
+    task.forget_copy(ended.attempt)
     if task.worker != worker.worker_id:
         worker.free((job.spec.job_id, task.key), now_s)
     state.mark_changed(job.spec.job_id)
@@ -80,22 +83,49 @@
         state.fail_if_attempts_exhausted(job, task)
 
 
-def free_vanished_copies(
+def settle_missing_copies(
     state: CellState,
     worker: WorkerState,
     ref: TaskRef,
-    task: Task,
     listed: set[tuple[str, object, int]],
+    sent_at_s: float,
     now_s: float,
 ) -> None:
-    """Free the resources of older attempts that a worker no longer lists."""
-    copy_attempts = [a for a, w in task.copies.items() if w == worker.worker_id]
-    if any((ref[0], ref[1], attempt) in listed for attempt in copy_attempts):
+    """Stop the older attempts that a worker does not list, then forget them.
+
+    A delayed start order may still be carried out, until a stop was answered: the
+    worker then rejects that start for good.
+    """
+    job, task = state.find_task(ref)
+    if job is None or task is None:
         return
-    for attempt in copy_attempts:
-        # A stop keeps a delayed start order from being carried out.
-        name = TaskName(*ref)
-        state.stop_orders.append(
-            StopOrder(name, attempt, worker.worker_id, StopReason.VANISHED_COPY)
-        )
-    state.free_older_attempts(worker, ref, now_s)
+    attempts = [a for a, w in task.copies.items() if w == worker.worker_id]
+    if any((ref[0], ref[1], attempt) in listed for attempt in attempts):
+        worker.allocate(ref, job.spec.steps[ref[1][1]])
+        return
+    for attempt in attempts:
+        answered_at_s = task.stopping_copies.get(attempt)
+        if answered_at_s is None:
+            state.stop_copy(job, task, attempt, StopReason.VANISHED_COPY)
+            worker.pause(now_s + UNANSWERED_STOP_PAUSE_S)
+        elif 0 < answered_at_s < sent_at_s:
+            task.forget_copy(attempt)
+            state.mark_changed(ref[0])
+    if worker.worker_id in task.copies.values():
+        worker.suspend(ref)
+    else:
+        worker.free(ref, now_s)
+
+
+def resend_copy_stops(state: CellState, worker: WorkerState, now_s: float) -> None:
+    """Queue the stops of older attempts again that a worker has not answered."""
+    for ref in worker.tasks:
+        _, task = state.find_task(ref)
+        if task is None:
+            continue
+        for attempt, answered_at_s in task.stopping_copies.items():
+            if task.copies[attempt] == worker.worker_id and not answered_at_s:
+                name, reason = TaskName(*ref), StopReason.VANISHED_COPY
+                order = StopOrder(name, attempt, worker.worker_id, reason)
+                state.stop_orders.append(order)
+                worker.pause(now_s + UNANSWERED_STOP_PAUSE_S)
--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -9,7 +9,7 @@
 from anyio.abc import TaskGroup
 
 from chivetray.cells.advice import drop_ticket, get_ticket
-from chivetray.cells.copies import copy_tasks
+from chivetray.cells.copies import copy_tasks, resend_copy_stops
 from chivetray.cells.evacuation import may_send_stop
 from chivetray.cells.orders import Placement, StopOrder, StopReason
 from chivetray.cells.polling import WorkerPoller
@@ -80,6 +80,7 @@
         for worker in list(self._state.workers.values()):
             if not worker.tasks_known or worker.silent_since_s or not worker.address:
                 continue
+            resend_copy_stops(self._state, worker, now_s)
             for ref in worker.tasks:
                 newest_attempt = self._state.find_newest_attempt(worker, ref)
                 if newest_attempt is None or ref[0] in uncommitted:
@@ -278,7 +279,7 @@
                 self._log_stop(progress, worker, reply)
                 if reply.verdict in (Verdict.OK, Verdict.OLD):
                     now_s = boot_time_s()
-                    confirm_stop(self._state, order.name, order.attempt, now_s)
+                    confirm_stop(self._state, order, reply.incarnation, now_s)
                     self._poller.wake_worker(order.worker_id)
                     return
                 if reply.verdict == Verdict.FENCED:
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from chivetray.cells.copies import apply_copy_failure, free_vanished_copies
+from chivetray.cells.copies import apply_copy_failure, settle_missing_copies
 from chivetray.cells.orders import Placement, StopOrder, StopReason
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import TaskRef, WorkerState
@@ -104,10 +104,10 @@
         if job is None or task is None:
             worker.free(ref, now_s)
             continue
-        if (ref[0], ref[1], task.attempt) in listed:
-            continue
         if task.worker != worker.worker_id:
-            free_vanished_copies(state, worker, ref, task, listed, now_s)
+            settle_missing_copies(state, worker, ref, listed, sent_at_s, now_s)
+            continue
+        if (ref[0], ref[1], task.attempt) in listed:
             continue
         if task.phase == Phase.DONE:
             worker.free(ref, now_s)
@@ -236,7 +236,7 @@
     ref = (job.spec.job_id, task.key)
     is_newest = task.worker == worker.worker_id and task.attempt == ended.attempt
     if task.copies.get(ended.attempt) == worker.worker_id:
-        del task.copies[ended.attempt]
+        task.forget_copy(ended.attempt)
         state.mark_changed(job.spec.job_id)
     if is_newest or task.worker != worker.worker_id:
         worker.free(ref, now_s)
@@ -249,11 +249,7 @@
     step = job.spec.steps[task.key[1]]
     for member in _gang_members(job, task, step):
         if member.active and member.attempt > ended.attempt:
-            name = TaskName(job.spec.job_id, member.key)
-            order = StopOrder(
-                name, member.attempt, member.worker, StopReason.DONE_ELSEWHERE
-            )
-            state.stop_orders.append(order)
+            member.retire_newest_attempt()
         job.mark_done(member)
         state.stop_copies(job, member, StopReason.DONE_ELSEWHERE)
     state.record_task_done(job, now_s)
@@ -283,10 +279,20 @@
         job.state = JobState.RUNNING
 
 
-def confirm_stop(state: CellState, name: TaskName, attempt: int, now_s: float) -> None:
-    """Record that a worker has stopped an attempt, or will reject its start."""
-    _, task = state.find_task((name.job_id, name.key))
-    if task is not None and task.attempt == attempt:
+def confirm_stop(
+    state: CellState, order: StopOrder, incarnation: int, now_s: float
+) -> None:
+    """Record that a worker has stopped an attempt, or will reject its start.
+
+    :param incarnation: incarnation of the worker that answered, 0 if unknown
+    """
+    worker = state.workers.get(order.worker_id)
+    _, task = state.find_task((order.name.job_id, order.name.key))
+    if worker is None or task is None or incarnation not in (0, worker.incarnation):
+        return
+    if task.copies.get(order.attempt) == order.worker_id:
+        task.stopping_copies[order.attempt] = now_s
+    elif task.attempt == order.attempt and task.worker == order.worker_id:
         task.stopped_at_s = now_s
 
 
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -346,7 +346,7 @@
         for ref in list(worker.tasks):
             found = self.find_newest_attempt(worker, ref)
             if found is None:
-                self.free_older_attempts(worker, ref, now_s)
+                self._stop_copies_after_restart(worker, ref)
             elif found[1].phase == Phase.PLACED:
                 found[1].incarnation = incarnation
                 self.mark_changed(ref[0])
@@ -414,8 +414,9 @@
         worker.free(ref, now_s)
         _, task = self.find_task(ref)
         if task is not None:
-            copies = task.copies.items()
-            task.copies = {a: w for a, w in copies if w != worker.worker_id}
+            for attempt, worker_id in list(task.copies.items()):
+                if worker_id == worker.worker_id:
+                    task.forget_copy(attempt)
 
     def release_attempt(
         self, worker: WorkerState, job: Job, task: Task, now_s: float
@@ -473,10 +474,32 @@
     # Copies
 
     def stop_copies(self, job: Job, task: Task, reason: StopReason) -> None:
-        """Queue stop orders for the older attempts of a task."""
+        """Stop the older attempts of a task."""
+        for attempt in task.copies:
+            self.stop_copy(job, task, attempt, reason)
+
+    def stop_copy(self, job: Job, task: Task, attempt: int, reason: StopReason) -> None:
+        """Queue a stop order for an older attempt, which is sent until answered."""
+        task.stopping_copies.setdefault(attempt, 0.0)
         name = TaskName(job.spec.job_id, task.key)
+        order = StopOrder(name, attempt, task.copies[attempt], reason)
+        self.stop_orders.append(order)
+
+    def _stop_copies_after_restart(self, worker: WorkerState, ref: TaskRef) -> None:
+        """Stop the older attempts of a task in the new incarnation of a worker.
+
+        A delayed start order of them may still be carried out there.
+        """
+        job, task = self.find_task(ref)
+        if job is None or task is None:
+            return
         for attempt, worker_id in task.copies.items():
-            self.stop_orders.append(StopOrder(name, attempt, worker_id, reason))
+            if worker_id == worker.worker_id:
+                task.copy_incarnations[attempt] = worker.incarnation
+                task.stopping_copies.pop(attempt, None)
+                self.stop_copy(job, task, attempt, StopReason.VANISHED_COPY)
+        worker.suspend(ref)
+        self.mark_changed(ref[0])
 
     def _adopt_copies(self, job: Job, task: Task) -> None:
         """Allocate resources to older attempts that an earlier owner left running."""
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from chivetray.jobs.model import Step, TaskKey
@@ -130,6 +130,10 @@
             return not self.tasks and now_s - self.probed_at_s >= PROBE_INTERVAL_S
         return True
 
+    def pause(self, until_s: float) -> None:
+        """Place nothing new on the worker until a time."""
+        self.unhealthy_until_s = max(self.unhealthy_until_s, until_s)
+
     def fits(self, step: Step) -> bool:
         """Return whether one more task of a step fits into the free resources.
 
@@ -155,11 +159,19 @@
 
     def allocate(self, ref: TaskRef, step: Step) -> None:
         """Allocate the resources of a task, unless it holds them already."""
-        if ref in self.tasks:
-            return
+        held = self.tasks.get(ref)
+        if held is not None:
+            self._change_usage(held, -1)
         self.tasks[ref] = step
         self._change_usage(step, 1)
 
+    def suspend(self, ref: TaskRef) -> None:
+        """Free the resources of a task that does not run but may still start."""
+        step = self.tasks.get(ref)
+        if step is not None:
+            self._change_usage(step, -1)
+            self.tasks[ref] = replace(step, cpu_milli=0, mem_mb=0, gpu=0)
+
     def free(self, ref: TaskRef, now_s: float) -> None:
         """Free the resources of a task."""
         step = self.tasks.pop(ref, None)
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -147,7 +147,7 @@
                 unfinished.append(
                     [*key, phase_code, task.attempt, task.failures]
                     + [task.worker, task.incarnation, task.checkpoint, task.address]
-                    + [list(task.copies.items())]
+                    + [list(task.copies.items()), list(task.copy_incarnations.items())]
                 )
         state = int(self.state)
         return bytes(
@@ -176,6 +176,8 @@
             task.worker, task.incarnation, task.checkpoint = row[6], row[7], row[8]
             task.address = row[9]
             task.copies = dict(row[10])
+            # Rows of earlier releases end here.
+            task.copy_incarnations = dict(row[11]) if len(row) > 11 else {}
         self.state = self.stored_state = JobState(state)
         self.cancelled = bool(cancelled)
 
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -154,8 +154,10 @@
     :ivar pace_percent: share of full speed at which a best-effort task may run
     :ivar not_before_s: time before which the task is not placed again
     :ivar avoided_workers: workers to use for the task only if no other has capacity
-    :ivar copies: worker by attempt, of older attempts that may still run in parallel
-        with the newest one; only if the step allows copies
+    :ivar copies: worker by attempt, of older attempts that may still run or start
+    :ivar copy_incarnations: incarnation of that worker by attempt
+    :ivar stopping_copies: time at which the worker answered the stop of an older
+        attempt, 0 until then, by attempt; only of attempts that are being stopped
     """
 
     key: TaskKey
@@ -179,8 +181,24 @@
     not_before_s: float = 0.0
     avoided_workers: set[str] = field(default_factory=set)
     copies: dict[int, str] = field(default_factory=dict)
+    copy_incarnations: dict[int, int] = field(default_factory=dict)
+    stopping_copies: dict[int, float] = field(default_factory=dict)
 
     @property
     def active(self) -> bool:
         """Whether the newest attempt may be running on a worker."""
         return Phase.PLACED <= self.phase <= Phase.STOPPING
+
+    def retire_newest_attempt(self) -> None:
+        """Make the newest attempt an older one, which may run on; the task waits."""
+        self.copies[self.attempt] = self.worker
+        self.copy_incarnations[self.attempt] = self.incarnation
+        if self.phase == Phase.STOPPING:
+            self.stopping_copies[self.attempt] = self.stopped_at_s
+        self.phase, self.worker = Phase.WAITING, ""
+
+    def forget_copy(self, attempt: int) -> None:
+        """Remove an older attempt that certainly cannot run any more."""
+        self.copies.pop(attempt, None)
+        self.copy_incarnations.pop(attempt, None)
+        self.stopping_copies.pop(attempt, None)
--- a/tests/cell_helpers.py
+++ b/tests/cell_helpers.py
@@ -65,6 +65,7 @@
     """Workers without network.
 
     :ivar silent: workers that do not answer
+    :ivar lose_stops: number of further stops that are lost without an answer
     :ivar late: starts to leave unanswered, and orders to carry out later
     """
 
@@ -74,6 +75,7 @@
         self.silent: set[str] = set()
         self.replaced: set[str] = set()
         self.lose_starts = 0
+        self.lose_stops = 0
         self.unreachable: set[str] = set()
         self.unreachable_after_loss = False
         self.late: list[tuple[str, dict[str, Any]]] = []
@@ -98,6 +100,9 @@
             if self.unreachable_after_loss:
                 self.unreachable.add(worker.worker_id)
             return decode_reply(NoAnswer("late"))
+        if call == "run-stop" and self.lose_stops > 0:
+            self.lose_stops -= 1
+            return decode_reply(NoAnswer("lost"))
         fields = {"run-start": model.start, "run-stop": model.stop}.get(call)
         answer = fields(body) if fields else model.hold(body)
         if not answer and call == "hold":
--- a/tests/test_cell_owner.py
+++ b/tests/test_cell_owner.py
@@ -310,6 +310,34 @@
         asyncio.run(scenario())
 
 
+class TestCopies:
+    def test_a_copy_that_starts_late_does_not_let_its_task_run_again(self) -> None:
+        """The stop of an unlisted copy was once given up after three tries."""
+
+        async def scenario() -> None:
+            world = World(workers=1, work_s=0.1)
+            world.workers.lose_starts = 1000
+            owner = await world.own()
+            async with running(world, owner):
+                owner.add_job(job(steps=(Step(1, 1000, copies=True),)))
+                await until(lambda: len(world.workers.late) >= 1)
+                world.workers.silent.add("w0")
+                task = owner.state.jobs["00000000000000aa"].tasks[(0, 0, 0)]
+                await until(lambda: task.copies == {1: "w0"})
+                world.workers.lose_stops = 5
+                world.workers.silent.clear()
+                await until(lambda: world.workers.lose_stops == 0)
+                assert task.copies == {1: "w0"}
+                await until(lambda: not task.copies)
+                world.workers.lose_starts = 0
+                world.workers.carry_out_late()
+                done = owner.state.jobs["00000000000000aa"]
+                await until(lambda: done.state == JobState.COMPLETED)
+            assert world.starts() == {"00000000000000aa.0.0.0": 1}
+
+        asyncio.run(scenario())
+
+
 class TestStaleProgress:
     def test_progress_that_is_newer_than_loaded_is_never_overwritten(self) -> None:
         """An owner with stale state would overwrite progress that it has not read."""
--- a/tests/test_task_copies.py
+++ b/tests/test_task_copies.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import msgpack
 from cell_helpers import CELL, job
 
-from chivetray.cells.copies import copy_tasks
+from chivetray.cells.copies import copy_tasks, resend_copy_stops
 from chivetray.cells.placing import place_tasks
-from chivetray.cells.reports import apply_poll_reply, confirm_start
+from chivetray.cells.reports import (
+    apply_poll_reply,
+    confirm_start,
+    confirm_stop,
+)
 from chivetray.cells.state import CellState
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import JobState, Phase, Step, Task
@@ -58,12 +63,16 @@
         copy_tasks(self.state, now_s)
         return [p.worker_id for p in place_tasks(self.state, now_s, 0)]
 
-    def look(self, worker: str, *ends: EndedTask, running: int = 0) -> None:
+    def look(
+        self, worker: str, *ends: EndedTask, running: int = 0, sent_at_s: float = 2.0
+    ) -> None:
         """Let a worker answer with its ends and the attempt that runs there."""
         listed = [RunningTask(TaskName(JOB, KEY), running, "", 50, 0)]
         reply = Reply(Verdict.OK, 2000, 1, listed if running else [], list(ends))
         self.state.workers[worker].silent_since_s = 0.0
-        apply_poll_reply(self.state, self.state.workers[worker], reply, 2.0, 2.1)
+        apply_poll_reply(
+            self.state, self.state.workers[worker], reply, sent_at_s, sent_at_s + 0.1
+        )
 
     def end(self, worker: str, attempt: int, how: AttemptEnd) -> None:
         self.look(worker, EndedTask(1, TaskName(JOB, KEY), attempt, how, ""))
@@ -156,6 +165,104 @@
         assert copied.task.phase == Phase.PLACED
 
 
+class TestMissingCopy:
+    """An older attempt that one poll did not list was once forgotten at once.
+
+    Its delayed start was then carried out, and its end ignored.
+    """
+
+    @staticmethod
+    def missing() -> Copied:
+        copied = Copied()
+        copied.silence()
+        copied.look(copied.old)
+        return copied
+
+    @staticmethod
+    def confirm(copied: Copied, incarnation: int, now_s: float) -> None:
+        (order,) = [o for o in copied.state.stop_orders if o.attempt == 1]
+        confirm_stop(copied.state, order, incarnation, now_s)
+
+    def test_it_is_kept_and_its_stop_repeated_until_answered(self) -> None:
+        copied = self.missing()
+        assert copied.task.copies == {1: copied.old}
+        assert REF in copied.state.workers[copied.old].tasks
+        copied.state.stop_orders.clear()
+        resend_copy_stops(copied.state, copied.state.workers[copied.old], 2.3)
+        assert copied.stopped() == {(copied.old, 1)}
+
+    def test_nothing_is_placed_there_before_the_stop_is_answered(self) -> None:
+        copied = self.missing()
+        worker = copied.state.workers[copied.old]
+        assert not worker.accepts_tasks(2.2)
+        resend_copy_stops(copied.state, worker, 2.35)
+        assert not worker.accepts_tasks(2.6)
+        self.confirm_all(copied, 2.6)
+        resend_copy_stops(copied.state, worker, 2.6)
+        assert worker.accepts_tasks(2.7)
+
+    @staticmethod
+    def confirm_all(copied: Copied, now_s: float) -> None:
+        for order in copied.state.stop_orders:
+            confirm_stop(copied.state, order, 1, now_s)
+
+    def test_a_late_run_holds_its_resources_again(self) -> None:
+        copied = self.missing()
+        copied.look(copied.old, running=1)
+        assert copied.state.workers[copied.old].used_cpu_milli == 3000
+
+    def test_the_end_of_a_late_run_counts(self) -> None:
+        copied = self.missing()
+        copied.end(copied.old, 1, AttemptEnd.DONE)
+        assert copied.job.state == JobState.COMPLETED
+        assert not copied.task.copies.get(1)
+
+    def test_a_poll_sent_after_the_answer_settles_it(self) -> None:
+        copied = self.missing()
+        self.confirm(copied, incarnation=1, now_s=2.05)
+        copied.look(copied.old)
+        assert copied.task.copies == {1: copied.old}
+        copied.look(copied.old, sent_at_s=2.1)
+        assert copied.task.copies == {}
+        assert REF not in copied.state.workers[copied.old].tasks
+
+    def test_a_stop_answered_by_another_incarnation_settles_nothing(self) -> None:
+        copied = self.missing()
+        self.confirm(copied, incarnation=2, now_s=2.05)
+        copied.look(copied.old, sent_at_s=2.1)
+        assert copied.task.copies == {1: copied.old}
+
+    def test_it_is_stopped_in_the_next_incarnation_of_its_worker_too(self) -> None:
+        copied = self.missing()
+        self.confirm(copied, incarnation=1, now_s=2.05)
+        copied.state.stop_orders.clear()
+        worker = copied.state.workers[copied.old]
+        copied.state.handle_worker_restart(worker, 2, 2.2)
+        assert copied.task.copies == {1: copied.old}
+        assert copied.stopped() == {(copied.old, 1)}
+        assert copied.task.stopping_copies == {1: 0.0}
+
+    def test_the_newest_attempt_of_a_task_done_by_another_is_kept_too(self) -> None:
+        copied = Copied()
+        copied.silence()
+        copied.end(copied.old, 1, AttemptEnd.DONE)
+        copied.state.stop_orders.clear()
+        resend_copy_stops(copied.state, copied.state.workers[copied.new], 2.3)
+        assert copied.stopped() == {(copied.new, 2)}
+
+    def test_a_later_owner_reads_the_incarnation_of_its_worker(self) -> None:
+        restored = Job(self.missing().job.spec)
+        restored.restore(self.missing().job.encode())
+        assert restored.tasks[KEY].copy_incarnations == {1: 1}
+
+    def test_stored_progress_of_earlier_releases_is_read(self) -> None:
+        values = msgpack.unpackb(self.missing().job.encode())
+        values[-1] = [row[:11] for row in values[-1]]
+        restored = Job(self.missing().job.spec)
+        restored.restore(msgpack.packb(values))
+        assert list(restored.tasks[KEY].copies) == [1]
+
+
 class TestEndOfAForgottenAttempt:
     """Its end once had no effect and was acknowledged; the task ran again."""
 
