Order a VM only by a report that still holds

A VM order ends everything on the VM. It followed a report that its worker is empty and reserved, but the write before the order may take seconds, and so may the reports of other owners. The worker's reservation, 4 s from the last request, could end before the order was carried out, and tasks placed there in between were ended.

The report is checked again just before the call, and must be young enough that the call ends within the reservation. The reservation also covers the rest of that round, in which two VM calls may time out, so it does not lapse while an order without answer is open. Repeated orders pass the same check.

The set-up of three existing tests gives their reports a time or lists the VM; their assertions are as before.

--- a/src/chivetray/capacity/reports.py
+++ b/src/chivetray/capacity/reports.py
@@ -18,6 +18,11 @@
 
 CAPACITY_CALL = "capacity"
 
+# Age, counted from its request, up to which a report proves that a worker is empty. The
+# owner keeps the worker empty for ``RESERVATION_S`` after the request, by which an
+# order that follows the report must have ended.
+MAX_REPORT_AGE_S = 2.2
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerReport:
@@ -162,7 +167,20 @@
 
         :param standby: pools in which no tasks run
         """
-        if machine.pool in standby:
-            return True
-        report = self.worker(machine)
-        return report is not None and report.tasks == 0 and not report.usable
+        return machine.pool in standby or self.is_worker_empty(
+            machine.pool, machine.worker_id
+        )
+
+    def is_worker_empty(self, cell: str, worker_id: str) -> bool:
+        """Return whether a worker stays empty until an order sent now has ended.
+
+        :param cell: cell of the worker
+        """
+        cell_report = self.cells.get(cell)
+        if cell_report is None:
+            return False
+        report = cell_report.workers.get(worker_id)
+        is_recent = boot_time_s() - cell_report.requested_at_s < MAX_REPORT_AGE_S
+        return (
+            is_recent and report is not None and report.tasks == 0 and not report.usable
+        )
--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -282,7 +282,17 @@
             pool.demand_milli = meter.record(demand_milli, now_s)
         return list(pools.values()), spares
 
+    def _is_still_empty(self, move: Move) -> bool:
+        return any(
+            self._reports.is_worker_empty(move.source, machine.worker_id)
+            for machine in self._machines
+            if machine.name == move.machine
+        )
+
     async def _move_vm(self, owner: CellOwner, move: Move) -> None:
+        # Writing the order may have taken longer than the report stays valid.
+        if move.worker_id and not self._is_still_empty(move):
+            return
         if not self._orders.try_record_order(owner, move.machine):
             return
         self._reports.basis(move.source, move.worker_id).log_order(
--- a/src/chivetray/capacity/wave_runner.py
+++ b/src/chivetray/capacity/wave_runner.py
@@ -94,6 +94,7 @@
         self._reports = reports
         self._maintenance_s = maintenance_s
         self._by_name: dict[str, PlatformVm] = {}
+        self._standby: set[str] = set()
         self._listed_until_s: dict[str, float] = {}
         self._progress_by_key: dict[str, WaveProgress] = {}
 
@@ -143,7 +144,7 @@
         :param standby: pools in which no tasks run
         :param moving: VMs that are on their way to another pool
         """
-        self._by_name = by_name
+        self._by_name, self._standby = by_name, standby
         emptying: dict[str, str] = {}
         orders = []
         for key, wave in list(self._configuration.waves.items()):
@@ -238,7 +239,9 @@
         """Send an order that is stored."""
         wave, progress, machine = order.wave, order.progress, order.vm
         name = machine.name
-        if not self._orders.try_record_order(owner, name):
+        # Writing the order may have taken longer than the report stays valid.
+        is_empty = self._reports.is_empty(machine, self._standby)
+        if not is_empty or not self._orders.try_record_order(owner, name):
             self.withdraw(order)
             return
         order.basis.log_order(
--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -16,10 +16,11 @@
 from chivetray.jobs.placement import choose_worker
 from chivetray.platform.workers import TaskName
 
-# Time for which a worker stays reserved after the last request for its VM. Requests
-# repeat in each round of VM orders, which takes 3.3 s while the platform's VM calls
-# time out. A later request releases the worker.
-RESERVATION_S = 4.0
+# Time for which a worker stays reserved after the last request for its VM. An order may
+# follow a request by ``MAX_REPORT_AGE_S`` of ``capacity.reports``; after it, the next
+# request may have to wait for two VM calls that time out. A later request releases the
+# worker.
+RESERVATION_S = 6.0
 
 # Time after which tasks that cannot be moved, since they keep no checkpoints, are
 # stopped on a reserved worker.
--- a/tests/test_order_holder.py
+++ b/tests/test_order_holder.py
@@ -236,12 +236,15 @@
     def test_an_order_names_the_report_that_it_is_based_on(self, logged) -> None:
         holder = Holder()
         worker = WorkerReport(0, 0, 5000, False)
+        up = PlatformVmState.UP
+        vm = PlatformVm("vm-1", "pool-a", up, "z1", (), 4000, "w1")
         holder.runner._reports.cells["pool-a"] = CellReport(
             0, 0, 0, {"w1": worker}, 0, "m2", boot_time_s() - 2.0
         )
 
         async def main() -> None:
             await holder.runner._begin(holder.own)  # type: ignore[arg-type]
+            holder.runner._machines = [vm]
             moves = [Move("vm-1", "w1", "pool-a", "spare")]
             await holder.runner._send_orders(holder.own, [], moves)  # type: ignore[arg-type]
 
@@ -278,7 +281,9 @@
                 f"w{n}": WorkerReport(0, 0, 5000, f"w{n}" not in reserved)
                 for n in range(4)
             }
-            holder.runner._reports.cells["pool-a"] = CellReport(0, 0, 0, workers)
+            holder.runner._reports.cells["pool-a"] = CellReport(
+                0, 0, 0, workers, requested_at_s=boot_time_s()
+            )
 
         async def main() -> None:
             await request_all([], [], {})
--- a/tests/test_unanswered_vm_orders.py
+++ b/tests/test_unanswered_vm_orders.py
@@ -79,7 +79,10 @@
     async def request_all(self, cells, reserved_workers, arriving) -> None:  # type: ignore[no-untyped-def]
         self.reserved = set(reserved_workers)
         self.cells = {
-            cell: CellReport(self.demand_milli.get(cell, 0), 0, 0, {}) for cell in cells
+            cell: CellReport(
+                self.demand_milli.get(cell, 0), 0, 0, {}, requested_at_s=boot_time_s()
+            )
+            for cell in cells
         }
         for vm in self._platform.vms.values():
             if vm.pool in self.cells:
