Believe only the confirmed owner of a cell that a worker is empty

A process that had lost a cell, such as one cut off from the store, went on to answer requests for reports. The holder of VM orders took its workers for empty while the new owner placed tasks there, and an order would end them.

A report with a lower epoch than a known one is refused. A worker counts as empty only by a confirmed report; an unconfirmed one still counts for the sizes of pools. While the store is away for all, no orders can be stored anyway.

Before, test_no_vm_is_ordered_by_the_report_of_an_owner_that_is_not_confirmed and test_a_lower_epoch_is_refused failed with "assert not True". The set-up of one existing test gains an epoch and a time of confirmation; its assertions are as before.

--- a/src/chivetray/capacity/reports.py
+++ b/src/chivetray/capacity/reports.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from chivetray.capacity.recent_orders import MAX_CONFIRMATION_AGE_S
 from chivetray.cells.directory import CellDirectory
 from chivetray.cells.evacuation import reserve_workers
 from chivetray.cells.load import measure_load
@@ -40,6 +41,7 @@
 
     :ivar owner: process that reported it
     :ivar requested_at_s: time at which the report was requested
+    :ivar is_confirmed: whether the ownership of the cell was confirmed recently
     """
 
     used_milli: int
@@ -49,6 +51,7 @@
     required_workers: int = 0
     owner: str = ""
     requested_at_s: float = 0.0
+    is_confirmed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +87,7 @@
         self, mesh: Mesh, directory: CellDirectory, on_arrivals: Callable[[], None]
     ):
         self.cells: dict[str, CellReport] = {}
+        self._epochs: dict[str, int] = {}
         self._mesh = mesh
         self._directory = directory
         self._on_arrivals = on_arrivals
@@ -118,9 +122,21 @@
         if reply is None:
             log_event(Event.MAINTENANCE_WAITS, cell=cell, reason="owner did not answer")
             return
-        used, waiting, arriving, workers, required_workers = reply
+        used, waiting, arriving, workers, required_workers, epoch, confirmed = reply
+        if epoch < self._epochs.get(cell, 0):
+            reason = "a process that has lost the cell answered"
+            log_event(Event.MAINTENANCE_WAITS, cell=cell, reason=reason)
+            return
+        self._epochs[cell] = epoch
         report = CellReport(
-            used, waiting, arriving, {}, required_workers, owner, requested_at_s
+            used,
+            waiting,
+            arriving,
+            {},
+            required_workers,
+            owner,
+            requested_at_s,
+            confirmed,
         )
         for worker_id, tasks, used_milli, idle_ms, usable in workers:
             report.workers[worker_id] = WorkerReport(tasks, used_milli, idle_ms, usable)
@@ -147,6 +163,8 @@
                 for w in load.workers
             ],
             load.required_workers,
+            owner.epoch,
+            now_s - owner.confirmed_at_s < MAX_CONFIRMATION_AGE_S,
         ]
 
     def worker(self, machine: PlatformVm) -> WorkerReport | None:
@@ -181,6 +199,6 @@
             return False
         report = cell_report.workers.get(worker_id)
         is_recent = boot_time_s() - cell_report.requested_at_s < MAX_REPORT_AGE_S
-        return (
-            is_recent and report is not None and report.tasks == 0 and not report.usable
-        )
+        if not is_recent or not cell_report.is_confirmed:
+            return False
+        return report is not None and report.tasks == 0 and not report.usable
--- a/tests/test_order_holder.py
+++ b/tests/test_order_holder.py
@@ -193,6 +193,8 @@
         class Owner:
             state = CellState("pool-a")
             leaving = False
+            epoch = 1
+            confirmed_at_s = boot_time_s()
 
             def wake(self) -> None:
                 pass
--- a/tests/test_vm_order_reports.py
+++ b/tests/test_vm_order_reports.py
@@ -4,22 +4,26 @@
 
 import asyncio
 
-from test_order_holder import Holder
+from test_order_holder import Holder, Mesh
 from test_wave_runner import WAVE
 
 from chivetray.capacity import reports, runner
+from chivetray.capacity.recent_orders import MAX_CONFIRMATION_AGE_S
 from chivetray.capacity.reports import (
     MAX_REPORT_AGE_S,
     CellReport,
+    CellReports,
     OrderBasis,
     WorkerReport,
 )
 from chivetray.capacity.sizing import Move
 from chivetray.capacity.wave_runner import MaintenanceOrder, WaveProgress
 from chivetray.cells.evacuation import RESERVATION_S
+from chivetray.cells.state import CellState
 from chivetray.clocks import boot_time_s
 from chivetray.platform import vm_api
 from chivetray.platform.store import Committed
+from chivetray.platform.stored_records import WorkerRecord
 from chivetray.platform.vm_api import PlatformVm, PlatformVmState, VmOrderOutcome
 
 VM = PlatformVm("vm-1", "pool-a", PlatformVmState.UP, "z1", (), 4000, "w1")
@@ -101,3 +105,69 @@
         order_s = MAX_REPORT_AGE_S + vm_api.CALL_TIMEOUT_S
         next_request_s = runner.ROUND_INTERVAL_S + vm_api.CALL_TIMEOUT_S
         assert order_s + next_request_s < RESERVATION_S
+
+
+class Cell:
+    """A process that claims a cell with an empty worker.
+
+    :param confirmed_s: time since its ownership was confirmed
+    """
+
+    leaving = False
+
+    def __init__(self, epoch: int = 1, confirmed_s: float = 0.0):
+        self.epoch = epoch
+        self.confirmed_at_s = boot_time_s() - confirmed_s
+        self.state = CellState("pool-a")
+        entry = WorkerRecord(
+            "w1", "pool-a", "10.0.0.1:80", "z1", False, 1, 4000, 8192, 0, ()
+        )
+        self.state.update_workers([entry], 0.0)
+        self.state.workers["w1"].tasks_known = True
+
+    def wake(self) -> None:
+        pass
+
+
+class Directory:
+    """One cell, claimed by this process."""
+
+    def __init__(self, cell: Cell):
+        self.owned_cells = {"pool-a": cell}
+
+    def owner_of(self, _: str) -> str:
+        return Mesh.name
+
+
+class Requester:
+    """Requests reports on a cell, with its worker reserved."""
+
+    def __init__(self, cell: Cell):
+        self.directory = Directory(cell)
+        self.reports = CellReports(Mesh(), self.directory, lambda: None)  # type: ignore[arg-type]
+
+    def finds_worker_empty(self) -> bool:
+        asyncio.run(self.reports.request_all(["pool-a"], ["w1"], {}))
+        return self.reports.is_worker_empty("pool-a", "w1")
+
+
+class TestProcessThatMayHaveLostTheCell:
+    """Another process may place tasks on the workers that this one calls empty."""
+
+    def test_a_confirmed_owner_is_believed(self) -> None:
+        assert Requester(Cell()).finds_worker_empty()
+
+    def test_no_vm_is_ordered_by_the_report_of_an_owner_that_is_not_confirmed(
+        self,
+    ) -> None:
+        """A process that was cut off from the store once answered like the owner."""
+        requester = Requester(Cell(confirmed_s=MAX_CONFIRMATION_AGE_S))
+        assert not requester.finds_worker_empty()
+        assert "pool-a" in requester.reports.cells, "its load still counts"
+
+    def test_a_lower_epoch_is_refused(self) -> None:
+        requester = Requester(Cell(epoch=4))
+        assert requester.finds_worker_empty()
+        requester.directory.owned_cells["pool-a"] = Cell(epoch=3)
+        assert not requester.finds_worker_empty()
+        assert "pool-a" not in requester.reports.cells
