Refuse the reservations of a former holder of VM orders

Each request for reports states which workers are reserved, and releases all others. A process that had lost the fleet duty without noticing released the workers that the new holder was emptying, and tasks could be placed there while the new holder's orders were under way. Requests now carry the epoch of the duty, and owners refuse lower ones.

Before, test_a_process_that_has_lost_the_duty_releases_no_worker failed with "assert False" for is_reserved.

--- a/src/chivetray/capacity/reports.py
+++ b/src/chivetray/capacity/reports.py
@@ -80,6 +80,7 @@
     """Requests load reports, and answers requests for the cells of this process.
 
     :ivar cells: newest report by cell; missing if the owner did not answer
+    :ivar holder_epoch: epoch of this process as holder of the fleet duty
     :param on_arrivals: called when VMs are on their way to a cell of this process
     """
 
@@ -87,6 +88,8 @@
         self, mesh: Mesh, directory: CellDirectory, on_arrivals: Callable[[], None]
     ):
         self.cells: dict[str, CellReport] = {}
+        self.holder_epoch = 0
+        self._highest_holder_epoch = 0
         self._epochs: dict[str, int] = {}
         self._mesh = mesh
         self._directory = directory
@@ -106,7 +109,8 @@
         """
         async with anyio.create_task_group() as tasks:
             for cell in cells:
-                argument = [cell, reserved_workers, arriving.get(cell, 0)]
+                arriving_count = arriving.get(cell, 0)
+                argument = [cell, reserved_workers, arriving_count, self.holder_epoch]
                 tasks.start_soon(self._request_report, cell, argument)
 
     async def _request_report(self, cell: str, argument: list[Any]) -> None:
@@ -143,7 +147,12 @@
         self.cells[cell] = report
 
     async def _handle_request(self, _peer: str, argument: Any) -> Any:
-        cell, reserved_workers, arriving = argument
+        cell, reserved_workers, arriving, holder_epoch = argument
+        if holder_epoch < self._highest_holder_epoch:
+            # A process that has lost the duty would release the workers that the
+            # holder has reserved.
+            return None
+        self._highest_holder_epoch = holder_epoch
         owner = self._directory.owned_cells.get(cell)
         if owner is None or owner.leaving:
             return None
--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -125,6 +125,7 @@
         rows, _ = await self._store.read(DUTY_TABLE, FLEET_CELL)
         await self._orders.begin(owner, rows)
         self._waves.restore(rows)
+        self._reports.holder_epoch = owner.epoch
         # A VM list from an earlier time as holder may be outdated.
         self._machines = []
         self._moves.forget()
--- a/tests/test_vm_order_reports.py
+++ b/tests/test_vm_order_reports.py
@@ -171,3 +171,21 @@
         requester.directory.owned_cells["pool-a"] = Cell(epoch=3)
         assert not requester.finds_worker_empty()
         assert "pool-a" not in requester.reports.cells
+
+
+class TestTwoHolders:
+    def test_a_process_that_has_lost_the_duty_releases_no_worker(self) -> None:
+        """Each of two holders once released what the other had reserved."""
+        cell = Cell()
+        requester = Requester(cell)
+        requester.reports.holder_epoch = 5
+        assert requester.finds_worker_empty()
+        requester.reports.holder_epoch = 4
+        asyncio.run(requester.reports.request_all(["pool-a"], [], {}))
+        assert cell.state.workers["w1"].is_reserved(boot_time_s())
+        assert "pool-a" not in requester.reports.cells
+
+    def test_a_holder_tells_its_epoch(self) -> None:
+        holder = HolderOfEmptyVm()
+        asyncio.run(holder.runner._begin(holder.own))  # type: ignore[arg-type]
+        assert holder.runner._reports.holder_epoch == holder.own.epoch
