Count no worker as empty before it was polled

An owner that has just taken a cell over, or whose worker has restarted, knows only the attempts that are stored. It reported a reserved worker without any as empty, although a poll may show attempts there, and a VM order would end them. Reports now tell whether the worker was polled in its present incarnation.

--- a/src/chivetray/capacity/reports.py
+++ b/src/chivetray/capacity/reports.py
@@ -33,6 +33,7 @@
     used_milli: int
     idle_ms: int
     usable: bool
+    tasks_known: bool = True
 
 
 @dataclass(slots=True)
@@ -146,8 +147,8 @@
             requested_at_s,
             confirmed,
         )
-        for worker_id, tasks, used_milli, idle_ms, usable in workers:
-            report.workers[worker_id] = WorkerReport(tasks, used_milli, idle_ms, usable)
+        for worker_id, *values in workers:
+            report.workers[worker_id] = WorkerReport(*values)
         self.cells[cell] = report
 
     async def _handle_request(self, _peer: str, argument: Any) -> Any:
@@ -172,8 +173,15 @@
             load.waiting_milli_s,
             load.arriving_milli,
             [
-                [w.worker_id, w.tasks, w.used_milli, w.idle_ms, w.usable]
-                for w in load.workers
+                [
+                    worker.worker_id,
+                    worker.tasks,
+                    worker.used_milli,
+                    worker.idle_ms,
+                    worker.usable,
+                    worker.tasks_known,
+                ]
+                for worker in load.workers
             ],
             load.required_workers,
             owner.epoch,
@@ -214,4 +222,9 @@
         is_recent = boot_time_s() - cell_report.requested_at_s < MAX_REPORT_AGE_S
         if not is_recent or not cell_report.is_confirmed:
             return False
-        return report is not None and report.tasks == 0 and not report.usable
+        return (
+            report is not None
+            and report.tasks_known
+            and report.tasks == 0
+            and not report.usable
+        )
--- a/src/chivetray/cells/load.py
+++ b/src/chivetray/cells/load.py
@@ -20,6 +20,7 @@
     :ivar used_milli: CPU allocated to them, in thousandths of a core
     :ivar idle_ms: time since its last task ended, 0 while it has tasks
     :ivar usable: whether new tasks may be placed on it
+    :ivar tasks_known: whether a poll by the owner has shown which tasks run on it
     """
 
     worker_id: str
@@ -27,6 +28,7 @@
     used_milli: int
     idle_ms: int
     usable: bool
+    tasks_known: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +76,7 @@
             worker.used_cpu_milli,
             int((now_s - worker.idle_since_s) * 1000) if not worker.tasks else 0,
             worker.accepts_tasks(now_s),
+            worker.tasks_known,
         )
         for worker in state.workers.values()
         if worker.listed
--- a/tests/test_vm_order_reports.py
+++ b/tests/test_vm_order_reports.py
@@ -262,3 +262,21 @@
         holder.runner._reports.request_all = request_all  # type: ignore[method-assign]
         asyncio.run(holder.runner._refresh_reports(["pool-a"]))
         assert reserved == ["w0", "w1"]
+
+
+class TestWorkerThatWasNotPolledYet:
+    def test_an_owner_that_has_just_taken_over_calls_no_worker_empty(self) -> None:
+        """What runs there was once unknown to it, and the worker counted as empty."""
+        cell = Cell()
+        cell.state.workers["w1"].tasks_known = False
+        requester = Requester(cell)
+        assert not requester.finds_worker_empty()
+        cell.state.workers["w1"].tasks_known = True
+        assert requester.finds_worker_empty()
+
+    def test_a_worker_that_has_restarted_is_not_empty(self) -> None:
+        """Its new incarnation may carry out a delayed start."""
+        cell = Cell()
+        worker = cell.state.workers["w1"]
+        cell.state.handle_worker_restart(worker, 2, 1.0)
+        assert not Requester(cell).finds_worker_empty()
