Let a new owner of a cell expect VM orders for empty workers

The holder of VM orders asks the owner of a cell to keep a worker empty. A new owner knew nothing of what was asked of the earlier one, and could place a task there while the holder's order was under way.

That applies only where a manager gives VM orders.

Before, test_a_new_owner_waits_for_the_holder_before_it_uses_empty_workers failed with "assert [(0, 0, 0), (0, 1, 0)] == [(0, 1, 0)]".

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -9,6 +9,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from chivetray.cells.evacuation import await_reservations
 from chivetray.cells.loading import add_job_from_row, load_jobs
 from chivetray.cells.owner import RENEWAL_INTERVAL_S, CellOwner
 from chivetray.cells.ranking import Candidate, rank_candidates
@@ -88,6 +89,7 @@
     :ivar capacity: capacity of this process in thousandths of a core
     :ivar scanned_version: version of the job table that ``scan`` has read up to
     :ivar longest_lease_s: upper bound of the leases that workers grant
+    :ivar has_vm_orders: whether a manager moves and maintains the VMs of workers
     """
 
     def __init__(
@@ -104,6 +106,7 @@
         self.leaving = False
         self.scanned_version = 0
         self.longest_lease_s = LEASE_S
+        self.has_vm_orders = False
         self._mesh = mesh
         self._store = store
         self._workers = workers
@@ -293,6 +296,8 @@
         state.update_workers(self._workers_of(cell), boot_time_s())
         await self._load_jobs(state, version)
         state.attach_restored_tasks(boot_time_s(), earlier_lease_s, leases_s)
+        if row is not None and self.has_vm_orders:
+            await_reservations(state, boot_time_s())
         return cell_owner
 
     async def _is_previous_owner_gone(
--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -63,6 +63,16 @@
             worker.reserved_until_s = 0.0
 
 
+def await_reservations(state: CellState, now_s: float) -> None:
+    """Expect orders for the VMs of empty workers until the holder tells its own.
+
+    The holder may have asked the cell's earlier owner to reserve any of them.
+    """
+    for worker in state.workers.values():
+        if not worker.tasks:
+            worker.vm_order_until_s = now_s + RESERVATION_S
+
+
 def evacuate(state: CellState, now_s: float) -> None:
     """Stop movable tasks on draining and reserved workers; they restart elsewhere."""
     for worker in state.workers.values():
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -72,7 +72,7 @@
     :ivar reports_wanted_until_s: time until which polls are short, since a decision
         needs recent reports
     :ivar vm_order_until_s: time until which an order for the VM may be carried out that
-        an earlier holder of VM orders gave
+        was given by an earlier holder of VM orders, or by a report of an earlier owner
     :ivar failing_jobs: jobs whose tasks failed here since the last task was done
     :ivar probed_at_s: time of the last placement while in quarantine
     :ivar tasks: steps of the tasks that hold resources, by task
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -110,6 +110,7 @@
         self._fleet_runner: FleetRunner | None = None
         self._machine_client: PlatformVmClient | None = None
         if settings.vms:
+            self._directory.has_vm_orders = True
             self._machine_client = PlatformVmClient(
                 self._session, settings.vms, settings.name
             )
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -8,13 +8,17 @@
 from typing import ClassVar
 
 import pytest
+from cell_helpers import job
 
 from chivetray.cells.directory import RENEWAL_OBSERVATION_S, CellDirectory, Renewal
+from chivetray.cells.evacuation import RESERVATION_S, reserve_workers
+from chivetray.cells.placing import place_tasks
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import Ownership
 from chivetray.cells.timing import MAX_RELEASED_LEASE_S
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event
+from chivetray.jobs.model import Step
 from chivetray.platform.store import (
     Changes,
     Committed,
@@ -23,6 +27,7 @@
     RowId,
     StoreUnavailableError,
 )
+from chivetray.platform.stored_records import WorkerRecord
 
 
 class StaleStore:
@@ -221,6 +226,7 @@
         directory._mesh = SimpleNamespace(name="m2", incarnation="2")  # type: ignore[assignment]
         directory._workers = directory._advice = None  # type: ignore[assignment]
         directory.longest_lease_s = 7.0
+        directory.has_vm_orders = False
         directory._workers_of = lambda _: []  # type: ignore[method-assign]
         directory._load_jobs = load_jobs  # type: ignore[method-assign]
         owner = asyncio.run(directory._acquire("a"))
@@ -234,3 +240,68 @@
             "earlier_lease_s": round(MAX_RELEASED_LEASE_S, 3),
             "leases_s": {"w0": 1.25},
         }
+
+
+class TestReservationsOfAnEarlierOwner:
+    """An order for a VM may be under way by a report of the earlier owner."""
+
+    @staticmethod
+    def acquire(has_vm_orders: bool, row: Row | None) -> CellState:
+        class Store(StaleStore):
+            async def read_row(self, _: RowId) -> Row | None:
+                return row
+
+            async def transact(self, *_: object) -> Committed:
+                return Committed(50)
+
+        class Mesh:
+            name = "p"
+            incarnation = "1"
+            peers: ClassVar[dict[str, object]] = {}
+            handlers: ClassVar[dict[str, object]] = {}
+
+        entry = WorkerRecord(
+            "w0", "pool-a", "10.0.0.1:80", "z1", False, 1, 4000, 8192, 0, ()
+        )
+        directory = CellDirectory(
+            Mesh(),  # type: ignore[arg-type]
+            Store(50),  # type: ignore[arg-type]
+            None,  # type: ignore[arg-type]
+            lambda: ["pool-a"],
+            lambda _: [entry],
+            1000,
+        )
+        directory.has_vm_orders = has_vm_orders
+        owner = asyncio.run(directory._acquire("pool-a"))
+        assert owner is not None
+        worker = owner.state.workers["w0"]
+        worker.tasks_known = True
+        worker.clock.observe(1000, 0.0, 0.0)
+        limited = Step(1, 1000, long_running=True, max_unavailable=1)
+        owner.state.add_job(job(steps=(limited, Step(1, 1000))), 0.0)
+        return owner.state
+
+    RELEASED = Row(
+        RowId("owners", "pool-a", "owner"), Ownership(1, "q", "1", True).encode(), 41
+    )
+
+    def test_a_new_owner_waits_for_the_holder_before_it_uses_empty_workers(
+        self,
+    ) -> None:
+        """A task of a step that limits what is unavailable ended with such a VM."""
+        state = self.acquire(True, self.RELEASED)
+        now_s = boot_time_s()
+        assert [p.ref[1] for p in place_tasks(state, now_s, 0)] == [(0, 1, 0)]
+        reserve_workers(state, [], now_s)
+        assert [p.ref[1] for p in place_tasks(state, now_s, 0)] == [(0, 0, 0)]
+
+    def test_it_waits_no_longer_than_such_an_order_may_take(self) -> None:
+        state = self.acquire(True, self.RELEASED)
+        assert len(place_tasks(state, boot_time_s() + RESERVATION_S, 0)) == 2
+
+    def test_the_first_owner_waits_for_nothing(self) -> None:
+        assert len(place_tasks(self.acquire(True, None), boot_time_s(), 0)) == 2
+
+    def test_without_vm_orders_nothing_is_waited_for(self) -> None:
+        state = self.acquire(False, self.RELEASED)
+        assert len(place_tasks(state, boot_time_s(), 0)) == 2
