Count a restarted worker as draining only if its new entry says so

The tasks of a draining worker are stopped without a count of the others of their step. A worker that restarted under its id after a drain kept that mark until the next read of the list, so tasks of a sound worker could be stopped without the count. The mark is cleared with the other state of the earlier incarnation.

Before, test_its_tasks_leave_within_the_limit_of_their_step failed at "assert not worker.draining".

--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -335,7 +335,7 @@
             lease=worker.describe_lease(now_s),
         )
         worker.incarnation = incarnation
-        worker.tasks_known = False
+        worker.tasks_known = worker.draining = False
         worker.last_applied_end = worker.last_stored_end = (
             worker.last_acknowledged_end
         ) = 0
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -266,6 +266,37 @@
         asyncio.run(scenario())
 
 
+class TestWorkerThatRestartsAfterItsDrain:
+    """A worker restarts under its id, and answers before the list shows the restart."""
+
+    def test_its_tasks_leave_within_the_limit_of_their_step(self) -> None:
+        """It once counted as draining, and its tasks were stopped without a count."""
+        cell = Serving()
+        restarted, other = cell.tasks
+        worker = cell.state.workers[restarted.worker]
+        worker.draining = True
+        apply_poll_reply(cell.state, worker, Reply(Verdict.OK, 5, 2), 2.0, 2.1)
+        assert not worker.draining
+        worker.clock.observe(5, 2.0, 2.1)
+        cell.state.workers["w2"].unhealthy_until_s = 2.2
+        (placed,) = place_tasks(cell.state, 2.1, 0)
+        assert placed.worker_id == "w0"
+        cell.report(restarted, 2.5)
+        cell.end(other, 2.6)
+        assert cell.evacuate(restarted, 2.7) == []
+
+    def test_the_list_still_tells_that_the_new_incarnation_drains(self) -> None:
+        cell = Serving()
+        worker = cell.state.workers["w0"]
+        apply_poll_reply(cell.state, worker, Reply(Verdict.OK, 5, 2), 2.0, 2.1)
+        old = cell.entry("w0", incarnation=1, draining=True)
+        cell.state.update_workers([old], 2.2)
+        assert not worker.draining
+        new = cell.entry("w0", incarnation=2, draining=True)
+        cell.state.update_workers([new], 2.3)
+        assert worker.draining
+
+
 class TestBestEffortTasks:
     """Best-effort tasks may belong to a step that limits how many are unavailable."""
 
