Count tasks of draining workers as unavailable

A task of a draining worker is stopped without a count, and the worker ends soon. The count for a task of a sound worker still took it for available, so both were stopped in the same round.

Before, test_a_task_of_a_draining_worker_does_not_count_as_available failed with "assert ['w0', 'w1'] == ['w1']".

--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -221,11 +221,17 @@
     worker = state.workers.get(task.worker)
     if worker is None or worker.silent_since_s:
         return "silent"
+    if worker.draining:
+        return "draining"
     return f"{task.percent} percent"
 
 
 def _is_at_work(state: CellState, task: Task) -> bool:
-    """Return whether a task was at work by the last report of its worker."""
+    """Return whether a task was at work by the last report of its worker.
+
+    A task of a draining worker is about to be stopped.
+    """
     worker = state.workers.get(task.worker)
-    is_answering = worker is not None and not worker.silent_since_s
-    return is_answering and task.phase == Phase.RUNNING and task.percent >= 100
+    if worker is None or worker.silent_since_s or worker.draining:
+        return False
+    return task.phase == Phase.RUNNING and task.percent >= 100
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -266,6 +266,15 @@
         asyncio.run(scenario())
 
 
+class TestDrainOfAnotherWorker:
+    def test_a_task_of_a_draining_worker_does_not_count_as_available(self) -> None:
+        """Both were once stopped in the same round."""
+        cell = Serving()
+        leaving, other = cell.tasks
+        cell.state.workers[other.worker].draining = True
+        assert cell.evacuate(leaving, 1.1) == [other.worker]
+
+
 class TestWorkerThatRestartsAfterItsDrain:
     """A worker restarts under its id, and answers before the list shows the restart."""
 
