Store which failed attempt of a task is counted

What callers saw: a job could be shown as failed before its gang had failed max_attempts times.

Cause: the newest counted attempt was not stored, so that a later owner counted the failures of the gang's other members in the same attempt once more.

Evidence: the new test fails before the change with "assert <JobState.FAILED: 3> != <JobState.FAILED: 3>".

The attempt is stored beside the number of failures, in the same row, so that each attempt counts once whichever owner learns of its ends.

--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -148,6 +148,7 @@
                     [*key, phase_code, task.attempt, task.failures]
                     + [task.worker, task.incarnation, task.checkpoint, task.address]
                     + [list(task.copies.items()), list(task.copy_incarnations.items())]
+                    + [task.failed_attempt]
                 )
         state = int(self.state)
         return bytes(
@@ -177,7 +178,9 @@
             task.address = row[9]
             task.copies = dict(row[10])
             # Rows of earlier releases end here.
-            task.copy_incarnations = dict(row[11]) if len(row) > 11 else {}
+            if len(row) > 11:
+                task.copy_incarnations = dict(row[11])
+                task.failed_attempt = row[12]
         self.state = self.stored_state = JobState(state)
         self.cancelled = bool(cancelled)
 
--- a/tests/test_cell_state.py
+++ b/tests/test_cell_state.py
@@ -99,6 +99,21 @@
         assert state.jobs[JOB].state != JobState.FAILED
         assert {t.failures for t in state.jobs[JOB].tasks.values()} == {1}
 
+    def test_an_attempt_that_an_earlier_owner_counted_does_not_fail_again(
+        self,
+    ) -> None:
+        """Each member's failure once counted anew after a change of owner."""
+        state = cell(entry("w0"))
+        state.add_job(job(steps=(Step(3, 1000, gang=True),), max_attempts=2), 0.0)
+        place_tasks(state, 0.0, 0)
+        end(state, "w0", 1, 0, AttemptEnd.FAILED)
+        later = cell(entry("w0"))
+        later.restore_job(state.jobs[JOB].spec, state.jobs[JOB].encode(), 1, 2.0)
+        later.attach_restored_tasks(2.0, 0.0, {})
+        end(later, "w0", 2, 1, AttemptEnd.FAILED)
+        assert later.jobs[JOB].state != JobState.FAILED
+        assert {t.failures for t in later.jobs[JOB].tasks.values()} == {1}
+
     def test_a_gang_on_one_rack_is_placed_on_one_where_it_fits(self) -> None:
         state = cell(entry("w0", "r1"), entry("w1", "r2"), entry("w2", "r2"))
         step = Step(6, 1000, gang=True, same_rack=True)
