Random runs of cell owners in virtual time, which break rules on this code

tests/run_once_helpers.py runs directory, owner, poller, order sender, store access and worker list as they are, above simulated workers, store, network and heartbeats, on an event loop in virtual time (tests/virtual_loop.py): a manager can freeze between a check and its send. Each kind of fault is switched on alone or with one other. A ledger of what workers run checks TWICE, AVAIL, ORDER, unstored attempts, lapses in calm times, and that all jobs end once the faults do. The stand-in worker gets a clock of its own rate and a restart under its id.

- A start is answered by an incarnation that its owner does not know yet.
- network_delays assumes that an order can reach a worker that restarted meanwhile.
Whether the platform does that is open.

--- a/src/chivetray/platform/standins/worker.py
+++ b/src/chivetray/platform/standins/worker.py
@@ -68,6 +68,8 @@
     :ivar ends: ended attempts that are not acknowledged yet
     :ivar number: sequence number of the last ended attempt
     :ivar starts: task and number of every attempt that was started, for tests
+    :ivar clock_rate: speed of the worker's clock; the platform allows an error of 2%
+    :ivar read_time_s: returns the time from which the worker's clock is derived
     """
 
     worker_id: str
@@ -83,11 +85,25 @@
     number: int = 0
     starts: list[tuple[str, int]] = field(default_factory=list)
     faults: WorkerFaults = field(default_factory=WorkerFaults)
-    started_s: float = field(default_factory=time.monotonic)
+    clock_rate: float = 1.0
+    read_time_s: Callable[[], float] = time.monotonic
+    started_s: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.started_s = self.read_time_s()
 
     def clock_ms(self) -> int:
         """Return the worker's monotonic clock in ms since its start."""
-        return int((time.monotonic() - self.started_s) * 1000)
+        return int((self.read_time_s() - self.started_s) * self.clock_rate * 1000)
+
+    def restart(self, incarnation_ms: int) -> None:
+        """Begin a new incarnation, which knows nothing of the earlier ones."""
+        self.incarnation_ms = incarnation_ms
+        self.started_s = self.read_time_s()
+        self.fencing_token = self.deadline_ms = self.number = 0
+        self.running.clear()
+        self.closed_attempts.clear()
+        self.ends.clear()
 
     def tick(self, elapsed_s: float) -> None:
         """Advance the running attempts, or end them all when the lease has expired."""
--- /dev/null
+++ b/tests/test_run_once.py
@@ -0,0 +1,62 @@
+"""Random runs of the owner of a cell in virtual time, one kind of fault at a time.
+
+``CHIVETRAY_SEEDS`` names the seeds of each kind, as in
+``CHIVETRAY_SEEDS=1-200 pytest -n 2 --dist load tests/test_run_once.py``.
+"""
+
+from __future__ import annotations
+
+import os
+
+import pytest
+from run_once_helpers import FAULTS, explain, run_seed
+
+FIRST, _, LAST = os.environ.get("CHIVETRAY_SEEDS", "4").partition("-")
+SEEDS = range(int(FIRST), int(LAST or FIRST) + 1)
+
+# Kinds that act together: each pair can break what neither breaks alone.
+TOGETHER = (
+    ("late_orders", "restarts"),
+    ("network_delays", "restarts"),
+    ("late_orders", "silent_workers"),
+    ("late_orders", "freezes"),
+    ("silent_workers", "kills"),
+    ("silent_workers", "freezes"),
+    ("silent_workers", "restarts"),
+    ("restarts", "stale_lists"),
+    ("restarts", "kills"),
+    ("moves", "freezes"),
+    ("moves", "late_orders"),
+    ("moves", "store_away"),
+    ("drains", "late_orders"),
+    ("lost_writes", "releases"),
+)
+
+
+def check(kinds: tuple[str, ...], seed: int) -> None:
+    outcome = run_seed(seed, kinds)
+    assert not outcome.problems, explain(outcome)
+    assert not outcome.failures, outcome.failures[:3]
+    assert outcome.begun >= 20
+
+
+class TestOneKindOfFault:
+    """Guards against two runs of a task at once, and too many tasks away."""
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("kind", FAULTS)
+    def test_no_rule_is_broken(self, kind: str, seed: int) -> None:
+        check((kind,), seed)
+
+    def test_a_seed_gives_the_same_run_again(self) -> None:
+        first, second = (run_seed(7, ("freezes",)) for _ in range(2))
+        assert first.trace == second.trace
+
+
+class TestTwoKindsOfFaults:
+    """Guards against the same where one fault hides the other's effect."""
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("kinds", TOGETHER, ids="+".join)
+    def test_no_rule_is_broken(self, kinds: tuple[str, ...], seed: int) -> None:
+        check(kinds, seed)
