--- a/tests/test_worker_restart.py
+++ b/tests/test_worker_restart.py
@@ -19,6 +19,7 @@
 from chivetray.cells.reports import apply_poll_reply, confirm_start, confirm_stop
 from chivetray.cells.state import CellState
 from chivetray.cells.timing import LEASE_S, MAX_ORDER_DELAY_S
+from chivetray.clocks import boot_time_s
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import Phase, Step, Task
 from chivetray.platform.standins.worker import WorkerModel
@@ -265,3 +266,25 @@
             await run_owner(world, owner, steps)
 
         asyncio.run(scenario())
+
+    def test_a_restarted_worker_without_tasks_is_used_again(self) -> None:
+        """Its clock was once never learned, so that no task was placed there."""
+
+        async def scenario() -> None:
+            world = World(workers=1)
+            owner = await world.own()
+
+            async def steps() -> None:
+                worker = owner.state.workers["w0"]
+                await until(lambda: worker.tasks_known)
+                owner.add_job(job(steps=(Step(1, 1000),)))
+                await until(lambda: worker.last_acknowledged_end == 1)
+                fresh = restart(world, "w0")
+                worker.tasks_known = False
+                owner.wake()
+                await until(lambda: worker.incarnation == fresh.incarnation_ms)
+                await until(lambda: worker.accepts_tasks(boot_time_s()))
+
+            await run_owner(world, owner, steps)
+
+        asyncio.run(scenario())
