Acknowledge no ends to a worker that may have restarted

What callers saw: a task ran again after it was done.

Cause: a worker that restarts under its id numbers its ends anew. Each poll named the number of the last stored end, so the first poll of a new incarnation made it forget ends with up to that number, which the owner had never seen.

A number is sent only while there are ends to acknowledge, and not in the first poll after a silence. A worker that restarts within the time between the reply that lists an end and its acknowledgement, without a call in between that fails, can still forget one.

--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -141,7 +141,7 @@
                 if sent_at_s < worker.reports_wanted_until_s:
                     wait_ms = min(wait_ms, RECENT_REPORT_POLL_WAIT_MS)
                 wait_ms = min(wait_ms, int(lease_s * 1000 * POLL_WAIT_LEASE_FRACTION))
-        observed, incarnation = worker.last_stored_end, worker.incarnation
+        observed, incarnation = _acknowledgeable_end(worker), worker.incarnation
         reply = await self._workers.poll(
             address, self._cell_owner.epoch, observed, deadline_ms, wait_ms
         )
@@ -263,3 +263,15 @@
                 percent=percent,
                 verdict=reply.verdict.value,
             )
+
+
+def _acknowledgeable_end(worker: WorkerState) -> int:
+    """Return the number up to which a poll may let a worker forget its ends.
+
+    A worker that has restarted numbers its ends anew and would forget other ones, so a
+    number is sent only while there are ends to acknowledge, and not to a worker that
+    may have restarted since its last answer.
+    """
+    if worker.silent_since_s or worker.last_stored_end <= worker.last_acknowledged_end:
+        return 0
+    return worker.last_stored_end
--- a/tests/test_worker_restart.py
+++ b/tests/test_worker_restart.py
@@ -288,3 +288,49 @@
             await run_owner(world, owner, steps)
 
         asyncio.run(scenario())
+
+
+class TestAcknowledgedEnds:
+    """A restarted worker numbers its ends anew.
+
+    Ends that the owner had not seen were once forgotten by the number of an end of the
+    earlier incarnation, and their tasks ran again.
+    """
+
+    @staticmethod
+    def observed(world: World, owner: CellOwner, silent: bool) -> list[int]:
+        """Return the numbers that polls acknowledge after one end was acknowledged."""
+
+        async def scenario() -> list[int]:
+            async def steps() -> None:
+                worker = owner.state.workers["w0"]
+                owner.add_job(job(steps=(Step(1, 1000),)))
+                await until(lambda: worker.last_acknowledged_end == 1)
+                if silent:
+                    worker.last_acknowledged_end = 0
+                    worker.silent_since_s = boot_time_s()
+                calls.append(len(world.workers.calls))
+                owner.add_job(job("00000000000000bb", steps=(Step(1, 1000),)))
+                await until(
+                    lambda: any(
+                        c == "hold" for _, c, _ in world.workers.calls[calls[0] :]
+                    )
+                )
+
+            calls: list[int] = []
+            await run_owner(world, owner, steps)
+            later = world.workers.calls[calls[0] :]
+            return [b["Observed"] for _, call, b in later if call == "hold"]
+
+        return asyncio.run(scenario())
+
+    def test_a_number_is_sent_only_while_there_are_ends_to_acknowledge(self) -> None:
+        world = World(workers=1, work_s=0.05)
+        assert self.observed(world, asyncio.run(world.own()), silent=False)[:2] == [
+            0,
+            0,
+        ]
+
+    def test_no_number_is_sent_to_a_worker_that_may_have_restarted(self) -> None:
+        world = World(workers=1, work_s=0.05)
+        assert self.observed(world, asyncio.run(world.own()), silent=True)[0] == 0
