Store the lease of a delayed order to a restarted worker at a release

What callers saw: nothing yet; found while checking which leases a release stores.

Cause: only workers that were silent or not yet polled were named.

Workers with tasks whose lease may last longer than the next owner assumes are named whether they answer or not.

--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -21,6 +21,7 @@
     LEASE_EXTENSION_WINDOW_S,
     LEASE_S,
     MAX_ORDER_DELAY_S,
+    MAX_RELEASED_LEASE_S,
 )
 from chivetray.cells.workers import CLOCK_DRIFT, TaskRef, WorkerState
 from chivetray.events import Event, log_event
@@ -311,12 +312,19 @@
     def remaining_leases(self, now_s: float) -> dict[str, float]:
         """Return how long leases may last on workers that are silent or not yet polled.
 
+        Workers that answer are named only if a lease may last longer than the next
+        owner assumes, such as that of a delayed order after a restart.
+
         :return: remaining time in s by worker id, for workers with tasks
         """
         remaining = {}
         for worker in self.workers.values():
-            if worker.tasks and (worker.silent_since_s or not worker.tasks_known):
-                remaining[worker.worker_id] = worker.remaining_lease_s(now_s)
+            if not worker.tasks:
+                continue
+            lease_s = worker.remaining_lease_s(now_s)
+            is_answering = worker.tasks_known and not worker.silent_since_s
+            if not is_answering or lease_s > MAX_RELEASED_LEASE_S:
+                remaining[worker.worker_id] = lease_s
         return remaining
 
     def handle_worker_restart(
