Trace a task or a step with the events of its workers

What callers saw: the lines of one task had to be picked from those of its whole job, and the lines that tell why an attempt was given up (WORKER_LOST, WORKER_REBORN) were missing, since they name workers and lists of attempts but no job.

`trace` takes JOB.OCCURRENCE.STEP[.INDEX] too: the lines of the task or step and of its job, the WORKER_* and VM_ORDERED lines of the workers involved between the first and the last of them, and the owner changes of the cell. Lists of attempts are reduced to those of the task or step. A subject that is malformed is refused with a message that names the forms. What a job shows is unchanged.

Evidence: before the change tests/test_trace.py fails with "cannot import name 'Subject'".

--- a/src/chivetray/cmdline.py
+++ b/src/chivetray/cmdline.py
@@ -109,11 +109,15 @@
     trace = _add_command(
         commands,
         "trace",
-        handlers.trace_job,
-        "Print the events of a job from the logs of managers, in order.",
-        "trace 00000000000000aa manager-1.log manager-2.log",
+        handlers.trace_subject,
+        "Print the events of a job, a step or a task from the logs of managers.",
+        "trace 00000000000000aa.0.1.2 manager-1.log manager-2.log",
+    )
+    trace.add_argument(
+        "subject",
+        metavar="SUBJECT",
+        help="JOB, JOB.OCCURRENCE.STEP or JOB.OCCURRENCE.STEP.INDEX",
     )
-    trace.add_argument("job", metavar="JOB")
     trace.add_argument(
         "files",
         nargs="*",
--- a/src/chivetray/commands.py
+++ b/src/chivetray/commands.py
@@ -25,7 +25,7 @@
 from chivetray.results import ResultCode
 from chivetray.standins import jobs, runner
 from chivetray.standins.relay import Relay
-from chivetray.trace import find_events, render
+from chivetray.trace import Subject, find_events, render
 
 EXIT_OK = 0
 
@@ -67,8 +67,9 @@
     return EXIT_OK
 
 
-def trace_job(arguments: argparse.Namespace) -> int:
-    """Print the events of a job in order; fail when there are none."""
+def trace_subject(arguments: argparse.Namespace) -> int:
+    """Print the events of a job, step or task in order; fail when there are none."""
+    subject = Subject.parse(arguments.subject)
     lines: list[str] = []
     for path in arguments.files:
         name = path.stem
@@ -77,11 +78,11 @@
     if not arguments.files:
         lines = sys.stdin.read().splitlines()
     found = False
-    for event in find_events(lines, arguments.job):
+    for event in find_events(lines, subject):
         found = True
         print(render(event))
     if not found:
-        message = f"no log line mentions job {arguments.job}"
+        message = f"no log line mentions {subject.kind} {subject}"
         raise ChivetrayError(ResultCode.NO_JOB, message)
     return EXIT_OK
 
