Log a withdrawn stop, and forget its first decision

What callers saw: a stop of an attempt whose earlier stop had been withdrawn was logged with the reason, age and try number of the earlier one, and the withdrawal itself had no line.

Cause: the first decision was forgotten only when a stop was answered.

Evidence: with the new line but without the other change, test_a_later_stop_is_not_told_as_the_withdrawn_one fails with "assert 0.161 <= ((1883.582489748 - 1883.57559375) + 0.001)" (age in the log, time since the decision). Before both, it and another test fail with "AttributeError: STOP_WITHDRAWN".

The decision is forgotten once the task is no longer being stopped; that of a stop which is only put off stays. STOP_WITHDRAWN has the fields of TASK_EVACUATED at that time, with the reason and age of the first decision.

--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -97,7 +97,8 @@
                 movable = reserved and (step.checkpointing or overdue)
             if movable:
                 if step.long_running:
-                    _log_evacuated(state, worker, job, task, step, now_s)
+                    fields = _describe_step(state, worker, job, task, step, now_s)
+                    log_event(Event.TASK_EVACUATED, **fields)
                 state.stop_task(job, task, StopReason.EVACUATION)
 
 
@@ -174,21 +175,27 @@
         # The attempt does not run, so that the stop makes nothing unavailable.
         return True
     if not task.stop_sent:
+        log_event(
+            Event.STOP_WITHDRAWN,
+            reason=order.reason.value,
+            decided_age_s=round(now_s - order.decided_at_s, 3),
+            **_describe_step(state, worker, job, task, step, now_s),
+        )
         task.phase = Phase.PLACED
         confirm_start(state, ref, task.attempt, now_s)
         state.mark_changed(job.spec.job_id)
     return False
 
 
-def _log_evacuated(
+def _describe_step(
     state: CellState,
     worker: WorkerState,
     job: Job,
     task: Task,
     step: Step,
     now_s: float,
-) -> None:
-    """Log which other tasks of a step are unavailable when one is stopped."""
+) -> dict[str, Any]:
+    """Return a task and which others of its step are unavailable, for the log."""
     occurrence, step_number, _ = task.key
     others = [t for t in job.step_tasks(occurrence, step_number) if t is not task]
     unavailable: list[list[Any]] = []
@@ -198,21 +205,20 @@
             unavailable.append([other.key[2], _unavailable_because(state, other)])
             continue
         reply_ages_s.append(now_s - other.listed_at_s)
-    log_event(
-        Event.TASK_EVACUATED,
-        task=str(TaskName(job.spec.job_id, task.key)),
-        attempt=task.attempt,
-        worker=worker.worker_id,
-        cell=state.name,
-        epoch=state.epoch,
-        draining=worker.draining,
-        reserved=worker.is_reserved(now_s),
-        unavailable=unavailable[:MAX_LISTED_TASKS],
-        unavailable_count=len(unavailable),
-        limit=step.max_unavailable,
-        tasks=len(others) + 1,
-        oldest_reply_s=round(max(reply_ages_s, default=0.0), 3),
-    )
+    return {
+        "task": str(TaskName(job.spec.job_id, task.key)),
+        "attempt": task.attempt,
+        "worker": worker.worker_id,
+        "cell": state.name,
+        "epoch": state.epoch,
+        "draining": worker.draining,
+        "reserved": worker.is_reserved(now_s),
+        "unavailable": unavailable[:MAX_LISTED_TASKS],
+        "unavailable_count": len(unavailable),
+        "limit": step.max_unavailable,
+        "tasks": len(others) + 1,
+        "oldest_reply_s": round(max(reply_ages_s, default=0.0), 3),
+    }
 
 
 def _unavailable_because(state: CellState, task: Task) -> str:
--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -277,7 +277,8 @@
                 worker = self._state.workers.get(order.worker_id)
                 if worker is None or not worker.address or self._cell_owner.lost:
                     return
-                if not may_send_stop(self._state, order, boot_time_s()):
+                if not may_send_stop(self._state, progress.order, boot_time_s()):
+                    self._forget_withdrawn_stop(order)
                     self._cell_owner.wake()
                     return
                 progress.tries += 1
@@ -313,6 +314,12 @@
             self._stops[key] = _StopProgress(order)
         return self._stops[key]
 
+    def _forget_withdrawn_stop(self, order: StopOrder) -> None:
+        """Forget a stop whose task goes on; one that is put off stays remembered."""
+        _, task = self._state.find_task((order.name.job_id, order.name.key))
+        if task is None or task.phase != Phase.STOPPING:
+            self._stops.pop((str(order.name), order.worker_id, order.attempt), None)
+
     def _log_stop(
         self, progress: _StopProgress, worker: WorkerState, reply: Reply
     ) -> None:
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -135,6 +135,10 @@
         1684,
         "A long-running task is stopped to move it; lists the unavailable ones.",
     )
+    STOP_WITHDRAWN = (
+        1686,
+        "A stop is not sent, since too many tasks of the step are unavailable.",
+    )
     ATTEMPT_OUTLIVED = (
         1685,
         "A worker has restarted since an earlier owner placed an attempt there.",
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -21,6 +21,7 @@
 from chivetray.cells.reports import apply_poll_reply
 from chivetray.cells.state import CellState
 from chivetray.clocks import boot_time_s
+from chivetray.events import Event
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import Phase, Step, Task
 from chivetray.platform.standins.worker import WorkerModel
@@ -306,6 +307,89 @@
         assert worker.draining
 
 
+class RefusingWorkers(MemoryWorkers):
+    """Workers without network.
+
+    :ivar refuses_stops: whether no stop order can be sent
+    """
+
+    refuses_stops = True
+
+    async def _call(
+        self, worker: WorkerAddress, call: str, body: Any, timeout_s: float
+    ) -> Reply:
+        if call == "run-stop" and self.refuses_stops:
+            return Reply(Verdict.NOT_SENT)
+        return await super()._call(worker, call, body, timeout_s)
+
+
+class TestLogOfWithdrawnStops:
+    def test_a_later_stop_is_not_told_as_the_withdrawn_one(self, logged) -> None:
+        """It once had the reason, the age and the tries of the withdrawn one."""
+
+        async def scenario() -> None:
+            world = World(workers=3, work_s=30)
+            workers = world.workers = RefusingWorkers(world.models)
+            owner = await world.own()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(world.work)
+                tasks.start_soon(owner.run)
+                owner.add_job(job(steps=(STEP,)))
+                found = owner.state.jobs[JOB]
+                await until(lambda: len(found.active_tasks()) == 2)
+                leaving, other = (found.tasks[(0, 0, index)] for index in (0, 1))
+                await until(lambda: leaving.percent == other.percent == 100)
+                owner.state.stop_task(found, leaving, StopReason.REFUSED_START)
+                owner.wake()
+                await until(lambda: logged.of(Event.ORDER_FAILED))
+                model = world.models[other.worker]
+                model.end(next(iter(model.running.values())), "failed")
+                await until(lambda: logged.of(Event.STOP_WITHDRAWN))
+                workers.refuses_stops = False
+                await until(lambda: other.percent == 100)
+                decided_from_s = boot_time_s()
+                reserve_workers(owner.state, [leaving.worker], decided_from_s)
+                owner.wake()
+                await until(lambda: logged.of(Event.STOP_CONFIRMED))
+                tasks.cancel_scope.cancel()
+            (confirmed,) = logged.of(Event.STOP_CONFIRMED)
+            assert confirmed["decided_age_s"] <= boot_time_s() - decided_from_s + 0.001
+
+        asyncio.run(scenario())
+        (withdrawn,) = logged.of(Event.STOP_WITHDRAWN)
+        refused = logged.of(Event.ORDER_FAILED)
+        assert withdrawn["reason"] == "refused start"
+        assert withdrawn["decided_age_s"] >= refused[-1]["decided_age_s"] > 0
+        (confirmed,) = logged.of(Event.STOP_CONFIRMED)
+        assert (confirmed["task"], confirmed["attempt"]) == (withdrawn["task"], 1)
+        assert (confirmed["reason"], confirmed["try_number"]) == ("evacuation", 1)
+
+    def test_a_withdrawal_is_told_with_the_tasks_counted(self, logged) -> None:
+        cell = Serving()
+        leaving, other = cell.tasks[:2]
+        cell.evacuate(leaving, 1.1)
+        order = replace(cell.state.stop_orders[0], decided_at_s=1.1)
+        cell.end(other, 1.5)
+        cell.report(leaving, 1.5)
+        may_send_stop(cell.state, order, 1.6)
+        may_send_stop(cell.state, order, 1.7)
+        (line,) = logged.of(Event.STOP_WITHDRAWN)
+        assert (line["task"], line["attempt"]) == (f"{JOB}.0.0.0", 1)
+        assert line["unavailable"] == [[1, "waiting"]]
+        assert (line["unavailable_count"], line["limit"], line["tasks"]) == (1, 1, 2)
+        assert (line["reason"], line["decided_age_s"]) == ("evacuation", 0.5)
+
+    def test_a_stop_that_is_put_off_is_not_told_as_withdrawn(self, logged) -> None:
+        cell = Serving()
+        leaving, other = cell.tasks[:2]
+        cell.evacuate(leaving, 1.1)
+        leaving.stop_sent = True
+        cell.end(other, 1.5)
+        cell.report(leaving, 1.5)
+        assert not may_send_stop(cell.state, cell.state.stop_orders[0], 1.6)
+        assert not logged.of(Event.STOP_WITHDRAWN)
+
+
 class TestBestEffortTasks:
     """Best-effort tasks may belong to a step that limits how many are unavailable."""
 
