--- a/src/chivetray/commands.py
+++ b/src/chivetray/commands.py
@@ -25,7 +25,7 @@
 from chivetray.results import ResultCode
 from chivetray.standins import jobs, runner
 from chivetray.standins.relay import Relay
-from chivetray.trace import Subject, find_events, render
+from chivetray.trace import Subject, read_events, render, select_events
 
 EXIT_OK = 0
 
@@ -78,7 +78,7 @@
     if not arguments.files:
         lines = sys.stdin.read().splitlines()
     found = False
-    for event in find_events(lines, subject):
+    for event in select_events(read_events(lines), subject):
         found = True
         print(render(event))
     if not found:
--- a/src/chivetray/trace.py
+++ b/src/chivetray/trace.py
@@ -56,17 +56,27 @@
         return f"{task}.".startswith(f"{self}.")
 
 
-def find_events(lines: Iterable[str], subject: Subject) -> Iterator[dict[str, Any]]:
-    """Yield the events of a job, a step or a task in order.
+def read_events(lines: Iterable[str]) -> list[dict[str, Any]]:
+    """Return the events of log lines in the order of their times.
+
+    A line may have a prefix before its JSON, such as the name of a process, which
+    becomes the field ``from``.
+    """
+    events = [event for line in lines if (event := _parse(line)) is not None]
+    events.sort(key=lambda event: float(event.get("timestamp", 0.0)))
+    return events
+
+
+def select_events(
+    events: Iterable[dict[str, Any]], subject: Subject
+) -> Iterator[dict[str, Any]]:
+    """Yield those of all events that concern a job, a step or a task.
 
     Between the first and the last are the owner changes of its cell. For steps and
     tasks the events of the workers involved are among them, and lists of attempts hold
     only attempts of the subject.
-
-    A line may have a prefix before its JSON, such as the name of a process.
     """
-    events = [event for line in lines if (event := parse_event(line)) is not None]
-    events.sort(key=lambda event: float(event.get("timestamp", 0.0)))
+    events = list(events)
     if subject.key:
         events = [_keep_attempts_of(event, subject) for event in events]
     if not any(_names(event, subject) for event in events):
@@ -97,11 +107,7 @@
     return f"{at_s:.3f} {event.get('number')} {event.get('message_type')} {fields}"
 
 
-def parse_event(line: str) -> dict[str, Any] | None:
-    """Parse a log line, or return ``None`` if it holds no event.
-
-    The text before the JSON becomes the field ``from``.
-    """
+def _parse(line: str) -> dict[str, Any] | None:
     start = line.find("{")
     if start < 0:
         return None
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -10,7 +10,7 @@
 
 from chivetray.cmdline import main
 from chivetray.exceptions import ChivetrayError
-from chivetray.trace import Subject, find_events
+from chivetray.trace import Subject, read_events, select_events
 
 JOB = "00000000000000aa"
 OTHER = "00000000000000bb"
@@ -66,6 +66,10 @@
 ]
 
 
+def find_events(lines: list[str], subject: Subject) -> list[dict[str, Any]]:
+    return list(select_events(read_events(lines), subject))
+
+
 def times(lines: list[str], subject: str) -> list[int]:
     return [event["timestamp"] for event in find_events(lines, Subject.parse(subject))]
 
