Name the version of the call for load reports

The arguments and the reply of the call have grown. A process of an earlier release would fail on them, and its own requests lack the epoch of the holder; it now gets no answer and gives none, so that no VM order is based on it. Not tried with two releases side by side.

--- a/src/chivetray/capacity/reports.py
+++ b/src/chivetray/capacity/reports.py
@@ -17,7 +17,9 @@
 from chivetray.peers.mesh import Mesh
 from chivetray.platform.vm_api import PlatformVm
 
-CAPACITY_CALL = "capacity"
+# Name of the call, with the version of its arguments and reply. A process of another
+# release does not answer it, and no VM order is based on its cells.
+CAPACITY_CALL = "capacity/2"
 
 # Age, counted from its request, up to which a report proves that a worker is empty. The
 # owner keeps the worker empty for ``RESERVATION_S`` after the request, by which an
