Write log lines whole to an output that takes less than a whole write

What operators saw: lines of the log were cut in the middle, and those behind them in the same write were lost without LINES_DROPPED.

Cause: an unbuffered text stream ignores how much of a write its output has taken.

Evidence: before the change test_no_part_of_a_line_is_lost fails with "JSONDecodeError: Unterminated string".

The thread of the queue now writes to the stream's binary output until all is taken. What the queue cannot hold meanwhile is dropped and counted as before.

--- a/src/chivetray/log_queue.py
+++ b/src/chivetray/log_queue.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections import deque
 from collections.abc import Callable
 from typing import Any, TextIO
@@ -16,6 +17,9 @@
 # Length of the queue; at about 400 bytes a line it stays below 2 MB.
 LINES_LIMIT = 4000
 
+# Pause before the next write when the output takes nothing.
+FULL_OUTPUT_PAUSE_S = 0.01
+
 
 class LogQueue:
     """Writes messages to a stream from a thread.
@@ -65,9 +69,26 @@
                 )
                 chunk.append(orjson.dumps(self._build_dropped_message(count)))
             try:
-                self._stream.write(b"\n".join(chunk).decode() + "\n")
-                self._stream.flush()
+                self._write(b"\n".join(chunk) + b"\n")
             except (OSError, ValueError):
                 # The output is closed, so the failure cannot be logged either.
                 self.dropped += len(chunk)
                 return
+
+    def _write(self, data: bytes) -> None:
+        """Write all of the data, also to an output that takes less in one call.
+
+        An unbuffered text stream ignores how much its output has taken.
+        """
+        output = getattr(self._stream, "buffer", None)
+        if output is None:
+            self._stream.write(data.decode())
+            return
+        rest = memoryview(data)
+        while rest:
+            count = output.write(rest)
+            if count:
+                rest = rest[count:]
+            else:
+                time.sleep(FULL_OUTPUT_PAUSE_S)
+        output.flush()
--- a/tests/test_log_queue.py
+++ b/tests/test_log_queue.py
@@ -70,6 +70,44 @@
         assert queue.dropped == 0
 
 
+class SlowOutput(io.RawIOBase):
+    """An output that takes at most 300 bytes in one call, and often nothing.
+
+    :ivar taken: what it has taken
+    """
+
+    def __init__(self) -> None:
+        self.taken = b""
+        self.calls = 0
+
+    def writable(self) -> bool:
+        return True
+
+    def write(self, data) -> int | None:
+        self.calls += 1
+        if self.calls % 3 == 0:
+            return None
+        part = bytes(data[:300])
+        self.taken += part
+        return len(part)
+
+
+class TestOutputThatTakesLess:
+    def test_no_part_of_a_line_is_lost(self) -> None:
+        """Lines were cut, and others lost without being counted, behind 8,192 bytes."""
+        output = SlowOutput()
+        stream = io.TextIOWrapper(output, write_through=True)
+        queue = LogQueue(stream, _dropped)
+        for number in range(50):
+            queue.put({"number": number, "text": "é" * 200})
+        deadline_s = time.monotonic() + 10
+        while output.taken.count(b"\n") < 50 and time.monotonic() < deadline_s:
+            time.sleep(0.01)
+        lines = output.taken.decode().splitlines()
+        assert [json.loads(line)["number"] for line in lines] == list(range(50))
+        assert queue.dropped == 0
+
+
 class TestRepeats:
     def test_a_subject_is_written_once_a_second_with_the_suppressed_count(self) -> None:
         repeats = RepeatFilter()
