Count no end of a new incarnation as stored by an earlier write

What callers saw: a task could run again after it was done.

Cause: the numbers of the ends that a write holds were kept by worker id only. A worker that restarted during the write numbers its ends anew, so as many ends of the new incarnation counted as stored; an owner that then died had acknowledged ends that nobody had stored.

It now names the incarnation in its input, as the code does.

--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -178,7 +178,7 @@
             )
             decision_time_s = boot_time_s() - now_s
             last_ends = {
-                worker.worker_id: worker.last_applied_end
+                (worker.worker_id, worker.incarnation): worker.last_applied_end
                 for worker in self.state.workers.values()
             }
             jobs = self.state.take_changed_jobs()
@@ -198,12 +198,16 @@
                 await self._wake.wait()
             self._order_sender.resend_unconfirmed(task_group)
 
-    def _mark_ends_stored(self, last_ends: dict[str, int]) -> None:
-        """Mark the ends that are stored now, so that workers may forget them."""
-        for worker_id, number in last_ends.items():
+    def _mark_ends_stored(self, last_ends: dict[tuple[str, int], int]) -> None:
+        """Mark the ends that are stored now, so that workers may forget them.
+
+        :param last_ends: number of the last stored end by worker id and incarnation
+        """
+        for (worker_id, incarnation), number in last_ends.items():
             worker = self.state.workers.get(worker_id)
             if (
                 worker is not None
+                and worker.incarnation == incarnation
                 and worker.last_stored_end < number <= worker.last_applied_end
             ):
                 worker.last_stored_end = number
