Withdraw a stop that can no longer be carried out

What callers saw: nothing yet. Two long-running tasks of a step whose stops were lost, and which the workers list as running, counted each other as unavailable: neither stop was sent again or withdrawn, so no task of the step could be moved any more.

Cause: a stop that was sent counted as one that may be carried out, for ever.

A stop that was last sent longer ago than an order can be delayed is withdrawn like one that was never sent, if the worker still lists the attempt.

--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -9,6 +9,7 @@
 from chivetray.cells.orders import StopOrder, StopReason
 from chivetray.cells.reports import confirm_start
 from chivetray.cells.state import CellState
+from chivetray.cells.timing import MAX_ORDER_DELAY_S
 from chivetray.cells.workers import WorkerState
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job
@@ -174,14 +175,14 @@
     if task.listed_at_s < worker.answered_poll_sent_at_s:
         # The attempt does not run, so that the stop makes nothing unavailable.
         return True
-    if not task.stop_sent:
+    if not task.stop_sent or now_s - task.stop_sent_at_s > MAX_ORDER_DELAY_S:
         log_event(
             Event.STOP_WITHDRAWN,
             reason=order.reason.value,
             decided_age_s=round(now_s - order.decided_at_s, 3),
             **_describe_step(state, worker, job, task, step, now_s),
         )
-        task.phase = Phase.PLACED
+        task.phase, task.stop_sent = Phase.PLACED, False
         confirm_start(state, ref, task.attempt, now_s)
         state.mark_changed(job.spec.job_id)
     return False
--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -260,7 +260,7 @@
             task = None
         sent_before = task is not None and task.stop_sent
         if task is not None:
-            task.stop_sent = True
+            task.stop_sent, task.stop_sent_at_s = True, boot_time_s()
         address = WorkerAddress(worker.worker_id, worker.address)
         reply = await self._workers.stop(
             address, self._cell_owner.epoch, order.name, order.attempt
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -593,6 +593,7 @@
         task.running_at_s = task.stopped_at_s = task.listed_at_s = 0.0
         task.start_unanswered = task.inherited = task.stop_sent = False
         task.unanswered_starts = 0
+        task.stop_sent_at_s = 0.0
         task.pace_percent = 100
         worker.allocate(ref, step)
         if worker.quarantined:
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -151,6 +151,7 @@
         answer
     :ivar stop_sent: whether a stop of the newest attempt was sent, which the worker may
         still carry out
+    :ivar stop_sent_at_s: time at which that stop was last sent
     :ivar inherited: whether an earlier owner placed the newest attempt, so that it is
         unknown whether its start requests were answered
     :ivar pace_percent: share of full speed at which a best-effort task may run
@@ -180,6 +181,7 @@
     start_unanswered: bool = False
     unanswered_starts: int = 0
     stop_sent: bool = False
+    stop_sent_at_s: float = 0.0
     inherited: bool = False
     not_before_s: float = 0.0
     avoided_workers: set[str] = field(default_factory=set)
