--- a/tests/test_cell_owner.py
+++ b/tests/test_cell_owner.py
@@ -5,6 +5,7 @@
 import asyncio
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from typing import Any
 
 import anyio
 import pytest
@@ -283,6 +284,43 @@
         assert set(calls) == {"hold", "run-start"}
 
 
+class TestReleaseWithAPlacement:
+    """A start was once sent after the remaining leases had been read for the release.
+
+    The worker was silent, so the next owner waited for the stored lease only, and ran
+    the task elsewhere while the lease of the start lasted.
+    """
+
+    def test_a_placement_of_the_round_of_the_release_is_not_started(self) -> None:
+        async def scenario() -> None:
+            world = World(workers=1, work_s=30)
+            owner = await world.own()
+            call = world.store.call
+            may_write = asyncio.Event()
+
+            async def call_slowly(method: str, path: str, body: Any, s: float) -> Any:
+                if any(row["Key"] == "owner" for row in body["Writes"]):
+                    outcome = await call(method, path, body, s)
+                    await asyncio.sleep(0.1)
+                    return outcome
+                await may_write.wait()
+                return await call(method, path, body, s)
+
+            async with running(world, owner):
+                worker = owner.state.workers["w0"]
+                await until(lambda: worker.clock.known)
+                world.store.call = call_slowly  # type: ignore[method-assign]
+                owner.add_job(job(steps=(Step(1, 1000),)))
+                await until(lambda: bool(worker.tasks))
+                owner.leaving = True
+                worker.silent_since_s = boot_time_s()
+                may_write.set()
+                await until(lambda: owner.lost)
+            assert world.starts().total() == 0
+
+        asyncio.run(scenario())
+
+
 class TestSilentWorkers:
     def test_lease_of_a_silent_worker_runs_out(self, monkeypatch) -> None:
         """Polls of an unresponsive worker must not extend its lease each time."""
