Let workers hold polls that grant no lease

What operators saw: nothing measured.

Cause: the time for which a worker may hold a poll was set only beside a lease.

Evidence: read in the diff; test_a_worker_holds_them_until_an_attempt_ends failed ("assert False": polls without a wait).

--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -125,20 +125,15 @@
         may_grant_leases = self._cell_owner.may_grant_leases(sent_at_s)
         if may_extend_lease and worker.tasks:
             self._log_extension(sent_at_s, may_grant_leases)
-        if may_extend_lease and may_grant_leases and worker.tasks:
-            # Counted from a time that the worker's clock has certainly passed, so that
-            # the lease does not outlast the wait of the next owner.
             lease_s = min(LEASE_S, self._cell_owner.longest_lease_s)
-            deadline_ms = worker.clock.lower_bound_ms(sent_at_s) + int(lease_s * 1000)
-            worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
-            worker.lease_sent_at_s = max(worker.lease_sent_at_s, sent_at_s)
-            # A poll returns immediately while there are unacknowledged ends.
-            if worker.last_stored_end == worker.last_applied_end:
-                is_shared = has_mixed_tasks(worker)
-                wait_ms = SHARED_WORKER_POLL_WAIT_MS if is_shared else POLL_WAIT_MS
-                if sent_at_s < worker.reports_wanted_until_s:
-                    wait_ms = min(wait_ms, RECENT_REPORT_POLL_WAIT_MS)
-                wait_ms = min(wait_ms, int(lease_s * 1000 * POLL_WAIT_LEASE_FRACTION))
+            wait_ms = _poll_wait_ms(worker, sent_at_s, lease_s)
+            if may_grant_leases:
+                # Counted from a time that the worker's clock has certainly passed, so
+                # that the lease does not outlast the wait of the next owner.
+                clock_ms = worker.clock.lower_bound_ms(sent_at_s)
+                deadline_ms = clock_ms + int(lease_s * 1000)
+                worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
+                worker.lease_sent_at_s = max(worker.lease_sent_at_s, sent_at_s)
         observed, incarnation = _acknowledgeable_end(worker), worker.incarnation
         reply = await self._workers.poll(
             address, self._cell_owner.epoch, observed, deadline_ms, wait_ms
@@ -273,3 +268,17 @@
     if worker.silent_since_s or worker.last_stored_end <= worker.last_acknowledged_end:
         return 0
     return worker.last_stored_end
+
+
+def _poll_wait_ms(worker: WorkerState, now_s: float, lease_s: float) -> int:
+    """Return for how long a worker may hold a poll until an attempt ends.
+
+    A poll returns immediately while there are unacknowledged ends.
+    """
+    if worker.last_stored_end != worker.last_applied_end:
+        return 0
+    is_shared = has_mixed_tasks(worker)
+    wait_ms = SHARED_WORKER_POLL_WAIT_MS if is_shared else POLL_WAIT_MS
+    if now_s < worker.reports_wanted_until_s:
+        wait_ms = min(wait_ms, RECENT_REPORT_POLL_WAIT_MS)
+    return min(wait_ms, int(lease_s * 1000 * POLL_WAIT_LEASE_FRACTION))
--- a/tests/test_cell_owner.py
+++ b/tests/test_cell_owner.py
@@ -284,6 +284,28 @@
         assert set(calls) == {"hold", "run-start"}
 
 
+class TestPollsWithoutALease:
+    """Polls that grant no lease once returned at once, in a loop without a pause."""
+
+    def test_a_worker_holds_them_until_an_attempt_ends(self) -> None:
+        async def scenario() -> None:
+            world = World(workers=1, work_s=30)
+            owner = await world.own()
+            async with running(world, owner):
+                owner.add_job(job(steps=(Step(1, 1000),)))
+                await until(lambda: sum(world.starts().values()) == 1)
+                owner.releasing = True
+                await asyncio.sleep(0.1)
+                before = len(world.workers.calls)
+                await asyncio.sleep(0.2)
+                bodies = [body for _, _, body in world.workers.calls[before:]]
+            assert bodies
+            assert all(body.get("WaitMs", 0) > 0 for body in bodies)
+            assert not any("DeadlineMs" in body for body in bodies)
+
+        asyncio.run(scenario())
+
+
 class TestReleaseWithAPlacement:
     """A start was once sent after the remaining leases had been read for the release.
 
