Check in virtual time that nothing waits without cause

The random runs checked what may not happen (two runs, too many tasks away), and not that tasks run again in time. A check of progress looks at each tick: with room for a task twice over and no fault for 4 s, a job whose task's turn has come may have nothing running for 3 s, and a long-running task may be without a run for 3 s that begin 6 s after its last one ended.

With the check, a worker that is lost while the owner of its cell changes shows the same: each new owner waits MAX_EARLIER_LEASE_S from its own take-over.

--- a/tests/run_once_helpers.py
+++ b/tests/run_once_helpers.py
@@ -21,10 +21,11 @@
 import anyio
 import msgpack
 import orjson
+from progress import Progress
 from virtual_loop import PROCESS, SimulatedProcess, VirtualLoop, virtual_time
 
 from chivetray.cells.directory import CellDirectory
-from chivetray.cells.evacuation import reserve_workers
+from chivetray.cells.evacuation import RESERVATION_S, reserve_workers
 from chivetray.cells.store_access import StoreAccess
 from chivetray.cells.tables import JOB_TABLE, PROGRESS_TABLE, Ownership, job_row
 from chivetray.cells.worker_list import WorkerList
@@ -135,6 +136,7 @@
     done: list[End] = field(default_factory=list)
     away_by_order: bool = False
     at_work_s: float = 0.0
+    last_run_s: float = 0.0
 
 
 class Ledger:
@@ -145,6 +147,7 @@
         self.tasks: dict[str, TaskRecord] = {}
         self.specs: dict[str, JobSpec] = {}
         self.stored: set[tuple[str, int, str]] = set()
+        self.stored_done: set[str] = set()
         self.problems: list[str] = []
         self.trace: list[str] = []
 
@@ -164,6 +167,7 @@
                 name = f"{spec.job_id}.0.{number}.{index}"
                 self.tasks[name] = TaskRecord(step, spec.job_id)
                 self.tasks[name].at_work_s = self.world.now_s()
+                self.tasks[name].last_run_s = self.world.now_s()
 
     def members(self, task: str) -> list[str]:
         """Return the names of all tasks of a step."""
@@ -171,8 +175,13 @@
         return [f"{prefix}.{i}" for i in range(self.tasks[task].step.count)]
 
     def note_stored(self, key: str, content: bytes) -> None:
-        """Record the placements in a row of progress."""
-        for row in msgpack.unpackb(content)[4]:
+        """Record the placements and the ends in a row of progress."""
+        _, _, _, done_ranges, unfinished = msgpack.unpackb(content)
+        for occurrence, step, start, end in done_ranges:
+            self.stored_done |= {
+                f"{key}.{occurrence}.{step}.{index}" for index in range(start, end)
+            }
+        for row in unfinished:
             name = f"{key}.{row[0]}.{row[1]}.{row[2]}"
             self.stored.add((name, row[4], row[6]))
 
@@ -219,6 +228,7 @@
     def ended(self, run: Run, how: str, sender: Sender | None) -> None:
         record = self.tasks[run.task]
         record.runs.pop(id(run), None)
+        record.last_run_s = self.world.now_s()
         worker = run.worker
         by = f" {sender}" if sender is not None else ""
         self.say(
@@ -435,6 +445,8 @@
         :param silent: whether the connections stay open without an answer
         """
         self.up = False
+        if how != "crashed":
+            self.world.gone_s[self.worker_id] = self.world.now_s()
         for _, _, reset in self.waiting:
             if not silent:
                 reset()
@@ -696,6 +708,10 @@
         self.store_loss_chance = 0.0
         self.store_away: dict[str, str] = {}
         self.lose_releases = False
+        # When workers and managers were lost for good.
+        self.gone_s: dict[str, float] = {}
+        self.reserved_until_s: dict[str, float] = {}
+        self.progress = Progress(self)
         for number in range(WORKERS):
             self.add_worker(f"w{number}", f"10.1.0.{number + 1}:80", f"r{number % 2}")
         for name in MANAGERS:
@@ -761,6 +777,7 @@
                     worker.sender = None
                     worker.tick(TICK_S)
             self.ledger.look()
+            self.progress.look()
 
     def send_to_worker(self, order: Order, reply: Callable[[Outcome], None]) -> None:
         rng = self.rng(f"{order.manager.name}/{order.address}/{order.call}")
@@ -1023,6 +1040,10 @@
 
     # Run
 
+    def observe(self) -> None:
+        """Trace the events of the managers."""
+        observe_events(self._trace_event)
+
     async def submit(self, arrivals: list[tuple[float, JobSpec]]) -> None:
         for at_s, spec in sorted(arrivals, key=lambda item: item[0]):
             await asyncio.sleep(max(0.0, self.begun_s + at_s - self.now_s()))
@@ -1034,7 +1055,7 @@
     async def run(self) -> None:
         """Run jobs under faults, heal the faults, and wait for the jobs to end."""
         self.begun_s = self.now_s()
-        observe_events(self._trace_event)
+        self.observe()
         working = asyncio.ensure_future(self.work())
         arrivals = asyncio.ensure_future(self.submit(jobs_of(self.rng("jobs"))))
         await asyncio.sleep(FAULTS_BEGIN_S)
@@ -1301,6 +1322,8 @@
                 for owner in manager.directory.owned_cells.values():
                     if not manager.process.frozen:
                         reserve_workers(owner.state, names, world.now_s())
+                        until_s = world.now_s() + RESERVATION_S
+                        world.reserved_until_s = dict.fromkeys(names, until_s)
             await asyncio.sleep(1.0)
 
 
