Store the ends of leases on silent workers for later owners

Callers saw LOST: long-running tasks stayed without a run while there was room. When the owner of a cell changed, the next one waited 11.21 s, counted from its own take-over, for leases that earlier owners might have granted on workers that did not answer. It did not know that the owner between had never reached the worker, so each further change of owner began the wait anew: four changes 5 s apart kept the tasks of a lost worker away for 27 s.

Change: while a worker is silent, its owner stores in the cell's partition until when leases may last there, on the store's clock, and grants none until the entry is removed again. A later owner waits until that time. The row is written on condition of its own version, so that a write that is carried out late cannot bring an entry back. An owner that the store does not serve stores nothing and extends leases as before.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -262,19 +262,20 @@
         if version is None:
             return None
         is_released = bool(current and current.released)
-        earlier_lease_s = 0.0
-        if row is not None:
-            earlier_lease_s = (
-                MAX_RELEASED_LEASE_S if is_released else MAX_EARLIER_LEASE_S
-            )
         leases_s = current.leases_s if current is not None else {}
+        written_at_s = boot_time_s()
+        earlier_lease_until_s = 0.0
+        if is_released:
+            earlier_lease_until_s = written_at_s + MAX_RELEASED_LEASE_S
+        elif row is not None:
+            earlier_lease_until_s = written_at_s + MAX_EARLIER_LEASE_S
         log_event(
             Event.CELL_TAKEN,
             cell=cell,
             epoch=epoch,
             before=current.holder if current else "",
             released=is_released,
-            earlier_lease_s=round(earlier_lease_s, 3),
+            earlier_lease_s=round(max(0.0, earlier_lease_until_s - written_at_s), 3),
             leases_s={w: round(s, 3) for w, s in leases_s.items()},
         )
         state = CellState(cell)
@@ -295,8 +296,15 @@
         elif current is not None and current.released:
             cell_owner.inherited_leases_s = current.leases_s
         state.update_workers(self._workers_of(cell), boot_time_s())
-        await self._load_jobs(state, version)
-        state.attach_restored_tasks(boot_time_s(), earlier_lease_s, leases_s)
+        lease_ends_s = await self._load_cell(cell_owner)
+        lease_ends_s |= {w: written_at_s + left_s for w, left_s in leases_s.items()}
+        now_s = boot_time_s()
+        state.attach_restored_tasks(
+            now_s,
+            max(0.0, earlier_lease_until_s - now_s),
+            {w: max(0.0, until_s - now_s) for w, until_s in lease_ends_s.items()},
+            orders_until_s=earlier_lease_until_s - MAX_RELEASED_LEASE_S,
+        )
         if row is not None and self.has_vm_orders:
             await_reservations(state, boot_time_s())
         return cell_owner
@@ -332,17 +340,13 @@
     ) -> int | None:
         """Write the owner row; return its version, or ``None`` on failure."""
         guard = owner_row(cell)
-        before = row.version if row else ABSENT
-        outcome = await self._store.transact(
-            {guard: before}, {guard: ownership.encode()}
-        )
+        expected = {guard: row.version if row else ABSENT}
+        outcome = await self._store.transact(expected, {guard: ownership.encode()})
         if isinstance(outcome, Committed):
             return outcome.version
         if isinstance(outcome, OutcomeUnknown):
             # The write may have taken effect; a second one reveals whether it has.
-            outcome = await self._store.transact(
-                {guard: before}, {guard: ownership.encode()}
-            )
+            outcome = await self._store.transact(expected, {guard: ownership.encode()})
             if isinstance(outcome, Committed):
                 return outcome.version
         found = getattr(outcome, "rows", {}).get(guard)
@@ -388,6 +392,25 @@
 
     # Loading of jobs
 
+    async def _load_cell(self, cell_owner: CellOwner) -> dict[str, float]:
+        """Load the jobs of a cell and the stored lease ends, which are returned.
+
+        :return: end of the leases by worker id, on the local clock
+        """
+        state, version = cell_owner.state, cell_owner.guard_version
+        ends_s: dict[str, float] = {}
+
+        async def load_lease_ends() -> None:
+            ends_s.update(await cell_owner.lease_ends.load(self._store, version))
+
+        try:
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(load_lease_ends)
+                await self._load_jobs(state, version)
+        except* StoreUnavailableError as group:
+            raise StoreUnavailableError(str(group.exceptions[0])) from group
+        return ends_s
+
     async def _load_jobs(self, state: CellState, guard_version: int) -> None:
         version = await load_jobs(self._store, state, guard_version)
         if version:
--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -129,6 +129,8 @@
             return True
         if not worker.clock.known or worker.incarnation != placement.incarnation:
             return True
+        if worker.lease_end_held:
+            return True
         sent_at_s = boot_time_s()
         if not self._cell_owner.may_grant_leases(sent_at_s):
             return True
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -17,6 +17,7 @@
 from chivetray.cells.advice import record_tickets
 from chivetray.cells.evacuation import evacuate
 from chivetray.cells.gangs import stop_broken_gangs
+from chivetray.cells.lease_ends import LeaseEnds
 from chivetray.cells.order_sender import OrderSender
 from chivetray.cells.orders import StepRef
 from chivetray.cells.placing import place_tasks
@@ -79,6 +80,7 @@
     :ivar renewal_latency_s: duration of the last renewal of the ownership
     :ivar get_remaining_leases: returns the remaining leases that the next owner has to
         wait for
+    :ivar lease_ends: stored ends of the leases on workers that do not answer
     :ivar inherited_leases_s: remaining leases that the previous owner stored when it
         released the cell, ``None`` if it did not release it
     """
@@ -103,6 +105,7 @@
         self.lost = False
         self.renewal_latency_s = 0.0
         self.longest_lease_s = LEASE_S
+        self.lease_ends = LeaseEnds(state)
         self.inherited_leases_s: dict[str, float] | None = None
         self.get_remaining_leases: Callable[[], dict[str, float]] = lambda: (
             state.remaining_leases(boot_time_s())
@@ -162,6 +165,7 @@
         async with anyio.create_task_group() as task_group:
             self._task_group = task_group
             task_group.start_soon(self._renew_ownership)
+            task_group.start_soon(self.lease_ends.run, self, self._store.clock)
             await self._main_loop(task_group)
             task_group.cancel_scope.cancel()
 
@@ -272,12 +276,12 @@
                     job.version, job.stored_state = outcome.version, state
                 return True
             if isinstance(outcome, Conflict):
-                if not self._is_still_owner(outcome):
+                if not self.is_still_owner(outcome):
                     return False
                 if not self._adopt_versions(outcome, rows, writes):
                     return False
                 continue
-            self._log_failure(outcome)
+            self.log_failure(outcome)
             await anyio.sleep(pause_s)
             pause_s = min(RETRY_PAUSE_MAX_S, 2 * pause_s)
         return False
@@ -301,7 +305,7 @@
             job.version = version
         return True
 
-    def _is_still_owner(self, conflict: Conflict) -> bool:
+    def is_still_owner(self, conflict: Conflict) -> bool:
         """Return whether this process still owns the cell; mark it lost otherwise."""
         found = conflict.rows.get(self.guard_row)
         if found is not None and found.version == self.guard_version:
@@ -309,7 +313,8 @@
         self.mark_lost("another process has taken the cell")
         return False
 
-    def _log_failure(self, outcome: TransactionOutcome, during: str = "") -> None:
+    def log_failure(self, outcome: TransactionOutcome, during: str = "") -> None:
+        """Log that a transaction was not carried out, or may not have been."""
         reason = getattr(outcome, "reason", "")
         log_event(
             Event.COMMIT_FAILED,
@@ -344,7 +349,7 @@
                 continue
             outcome = await self.transact({})
             if isinstance(outcome, Conflict):
-                self._is_still_owner(outcome)
+                self.is_still_owner(outcome)
             elif not isinstance(outcome, Committed):
                 await anyio.sleep(RENEWAL_INTERVAL_S)
 
@@ -376,14 +381,14 @@
         if is_first_try and isinstance(outcome, Refused):
             self.releasing = False
             self._may_release_at_s = boot_time_s() + RETRY_PAUSE_MAX_S
-        self._log_failure(outcome, during="release")
+        self.log_failure(outcome, during="release")
         return False
 
     async def verify_ownership(self) -> None:
         """Check the owner row after a worker has reported a higher fencing token."""
         outcome = await self.transact({})
         if isinstance(outcome, Conflict):
-            self._is_still_owner(outcome)
+            self.is_still_owner(outcome)
 
     # Workers
 
--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -14,7 +14,7 @@
     has_mixed_tasks,
 )
 from chivetray.cells.slack import is_short_of_room, is_urgent
-from chivetray.cells.timing import LEASE_S
+from chivetray.cells.timing import LEASE_S, TICK_S
 from chivetray.cells.workers import WorkerState
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event, log_event
@@ -120,7 +120,10 @@
         # extends no lease. Otherwise the leases there could never be assumed to have
         # expired.
         may_extend_lease = (
-            worker.clock.known and worker.tasks_known and not worker.silent_since_s
+            worker.clock.known
+            and worker.tasks_known
+            and not worker.silent_since_s
+            and not worker.lease_end_held
         )
         may_grant_leases = self._cell_owner.may_grant_leases(sent_at_s)
         if may_extend_lease and worker.tasks:
@@ -156,6 +159,7 @@
             self._cell_owner.wake()
             await self._send_pace_orders(worker)
             await self._wait_until_ends_stored(worker)
+            await self._wait_until_leases_allowed(worker)
             if self._may_gather_ends(worker):
                 await anyio.sleep(GATHER_S)
             return
@@ -197,6 +201,14 @@
                 event = self._wake_events[worker.worker_id] = anyio.Event()
                 await event.wait()
 
+    async def _wait_until_leases_allowed(self, worker: WorkerState) -> None:
+        """Wait until the entry with the end of the worker's leases is removed."""
+        self._cell_owner.lease_ends.wake()
+        with anyio.move_on_after(TICK_S):
+            while worker.lease_end_held and not self._cell_owner.lost:
+                event = self._wake_events[worker.worker_id] = anyio.Event()
+                await event.wait()
+
     async def _handle_poll_failure(
         self, worker: WorkerState, reply: Reply, sent_at_s: float, now_s: float
     ) -> None:
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -23,7 +23,8 @@
     MAX_ORDER_DELAY_S,
     MAX_RELEASED_LEASE_S,
 )
-from chivetray.cells.workers import CLOCK_DRIFT, TaskRef, WorkerState
+from chivetray.cells.workers import TaskRef, WorkerState
+from chivetray.clocks import CLOCK_DRIFT
 from chivetray.events import Event, log_event
 from chivetray.jobs.arrivals import ArrivalMeter
 from chivetray.jobs.job import Job
@@ -58,6 +59,8 @@
         in thousandths of a core, by queue
     :ivar arrivals: CPU demand of the jobs that arrive
     :ivar longest_lease_s: upper bound of the leases that workers grant
+    :ivar held_lease_ends_s: by worker id, end of the leases that is or may be stored
+        for later owners
     :ivar cached_order_keys: expiry time, number of done steps and sort key of a job,
         by job id
     """
@@ -78,6 +81,7 @@
         self.mean_job_cpu_milli: dict[str, float] = {}
         self.arrivals = ArrivalMeter()
         self.longest_lease_s = LEASE_S
+        self.held_lease_ends_s: dict[str, float] = {}
         self.cached_order_keys: dict[str, tuple[float, int, tuple[float, ...]]] = {}
 
     # Jobs
@@ -241,6 +245,7 @@
             mem_mb=entry.mem_mb,
             gpu=entry.gpu,
             idle_since_s=now_s,
+            lease_end_held=entry.worker_id in self.held_lease_ends_s,
         )
         self.workers[entry.worker_id] = worker
         log_event(
@@ -252,7 +257,11 @@
         return worker
 
     def attach_restored_tasks(
-        self, now_s: float, earlier_lease_s: float, remaining_s: dict[str, float]
+        self,
+        now_s: float,
+        earlier_lease_s: float,
+        remaining_s: dict[str, float],
+        orders_until_s: float | None = None,
     ) -> None:
         """Attach the active tasks of restored jobs to their workers after a takeover.
 
@@ -262,8 +271,13 @@
         :param earlier_lease_s: longest time for which a lease of the earlier owner
             may still last
         :param remaining_s: the same by worker id, for workers that did not answer the
-            earlier owner, as it recorded when it released the cell
+            earlier owner, as it stored while they were silent or when it released the
+            cell
+        :param orders_until_s: time until which earlier owners may have sent orders, by
+            default the latest one if this owner has just acquired the cell
         """
+        if orders_until_s is None:
+            orders_until_s = now_s + LEASE_EXTENSION_WINDOW_S
         restarted: set[str] = set()
         for job in list(self.active.values()):
             for task in job.active_tasks():
@@ -282,6 +296,7 @@
                         0,
                         0,
                         listed=False,
+                        lease_end_held=task.worker in self.held_lease_ends_s,
                     )
                     self.workers[task.worker] = worker
                 elif worker.incarnation > task.incarnation > 0:
@@ -308,10 +323,24 @@
             lease_s = remaining_s.get(worker.worker_id, earlier_lease_s)
             worker.earlier_lease_until_s = now_s + lease_s
             if earlier_lease_s:
-                worker.lease_sent_at_s = now_s + LEASE_EXTENSION_WINDOW_S
+                worker.lease_sent_at_s = orders_until_s
             if worker.worker_id in restarted:
                 self._expect_late_orders(worker)
 
+    def hold_lease_end(self, worker_id: str, end_s: float) -> None:
+        """Let no lease on a worker last longer than those granted until now."""
+        self.held_lease_ends_s[worker_id] = end_s
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            worker.lease_end_held = True
+
+    def forget_lease_end(self, worker_id: str) -> None:
+        """Allow leases on a worker whose lease end is no longer stored."""
+        del self.held_lease_ends_s[worker_id]
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            worker.lease_end_held = False
+
     def remaining_leases(self, now_s: float) -> dict[str, float]:
         """Return how long leases may last on workers that are silent or not yet polled.
 
--- a/src/chivetray/cells/tables.py
+++ b/src/chivetray/cells/tables.py
@@ -16,8 +16,8 @@
 CANCEL_SUFFIX = ".cancel"
 PARTS_PER_QUEUE = 4
 
-# Owner and renewal rows of the cells, and the progress of their jobs, with one part
-# for each cell.
+# Owner, renewal and lease rows of the cells, and the progress of their jobs, with one
+# part for each cell.
 CELL_TABLE = "cells"
 PROGRESS_TABLE = "progress"
 
@@ -55,6 +55,11 @@
     return RowId(CELL_TABLE, cell, "renewal")
 
 
+def lease_row(cell: str) -> RowId:
+    """Return the row with the ends of the leases on workers that do not answer."""
+    return RowId(CELL_TABLE, cell, "leases")
+
+
 def member_row(name: str) -> RowId:
     """Return the row with the address of a manager process."""
     return RowId(MEMBER_TABLE, "", name)
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -5,11 +5,9 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from chivetray.clocks import CLOCK_DRIFT, RemoteClock
 from chivetray.jobs.model import Step, TaskKey
 
-# Largest assumed drift of a worker's clock against the local one: 2% slow or fast.
-CLOCK_DRIFT = 0.02
-
 # Number of different jobs with consecutive failures on a worker after which it is
 # quarantined: it then runs one task at a time.
 FAILURES_BEFORE_QUARANTINE = 4
@@ -20,35 +18,6 @@
 TaskRef = tuple[str, TaskKey]
 
 
-@dataclass(slots=True)
-class WorkerClock:
-    """Lower bound on a worker's monotonic clock, derived from its replies.
-
-    :ivar sent_at_s: local time at which the request was sent
-    :ivar received_at_s: local time at which its reply arrived
-    :ivar known: whether any reply has been observed
-    """
-
-    clock_ms: int = 0
-    sent_at_s: float = 0.0
-    received_at_s: float = 0.0
-    known: bool = False
-
-    def observe(self, clock_ms: int, sent_at_s: float, received_at_s: float) -> None:
-        """Record the clock of a reply; replies to earlier requests are ignored."""
-        if self.known and sent_at_s < self.sent_at_s:
-            return
-        self.clock_ms = clock_ms
-        self.sent_at_s = sent_at_s
-        self.received_at_s = received_at_s
-        self.known = True
-
-    def lower_bound_ms(self, now_s: float) -> int:
-        """Return a lower bound on the present time of the worker's clock."""
-        elapsed_s = (now_s - self.received_at_s) * (1 - CLOCK_DRIFT)
-        return self.clock_ms + int(elapsed_s * 1000)
-
-
 @dataclass(slots=True)
 class WorkerState:
     """One incarnation of a worker.
@@ -65,6 +34,8 @@
         been sent, by this owner or an earlier one
     :ivar earlier_lease_until_s: time until which a lease may last that an earlier owner
         granted, or an order to an earlier incarnation
+    :ivar lease_end_held: whether no order may grant a lease, since the end of the
+        leases here is stored for later owners
     :ivar silent_since_s: time of the first call without an answer, 0 while the worker
         answers
     :ivar missing_since_s: time at which the worker disappeared from the list
@@ -99,6 +70,7 @@
     deadline_ms: int = 0
     lease_sent_at_s: float = 0.0
     earlier_lease_until_s: float = 0.0
+    lease_end_held: bool = False
     silent_since_s: float = 0.0
     missing_since_s: float = 0.0
     unhealthy_until_s: float = 0.0
@@ -110,7 +82,7 @@
     reports_wanted_until_s: float = 0.0
     failing_jobs: set[str] = field(default_factory=set)
     probed_at_s: float = 0.0
-    clock: WorkerClock = field(default_factory=WorkerClock)
+    clock: RemoteClock = field(default_factory=RemoteClock)
     tasks: dict[TaskRef, Step] = field(default_factory=dict)
     used_cpu_milli: int = 0
     used_mem_mb: int = 0
@@ -131,6 +103,8 @@
             return False
         if self.draining or self.is_reserved(now_s) or self.silent_since_s:
             return False
+        if self.lease_end_held:
+            return False
         if self.unhealthy_until_s > now_s:
             return False
         if self.quarantined:
--- a/src/chivetray/clocks.py
+++ b/src/chivetray/clocks.py
@@ -1,8 +1,14 @@
-"""Clocks: time since boot, which includes suspended time, and the time of day."""
+"""Clocks: time since boot, the time of day, and the clocks of other processes."""
 
 from __future__ import annotations
 
+import math
 import time
+from dataclasses import dataclass
+
+# Largest assumed drift of another process's clock against the local one: 2% slow or
+# fast.
+CLOCK_DRIFT = 0.02
 
 
 def boot_time_s() -> float:
@@ -17,3 +23,37 @@
 def wall_time_ms() -> int:
     """Return the time of day in ms since 1970."""
     return time.time_ns() // 1_000_000
+
+
+@dataclass(slots=True)
+class RemoteClock:
+    """Bounds on another process's monotonic clock, derived from its replies.
+
+    :ivar sent_at_s: local time at which the request was sent
+    :ivar received_at_s: local time at which its reply arrived
+    :ivar known: whether any reply has been observed
+    """
+
+    clock_ms: int = 0
+    sent_at_s: float = 0.0
+    received_at_s: float = 0.0
+    known: bool = False
+
+    def observe(self, clock_ms: int, sent_at_s: float, received_at_s: float) -> None:
+        """Record the clock of a reply; replies to earlier requests are ignored."""
+        if self.known and sent_at_s < self.sent_at_s:
+            return
+        self.clock_ms = clock_ms
+        self.sent_at_s = sent_at_s
+        self.received_at_s = received_at_s
+        self.known = True
+
+    def lower_bound_ms(self, now_s: float) -> int:
+        """Return a lower bound on the present time of the clock."""
+        elapsed_s = (now_s - self.received_at_s) * (1 - CLOCK_DRIFT)
+        return self.clock_ms + int(elapsed_s * 1000)
+
+    def upper_bound_ms(self, now_s: float) -> int:
+        """Return an upper bound on the present time of the clock."""
+        elapsed_s = (now_s - self.sent_at_s) * (1 + CLOCK_DRIFT)
+        return self.clock_ms + math.ceil(elapsed_s * 1000)
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -107,6 +107,14 @@
         "Leases in a cell are not extended, since its last write is too old.",
     )
     LEASES_RESUMED = (1628, "Leases in a cell are extended again.")
+    LEASE_ENDS_STORED = (
+        1629,
+        "The ends of the leases on workers that do not answer were stored.",
+    )
+    LEASE_ENDS_LOADED = (
+        1630,
+        "A new owner has read the ends of the leases on workers that did not answer.",
+    )
 
     JOB_ACCEPTED = (1640, "A job was stored.")
     JOB_REFUSED = (1641, "A job was not accepted.")
--- a/src/chivetray/platform/store.py
+++ b/src/chivetray/platform/store.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from chivetray.clocks import RemoteClock, boot_time_s
 from chivetray.platform.calls import Answer, CallSession, NoAnswer, NotSent, Outcome
 
 # A transaction takes 11 ms at the median and about 100 ms when writers queue.
@@ -117,6 +118,7 @@
     """Client of the metadata store.
 
     :param address: address and port, or a URL with its scheme
+    :ivar clock: the store's clock, which is the same for all its clients
     """
 
     def __init__(
@@ -125,6 +127,7 @@
         self._session = session
         self._timeout_s = timeout_s
         self.calls = 0
+        self.clock = RemoteClock()
         self.on_latency: Callable[[str, float], None] = lambda _name, _latency_s: None
         self.move_to(address)
 
@@ -157,9 +160,10 @@
             ],
             "Remove": [_encode_row_id(row) for row in removed],
         }
-        started_s = time.monotonic()
+        started_s, sent_at_s = time.monotonic(), boot_time_s()
         outcome = await self.call("POST", TRANSACTION_PATH, body, self._timeout_s)
         self.on_latency("store transaction", time.monotonic() - started_s)
+        self._observe_clock(outcome, sent_at_s)
         if isinstance(outcome, NotSent):
             return Refused(outcome.reason)
         if isinstance(outcome, NoAnswer):
@@ -291,15 +295,22 @@
 
     async def _get(self, path: str, query: dict[str, str]) -> dict[str, Any]:
         path = f"{path}?{urllib.parse.urlencode(query)}"
-        started_s = time.monotonic()
+        started_s, sent_at_s = time.monotonic(), boot_time_s()
         outcome = await self.call("GET", path, None, self._timeout_s)
         self.on_latency("store reading", time.monotonic() - started_s)
+        self._observe_clock(outcome, sent_at_s)
         if isinstance(outcome, Answer) and outcome.ok:
             return outcome.body
         raise StoreUnavailableError(
             _describe_failure(outcome), isinstance(outcome, Answer)
         )
 
+    def _observe_clock(self, outcome: Outcome, sent_at_s: float) -> None:
+        if isinstance(outcome, Answer):
+            clock_ms = outcome.body.get("NowMs")
+            if isinstance(clock_ms, int):
+                self.clock.observe(clock_ms, sent_at_s, boot_time_s())
+
 
 def _describe_failure(outcome: Outcome) -> str:
     if isinstance(outcome, Answer):
--- a/tests/cell_helpers.py
+++ b/tests/cell_helpers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 from collections import Counter
 from typing import Any
 
@@ -16,7 +17,7 @@
 from chivetray.platform.calls import Answer, NoAnswer, NotSent, Outcome
 from chivetray.platform.standins.store import StoreState
 from chivetray.platform.standins.worker import WorkerModel
-from chivetray.platform.store import Committed, Store
+from chivetray.platform.store import Committed, Row, RowId, Store
 from chivetray.platform.stored_records import WorkerRecord
 from chivetray.platform.workers import (
     Reply,
@@ -55,10 +56,29 @@
     def carry_out(self, body: Any) -> Answer:
         """Carry out a transaction and return its answer."""
         refused = self.state.apply(orjson.loads(orjson.dumps(body)))
+        clock = {"Ver": self.state.version, "NowMs": store_clock_ms()}
         if refused is None:
-            return Answer(200, {"Ver": self.state.version})
+            return Answer(200, clock)
         rows = [n for n in refused if n in self.state.rows]
-        return Answer(412, {"rows": [self.state.encode_row(n) for n in rows]})
+        return Answer(412, {"rows": [self.state.encode_row(n) for n in rows], **clock})
+
+    async def read(
+        self, table: str, part: str, start: str = "", end: str = "", limit: int = 0
+    ) -> tuple[list[Row], int]:
+        """Read rows from the state itself."""
+        now_s = boot_time_s()
+        self.clock.observe(store_clock_ms(), now_s, now_s)
+        rows = [
+            Row(RowId(*name), base64.b64decode(row.value), row.version)
+            for name, row in sorted(self.state.rows.items())
+            if name[:2] == (table, part) and start <= name[2] and not row.removed
+        ]
+        return [r for r in rows if not end or r.id.key < end], self.state.version
+
+
+def store_clock_ms() -> int:
+    """Return the clock of the store, which is not the local one."""
+    return int(boot_time_s() * 1000) + 5_000_000
 
 
 class MemoryWorkers(WorkerClient):
@@ -178,12 +198,13 @@
         if before is not None:
             for job in before.state.jobs.values():
                 self._restore(state, job.spec)
-        state.attach_restored_tasks(boot_time_s(), earlier_lease_s, {})
+        taken_at_s = boot_time_s()
+        ends_s = await owner.lease_ends.load(self.store, outcome.version)
+        left_s = {worker: end_s - taken_at_s for worker, end_s in ends_s.items()}
+        state.attach_restored_tasks(taken_at_s, earlier_lease_s, left_s)
         return owner
 
     def _restore(self, state: CellState, spec: JobSpec) -> None:
-        import base64
-
         row = self.state.rows.get(("progress", CELL, spec.job_id))
         if row is None:
             state.add_job(spec, boot_time_s())
--- a/tests/run_once_helpers.py
+++ b/tests/run_once_helpers.py
@@ -68,6 +68,7 @@
 STARTUP_S = 0.9
 LATENCY_S = 0.002
 TRANSACTION_S = 0.011
+STORE_CLOCK_OFFSET_MS = 7_000_000
 TICK_S = 0.025
 
 HEARTBEAT_INTERVAL_S = 0.4
@@ -922,7 +923,7 @@
         if conflicting is not None:
             rows = [n for n in conflicting if n in self.state.rows]
             encoded = [self.state.encode_row(name) for name in rows]
-            respond(Answer(412, {"rows": encoded}))
+            respond(Answer(412, {"rows": encoded, **self._store_fields()}))
             return
         for row in body["Writes"]:
             if row["Table"] == PROGRESS_TABLE:
@@ -930,7 +931,12 @@
             elif row["Key"] == "owner":
                 ownership = Ownership.decode(base64.b64decode(row["Value"]))
                 self.ledger.say(f"owner row: {ownership}")
-        respond(Answer(200, {"Ver": self.state.version}))
+        respond(Answer(200, self._store_fields()))
+
+    def _store_fields(self) -> dict[str, int]:
+        """Return the fields of all answers of the store; its clock is its own."""
+        clock_ms = int(self.now_s() * 1000) + STORE_CLOCK_OFFSET_MS
+        return {"Ver": self.state.version, "NowMs": clock_ms}
 
     def _read(self, path: str) -> Answer:
         call, _, query = path.rpartition("/")[2].partition("?")
@@ -940,7 +946,7 @@
             parts = {n[1] for n, row in rows.items() if n[0] == table}
             after = fields.get("DependsOn")
             found = sorted(p for p in parts if after is None or p > after)
-            return Answer(200, {"Ver": self.state.version, "parts": found})
+            return Answer(200, {**self._store_fields(), "parts": found})
         if call == "rows-feed":
             names = self.state.changes(table, int(fields["DependsOn"]))
         else:
@@ -954,7 +960,7 @@
                 and (not end or name[2] < end)
             )
         encoded = [self.state.encode_row(name) for name in names]
-        return Answer(200, {"Ver": self.state.version, "rows": encoded})
+        return Answer(200, {**self._store_fields(), "rows": encoded})
 
     def cut_store(self, name: str, how: str, for_s: float) -> None:
         """Keep the store away from a manager."""
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -16,7 +16,7 @@
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import Ownership
 from chivetray.cells.timing import MAX_RELEASED_LEASE_S
-from chivetray.clocks import boot_time_s
+from chivetray.clocks import RemoteClock, boot_time_s
 from chivetray.events import Event
 from chivetray.jobs.model import Step
 from chivetray.platform.store import (
@@ -34,6 +34,7 @@
     """A store whose reads show the version given."""
 
     def __init__(self, version: int, delay_s: float = 0.0, parts: int = 1):
+        self.clock = RemoteClock()
         self.version = version
         self.delay_s = delay_s
         self.part_names = [f"q{number}" for number in range(parts)]
@@ -211,7 +212,7 @@
     def test_it_names_the_leases_of_the_earlier_owner(self, logged) -> None:
         before = Ownership(4, "m1", "1", released=True, leases_s={"w0": 1.25})
 
-        class Store:
+        class Store(StaleStore):
             async def read_row(self, row: RowId) -> Row:
                 return Row(row, before.encode(), 41)
 
@@ -222,7 +223,8 @@
             pass
 
         directory = CellDirectory.__new__(CellDirectory)
-        directory._store = Store()  # type: ignore[assignment]
+        directory._store = Store(42)  # type: ignore[assignment]
+        directory._renewals = {}
         directory._mesh = SimpleNamespace(name="m2", incarnation="2")  # type: ignore[assignment]
         directory._workers = directory._advice = None  # type: ignore[assignment]
         directory.longest_lease_s = 7.0
--- /dev/null
+++ b/tests/test_lease_ends.py
@@ -0,0 +1,181 @@
+"""Ends of the leases on silent workers, which owners store for later ones."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+from cell_helpers import World, job, until
+from test_cell_owner import running
+
+from chivetray.cells import lease_ends
+from chivetray.cells.owner import CellOwner
+from chivetray.cells.tables import lease_row
+from chivetray.clocks import boot_time_s
+from chivetray.jobs.model import Step
+from chivetray.platform.calls import NoAnswer, Outcome
+
+LASTING = Step(1, 1000, long_running=True)
+ROW = lease_row("pool-a")
+
+
+@pytest.fixture(autouse=True)
+def _short_silence(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(lease_ends, "STORE_AFTER_SILENCE_S", 0.1)
+
+
+def is_stored(world: World) -> bool:
+    """Return whether the row names a worker."""
+    row = world.state.rows.get((ROW.table, ROW.part, ROW.key))
+    return row is not None and row.value != "gA=="
+
+
+async def place_and_lose(world: World, owner: CellOwner) -> str:
+    """Let a task run, make its worker silent, and return the worker."""
+    owner.add_job(job(steps=(LASTING,)))
+    await until(lambda: sum(world.starts().values()) == 1)
+    busy = next(w for w, m in world.models.items() if m.running)
+    await until(lambda: owner.state.workers[busy].deadline_ms > 0)
+    world.workers.silent.add(busy)
+    return busy
+
+
+class TestChangesOfOwner:
+    """Guards against a wait for earlier leases that each new owner began anew."""
+
+    def test_a_later_owner_waits_until_the_end_that_was_stored(self) -> None:
+        async def scenario() -> None:
+            world = World(work_s=30)
+            first = await world.own()
+            async with running(world, first):
+                await place_and_lose(world, first)
+            second = await world.own(first, earlier_lease_s=1.0)
+            taken_at_s = boot_time_s()
+            async with running(world, second):
+                await until(lambda: is_stored(world))
+            third = await world.own(second, earlier_lease_s=60.0)
+            async with running(world, third):
+                await until(lambda: sum(world.starts().values()) == 2, 3.0)
+            assert 1.0 <= boot_time_s() - taken_at_s < 2.0
+
+        asyncio.run(scenario())
+
+    def test_an_owner_that_lost_the_worker_stores_its_own_lease(self) -> None:
+        async def scenario() -> None:
+            world = World(work_s=30)
+            first = await world.own()
+            async with running(world, first):
+                busy = await place_and_lose(world, first)
+                await until(lambda: is_stored(world))
+                worker = first.state.workers[busy]
+                left_s = worker.remaining_lease_s(boot_time_s())
+            second = await world.own(first, earlier_lease_s=60.0)
+            now_s = boot_time_s()
+            found_s = second.state.workers[busy].earlier_lease_until_s - now_s
+            assert left_s - 0.2 < found_s < left_s + 0.5
+
+        asyncio.run(scenario())
+
+
+class TestLeasesOnTheWorker:
+    """Guards against a second run during a lease longer than the stored end."""
+
+    @staticmethod
+    def grants_until_removed(fail: Any) -> list[str]:
+        """Return the calls with a lease to a worker that answers again.
+
+        :param fail: takes the place of the transactions that remove its entry
+        """
+
+        async def scenario() -> list[str]:
+            world = World(workers=1, work_s=30)
+            owner = await world.own()
+            async with running(world, owner):
+                await place_and_lose(world, owner)
+                await until(lambda: is_stored(world))
+
+                def fail_removal(number: int, body: dict) -> Outcome | None:
+                    keys = [row["Key"] for row in body["Writes"]]
+                    return fail(world, body) if ROW.key in keys else None
+
+                world.store.fail = fail_removal
+                before = len(world.workers.calls)
+                world.workers.silent.clear()
+                owner.add_job(job("00000000000000bb", steps=(LASTING,)))
+                worker = owner.state.workers["w0"]
+                await until(lambda: not worker.silent_since_s)
+                await asyncio.sleep(0.8)
+            calls = world.workers.calls[before:]
+            return [call for _, call, body in calls if body.get("DeadlineMs")]
+
+        return asyncio.run(scenario())
+
+    def test_none_is_granted_before_the_entry_is_removed(self) -> None:
+        def lose(world: World, body: dict) -> Outcome:
+            return NoAnswer("lost")
+
+        assert self.grants_until_removed(lose) == []
+
+    def test_they_are_granted_once_it_is_removed(self) -> None:
+        calls = self.grants_until_removed(lambda world, body: None)
+        assert set(calls) == {"hold", "run-start"}
+
+    def test_an_entry_that_is_written_late_does_not_come_back(self) -> None:
+        async def scenario() -> None:
+            world = World(workers=1, work_s=30)
+            owner = await world.own()
+            late: list[dict[str, Any]] = []
+
+            def lose_first(number: int, body: dict) -> Outcome | None:
+                keys = [row["Key"] for row in body["Writes"]]
+                if ROW.key in keys and not late:
+                    late.append(body)
+                    return NoAnswer("late")
+                return None
+
+            world.store.fail = lose_first
+            async with running(world, owner):
+                await place_and_lose(world, owner)
+                await until(lambda: bool(late))
+                world.workers.silent.clear()
+                worker = owner.state.workers["w0"]
+                await until(lambda: not worker.lease_end_held)
+                world.store.carry_out(late[0])
+                assert not is_stored(world)
+
+        asyncio.run(scenario())
+
+
+class TestOwnerThatIsCutOff:
+    def test_it_stores_no_end_for_workers_that_it_alone_cannot_reach(self) -> None:
+        """Its leases would end, since it could not remove the entries in time."""
+
+        async def scenario() -> None:
+            world = World(workers=1, work_s=30)
+            owner = await world.own()
+            async with running(world, owner):
+                owner.add_job(job(steps=(LASTING,)))
+                await until(lambda: owner.state.workers["w0"].deadline_ms > 0)
+                world.store.fail = lambda number, body: NoAnswer("cut off")
+                world.workers.silent.add("w0")
+                await until(lambda: owner.state.workers["w0"].silent_since_s > 0)
+                await asyncio.sleep(0.5)
+                assert not owner.state.workers["w0"].lease_end_held
+
+        asyncio.run(scenario())
+
+
+class TestUnreadableRow:
+    def test_the_longest_lease_is_waited_for(self) -> None:
+        async def scenario() -> None:
+            world = World(work_s=30)
+            first = await world.own()
+            async with running(world, first):
+                busy = await place_and_lose(world, first)
+            world.state.put(ROW.table, ROW.part, ROW.key, "wQ==")
+            second = await world.own(first, earlier_lease_s=5.0)
+            lease_s = second.state.workers[busy].remaining_lease_s(boot_time_s())
+            assert lease_s > 4.9
+
+        asyncio.run(scenario())
