Count the wait for earlier leases from the last renewal of the owner

Callers saw LOST: a long-running task stayed without a run after its worker and the owner of its cell were lost together. The new owner waited for the longest lease from the moment at which it had loaded the cell, although it had read before the take-over, each time with the same result, when the earlier owner had last proved its ownership. Silence, proof, write and load took a second and more on a slow store.

Change: the wait is counted from the first read of the last renewal, and the cell is acquired on condition that it is still the last. An earlier incarnation of the same process proved nothing after that process started.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -114,6 +114,7 @@
         self._workers_of = workers_of
         self.capacity = capacity
         self._advice = advice
+        self._created_at_s = boot_time_s()
         self._acquiring: set[str] = set()
         self._unclaimed_since_s: dict[str, float] = {}
         self._renewals: dict[str, Renewal] = {}
@@ -255,10 +256,11 @@
         current = Ownership.decode(row.value) if row else None
         if row is not None and not await self._is_previous_owner_gone(cell, current):
             return None
+        last_renewal = self._renewals.pop(cell, None)
         epoch = _next_epoch(cell, row, current)
         ownership = Ownership(epoch, self._mesh.name, self._mesh.incarnation)
         acquired_at_s = boot_time_s()
-        version = await self._write_ownership(cell, row, ownership)
+        version = await self._write_ownership(cell, row, last_renewal, ownership)
         if version is None:
             return None
         is_released = bool(current and current.released)
@@ -268,7 +270,9 @@
         if is_released:
             earlier_lease_until_s = written_at_s + MAX_RELEASED_LEASE_S
         elif row is not None:
-            earlier_lease_until_s = written_at_s + MAX_EARLIER_LEASE_S
+            earlier_lease_until_s = MAX_EARLIER_LEASE_S + self._last_confirmation_s(
+                current, last_renewal, written_at_s
+            )
         log_event(
             Event.CELL_TAKEN,
             cell=cell,
@@ -312,22 +316,40 @@
     async def _is_previous_owner_gone(
         self, cell: str, current: Ownership | None
     ) -> bool:
-        """Return whether the owner released the cell, restarted or stopped renewing."""
+        """Return whether the owner released the cell, restarted or stopped renewing.
+
+        In the last case, the read of the last renewal is kept in ``_renewals``.
+        """
         holder = current.holder if current is not None else ""
+        known = self._renewals.pop(cell, None)
         if current is not None and (current.released or self._has_restarted(current)):
             return True
         log_event(Event.CELL_SUSPECTED, cell=cell, holder=holder)
-        before = self._renewals.pop(cell, None) or await self._read_renewal(cell)
+        before = known or await self._read_renewal(cell)
         # A slow store delays the owner's renewals as much as this read.
         observed_until_s = before.read_at_s + RENEWAL_OBSERVATION_S + before.took_s
         await anyio.sleep(max(0.0, observed_until_s - boot_time_s()))
         after = await self._read_renewal(cell)
         if before.version == after.version:
+            self._renewals[cell] = before
             return self.owner_of(cell) is None
         log_event(Event.CELL_OWNER_ALIVE, cell=cell, holder=holder)
         self._unclaimed_since_s.pop(cell, None)
         return False
 
+    def _last_confirmation_s(
+        self, current: Ownership | None, last_renewal: Renewal | None, now_s: float
+    ) -> float:
+        """Return the latest time at which an earlier owner may have written last.
+
+        :param last_renewal: its last renewal, if that was read before the acquisition
+        """
+        if last_renewal is not None:
+            return last_renewal.read_at_s
+        if current is not None and current.holder == self._mesh.name:
+            return min(now_s, self._created_at_s)
+        return now_s
+
     def _has_restarted(self, current: Ownership) -> bool:
         """Return whether the incarnation that owned a cell is known to have ended."""
         if current.holder == self._mesh.name:
@@ -336,11 +358,20 @@
         return peer is not None and peer.incarnation != current.incarnation
 
     async def _write_ownership(
-        self, cell: str, row: Row | None, ownership: Ownership
+        self,
+        cell: str,
+        row: Row | None,
+        last_renewal: Renewal | None,
+        ownership: Ownership,
     ) -> int | None:
-        """Write the owner row; return its version, or ``None`` on failure."""
+        """Write the owner row; return its version, or ``None`` on failure.
+
+        :param last_renewal: renewal of the earlier owner that must be its last one
+        """
         guard = owner_row(cell)
         expected = {guard: row.version if row else ABSENT}
+        if last_renewal is not None:
+            expected[renewal_row(cell)] = last_renewal.version
         outcome = await self._store.transact(expected, {guard: ownership.encode()})
         if isinstance(outcome, Committed):
             return outcome.version
--- a/tests/test_lease_ends.py
+++ b/tests/test_lease_ends.py
@@ -3,18 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from typing import Any, ClassVar
 
+import anyio
 import pytest
 from cell_helpers import World, job, until
 from test_cell_owner import running
+from test_directory import RenewalStore
 
 from chivetray.cells import lease_ends
+from chivetray.cells.directory import RENEWAL_OBSERVATION_S, CellDirectory, Renewal
 from chivetray.cells.owner import CellOwner
-from chivetray.cells.tables import lease_row
-from chivetray.clocks import boot_time_s
+from chivetray.cells.tables import Ownership, lease_row, owner_row, renewal_row
+from chivetray.cells.timing import MAX_EARLIER_LEASE_S
+from chivetray.clocks import RemoteClock, boot_time_s
 from chivetray.jobs.model import Step
 from chivetray.platform.calls import NoAnswer, Outcome
+from chivetray.platform.store import Committed, Row, RowId
 
 LASTING = Step(1, 1000, long_running=True)
 ROW = lease_row("pool-a")
@@ -179,3 +184,77 @@
             assert lease_s > 4.9
 
         asyncio.run(scenario())
+
+
+class SilentOwnerStore(RenewalStore):
+    """A store with the cell of an owner that has ceased to renew it."""
+
+    def __init__(self, holder: str = "q") -> None:
+        super().__init__()
+        self.holder = holder
+        self.clock = RemoteClock()
+        self.expected: list[dict[RowId, int]] = []
+
+    async def read_row(self, row: RowId) -> Row:
+        if row.key == "owner":
+            return Row(row, Ownership(1, self.holder, "0").encode(), 41)
+        return await super().read_row(row)
+
+    async def read(self, *_: object) -> tuple[list[Row], int]:
+        return [], 50
+
+    async def parts(self, _: str) -> list[str]:
+        return []
+
+    async def transact(self, expected: dict[RowId, int], _: object) -> Committed:
+        self.expected.append(expected)
+        return Committed(50)
+
+
+class TestEarlierOwnerThatRenewedNothing:
+    """Guards against a wait that was counted from the end of the take-over."""
+
+    class Mesh:
+        name = "p"
+        incarnation = "1"
+        peers: ClassVar[dict[str, object]] = {}
+        handlers: ClassVar[dict[str, object]] = {}
+
+    def directory(self, store: SilentOwnerStore) -> CellDirectory:
+        return CellDirectory(
+            self.Mesh(),  # type: ignore[arg-type]
+            store,  # type: ignore[arg-type]
+            None,  # type: ignore[arg-type]
+            lambda: ["pool-a"],
+            lambda _: World(workers=1).entries(),
+            1000,
+        )
+
+    def acquire(self, store: SilentOwnerStore, watched_s: float) -> CellOwner:
+        directory = self.directory(store)
+        read_at_s = boot_time_s() - watched_s
+        directory._renewals["pool-a"] = Renewal(store.version, read_at_s, 0.0)
+        owner = anyio.run(directory._acquire, "pool-a")
+        assert owner is not None
+        return owner
+
+    def test_the_wait_is_counted_from_the_read_of_its_last_renewal(self) -> None:
+        store = SilentOwnerStore()
+        owner = self.acquire(store, watched_s=RENEWAL_OBSERVATION_S + 2.0)
+        left_s = owner.state.workers["w0"].remaining_lease_s(boot_time_s())
+        assert left_s <= MAX_EARLIER_LEASE_S - RENEWAL_OBSERVATION_S - 2.0
+
+    def test_the_cell_is_acquired_only_if_that_was_the_last(self) -> None:
+        store = SilentOwnerStore()
+        self.acquire(store, watched_s=RENEWAL_OBSERVATION_S)
+        (expected,) = store.expected
+        assert expected == {owner_row("pool-a"): 41, renewal_row("pool-a"): 5}
+
+    def test_its_own_earlier_incarnation_ended_before_its_start(self) -> None:
+        store = SilentOwnerStore(holder="p")
+        directory = self.directory(store)
+        directory._created_at_s -= 2.0
+        owner = anyio.run(directory._acquire, "pool-a")
+        assert owner is not None
+        left_s = owner.state.workers["w0"].remaining_lease_s(boot_time_s())
+        assert left_s <= MAX_EARLIER_LEASE_S - 2.0
