Limit leases by the owner's last confirmed write

Callers saw LOST: a long-running task ran again 12 s after its worker and the owner of its cell were lost together, although the rule allows 9 s. An owner that cannot write extended each lease by 7 s for up to 4 s, so a new owner had to wait 11.2 s after the last write of the earlier one.

Change: no lease lasts longer than 7.4 s after the owner's last confirmed write, so a new owner waits 7.6 s. Polls shortly before the end of a lease that may not be extended are short, so that it is extended as soon as a write is confirmed. The price: long-running tasks end if the store is away for more than 7 s; before, it was 9 to 11 s.

TestOwnerWithoutConfirmation shows the bound, and the extension in time.

--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -132,9 +132,9 @@
         if worker.lease_end_held:
             return True
         sent_at_s = boot_time_s()
-        if not self._cell_owner.may_grant_leases(sent_at_s):
+        lease_s = self._cell_owner.limit_lease_s(START_LEASE_S, sent_at_s)
+        if not lease_s:
             return True
-        lease_s = min(START_LEASE_S, self._cell_owner.longest_lease_s)
         deadline_ms = worker.clock.lower_bound_ms(sent_at_s) + int(lease_s * 1000)
         worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
         worker.lease_sent_at_s = max(worker.lease_sent_at_s, sent_at_s)
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -30,6 +30,7 @@
     renewal_row,
 )
 from chivetray.cells.timing import (
+    CONFIRMED_LEASE_S,
     LEASE_EXTENSION_WINDOW_S,
     LEASE_S,
     RETRY_PAUSE_S,
@@ -135,6 +136,13 @@
         unconfirmed_s = now_s - self.confirmed_at_s
         return not self.releasing and unconfirmed_s < LEASE_EXTENSION_WINDOW_S
 
+    def limit_lease_s(self, lease_s: float, now_s: float) -> float:
+        """Return for how long a lease that is granted now may last, 0 for none."""
+        if not self.may_grant_leases(now_s):
+            return 0.0
+        confirmed_left_s = self.confirmed_at_s + CONFIRMED_LEASE_S - now_s
+        return max(0.0, min(lease_s, self.longest_lease_s, confirmed_left_s))
+
     # Inputs
 
     def add_job(self, spec: JobSpec) -> None:
--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -43,6 +43,9 @@
 # fail before the lease expires.
 POLL_WAIT_LEASE_FRACTION = 0.3
 
+# Shortest wait of a poll while there is nothing to acknowledge.
+SHORTEST_POLL_WAIT_MS = 100
+
 # Pause before the next poll of a worker whose ends nothing waits for, so that one poll
 # returns several of them.
 GATHER_S = 0.1
@@ -125,18 +128,17 @@
             and not worker.silent_since_s
             and not worker.lease_end_held
         )
-        may_grant_leases = self._cell_owner.may_grant_leases(sent_at_s)
         if may_extend_lease and worker.tasks:
-            self._log_extension(sent_at_s, may_grant_leases)
-            lease_s = min(LEASE_S, self._cell_owner.longest_lease_s)
-            wait_ms = _poll_wait_ms(worker, sent_at_s, lease_s)
-            if may_grant_leases:
+            lease_s = self._cell_owner.limit_lease_s(LEASE_S, sent_at_s)
+            self._log_extension(sent_at_s, lease_s > 0)
+            if lease_s:
                 # Counted from a time that the worker's clock has certainly passed, so
                 # that the lease does not outlast the wait of the next owner.
                 clock_ms = worker.clock.lower_bound_ms(sent_at_s)
                 deadline_ms = clock_ms + int(lease_s * 1000)
                 worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
                 worker.lease_sent_at_s = max(worker.lease_sent_at_s, sent_at_s)
+            wait_ms = _poll_wait_ms(worker, sent_at_s)
         observed, incarnation = _acknowledgeable_end(worker), worker.incarnation
         reply = await self._workers.poll(
             address, self._cell_owner.epoch, observed, deadline_ms, wait_ms
@@ -282,10 +284,12 @@
     return worker.last_stored_end
 
 
-def _poll_wait_ms(worker: WorkerState, now_s: float, lease_s: float) -> int:
+def _poll_wait_ms(worker: WorkerState, now_s: float) -> int:
     """Return for how long a worker may hold a poll until an attempt ends.
 
-    A poll returns immediately while there are unacknowledged ends.
+    A poll returns immediately while there are unacknowledged ends. Shortly before the
+    end of a lease that may not be extended now, polls are short, so that the next one
+    extends it once that is allowed.
     """
     if worker.last_stored_end != worker.last_applied_end:
         return 0
@@ -293,4 +297,6 @@
     wait_ms = SHARED_WORKER_POLL_WAIT_MS if is_shared else POLL_WAIT_MS
     if now_s < worker.reports_wanted_until_s:
         wait_ms = min(wait_ms, RECENT_REPORT_POLL_WAIT_MS)
-    return min(wait_ms, int(lease_s * 1000 * POLL_WAIT_LEASE_FRACTION))
+    lease_left_ms = worker.deadline_ms - worker.clock.lower_bound_ms(now_s)
+    longest_wait_ms = int(lease_left_ms * POLL_WAIT_LEASE_FRACTION)
+    return min(wait_ms, max(SHORTEST_POLL_WAIT_MS, longest_wait_ms))
--- a/src/chivetray/cells/timing.py
+++ b/src/chivetray/cells/timing.py
@@ -2,21 +2,29 @@
 
 from __future__ import annotations
 
-# Lease of the tasks on a worker, at most the platform's limit. Tasks survive a store
-# outage of LEASE_EXTENSION_WINDOW_S + LEASE_S. The tasks of an unreachable worker
-# restart only after their lease has expired.
+# Lease of the tasks on a worker, at most the platform's limit. The tasks of an
+# unreachable worker restart only after their lease has expired.
 LEASE_S = 7.0
 
-# Time after its last confirmed write during which an owner keeps extending leases. A
-# new owner adds it to the lease time that it waits for workers that do not answer.
+# Longest time from the last confirmed write of an owner to the end of any lease that it
+# grants. Tasks survive a store outage of this time. A new owner waits for it before it
+# restarts the tasks of workers that do not answer; long-running ones have to run again
+# within 9 s of their end, including the take-over.
+CONFIRMED_LEASE_S = 7.4
+
+# Time after its last confirmed write during which an owner sends orders that grant
+# leases.
 LEASE_EXTENSION_WINDOW_S = 4.0
 
-# Longest time for which a lease of an earlier owner can last on a worker whose clock
-# runs 2% slow.
-MAX_EARLIER_LEASE_S = LEASE_EXTENSION_WINDOW_S + LEASE_S * 1.03
+# Allowance for a worker's clock that runs 2% slow, and for rounding.
+SLOW_CLOCK_FACTOR = 1.03
+
+# Longest time for which a lease of an earlier owner can last after the last write that
+# proved its ownership.
+MAX_EARLIER_LEASE_S = CONFIRMED_LEASE_S * SLOW_CLOCK_FACTOR
 
-# The same after an owner that released the cell, and so stopped extending leases.
-MAX_RELEASED_LEASE_S = LEASE_S * 1.03
+# The same after an owner has released the cell, and so stopped granting leases.
+MAX_RELEASED_LEASE_S = LEASE_S * SLOW_CLOCK_FACTOR
 
 # Longest time after its sending at which an order without an answer is carried out. A
 # later incarnation of the worker may do so: it knows neither fencing tokens nor stopped
--- a/tests/test_lease_ends.py
+++ b/tests/test_lease_ends.py
@@ -7,19 +7,21 @@
 
 import anyio
 import pytest
-from cell_helpers import World, job, until
+from cell_helpers import MemoryWorkers, World, job, until
 from test_cell_owner import running
 from test_directory import RenewalStore
 
 from chivetray.cells import lease_ends
+from chivetray.cells import owner as owner_module
 from chivetray.cells.directory import RENEWAL_OBSERVATION_S, CellDirectory, Renewal
 from chivetray.cells.owner import CellOwner
 from chivetray.cells.tables import Ownership, lease_row, owner_row, renewal_row
-from chivetray.cells.timing import MAX_EARLIER_LEASE_S
+from chivetray.cells.timing import CONFIRMED_LEASE_S, MAX_EARLIER_LEASE_S
 from chivetray.clocks import RemoteClock, boot_time_s
 from chivetray.jobs.model import Step
-from chivetray.platform.calls import NoAnswer, Outcome
+from chivetray.platform.calls import Answer, NoAnswer, Outcome
 from chivetray.platform.store import Committed, Row, RowId
+from chivetray.platform.workers import Reply, WorkerAddress
 
 LASTING = Step(1, 1000, long_running=True)
 ROW = lease_row("pool-a")
@@ -258,3 +260,64 @@
         assert owner is not None
         left_s = owner.state.workers["w0"].remaining_lease_s(boot_time_s())
         assert left_s <= MAX_EARLIER_LEASE_S - 2.0
+
+
+class HoldingWorkers(MemoryWorkers):
+    """Workers that hold a poll for as long as it asks."""
+
+    async def _call(
+        self, worker: WorkerAddress, call: str, body: Any, timeout_s: float
+    ) -> Reply:
+        reply = await super()._call(worker, call, body, timeout_s)
+        if not self.models[worker.worker_id].ends:
+            await asyncio.sleep(max(0.0, body.get("WaitMs", 0) / 1000 - 0.05))
+        return reply
+
+
+class TestOwnerWithoutConfirmation:
+    """Guards against a lease that outlasts the wait of the next owner."""
+
+    def test_no_lease_lasts_longer_after_the_last_confirmed_write(self) -> None:
+        async def scenario() -> None:
+            world = World(workers=1, work_s=30)
+            owner = await world.own()
+            async with running(world, owner):
+                owner.add_job(job(steps=(LASTING,)))
+                worker, model = owner.state.workers["w0"], world.models["w0"]
+                await until(lambda: worker.deadline_ms > 0)
+                world.store.fail = lambda number, body: NoAnswer("away")
+                confirmed_at_s = owner.confirmed_at_s
+                longest_s = 0.0
+                while boot_time_s() < confirmed_at_s + 2.0:
+                    left_s = (model.deadline_ms - model.clock_ms()) / 1000
+                    end_s = boot_time_s() + left_s
+                    longest_s = max(longest_s, end_s - confirmed_at_s)
+                    await asyncio.sleep(0.02)
+                assert owner.confirmed_at_s == confirmed_at_s
+            assert CONFIRMED_LEASE_S - 0.5 < longest_s <= CONFIRMED_LEASE_S + 0.005
+
+        asyncio.run(scenario())
+
+    def test_leases_are_extended_in_time_once_a_write_is_confirmed(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A poll that the worker held without a lease once outlasted the lease."""
+        monkeypatch.setattr(owner_module, "CONFIRMED_LEASE_S", 2.0)
+        monkeypatch.setattr(owner_module, "LEASE_EXTENSION_WINDOW_S", 1.0)
+
+        async def scenario() -> None:
+            world = World(workers=1, work_s=30)
+            world.workers = HoldingWorkers(world.models)
+            owner = await world.own()
+            async with running(world, owner):
+                owner.add_job(job(steps=(LASTING,)))
+                worker = owner.state.workers["w0"]
+                await until(lambda: worker.deadline_ms > 0)
+                world.store.fail = lambda number, body: Answer(503, {})
+                confirmed_at_s = owner.confirmed_at_s
+                await until(lambda: boot_time_s() > confirmed_at_s + 1.2)
+                world.store.fail = lambda number, body: None
+                await asyncio.sleep(1.0)
+            assert sum(world.starts().values()) == 1
+
+        asyncio.run(scenario())
