Poll a silent worker until it answers, also without tasks

Callers saw tasks wait while workers were free: a worker that did not answer for longer than its leases was never used again by the same owner, unless it restarted or was unlisted for 10 s.

Cause: a worker is polled while it has tasks or ends to acknowledge. Once its leases had expired its tasks were given up, so nothing was polled, and only the answer to a poll ends its silence. The sizes of pools still counted its VM as capacity.

Change: a listed worker that is silent is polled until it answers or is unlisted.

Evidence: the test failed before, "not within 30.0 s" after the worker answered again.

--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -104,7 +104,7 @@
     def _needs_poll(worker: WorkerState) -> bool:
         if not worker.address:
             return False
-        if not (worker.tasks_known and worker.clock.known):
+        if worker.silent_since_s or not (worker.tasks_known and worker.clock.known):
             return worker.listed or bool(worker.tasks)
         return (
             bool(worker.tasks) or worker.last_stored_end > worker.last_acknowledged_end
