End the quarantine of workers that run long-running tasks

Callers saw tasks wait while workers were free: after tasks of four jobs in a row had failed on a worker, it ran nothing new for the rest of the owner's time if a long-running task ran there, or if one was the first to be placed there.

Cause: a quarantined worker runs one task at a time, and a task that is done ends the quarantine. A long-running task is never done and never leaves.

Change: long-running tasks that ran there when the quarantine began do not count as the one task, and a long-running task placed later ends the quarantine once it has been at work for 2 s.

--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -7,7 +7,7 @@
 from chivetray.cells.copies import apply_copy_failure, settle_missing_copies
 from chivetray.cells.orders import Placement, StopOrder, StopReason
 from chivetray.cells.state import CellState
-from chivetray.cells.workers import TaskRef, WorkerState
+from chivetray.cells.workers import PROBE_RUN_TIME_S, TaskRef, WorkerState
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import JobState, Phase, Step, Task
@@ -72,8 +72,10 @@
             continue
         task.percent, task.listed_at_s = running.percent, sent_at_s
         task.level = running.level
+        step = job.spec.steps[task.key[1]]
+        if step.long_running and _proves_sound_worker(worker, job, task, sent_at_s):
+            worker.failing_jobs.clear()
         if running.checkpoint:
-            step = job.spec.steps[task.key[1]]
             _set_checkpoint(job, task, step, running.checkpoint)
         if task.phase == Phase.PLACED:
             if task.unanswered_starts:
@@ -91,6 +93,16 @@
     _release_missing_attempts(state, worker, listed, sent_at_s, now_s)
 
 
+def _proves_sound_worker(
+    worker: WorkerState, job: Job, task: Task, sent_at_s: float
+) -> bool:
+    """Return whether a long-running task has been at work during a quarantine."""
+    if not worker.quarantined or task.phase != Phase.RUNNING or task.percent < 100:
+        return False
+    is_exempt = (job.spec.job_id, task.key) in worker.exempt_tasks
+    return not is_exempt and sent_at_s - task.running_at_s >= PROBE_RUN_TIME_S
+
+
 def _release_missing_attempts(
     state: CellState,
     worker: WorkerState,
@@ -191,7 +203,7 @@
                 member.failed_attempt = ended.attempt
                 member.failures += 1
         task.avoided_workers.add(worker.worker_id)
-        worker.failing_jobs.add(job.spec.job_id)
+        worker.record_failure(job.spec.job_id)
         task.not_before_s = now_s + FAILED_RETRY_S
     state.release_attempt(worker, job, task, now_s)
     if ended.how == AttemptEnd.FAILED and not step.long_running:
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -17,6 +17,10 @@
 # Shortest time between two placements on a quarantined worker.
 PROBE_INTERVAL_S = 2.0
 
+# Run time after which a long-running task that is at work ends a quarantine, since it
+# is never done.
+PROBE_RUN_TIME_S = 2.0
+
 TaskRef = tuple[str, TaskKey]
 
 
@@ -77,6 +81,8 @@
     :ivar vm_order_until_s: time until which an order for the VM may be carried out that
         was given by an earlier holder of VM orders, or by a report of an earlier owner
     :ivar failing_jobs: jobs whose tasks failed here since the last task was done
+    :ivar exempt_tasks: long-running tasks that ran here when the quarantine began;
+        they run on beside the one task of a quarantined worker
     :ivar probed_at_s: time of the last placement while in quarantine
     :ivar tasks: steps of the tasks that hold resources, by task
     """
@@ -109,6 +115,7 @@
     answered_poll_sent_at_s: float = 0.0
     reports_wanted_until_s: float = 0.0
     failing_jobs: set[str] = field(default_factory=set)
+    exempt_tasks: set[TaskRef] = field(default_factory=set)
     probed_at_s: float = 0.0
     clock: WorkerClock = field(default_factory=WorkerClock)
     tasks: dict[TaskRef, Step] = field(default_factory=dict)
@@ -121,6 +128,20 @@
         """Whether tasks of too many different jobs have failed here in a row."""
         return len(self.failing_jobs) >= FAILURES_BEFORE_QUARANTINE
 
+    @property
+    def has_probe(self) -> bool:
+        """Whether tasks run here that a quarantine does not exempt."""
+        return any(ref not in self.exempt_tasks for ref in self.tasks)
+
+    def record_failure(self, job_id: str) -> None:
+        """Record that a task of a job has failed here."""
+        was_quarantined = self.quarantined
+        self.failing_jobs.add(job_id)
+        if self.quarantined and not was_quarantined:
+            self.exempt_tasks = {
+                ref for ref, step in self.tasks.items() if step.long_running
+            }
+
     def is_reserved(self, now_s: float) -> bool:
         """Return whether the VM is being evacuated for an order to the platform."""
         return now_s < self.reserved_until_s
@@ -134,7 +155,8 @@
         if self.unhealthy_until_s > now_s:
             return False
         if self.quarantined:
-            return not self.tasks and now_s - self.probed_at_s >= PROBE_INTERVAL_S
+            is_due = now_s - self.probed_at_s >= PROBE_INTERVAL_S
+            return is_due and not self.has_probe
         return True
 
     def pause(self, until_s: float) -> None:
@@ -154,7 +176,7 @@
 
         A quarantined worker runs one task at a time.
         """
-        if self.quarantined and self.tasks:
+        if self.quarantined and self.has_probe:
             return False
         cpu = 0 if step.best_effort else step.cpu_milli
         return (
@@ -190,6 +212,7 @@
     def free(self, ref: TaskRef, now_s: float) -> None:
         """Free the resources of a task."""
         step = self.tasks.pop(ref, None)
+        self.exempt_tasks.discard(ref)
         if step is not None:
             self._change_usage(step, -1)
             if not self.tasks:
--- a/tests/test_cell_state.py
+++ b/tests/test_cell_state.py
@@ -295,6 +295,40 @@
         assert len(place_tasks(state, 10.0, 0)) == 1
         assert state.workers["w0"].probed_at_s == 10.0
 
+    def test_a_long_running_task_there_does_not_keep_it_closed(self) -> None:
+        """Such a task never ends, and nothing was placed beside it for ever."""
+        state = cell(entry("w0"))
+        state.add_job(job(steps=(Step(1, 1000, long_running=True),)), 0.0)
+        place_tasks(state, 0.0, 0)
+        for number in range(1, 5):
+            failing = job(f"{number:016x}", (Step(1, 100),), max_attempts=1)
+            state.add_job(failing, 0.0)
+            place_tasks(state, 0.0, 0)
+            name = TaskName(failing.job_id, (0, 0, 0))
+            ended = EndedTask(number, name, 1, AttemptEnd.FAILED, "")
+            reply = Reply(Verdict.OK, 2000, 1, [], [ended])
+            apply_poll_reply(state, state.workers["w0"], reply, 0.0, 1.0)
+        assert state.workers["w0"].quarantined
+        state.add_job(job("00000000000000bb", (Step(3, 100),)), 1.0)
+        assert len(place_tasks(state, 10.0, 0)) == 1
+        assert place_tasks(state, 20.0, 0) == []
+
+    @pytest.mark.parametrize(("percent", "is_open"), [(100, True), (0, False)])
+    def test_a_long_running_task_at_work_ends_it(
+        self, percent: int, is_open: bool
+    ) -> None:
+        """It is never done, so that the worker ran nothing else for ever."""
+        state = self.quarantined()
+        lasting = state.add_job(job(steps=(Step(1, 1000, long_running=True),)), 0.0)
+        assert len(place_tasks(state, 10.0, 0)) == 1
+        task = lasting.tasks[(0, 0, 0)]
+        confirm_start(state, (JOB, task.key), 1, 10.0)
+        running = RunningTask(TaskName(JOB, task.key), 1, "", percent, 0)
+        reply = Reply(Verdict.OK, 2000, 1, [running], [])
+        apply_poll_reply(state, state.workers["w0"], reply, 13.0, 13.0)
+        state.add_job(job("00000000000000bb"), 1.0)
+        assert bool(place_tasks(state, 13.0, 0)) == is_open
+
 
 class TestRestoredJobs:
     def test_they_are_no_arrivals(self) -> None:
