Ask for the tickets of a waiting step once, not in each round

Callers of a queue with advice saw jobs wait while workers were free: as long as a step waited for room on the workers that it has tickets for, no step behind it in the order got any tickets.

Cause: a step that fits on no worker with a ticket asked for more in every round, and named the workers again whose tickets were still valid. The process makes one call at a time, for the first step in the order.

Change: workers with a valid ticket are not asked about again.

Evidence: test_a_step_that_waits_for_room_does_not_ask_again failed before.

--- a/src/chivetray/cells/advice.py
+++ b/src/chivetray/cells/advice.py
@@ -41,11 +41,14 @@
         if ticket.valid_until_s > now_s + MIN_TICKET_VALIDITY_S:
             valid.append(worker)
     if not any(worker.fits(step) for worker in valid):
-        refused = state.refused_workers.get(name, set())
+        # A step that waits for room on workers with tickets leaves the calls to others.
+        excluded = state.refused_workers.get(name, set()) | {
+            worker.worker_id for worker in valid
+        }
         candidates = [
             worker
             for worker in workers
-            if worker.fits_when_empty(step) and worker.worker_id not in refused
+            if worker.fits_when_empty(step) and worker.worker_id not in excluded
         ]
         candidates.sort(
             key=lambda worker: (not worker.fits(step), worker.used_cpu_milli)
--- a/tests/test_cell_state.py
+++ b/tests/test_cell_state.py
@@ -147,6 +147,27 @@
         place_tasks(state, 2.0, 0)
         assert state.advice_wanted[name] == ["w1"]
 
+    def test_a_step_that_waits_for_room_does_not_ask_again(self) -> None:
+        """One call is made at a time, and the steps behind it never got theirs."""
+        state = cell(entry("w0"), entry("w1"))
+        first = job(steps=(Step(5, 1000),), ticket_validity_ms=5000)
+        second = job("00000000000000bb", (Step(1, 4000),), ticket_validity_ms=5000)
+        state.add_job(first, 0.0)
+        state.add_job(second, 1.0)
+        record_tickets(state, (JOB, 0, 0), ["w0", "w1"], {"w0": "t"}, 100.0)
+        assert len(place_tasks(state, 2.0, 0)) == 4
+        state.advice_wanted.clear()
+        assert place_tasks(state, 3.0, 0) == []
+        assert list(state.advice_wanted) == [("00000000000000bb", 0, 0)]
+
+    def test_tickets_that_have_expired_are_asked_for_again(self) -> None:
+        state = cell(entry("w0"), entry("w1"))
+        state.add_job(job(steps=(Step(5, 1000),), ticket_validity_ms=5000), 0.0)
+        record_tickets(state, (JOB, 0, 0), ["w0", "w1"], {"w0": "t"}, 5.0)
+        assert len(place_tasks(state, 2.0, 0)) == 4
+        place_tasks(state, 6.0, 0)
+        assert state.advice_wanted == {(JOB, 0, 0): ["w0"]}
+
 
 class TestSharing:
     @staticmethod
