Count the query of the owner as part of the caller's time

Callers got the state of a job up to 0.65 s after their deadline when neither the owner of its cell nor the store answered in time, so that they saw no answer.

Cause: the owner is asked first, for up to 0.8 s, and the store was then read for the whole time of the caller.

Change: both share the caller's time; the owner gets half of it at most.

Evidence: the test failed before, for all three times of a caller.

--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -17,7 +17,7 @@
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job, decode_spec, encode_spec
 from chivetray.jobs.model import JobSpec, JobState
-from chivetray.peers.mesh import Mesh
+from chivetray.peers.mesh import CALL_TIMEOUT_S, Mesh
 from chivetray.platform.store import (
     ABSENT,
     Committed,
@@ -37,6 +37,9 @@
 # store last some seconds.
 STORE_RETRY_AFTER_S = 2.0
 
+# Share of a caller's time in which the owner is asked, before the store is read.
+QUERY_TIME_SHARE = 0.5
+
 # Pause between rounds of notifications while some are not acknowledged.
 NOTIFY_PAUSE_S = 0.15
 
@@ -138,10 +141,12 @@
         self, queue: Queue, job_id: str, timeout_s: float
     ) -> JobAnswer:
         """Return the state of a job; only the store can tell that it does not exist."""
-        state = await self._query_owner(queue.service, job_id)
+        deadline_s = boot_time_s() + timeout_s
+        query_timeout_s = min(CALL_TIMEOUT_S, timeout_s * QUERY_TIME_SHARE)
+        state = await self._query_owner(queue.service, job_id, query_timeout_s)
         if state is None:
             try:
-                with anyio.fail_after(timeout_s):
+                with anyio.fail_after(max(0.0, deadline_s - boot_time_s())):
                     state = await self._read_stored_state(queue, job_id)
             except (StoreUnavailableError, TimeoutError, ValueError) as error:
                 # A damaged row tells no more than an absent answer.
@@ -153,13 +158,15 @@
             return JobAnswer(ResultCode.NO_JOB, "no such job")
         return JobAnswer(ResultCode.OK, state=state)
 
-    async def _query_owner(self, cell: str, job_id: str) -> JobState | None:
+    async def _query_owner(
+        self, cell: str, job_id: str, timeout_s: float
+    ) -> JobState | None:
         owner = self._directory.owner_of(cell)
         if owner is None:
             return None
         if owner == self._mesh.name:
             return self._local_state(job_id)
-        reply = await self._mesh.call(owner, STATE_CALL, job_id)
+        reply = await self._mesh.call(owner, STATE_CALL, job_id, timeout_s)
         return None if reply is None else JobState(reply)
 
     def _local_state(self, job_id: str) -> JobState | None:
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -7,11 +7,14 @@
 from typing import Any
 
 from cell_helpers import CELL, job
+from virtual_loop import virtual_time
 
 from chivetray.cells.job_service import JobService
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import job_row
+from chivetray.clocks import boot_time_s
 from chivetray.generated.messages import CellClaim
+from chivetray.peers.mesh import CALL_TIMEOUT_S
 from chivetray.platform.store import Committed, Row, RowId
 from chivetray.platform.stored_records import Queue
 from chivetray.results import ResultCode
@@ -72,6 +75,34 @@
         assert answer.code == ResultCode.STATE_UNREADABLE
 
 
+class TestOwnerAndStoreThatDoNotAnswer:
+    def test_the_answer_comes_within_the_time_of_the_caller(self) -> None:
+        """The time in which the owner was asked was once added to the caller's."""
+
+        class HangingStore(DamagedStore):
+            async def read(self, *_: object) -> tuple[list[Row], int]:
+                await asyncio.sleep(60)
+                return [], 3
+
+        async def hang(
+            _owner: str, _kind: str, _job_id: str, timeout_s: float = CALL_TIMEOUT_S
+        ) -> None:
+            await asyncio.sleep(timeout_s)
+
+        async def scenario(timeout_s: float) -> None:
+            service = make_service(HangingStore())
+            service._directory.owner_of = lambda _: "m2"  # type: ignore[method-assign]
+            service._mesh.call = hang  # type: ignore[method-assign,assignment]
+            began_s = boot_time_s()
+            answer = await service.read_state(make_queue(), JOB, timeout_s)
+            assert answer.code == ResultCode.STATE_UNREADABLE
+            assert boot_time_s() - began_s <= timeout_s + 0.01
+
+        for timeout_s in (0.5, 1.0, 2.85):
+            with virtual_time() as loop:
+                loop.run_until_complete(scenario(timeout_s))
+
+
 class TestPendingWhileTheOwnerChanges:
     def test_jobs_that_two_processes_claim_count_once(self) -> None:
         state = CellState(CELL)
