Scan from before the parts of the job table are listed

An accepted job might never have run: the first job of a part of the job table, accepted while a new owner loads the cell, by a process that dies before it notifies the owner.

Cause: an owner lists the parts and then reads them. A part that is created in between is not read, and its row is older than the reads, from whose version the scans went on.

Change: scans go on from the version of the first read, before the parts are listed.

Evidence: the test failed before (scans went on from 12, the row is from 11). Found by reading, not seen in a run.

--- a/src/chivetray/cells/loading.py
+++ b/src/chivetray/cells/loading.py
@@ -20,8 +20,8 @@
     :raises StoreUnavailableError: if the store does not answer, or answers with a state
         from before the acquisition of the cell
     """
-    rows, version = await store.read(PROGRESS_TABLE, state.name)
-    _check_fresh(version, guard_version)
+    rows, first_version = await store.read(PROGRESS_TABLE, state.name)
+    _check_fresh(first_version, guard_version)
     progress = {row.id.key: row for row in rows}
     now_s = boot_time_s()
     parts = await store.parts(JOB_TABLE)
@@ -44,7 +44,8 @@
         for row in jobs:
             if row.id.key.endswith(CANCEL_SUFFIX):
                 state.cancel(row.id.key.removesuffix(CANCEL_SUFFIX))
-    return min((version for _, version in rows_by_queue.values()), default=0)
+    # A part that was created after they were listed has rows from before the reads.
+    return first_version if rows_by_queue else 0
 
 
 def _check_fresh(version: int, guard_version: int) -> None:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -62,6 +62,28 @@
         load(10)
 
 
+class TestFirstJobOfAPartDuringALoad:
+    def test_the_next_scan_finds_it(self) -> None:
+        """Only its notification told the owner, which a killed process does not send.
+
+        The part was listed too late to be read, and the reads that followed were newer
+        than its row, so that no scan returned it.
+        """
+
+        class GrowingStore(StaleStore):
+            async def parts(self, *_: object) -> list[str]:
+                listed = list(self.part_names)
+                self.version += 2
+                return listed
+
+        directory = CellDirectory.__new__(CellDirectory)
+        directory._store = GrowingStore(10)  # type: ignore[assignment]
+        directory.scanned_version = 0
+        asyncio.run(directory._load_jobs(CellState("pool-a"), guard_version=10))
+        created_at_version = 11
+        assert directory.scanned_version < created_at_version
+
+
 class TestSlowStore:
     def test_the_queues_of_a_cell_are_read_together(self) -> None:
         """Sequential reads would take seconds with a slow store."""
