Split commits of progress by bytes, too

Cause: the progress of 49 jobs went into one transaction, whatever its size. The store refuses calls of more than 1 MB, and the owner sent the same call again for ever.

Change: a transaction holds as many rows as fit below the limit on bytes, as for accepted jobs. A single row above the store's limit on rows (64 KB, about 700 attempted tasks of one job) is still refused.

--- a/src/chivetray/cells/acceptance.py
+++ b/src/chivetray/cells/acceptance.py
@@ -11,6 +11,7 @@
 from chivetray.clocks import boot_time_s
 from chivetray.platform.store import (
     ABSENT,
+    ROW_OVERHEAD_BYTES,
     TRANSACTION_BYTES_LIMIT,
     TRANSACTION_ENTRIES_LIMIT,
     Committed,
@@ -31,10 +32,6 @@
 # waits for the store does not have to wait for its end.
 TRANSACTIONS_PER_QUEUE = 2
 
-# Size of a row in a call apart from its value, such as its names, for the limit on a
-# call's bytes. The value grows by a third when it is encoded as text.
-ROW_OVERHEAD_BYTES = 600
-
 
 class Acceptance(Enum):
     """Outcome of storing a job."""
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-from dataclasses import replace
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, replace
 from typing import Any
 
 import anyio
@@ -37,9 +37,11 @@
 from chivetray.clocks import boot_time_s, wall_time_ms
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job, job_age_s
-from chivetray.jobs.model import JobSpec
+from chivetray.jobs.model import JobSpec, JobState
 from chivetray.platform.advice import AdviceClient
 from chivetray.platform.store import (
+    ROW_OVERHEAD_BYTES,
+    TRANSACTION_BYTES_LIMIT,
     TRANSACTION_ENTRIES_LIMIT,
     Committed,
     Conflict,
@@ -67,6 +69,32 @@
 ROWS_PER_COMMIT = (TRANSACTION_ENTRIES_LIMIT - 2) // 2
 
 
+@dataclass(frozen=True, slots=True)
+class _EncodedJob:
+    """Progress of a job as it is to be stored."""
+
+    job: Job
+    state: JobState
+    content: bytes
+
+
+def _split_into_batches(jobs: Iterable[Job]) -> Iterator[list[_EncodedJob]]:
+    """Yield the progress of jobs in as many batches as transactions are needed."""
+    batch: list[_EncodedJob] = []
+    batch_bytes = 0
+    for job in jobs:
+        encoded = _EncodedJob(job, job.state, job.encode())
+        row_bytes = ROW_OVERHEAD_BYTES + len(encoded.content) * 4 // 3
+        is_full = len(batch) == ROWS_PER_COMMIT
+        if batch and (is_full or batch_bytes + row_bytes > TRANSACTION_BYTES_LIMIT):
+            yield batch
+            batch, batch_bytes = [], 0
+        batch.append(encoded)
+        batch_bytes += row_bytes
+    if batch:
+        yield batch
+
+
 class CellOwner:
     """Owns one cell from its acquisition until it is lost or released.
 
@@ -217,8 +245,8 @@
 
     async def _commit_progress(self, jobs: list[Job]) -> bool:
         """Store the progress of jobs; return whether the cell is still owned."""
-        for start in range(0, len(jobs), ROWS_PER_COMMIT):
-            if not await self._commit_batch(jobs[start : start + ROWS_PER_COMMIT]):
+        for batch in _split_into_batches(jobs):
+            if not await self._commit_batch(batch):
                 return False
         return True
 
@@ -255,11 +283,12 @@
         if self._commit_scope is not None and self._commit_sent_at_s < sent_at_s:
             self._commit_scope.cancel()
 
-    async def _commit_batch(self, jobs: list[Job]) -> bool:
+    async def _commit_batch(self, batch: list[_EncodedJob]) -> bool:
         pause_s = RETRY_PAUSE_S
+        jobs = [encoded.job for encoded in batch]
         rows = {progress_row(self.state.name, job.spec.job_id): job for job in jobs}
-        writes = {row: job.encode() for row, job in rows.items()}
-        states = [job.state for job in jobs]
+        writes = dict(zip(rows, (encoded.content for encoded in batch), strict=True))
+        states = [encoded.state for encoded in batch]
         while not self.lost:
             expected = {row: job.version for row, job in rows.items()}
             outcome: TransactionOutcome = OutcomeUnknown("a later write was answered")
--- a/src/chivetray/platform/store.py
+++ b/src/chivetray/platform/store.py
@@ -19,6 +19,10 @@
 TRANSACTION_ENTRIES_LIMIT = 100
 TRANSACTION_BYTES_LIMIT = 900_000
 
+# Size of a row in a call apart from its value, such as its names, for the limit on a
+# call's bytes. The value grows by a third when it is encoded as text.
+ROW_OVERHEAD_BYTES = 600
+
 PAGE_ROWS = 500
 
 # Path of transactions.
--- a/tests/test_cell_owner.py
+++ b/tests/test_cell_owner.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import anyio
+import orjson
 import pytest
 from cell_helpers import CELL, World, job, until
 
@@ -483,6 +484,36 @@
         asyncio.run(scenario())
 
 
+class TestManyLargeJobs:
+    def test_their_progress_is_stored_in_several_writes(self) -> None:
+        """One write of more than 1 MB was refused and sent again for ever."""
+        row_limit_bytes, call_limit_bytes = 65536, 1_000_000
+
+        def fail(_number: int, body: Any) -> Answer | None:
+            is_large = len(orjson.dumps(body)) > call_limit_bytes
+            return Answer(400, {}) if is_large else None
+
+        async def scenario() -> None:
+            world = World()
+            owner = await world.own()
+            world.store.fail = fail
+            jobs = []
+            for number in range(40):
+                spec = job(f"{number:016x}", (Step(500, 10),))
+                jobs.append(owner.state.add_job(spec, 0.0))
+                for task in jobs[-1].step_tasks(0, 0):
+                    task.checkpoint = "0" * 32
+                    owner.state.assign(
+                        jobs[-1], task, spec.steps[0], owner.state.workers["w0"], 0.0
+                    )
+            assert max(len(j.encode()) for j in jobs) < row_limit_bytes
+            with anyio.fail_after(5.0):
+                assert await owner._commit_progress(jobs)
+            assert all(j.version > 0 for j in jobs)
+
+        asyncio.run(scenario())
+
+
 class TestEnds:
     def test_polls_wait_until_ends_are_stored(self) -> None:
         """Polls return immediately until ends are stored and would be a busy loop."""
