Log how long placed tasks were away

TASK_PLACED tells with waited_s the time since the job was first seen: 14.7 s for a task of a long-running job that had waited 2 ms. How long a task was away could only be put together from other lines, if they were there.

A task now has the time since which it is not known to run: from the end of its attempt, the silence of its worker, or the time at which its step became ready. TASK_PLACED shows the longest such time of its tasks in away_s. A new owner counts from its take-over. waited_s stays as it is.

The tests of test_log_fields.py::TestAwayTime failed before, as the field was not there.

--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -95,6 +95,7 @@
     ):
         self.state = state
         state.epoch = ownership.epoch
+        state.owned_since_s = boot_time_s()
         self.ownership = ownership
         self.guard_version = guard_version
         self.confirmed_at_s = boot_time_s()
--- a/src/chivetray/cells/placing.py
+++ b/src/chivetray/cells/placing.py
@@ -69,6 +69,7 @@
 def _log_placed(
     state: CellState, job: Job, step_number: int, placed: list[Placement], now_s: float
 ) -> None:
+    away_since_s = min(job.tasks[p.ref[1]].away_since_s for p in placed)
     log_event(
         Event.TASK_PLACED,
         job=job.spec.job_id,
@@ -76,6 +77,7 @@
         tasks=len(placed),
         workers=sorted({p.worker_id for p in placed}),
         waited_s=round(now_s - job.first_seen_s, 3),
+        away_s=round(now_s - away_since_s, 3),
         jobs=len(state.active),
         cell=state.name,
         epoch=state.epoch,
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -250,7 +250,7 @@
     for member in _gang_members(job, task, step):
         if member.active and member.attempt > ended.attempt:
             member.retire_newest_attempt()
-        job.mark_done(member)
+        job.mark_done(member, now_s)
         state.stop_copies(job, member, StopReason.DONE_ELSEWHERE)
     state.record_task_done(job, now_s)
 
@@ -274,7 +274,7 @@
         return
     if task.phase == Phase.PLACED:
         task.phase = Phase.RUNNING
-        task.running_at_s = now_s
+        task.running_at_s, task.away_since_s = now_s, 0.0
     if job.state == JobState.QUEUED:
         job.state = JobState.RUNNING
 
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -45,6 +45,7 @@
 
     :param name: service whose workers belong to the cell
     :ivar epoch: epoch of the owner, for the log
+    :ivar owned_since_s: time at which the cell got its present owner, for the log
     :ivar jobs: all known jobs by job id, ended ones included
     :ivar active: jobs that have not ended or still have active tasks, by job id
     :ivar times: run times learned from done tasks
@@ -65,6 +66,7 @@
     def __init__(self, name: str):
         self.name = name
         self.epoch = 0
+        self.owned_since_s = 0.0
         self.jobs: dict[str, Job] = {}
         self.active: dict[str, Job] = {}
         self.workers: dict[str, WorkerState] = {}
@@ -375,6 +377,9 @@
             elif found[1].incarnation >= incarnation:
                 continue
             elif found[1].may_run_after_restart:
+                task = found[1]
+                if task.phase == Phase.RUNNING:
+                    task.away_since_s = worker.silent_since_s or now_s
                 self._move_to_new_incarnation(worker, *found)
             else:
                 self.release_attempt(worker, *found, now_s)
@@ -488,6 +493,9 @@
         """Free the resources of an ended attempt; its task waits again unless done."""
         worker.free((job.spec.job_id, task.key), now_s)
         if task.phase != Phase.DONE:
+            task.away_since_s = (
+                task.away_since_s or worker.silent_since_s or task.stopped_at_s or now_s
+            )
             task.phase = Phase.WAITING
             task.percent = 0
         self.mark_changed(job.spec.job_id)
@@ -586,6 +594,7 @@
         Its start order is to be sent once the placement is stored.
         """
         ref = (job.spec.job_id, task.key)
+        task.away_since_s = job.away_since_s(task, self.owned_since_s, now_s)
         task.phase = Phase.PLACED
         task.attempt += 1
         task.worker, task.incarnation = worker.worker_id, worker.incarnation
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -30,6 +30,8 @@
     :ivar stored_state: state in the most recently stored progress
     :ivar version: version of the stored progress row, 0 before the first write
     :ivar first_seen_s: time at which this owner learned of the job
+    :ivar step_done_at_s: time at which this owner learned of the end of a step, by
+        occurrence and number
     """
 
     def __init__(self, spec: JobSpec, now_s: float = 0.0):
@@ -41,6 +43,7 @@
         self.first_seen_s = now_s
         self.tasks: dict[TaskKey, Task] = {}
         self.done_steps: set[tuple[int, int]] = set()
+        self.step_done_at_s: dict[tuple[int, int], float] = {}
         self._done_counts: dict[tuple[int, int], int] = {}
         self._opened_steps: set[tuple[int, int]] = set()
 
@@ -89,8 +92,32 @@
         """Return the tasks that may be running on a worker."""
         return [task for task in self.tasks.values() if task.active]
 
-    def mark_done(self, task: Task) -> None:
-        """Mark a task as done; complete its step and the job when nothing is left."""
+    def away_since_s(self, task: Task, owned_since_s: float, now_s: float) -> float:
+        """Return since when a task that does not run has been away or ready.
+
+        What an earlier owner knew of that is counted from the change of owner.
+
+        :param owned_since_s: time since which the job has its present owner
+        """
+        if task.away_since_s:
+            return task.away_since_s
+        if task.attempt:
+            return max(task.running_at_s, owned_since_s)
+        occurrence, number, _ = task.key
+        depends_on = self.spec.steps[number].depends_on
+        if depends_on:
+            return max(
+                self.step_done_at_s.get((occurrence, n), owned_since_s)
+                for n in depends_on
+            )
+        due_in_s = (self.spec.due_ms(occurrence) - self.spec.accepted_ms) / 1000
+        return min(now_s, self.first_seen_s + max(0.0, due_in_s))
+
+    def mark_done(self, task: Task, now_s: float | None = None) -> None:
+        """Mark a task as done; complete its step and the job when nothing is left.
+
+        :param now_s: time of the end, ``None`` if an earlier owner learned of it
+        """
         if task.phase == Phase.DONE:
             return
         task.phase = Phase.DONE
@@ -99,6 +126,8 @@
         self._done_counts[step] = self._done_counts.get(step, 0) + 1
         if self._done_counts[step] >= self.spec.steps[number].count:
             self.done_steps.add(step)
+            if now_s is not None:
+                self.step_done_at_s[step] = now_s
         step_total = len(self.spec.steps) * self.spec.occurrences()
         if len(self.done_steps) >= step_total and not self.state.ended:
             self.state = JobState.COMPLETED
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -156,6 +156,8 @@
         unknown whether its start requests were answered
     :ivar pace_percent: share of full speed at which a best-effort task may run
     :ivar not_before_s: time before which the task is not placed again
+    :ivar away_since_s: time since which the task is not known to run, 0 while it runs
+        and if an earlier owner knows it
     :ivar avoided_workers: workers to use for the task only if no other has capacity
     :ivar copies: worker by attempt, of older attempts that may still run or start
     :ivar copy_incarnations: incarnation of that worker by attempt
@@ -184,6 +186,7 @@
     stop_sent_at_s: float = 0.0
     inherited: bool = False
     not_before_s: float = 0.0
+    away_since_s: float = 0.0
     avoided_workers: set[str] = field(default_factory=set)
     copies: dict[int, str] = field(default_factory=dict)
     copy_incarnations: dict[int, int] = field(default_factory=dict)
--- a/tests/test_log_fields.py
+++ b/tests/test_log_fields.py
@@ -13,8 +13,9 @@
 from chivetray.cells.placing import place_tasks
 from chivetray.cells.reports import apply_poll_reply, confirm_start
 from chivetray.cells.state import CellState
+from chivetray.cells.workers import WorkerState
 from chivetray.events import Event
-from chivetray.jobs.model import JobState, Step
+from chivetray.jobs.model import JobState, Step, Task
 from chivetray.platform.calls import NoAnswer
 from chivetray.platform.stored_records import WorkerRecord
 from chivetray.platform.workers import (
@@ -121,6 +122,78 @@
         assert (line["verdict"], line["unanswered_tries"]) == ("listed", 2)
 
 
+class Lasting:
+    """A long-running task that an owner has placed at 10 s, and a spare worker."""
+
+    def __init__(self, run: bool = True):
+        self.state = make_state("w0", "w1")
+        self.state.owned_since_s = 10.0
+        self.step = Step(1, 1000, long_running=True)
+        self.job = self.state.add_job(job(steps=(self.step,)), 10.0)
+        self.place(10.0, run)
+
+    @property
+    def task(self) -> Task:
+        return self.job.tasks[NAME.key]
+
+    @property
+    def worker(self) -> WorkerState:
+        return self.state.workers[self.task.worker]
+
+    def place(self, now_s: float, run: bool = True) -> None:
+        for placed in place_tasks(self.state, now_s, 0):
+            if run:
+                confirm_start(self.state, placed.ref, placed.attempt, now_s)
+
+    def end_attempt(self, now_s: float) -> None:
+        self.state.release_attempt(self.worker, self.job, self.task, now_s)
+
+
+class TestAwayTime:
+    """The time since a job was first seen did not tell how long a task was away."""
+
+    def test_it_counts_from_the_end_of_the_previous_attempt(self, logged) -> None:
+        lasting = Lasting()
+        lasting.end_attempt(30.0)
+        lasting.place(32.5)
+        first, second = logged.of(Event.TASK_PLACED)
+        assert (first["waited_s"], first["away_s"]) == (0.0, 0.0)
+        assert (second["waited_s"], second["away_s"]) == (22.5, 2.5)
+
+    def test_it_counts_from_the_silence_of_a_worker(self, logged) -> None:
+        lasting = Lasting()
+        lasting.worker.silent_since_s = 30.0
+        lasting.state.reschedule_worker_tasks(lasting.worker, 36.0, "lease expired")
+        lasting.place(36.0)
+        assert logged.of(Event.TASK_PLACED)[1]["away_s"] == 6.0
+
+    def test_starts_that_are_refused_do_not_reset_it(self, logged) -> None:
+        lasting = Lasting(run=False)
+        lasting.end_attempt(13.0)
+        lasting.place(13.0)
+        assert logged.of(Event.TASK_PLACED)[1]["away_s"] == 3.0
+
+    def test_it_counts_from_the_end_of_the_step_before(self, logged) -> None:
+        state = make_state("w0")
+        steps = (Step(1, 1000), Step(1, 1000, depends_on=(0,)))
+        added = state.add_job(job(steps=steps), 10.0)
+        place_tasks(state, 10.0, 0)
+        added.mark_done(added.tasks[NAME.key], 20.0)
+        state.mark_changed(JOB)
+        place_tasks(state, 21.5, 0)
+        last = logged.of(Event.TASK_PLACED)[-1]
+        assert (last["waited_s"], last["away_s"]) == (11.5, 1.5)
+
+    def test_a_new_owner_counts_from_the_change(self, logged) -> None:
+        lasting = Lasting()
+        lasting.end_attempt(11.0)
+        later = make_state("w0")
+        later.owned_since_s = 20.0
+        later.restore_job(lasting.job.spec, lasting.job.encode(), 1, 5.0)
+        place_tasks(later, 24.0, 0)
+        assert logged.of(Event.TASK_PLACED)[-1]["away_s"] == 4.0
+
+
 class TestLeases:
     """The log did not say why the tasks of a worker were taken for ended."""
 
