Log what tasks wait for whose turn has come

TASK_WAITS tells for tasks that are away for more than 1 s the reason, since when, until when at most, the workers and leases waited for and the owner's epoch; one line for the tasks of a step with one reason, again when the reason changes. TASK_WAIT_ENDED sums up the time by reason. Tasks placed on silent or unpolled workers, unanswered orders and stops that are put off are among them. A check runs each 0.5 s beside the main loop, which may be held by a write without answer: long-running jobs first, then jobs with unconfirmed attempts and the next five of the queue.

--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -51,6 +51,7 @@
     :param uncertain_ids: workers for whose VM an order of an earlier holder of VM
         orders may be carried out
     """
+    state.vm_requests_at_s = now_s
     reserved_ids = set(worker_ids)
     uncertain_ids = set(uncertain_ids)
     for worker in state.workers.values():
--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -13,6 +13,7 @@
 from chivetray.cells.directory import CellDirectory
 from chivetray.cells.store_access import StoreAccess
 from chivetray.cells.tables import cancel_row, job_row, progress_row
+from chivetray.cells.waiting import WAIT_CHECK_INTERVAL_S, NoticeLog
 from chivetray.clocks import boot_time_s, wall_time_ms
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job, decode_spec, encode_spec
@@ -252,6 +253,7 @@
         """Store jobs, and notify owners of jobs and cancellations, until cancelled."""
         async with anyio.create_task_group() as task_group:
             self._task_group = task_group
+            task_group.start_soon(self._log_waits)
             while True:
                 self._notify_event = anyio.Event()
                 await self._notify_all()
@@ -260,6 +262,15 @@
                     continue
                 await self._notify_event.wait()
 
+    async def _log_waits(self) -> None:
+        """Log which notices wait for an owner."""
+        log = NoticeLog(self._directory.owner_of)
+        while True:
+            await anyio.sleep(WAIT_CHECK_INTERVAL_S)
+            log.check(
+                self._jobs_to_notify, self._cancellations_to_notify, boot_time_s()
+            )
+
     async def _notify_all(self) -> None:
         jobs_by_owner: dict[str, list[JobSpec]] = {}
         for spec in list(self._jobs_to_notify.values())[:NOTIFY_BATCH_JOBS]:
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -34,6 +34,7 @@
     RETRY_PAUSE_S,
     TICK_S,
 )
+from chivetray.cells.waiting import WAIT_CHECK_INTERVAL_S, OwnerStatus, WaitLog
 from chivetray.clocks import boot_time_s, wall_time_ms
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job, job_age_s
@@ -109,6 +110,9 @@
             state.remaining_leases(boot_time_s())
         )
         self._store = store
+        self._wait_log = WaitLog(state)
+        self._storing_job_ids: frozenset[str] = frozenset()
+        self._storing_since_s = 0.0
         self._renewals = 0
         self._renewed_at_s = 0.0
         self._may_release_at_s = 0.0
@@ -162,7 +166,9 @@
         """Run the cell until it is lost or released."""
         async with anyio.create_task_group() as task_group:
             self._task_group = task_group
+            self._log_loaded()
             task_group.start_soon(self._renew_ownership)
+            task_group.start_soon(self._log_waits)
             await self._main_loop(task_group)
             task_group.cancel_scope.cancel()
 
@@ -214,13 +220,40 @@
                 worker.last_stored_end = number
                 self._poller.wake_worker(worker_id)
 
+    def _log_loaded(self) -> None:
+        """Log that the jobs of the cell are read, so that their tasks may be placed."""
+        log_event(
+            Event.CELL_LOADED,
+            cell=self.state.name,
+            epoch=self.epoch,
+            took_s=round(boot_time_s() - self.confirmed_at_s, 3),
+            jobs=len(self.state.active),
+            workers=len(self.state.workers),
+        )
+
+    async def _log_waits(self) -> None:
+        """Log what tasks wait for, also while a write of progress is not answered."""
+        while not self.lost:
+            await anyio.sleep(WAIT_CHECK_INTERVAL_S)
+            now_s = boot_time_s()
+            status = OwnerStatus(
+                self._storing_since_s,
+                self._storing_job_ids,
+                self.leaving,
+                self.may_grant_leases(now_s),
+            )
+            self._wait_log.check(status, now_s, wall_time_ms())
+
     # Store
 
     async def _commit_progress(self, jobs: list[Job]) -> bool:
         """Store the progress of jobs; return whether the cell is still owned."""
+        self._storing_job_ids = frozenset(job.spec.job_id for job in jobs)
+        self._storing_since_s = boot_time_s()
         for start in range(0, len(jobs), ROWS_PER_COMMIT):
             if not await self._commit_batch(jobs[start : start + ROWS_PER_COMMIT]):
                 return False
+        self._storing_job_ids, self._storing_since_s = frozenset(), 0.0
         return True
 
     async def transact(
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -46,8 +46,12 @@
     :param name: service whose workers belong to the cell
     :ivar epoch: epoch of the owner, for the log
     :ivar owned_since_s: time at which the cell got its present owner, for the log
+    :ivar vm_requests_at_s: time of the last request of the holder of VM orders, 0
+        before the first
     :ivar jobs: all known jobs by job id, ended ones included
     :ivar active: jobs that have not ended or still have active tasks, by job id
+    :ivar long_running_job_ids: active jobs with long-running steps, and some that have
+        ended
     :ivar times: run times learned from done tasks
     :ivar stop_orders: stop orders that are to be sent
     :ivar tickets: tickets by step and worker id
@@ -67,8 +71,10 @@
         self.name = name
         self.epoch = 0
         self.owned_since_s = 0.0
+        self.vm_requests_at_s = 0.0
         self.jobs: dict[str, Job] = {}
         self.active: dict[str, Job] = {}
+        self.long_running_job_ids: dict[str, None] = {}
         self.workers: dict[str, WorkerState] = {}
         self.times = RunTimes()
         self.stop_orders: list[StopOrder] = []
@@ -93,6 +99,8 @@
         if job is None:
             job = self.jobs[spec.job_id] = Job(spec, now_s)
             self.active[spec.job_id] = job
+            if job.long_running:
+                self.long_running_job_ids[spec.job_id] = None
             self.schedulable_job_ids.add(spec.job_id)
             size = sum(step.count * step.cpu_milli for step in spec.steps)
             mean = self.mean_job_cpu_milli.get(spec.queue, float(size))
@@ -406,9 +414,11 @@
         if not worker.lease_sent_at_s:
             return
         lease_s = self.longest_lease_s / (1 - CLOCK_DRIFT)
+        worker.late_orders_until_s = (
+            worker.lease_sent_at_s + MAX_ORDER_DELAY_S + lease_s
+        )
         worker.earlier_lease_until_s = max(
-            worker.earlier_lease_until_s,
-            worker.lease_sent_at_s + MAX_ORDER_DELAY_S + lease_s,
+            worker.earlier_lease_until_s, worker.late_orders_until_s
         )
 
     def _move_to_new_incarnation(
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -65,6 +65,8 @@
         been sent, by this owner or an earlier one
     :ivar earlier_lease_until_s: time until which a lease may last that an earlier owner
         granted, or an order to an earlier incarnation
+    :ivar late_orders_until_s: time until which a lease may last by an order to an
+        earlier incarnation, 0 if there is none
     :ivar silent_since_s: time of the first call without an answer, 0 while the worker
         answers
     :ivar missing_since_s: time at which the worker disappeared from the list
@@ -99,6 +101,7 @@
     deadline_ms: int = 0
     lease_sent_at_s: float = 0.0
     earlier_lease_until_s: float = 0.0
+    late_orders_until_s: float = 0.0
     silent_since_s: float = 0.0
     missing_since_s: float = 0.0
     unhealthy_until_s: float = 0.0
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -102,6 +102,7 @@
     CELL_TAKE_FAILED = (1624, "The process could not become the owner of a cell.")
     COMMIT_FAILED = (1625, "A transaction of a cell failed and is retried.")
 
+    CELL_LOADED = (1629, "A new owner has read the jobs of its cell and places tasks.")
     LEASES_PAUSED = (
         1627,
         "Leases in a cell are not extended, since its last write is too old.",
@@ -118,6 +119,19 @@
         "A cell is released because another process has more capacity for it.",
     )
     LINES_DROPPED = (1005, "Log lines were dropped because the reader was too slow.")
+    TASK_WAITS = (
+        1656,
+        "Tasks of a step whose turn has come wait, for the reason given.",
+    )
+    TASK_WAIT_ENDED = (
+        1657,
+        "Tasks of a step no longer wait; lists what the longest one waited for.",
+    )
+    NOTICE_WAITS = (
+        1644,
+        "No owner has confirmed that it knows of stored jobs or cancellations.",
+    )
+    NOTICE_CONFIRMED = (1645, "The owner knows of them.")
     TASK_ENDED_EARLY = (1651, "An attempt has ended without completing its task.")
     TASK_VANISHED = (1652, "A worker no longer lists an attempt that it had confirmed.")
     ORDER_FAILED = (1653, "An order to a worker was not carried out as intended.")
--- a/src/chivetray/trace.py
+++ b/src/chivetray/trace.py
@@ -14,7 +14,16 @@
 # Fields that every line has and that say nothing about the job.
 _COMMON_FIELDS = ("task_uuid", "task_level", "timestamp", "message_type", "number")
 
-_OWNER_EVENTS = ("CELL_TAKEN", "CELL_LEFT", "CELL_SUSPECTED", "CELL_YIELDED")
+# Events that name the first of the waiting tasks of a step.
+_WAIT_EVENTS = ("TASK_WAITS", "TASK_WAIT_ENDED")
+
+_OWNER_EVENTS = (
+    "CELL_TAKEN",
+    "CELL_LOADED",
+    "CELL_LEFT",
+    "CELL_SUSPECTED",
+    "CELL_YIELDED",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +151,8 @@
         return bool(subject.key and event.get("attempts"))
     if not subject.key:
         return True
+    if event.get("message_type") in _WAIT_EVENTS:
+        return _covers_wait(event, subject)
     if event.get("message_type") != "TASK_PLACED":
         return False
     if "placed" in event:
@@ -154,7 +165,16 @@
     if _names(event, subject):
         return True
     is_of_job = event.get("job") == subject.job_id
-    return is_of_job and event.get("message_type") != "TASK_PLACED"
+    return is_of_job and event.get("message_type") not in ("TASK_PLACED", *_WAIT_EVENTS)
+
+
+def _covers_wait(event: dict[str, Any], subject: Subject) -> bool:
+    """Return whether tasks of a subject are or may be among those that wait."""
+    occurrence, step, *index = subject.key
+    if (event.get("occurrence"), event.get("step")) != (occurrence, step):
+        return False
+    named = event.get("first", [])
+    return not index or index[0] in named or len(named) < event.get("tasks", 0)
 
 
 def _find_workers(event: dict[str, Any]) -> set[str]:
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -112,6 +112,23 @@
         ]
         assert times(lines, TASK) == [1, 2, 4]
 
+    def test_waits_of_a_step_come_with_the_tasks_that_may_be_meant(self) -> None:
+        """A line of a wait names the first tasks only, and the workers waited for."""
+        fields = {"job": JOB, "occurrence": 0, "step": 1, "cell": "c"}
+        lines = [
+            line(1, "TASK_WAITS", **fields, tasks=2, first=[1, 2], workers=["w0"]),
+            line(2, "TASK_WAITS", **fields, tasks=1, first=[3], workers=["w1"]),
+            line(3, "TASK_WAITS", **fields, tasks=5, first=[3, 4], workers=[]),
+            line(4, "WORKER_SILENT", worker="w0"),
+            line(5, "WORKER_SILENT", worker="w1"),
+            line(6, "CELL_LOADED", cell="c"),
+            line(7, "TASK_WAITS", **{**fields, "step": 2}, tasks=1, first=[2]),
+            line(8, "TASK_WAIT_ENDED", **fields, tasks=1, first=[2]),
+        ]
+        assert times(lines, TASK) == [1, 3, 4, 6, 8]
+        assert times(lines, f"{JOB}.0.1") == [1, 2, 3, 4, 5, 6, 8]
+        assert times(lines, JOB) == [1, 2, 3, 6, 7, 8]
+
     @pytest.mark.parametrize(
         "subject",
         [
