--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -40,6 +40,8 @@
         granted, or an order to an earlier incarnation
     :ivar lease_end_held: whether no order may grant a lease, since the end of the
         leases here is stored for later owners
+    :ivar late_orders_until_s: time until which a lease may last by an order to an
+        earlier incarnation, 0 if there is none
     :ivar silent_since_s: time of the first call without an answer, 0 while the worker
         answers
     :ivar missing_since_s: time at which the worker disappeared from the list
@@ -77,6 +79,7 @@
     lease_sent_at_s: float = 0.0
     earlier_lease_until_s: float = 0.0
     lease_end_held: bool = False
+    late_orders_until_s: float = 0.0
     silent_since_s: float = 0.0
     missing_since_s: float = 0.0
     unhealthy_until_s: float = 0.0
