Send no start on cancellations that were read too long ago

Cause: an owner learns of cancellations by notifications and by a scan each 3 s, and acted whatever the age of both. While the store is away from it, scans fail for as long; when it is back, the write of a placement and its starts go out beside the next scan, or up to 3 s before it. The same holds for any job that is notified later than its cancellation.

Change: each owner knows when the last completed scan that covers its cell was sent; the loading of the cell counts as one. Above an age of 2.5 s (3 s, the shortest time that is promised to callers, less 0.5 s for the way of a start order) no start order is sent before a scan, and the job is looked at again just before each sending. Above 2 s the scan begins beside the write that stores the placement, so that starts seldom wait for it. Scans of a process are gathered into one, replace the next periodic one, and are repeated at most four times a second while they fail; nothing more is placed then.

Evidence: test_no_task_of_a_job_cancelled_meanwhile_starts, 3 starts before with a store that refuses calls, none now. Its case of a store that is silent passed before, too.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -88,10 +88,14 @@
     :param workers_of: returns the listed workers of a service
     :ivar capacity: capacity of this process in thousandths of a core
     :ivar scanned_version: version of the job table that ``scan`` has read up to
+    :ivar scan_began_at_s: start of the newest scan
     :ivar longest_lease_s: upper bound of the leases that workers grant
     :ivar has_vm_orders: whether a manager moves and maintains the VMs of workers
     """
 
+    # Set while a scan is under way.
+    _scan_ended: anyio.Event | None = None
+
     def __init__(
         self,
         mesh: Mesh,
@@ -105,6 +109,7 @@
         self.owned_cells: dict[str, CellOwner] = {}
         self.leaving = False
         self.scanned_version = 0
+        self.scan_began_at_s = 0.0
         self.longest_lease_s = LEASE_S
         self.has_vm_orders = False
         self._mesh = mesh
@@ -242,6 +247,7 @@
         try:
             cell_owner = await self._acquire(cell)
             if cell_owner is not None:
+                cell_owner.cancellations.scan = self.scan
                 self.owned_cells[cell] = cell_owner
                 self._mesh.request_heartbeat()
                 task_group.start_soon(cell_owner.run)
@@ -397,17 +403,36 @@
     async def scan(self) -> None:
         """Find jobs and cancellations of which the owner has not been notified.
 
+        A call while a scan is under way waits for its end instead.
+
         :raises StoreUnavailableError: when the store does not answer
         """
+        if self._scan_ended is not None:
+            await self._scan_ended.wait()
+            return
+        self.scan_began_at_s = boot_time_s()
         if not self.owned_cells:
             return
-        changes = await self._store.changes(JOB_TABLE, self.scanned_version, 0)
+        self._scan_ended = anyio.Event()
+        try:
+            await self._scan_changes()
+        finally:
+            self._scan_ended.set()
+            self._scan_ended = None
+
+    async def _scan_changes(self) -> None:
+        # A cell that is loaded meanwhile may need changes from before this scan.
+        covered = list(self.owned_cells.values())
+        sent_at_s, from_version = boot_time_s(), self.scanned_version
+        changes = await self._store.changes(JOB_TABLE, from_version, 0)
         if changes.history_gone:
             # Continues from the version that is loaded now. Otherwise each scan would
             # load everything again.
             self.scanned_version = 0
-            for cell_owner in list(self.owned_cells.values()):
+            for cell_owner in covered:
+                sent_at_s = boot_time_s()
                 await self._load_jobs(cell_owner.state, cell_owner.guard_version)
+                cell_owner.cancellations.record_scan(sent_at_s)
                 cell_owner.wake()
             return
         self.scanned_version = max(self.scanned_version, changes.version)
@@ -421,6 +446,8 @@
                 else:
                     add_job_from_row(cell_owner.state, row, {}, now_s)
             cell_owner.wake()
+        for cell_owner in covered:
+            cell_owner.cancellations.record_scan(sent_at_s)
 
 
 def _next_epoch(cell: str, row: Row | None, current: Ownership | None) -> int:
--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -120,6 +120,9 @@
 
     async def _send_start_once(self, placement: Placement) -> bool:
         """Send a start order once; return whether no retry is needed."""
+        cancellations = self._cell_owner.cancellations
+        if not cancellations.may_start(boot_time_s()):
+            await cancellations.refresh()
         job = self._state.jobs.get(placement.ref[0])
         task = job.tasks.get(placement.ref[1]) if job else None
         worker = self._state.workers.get(placement.worker_id)
@@ -132,6 +135,9 @@
         sent_at_s = boot_time_s()
         if not self._cell_owner.may_grant_leases(sent_at_s):
             return True
+        if not cancellations.may_start(sent_at_s):
+            # ``resend_unconfirmed`` tries again.
+            return True
         lease_s = min(START_LEASE_S, self._cell_owner.longest_lease_s)
         deadline_ms = worker.clock.lower_bound_ms(sent_at_s) + int(lease_s * 1000)
         worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -15,6 +15,7 @@
 from anyio.abc import TaskGroup
 
 from chivetray.cells.advice import record_tickets
+from chivetray.cells.cancellations import CancellationWatch
 from chivetray.cells.evacuation import evacuate
 from chivetray.cells.gangs import stop_broken_gangs
 from chivetray.cells.order_sender import OrderSender
@@ -73,6 +74,7 @@
     :param guard_version: version of the owner row, a precondition of all writes
     :param on_lost: called with the cell's name once the cell is lost or released
     :ivar confirmed_at_s: send time of the last write that proved the ownership
+    :ivar cancellations: age of what is known about cancellations
     :ivar leaving: whether the cell is to be released
     :ivar releasing: whether a write that releases the cell may be carried out
     :ivar longest_lease_s: upper bound of the leases that workers grant
@@ -98,6 +100,8 @@
         self.ownership = ownership
         self.guard_version = guard_version
         self.confirmed_at_s = boot_time_s()
+        # The jobs of the cell are loaded later than this.
+        self.cancellations = CancellationWatch(self.confirmed_at_s)
         self.leaving = False
         self.releasing = False
         self.lost = False
@@ -173,9 +177,12 @@
             evacuate(self.state, now_s)
             stop_broken_gangs(self.state)
             self._poller.poll_new_workers(task_group)
+            may_place = not self.leaving and self.cancellations.may_place(now_s)
             placements = (
-                [] if self.leaving else place_tasks(self.state, now_s, wall_time_ms())
+                place_tasks(self.state, now_s, wall_time_ms()) if may_place else []
             )
+            if self.cancellations.needs_scan(now_s, bool(placements)):
+                task_group.start_soon(self._refresh_cancellations)
             decision_time_s = boot_time_s() - now_s
             last_ends = {
                 (worker.worker_id, worker.incarnation): worker.last_applied_end
@@ -198,6 +205,10 @@
                 await self._wake.wait()
             self._order_sender.resend_unconfirmed(task_group)
 
+    async def _refresh_cancellations(self) -> None:
+        await self.cancellations.refresh()
+        self.wake()
+
     def _mark_ends_stored(self, last_ends: dict[tuple[str, int], int]) -> None:
         """Mark the ends that are stored now, so that workers may forget them.
 
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -349,7 +349,11 @@
 
     async def _scan_jobs(self) -> None:
         while True:
-            await anyio.sleep(JOB_SCAN_INTERVAL_S)
+            began_at_s = self._directory.scan_began_at_s
+            due_in_s = began_at_s + JOB_SCAN_INTERVAL_S - boot_time_s()
+            if due_in_s > 0:
+                await anyio.sleep(due_in_s)
+                continue
             try:
                 await self._directory.scan()
             except StoreUnavailableError as error:
--- /dev/null
+++ b/tests/test_cancellations.py
@@ -0,0 +1,223 @@
+"""Starts of tasks whose job was cancelled while the owner could not learn of it."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import pytest
+from cell_helpers import World as CellWorld
+from cell_helpers import job, until
+from run_once_helpers import CELL, MANAGERS, World
+from virtual_loop import virtual_time
+
+from chivetray.cells.cancellations import MAX_SCAN_AGE_S, SCAN_AHEAD_AGE_S
+from chivetray.cells.owner import CellOwner
+from chivetray.cells.tables import cancel_row, job_row
+from chivetray.clocks import boot_time_s
+from chivetray.jobs.job import encode_spec
+from chivetray.jobs.model import JobSpec, JobState
+from chivetray.platform.store import StoreUnavailableError
+
+SPEC = job("00000000000000c1")
+OTHER = job("00000000000000c2")
+STORE_AWAY_S = 10.0
+
+
+def put_job(world: World, spec: JobSpec) -> None:
+    """Store a job of which nobody notifies its owner."""
+    world.ledger.add_job(spec)
+    row = job_row(spec.queue, spec.job_id)
+    value = base64.b64encode(encode_spec(spec)).decode()
+    world.state.put(row.table, row.part, row.key, value)
+
+
+def put_cancellation(world: World, spec: JobSpec) -> None:
+    row = cancel_row(spec.queue, spec.job_id)
+    world.state.put(row.table, row.part, row.key, base64.b64encode(b"1").decode())
+
+
+def count_starts(world: World, spec: JobSpec) -> int:
+    names = [task for w in world.workers.values() for task, _ in w.starts]
+    return sum(name.startswith(spec.job_id) for name in names)
+
+
+def run_fleet(scenario: Callable[[World], Awaitable[None]]) -> None:
+    """Run a scenario with managers, a store and workers in virtual time."""
+
+    async def main(loop: Any) -> None:
+        world = World(loop, 1, ())
+        working = asyncio.ensure_future(world.work())
+        await asyncio.sleep(3.0)
+        await scenario(world)
+        assert not working.done()
+        assert not loop.failures
+        for manager in world.managers.values():
+            manager.process.kill()
+        working.cancel()
+        await asyncio.sleep(0.1)
+
+    with virtual_time() as loop:
+        loop.run_until_complete(main(loop))
+
+
+def find_owner(world: World) -> CellOwner:
+    manager = world.owner()
+    assert manager is not None
+    return manager.directory.owned_cells[CELL]
+
+
+class TestStoreThatWasAwayFromTheOwner:
+    """A caller's cancellation was answered, and tasks of the job started 11 s later."""
+
+    @pytest.mark.parametrize("how", ["refused", "silent"])
+    def test_no_task_of_a_job_cancelled_meanwhile_starts(self, how: str) -> None:
+        """The start went out beside the scan that showed the cancellation."""
+
+        async def scenario(world: World) -> None:
+            for name in MANAGERS:
+                world.cut_store(name, how, STORE_AWAY_S)
+            put_job(world, SPEC)
+            put_cancellation(world, SPEC)
+            put_job(world, OTHER)
+            await asyncio.sleep(1.0)
+            # Whoever notifies the owner has read the job before it was cancelled.
+            owner = find_owner(world)
+            owner.add_job(SPEC)
+            owner.add_job(OTHER)
+            await asyncio.sleep(STORE_AWAY_S + 2.0)
+            assert find_owner(world) is owner
+            assert owner.state.jobs[SPEC.job_id].state == JobState.CANCELLED
+            assert count_starts(world, SPEC) == 0
+            assert count_starts(world, OTHER) == 3
+
+        run_fleet(scenario)
+
+
+class Scans:
+    """Scans of one owner, each of which takes some time.
+
+    :ivar begun: number of scans
+    :ivar fail: whether the store does not answer
+    :ivar cancelled: jobs that a scan shows as cancelled
+    """
+
+    def __init__(self, owner: CellOwner, took_s: float):
+        self.owner, self.took_s = owner, took_s
+        self.begun = 0
+        self.fail = False
+        self.cancelled: list[str] = []
+        self._ended: anyio.Event | None = None
+        owner.cancellations.scan = self.scan
+
+    async def scan(self) -> None:
+        if self._ended is not None:
+            await self._ended.wait()
+            return
+        self.begun += 1
+        sent_at_s, self._ended = boot_time_s(), anyio.Event()
+        await asyncio.sleep(self.took_s)
+        ended, self._ended = self._ended, None
+        ended.set()
+        if self.fail:
+            raise StoreUnavailableError("refused")
+        for job_id in self.cancelled:
+            self.owner.cancel(job_id)
+        self.owner.cancellations.record_scan(sent_at_s)
+
+
+def run_owner(
+    scenario: Callable[[CellWorld, CellOwner, Scans], Awaitable[None]],
+    age_s: float,
+    took_s: float = 0.05,
+) -> None:
+    """Run a scenario with an owner whose last scan is some time ago."""
+
+    async def main() -> None:
+        world = CellWorld()
+        owner = await world.own()
+        scans = Scans(owner, took_s)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(world.work)
+            tasks.start_soon(owner.run)
+            await until(
+                lambda: all(w.tasks_known for w in owner.state.workers.values())
+            )
+            owner.cancellations.scanned_at_s = boot_time_s() - age_s
+            await scenario(world, owner, scans)
+            tasks.cancel_scope.cancel()
+
+    asyncio.run(main())
+
+
+def is_completed(owner: CellOwner, spec: JobSpec) -> bool:
+    return owner.state.jobs[spec.job_id].state == JobState.COMPLETED
+
+
+class TestAgeOfTheLastScan:
+    """An owner must not act on cancellations that it read too long ago."""
+
+    def test_starts_of_several_jobs_wait_for_one_scan(self) -> None:
+        """A scan for each start would use up the limit of reads."""
+
+        async def scenario(world: CellWorld, owner: CellOwner, scans: Scans) -> None:
+            scans.cancelled = [SPEC.job_id]
+            owner.add_job(SPEC)
+            owner.add_job(OTHER)
+            await until(lambda: is_completed(owner, OTHER))
+            assert scans.begun == 1
+            assert not any(SPEC.job_id in task for task in world.starts())
+
+        run_owner(scenario, MAX_SCAN_AGE_S + 1.0)
+
+    def test_the_scan_begins_beside_the_write_before_starts_need_it(self) -> None:
+        """Urgent starts would otherwise wait for the write and then for the scan."""
+
+        async def scenario(world: CellWorld, owner: CellOwner, scans: Scans) -> None:
+            owner.add_job(SPEC)
+            await until(lambda: len(world.starts()) == 3, limit_s=0.3)
+            assert scans.begun == 1
+
+        run_owner(scenario, SCAN_AHEAD_AGE_S + 0.01, took_s=0.4)
+
+    def test_a_recent_scan_is_not_repeated(self) -> None:
+        async def scenario(world: CellWorld, owner: CellOwner, scans: Scans) -> None:
+            owner.add_job(SPEC)
+            await until(lambda: is_completed(owner, SPEC))
+            assert scans.begun == 0
+
+        run_owner(scenario, 0.5)
+
+    def test_an_owner_without_waiting_tasks_does_not_scan(self) -> None:
+        """The scans of an idle owner are priced as its other calls."""
+
+        async def scenario(_: CellWorld, __: CellOwner, scans: Scans) -> None:
+            await asyncio.sleep(1.0)
+            assert scans.begun == 0
+
+        run_owner(scenario, 60.0)
+
+
+class TestScansThatFail:
+    """The store carries out writes of the owner, but does not answer its scans."""
+
+    def test_nothing_starts_and_later_jobs_wait_unplaced(self) -> None:
+        """Tasks that are placed without a start occupy their workers."""
+
+        async def scenario(world: CellWorld, owner: CellOwner, scans: Scans) -> None:
+            scans.fail = True
+            owner.add_job(SPEC)
+            await until(lambda: scans.begun >= 1)
+            await asyncio.sleep(0.2)
+            owner.add_job(OTHER)
+            await asyncio.sleep(1.5)
+            assert not world.starts()
+            assert not owner.state.jobs[OTHER.job_id].active_tasks()
+            assert scans.begun <= 16
+            scans.fail = False
+            await until(lambda: len(world.starts()) == 6, limit_s=1.0)
+
+        run_owner(scenario, MAX_SCAN_AGE_S + 1.0)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -10,6 +10,7 @@
 import pytest
 from cell_helpers import job
 
+from chivetray.cells.cancellations import CancellationWatch
 from chivetray.cells.directory import RENEWAL_OBSERVATION_S, CellDirectory, Renewal
 from chivetray.cells.evacuation import RESERVATION_S, reserve_workers
 from chivetray.cells.placing import place_tasks
@@ -82,6 +83,7 @@
         class Owner:
             state = CellState("pool-a")
             guard_version = 10
+            cancellations = CancellationWatch(0.0)
 
             def wake(self) -> None:
                 pass
