Read every change for each cell that a process owns

Change: a scan moves the version only if no loading has changed it meanwhile; loading again moves it once all owned cells are loaded, and leaves the rest to the next scan.

Evidence: the three tests of TestVersionUpToWhichChangesWereRead, each failed before.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -395,10 +395,11 @@
     # Loading of jobs
 
     async def _load_jobs(self, state: CellState, guard_version: int) -> None:
+        # Until the cell is among the owned ones, scans do not cover it. So no scan may
+        # end between this and that, and one that ends later may not pass the version.
         version = await load_jobs(self._store, state, guard_version)
-        if version:
-            before = self.scanned_version or version
-            self.scanned_version = min(before, version)
+        before = self.scanned_version or version
+        self.scanned_version = min(before, version)
 
     async def scan(self) -> None:
         """Find jobs and cancellations of which the owner has not been notified.
@@ -426,16 +427,10 @@
         sent_at_s, from_version = boot_time_s(), self.scanned_version
         changes = await self._store.changes(JOB_TABLE, from_version, 0)
         if changes.history_gone:
-            # Continues from the version that is loaded now. Otherwise each scan would
-            # load everything again.
-            self.scanned_version = 0
-            for cell_owner in covered:
-                sent_at_s = boot_time_s()
-                await self._load_jobs(cell_owner.state, cell_owner.guard_version)
-                cell_owner.cancellations.record_scan(sent_at_s)
-                cell_owner.wake()
+            await self._reload_jobs(covered, from_version)
             return
-        self.scanned_version = max(self.scanned_version, changes.version)
+        if self.scanned_version == from_version:
+            self.scanned_version = changes.version
         now_s = boot_time_s()
         for cell_owner in list(self.owned_cells.values()):
             for row in changes.rows:
@@ -449,6 +444,24 @@
         for cell_owner in covered:
             cell_owner.cancellations.record_scan(sent_at_s)
 
+    async def _reload_jobs(self, covered: list[CellOwner], from_version: int) -> None:
+        """Load the jobs of cells again whose changes are no longer available.
+
+        Later scans continue from the version that is loaded now, or each would load
+        everything again. If a cell fails to load, or another one was loaded meanwhile,
+        the next scan has to.
+        """
+        versions = []
+        for cell_owner in covered:
+            sent_at_s = boot_time_s()
+            state, guard_version = cell_owner.state, cell_owner.guard_version
+            versions.append(await load_jobs(self._store, state, guard_version))
+            cell_owner.cancellations.record_scan(sent_at_s)
+            cell_owner.wake()
+        is_complete = all(owner in covered for owner in self.owned_cells.values())
+        if self.scanned_version == from_version and is_complete:
+            self.scanned_version = min(versions)
+
 
 def _next_epoch(cell: str, row: Row | None, current: Ownership | None) -> int:
     """Return an epoch above all earlier ones of a cell.
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
 from typing import Any
 
 import anyio
@@ -14,13 +15,19 @@
 from run_once_helpers import CELL, MANAGERS, World
 from virtual_loop import virtual_time
 
-from chivetray.cells.cancellations import MAX_SCAN_AGE_S, SCAN_AHEAD_AGE_S
+from chivetray.cells.cancellations import (
+    MAX_SCAN_AGE_S,
+    SCAN_AHEAD_AGE_S,
+    CancellationWatch,
+)
+from chivetray.cells.directory import CellDirectory
 from chivetray.cells.owner import CellOwner
+from chivetray.cells.state import CellState
 from chivetray.cells.tables import cancel_row, job_row
 from chivetray.clocks import boot_time_s
 from chivetray.jobs.job import encode_spec
 from chivetray.jobs.model import JobSpec, JobState
-from chivetray.platform.store import StoreUnavailableError
+from chivetray.platform.store import Changes, Row, StoreUnavailableError
 
 SPEC = job("00000000000000c1")
 OTHER = job("00000000000000c2")
@@ -221,3 +228,137 @@
             await until(lambda: len(world.starts()) == 6, limit_s=1.0)
 
         run_owner(scenario, MAX_SCAN_AGE_S + 1.0)
+
+
+class CellFake:
+    """An owner that only records which jobs it is told to cancel."""
+
+    def __init__(self, name: str):
+        self.state = CellState(name)
+        self.guard_version = 1
+        self.cancellations = CancellationWatch(0.0)
+        self.told: list[str] = []
+
+    def cancel(self, job_id: str) -> bool:
+        self.told.append(job_id)
+        return True
+
+    def wake(self) -> None:
+        pass
+
+
+class FeedStore:
+    """A store whose feed holds the cancellation of one job.
+
+    :ivar asked: versions after which changes were asked for
+    :ivar before_answer: called before each answer of the feed
+    :ivar before_load: called before each list of parts
+    """
+
+    VERSION = 20
+    NEWEST = 30
+
+    def __init__(self) -> None:
+        self.asked: list[int] = []
+        self.before_answer: Callable[[], None] = lambda: None
+        self.before_load: Callable[[], None] = lambda: None
+        self.history_gone_until = 0
+
+    async def changes(self, _table: str, version: int, _wait_ms: int) -> Changes:
+        self.asked.append(version)
+        await asyncio.sleep(0)
+        self.before_answer()
+        if version < self.history_gone_until:
+            return Changes([], 0, history_gone=True)
+        marker = Row(cancel_row("q", SPEC.job_id), b"1", self.VERSION)
+        return Changes([marker] if version < self.VERSION else [], self.NEWEST)
+
+    async def read(self, *_: object) -> tuple[list[Row], int]:
+        return [], self.NEWEST
+
+    async def parts(self, _table: str) -> list[str]:
+        self.before_load()
+        return ["q"]
+
+
+def make_directory(store: Any, cells: list[CellFake], version: int) -> CellDirectory:
+    mesh = SimpleNamespace(handlers={})
+    directory = CellDirectory(mesh, store, None, list, list, 1000)  # type: ignore
+    directory.owned_cells = {cell.state.name: cell for cell in cells}  # type: ignore
+    directory.scanned_version = version
+    return directory
+
+
+class TestVersionUpToWhichChangesWereRead:
+    """Several cells share it; a change that it passes unread is never read again."""
+
+    def test_a_scan_under_way_does_not_pass_a_cell_loaded_meanwhile(self) -> None:
+        """The loaded version was older than the one from which the scan read."""
+        store = FeedStore()
+        cell, loaded = CellFake("a"), CellFake("b")
+        directory = make_directory(store, [cell], 25)
+
+        def load() -> None:
+            directory.scanned_version = 15
+            directory.owned_cells["b"] = loaded  # type: ignore[assignment]
+
+        async def scenario() -> None:
+            store.before_answer = load
+            await directory.scan()
+            assert loaded.cancellations.scanned_at_s == 0.0
+            store.before_answer = lambda: None
+            await directory.scan()
+
+        asyncio.run(scenario())
+        assert store.asked == [25, 15]
+        assert loaded.told == [SPEC.job_id]
+        assert loaded.cancellations.scanned_at_s > 0
+
+    def test_a_cell_that_was_not_loaded_again_is_loaded_by_the_next_scan(self) -> None:
+        """The history was gone, and the store went away after the first cell."""
+        store = FeedStore()
+        store.history_gone_until = 10
+        cells = [CellFake("a"), CellFake("b")]
+        directory = make_directory(store, cells, 5)
+        loads = []
+
+        def fail_once() -> None:
+            loads.append(1)
+            if len(loads) == 2:
+                raise StoreUnavailableError("refused")
+
+        store.before_load = fail_once
+
+        async def scenario() -> None:
+            with pytest.raises(StoreUnavailableError):
+                await directory.scan()
+            assert cells[1].cancellations.scanned_at_s == 0.0
+            await directory.scan()
+
+        asyncio.run(scenario())
+        assert len(loads) == 4
+        assert directory.scanned_version == FeedStore.NEWEST
+        assert cells[1].cancellations.scanned_at_s > 0
+
+    def test_a_cell_loaded_while_the_others_load_again_misses_nothing(self) -> None:
+        """The version that the others were loaded at may be newer than its own."""
+        store = FeedStore()
+        store.history_gone_until = 10
+        cell, loaded = CellFake("a"), CellFake("b")
+        directory = make_directory(store, [cell], 5)
+
+        loads = []
+
+        def add_cell() -> None:
+            loads.append(1)
+            directory.owned_cells["b"] = loaded  # type: ignore[assignment]
+
+        store.before_load = add_cell
+
+        async def scenario() -> None:
+            await directory.scan()
+            await directory.scan()
+
+        asyncio.run(scenario())
+        assert len(loads) == 3
+        assert directory.scanned_version == FeedStore.NEWEST
