Read changes since the first read of a loading cell

Changes were then followed from the oldest version of the last reads. The first job of a part that was stored after the list and before the reads was in none of them: its owner learnt of it only by a notification, and of its cancellation, too.

Change: changes are followed from the version of the first read. This also gives a version where there are no queues yet.

Evidence: TestQueueWhoseFirstJobArrivesDuringTheLoading, failed before.

--- a/src/chivetray/cells/loading.py
+++ b/src/chivetray/cells/loading.py
@@ -16,12 +16,14 @@
     """Load the jobs of a cell and their progress into its state.
 
     :param guard_version: version of the owner row; reads of older versions are stale
-    :return: version from which later changes have to be read, 0 without any queue
+    :return: version from which later changes have to be read
     :raises StoreUnavailableError: if the store does not answer, or answers with a state
         from before the acquisition of the cell
     """
-    rows, version = await store.read(PROGRESS_TABLE, state.name)
-    _check_fresh(version, guard_version)
+    # A queue's first job may be stored after the list of parts and before the reads, so
+    # all changes since this first read have to be read.
+    rows, first_version = await store.read(PROGRESS_TABLE, state.name)
+    _check_fresh(first_version, guard_version)
     progress = {row.id.key: row for row in rows}
     now_s = boot_time_s()
     parts = await store.parts(JOB_TABLE)
@@ -44,7 +46,7 @@
         for row in jobs:
             if row.id.key.endswith(CANCEL_SUFFIX):
                 state.cancel(row.id.key.removesuffix(CANCEL_SUFFIX))
-    return min((version for _, version in rows_by_queue.values()), default=0)
+    return first_version
 
 
 def _check_fresh(version: int, guard_version: int) -> None:
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -289,6 +289,22 @@
     return directory
 
 
+class TestQueueWhoseFirstJobArrivesDuringTheLoading:
+    """Its part was not among those listed, and the changes were read from later on."""
+
+    def test_it_is_found_in_the_changes_since_the_first_read(self) -> None:
+        class Store(FeedStore):
+            version = 19
+
+            async def read(self, *_: object) -> tuple[list[Row], int]:
+                self.version += 1
+                return [], self.version
+
+        directory = make_directory(Store(), [], 0)
+        asyncio.run(directory._load_jobs(CellState("a"), guard_version=10))
+        assert directory.scanned_version == 20
+
+
 class TestVersionUpToWhichChangesWereRead:
     """Several cells share it; a change that it passes unread is never read again."""
 
