Notify each owner of cancellations without waiting for the others

Cause: notifications went in rounds that ended with the slowest owner, so one whose call hung held up the next round for all others by the time-out of a call, again in each round. An acknowledgement ended the repeats of a cancellation even if it came from a process that had lost the cell and did not know it yet; the next owner, which may have loaded the cell before the cancellation was stored, learnt of it only by its scan. And the limit of jobs in a round was shared, so that many jobs of a cell without an owner held up those of others.

Change: each owner has its own calls, one of a kind at a time, repeated after 0.15 s unless all of it is acknowledged. For 3 s after an acknowledgement a cancellation is repeated if the cell turns out to have another owner. The limit holds for each call.

Evidence: test_an_owner_that_hangs_does_not_hold_up_the_others and test_a_cancellation_is_repeated_if_the_cell_had_another_owner, both failed before.

--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+import math
 from dataclasses import dataclass
 from typing import Any
 
@@ -37,14 +39,21 @@
 # store last some seconds.
 STORE_RETRY_AFTER_S = 2.0
 
-# Pause between rounds of notifications while some are not acknowledged.
+# Pause between notifications of an owner while some are not acknowledged.
 NOTIFY_PAUSE_S = 0.15
 
+# Time for which further notifications are gathered while some are under way.
+GATHER_S = 0.01
+
+# Time after an acknowledged cancellation within which this process learns that another
+# one owned the cell already. Claims come with the first heartbeat of a new stream.
+OWNER_CHANGE_S = 3.0
+
 SUBMIT_CALL = "submitted"
 CANCEL_CALL = "cancelled"
 STATE_CALL = "state"
 
-# Most jobs of which owners are notified in one round.
+# Most jobs of which an owner is notified in one call.
 NOTIFY_BATCH_JOBS = 5000
 
 
@@ -64,6 +73,15 @@
     pending: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Acknowledgement:
+    """A cancellation that the owner of a cell has acknowledged."""
+
+    cell: str
+    owner: str
+    received_at_s: float
+
+
 class JobService:
     """Accepts and cancels jobs and reports their state for callers of this process."""
 
@@ -80,6 +98,8 @@
         self._configuration = configuration
         self._jobs_to_notify: dict[str, JobSpec] = {}
         self._cancellations_to_notify: dict[str, str] = {}
+        self._acknowledged: dict[str, _Acknowledgement] = {}
+        self._notifying: set[tuple[str, str]] = set()
         self._notify_event = anyio.Event()
         self._acceptor = JobAcceptor(store)
         self._task_group: TaskGroup | None = None
@@ -254,28 +274,41 @@
             self._task_group = task_group
             while True:
                 self._notify_event = anyio.Event()
-                await self._notify_all()
-                if self._jobs_to_notify or self._cancellations_to_notify:
-                    await anyio.sleep(NOTIFY_PAUSE_S)
-                    continue
-                await self._notify_event.wait()
+                self._repeat_acknowledged()
+                self._notify_owners(task_group)
+                if self._notifying:
+                    await anyio.sleep(GATHER_S)
+                is_idle = not (
+                    self._jobs_to_notify
+                    or self._cancellations_to_notify
+                    or self._acknowledged
+                )
+                with anyio.move_on_after(math.inf if is_idle else NOTIFY_PAUSE_S):
+                    await self._notify_event.wait()
 
-    async def _notify_all(self) -> None:
+    def _notify_owners(self, task_group: TaskGroup) -> None:
+        """Begin to notify each owner to which no notification of a kind is under way.
+
+        An owner that does not answer holds up only its own notifications.
+        """
+        owner_of = functools.cache(self._directory.owner_of)
         jobs_by_owner: dict[str, list[JobSpec]] = {}
-        for spec in list(self._jobs_to_notify.values())[:NOTIFY_BATCH_JOBS]:
-            owner = self._directory.owner_of(spec.cell)
-            if owner is not None:
+        for spec in self._jobs_to_notify.values():
+            owner = owner_of(spec.cell)
+            if owner is not None and (SUBMIT_CALL, owner) not in self._notifying:
                 jobs_by_owner.setdefault(owner, []).append(spec)
         cancellations_by_owner: dict[str, list[str]] = {}
-        for job_id, cell in list(self._cancellations_to_notify.items()):
-            owner = self._directory.owner_of(cell)
-            if owner is not None:
+        for job_id, cell in self._cancellations_to_notify.items():
+            owner = owner_of(cell)
+            if owner is not None and (CANCEL_CALL, owner) not in self._notifying:
                 cancellations_by_owner.setdefault(owner, []).append(job_id)
-        async with anyio.create_task_group() as task_group:
-            for owner, specs in jobs_by_owner.items():
-                task_group.start_soon(self._notify_jobs, owner, specs)
-            for owner, job_ids in cancellations_by_owner.items():
-                task_group.start_soon(self._notify_cancellations, owner, job_ids)
+        for owner, specs in jobs_by_owner.items():
+            self._notifying.add((SUBMIT_CALL, owner))
+            batch = specs[:NOTIFY_BATCH_JOBS]
+            task_group.start_soon(self._notify_jobs, owner, batch)
+        for owner, job_ids in cancellations_by_owner.items():
+            self._notifying.add((CANCEL_CALL, owner))
+            task_group.start_soon(self._notify_cancellations, owner, job_ids)
 
     async def _notify_jobs(self, owner: str, specs: list[JobSpec]) -> None:
         content = [encode_spec(spec) for spec in specs]
@@ -285,14 +318,42 @@
             acknowledged = await self._mesh.call(owner, SUBMIT_CALL, content)
         for job_id in acknowledged or []:
             self._jobs_to_notify.pop(job_id, None)
+        is_complete = not any(s.job_id in self._jobs_to_notify for s in specs)
+        await self._end_notification(SUBMIT_CALL, owner, is_complete)
 
     async def _notify_cancellations(self, owner: str, job_ids: list[str]) -> None:
         if owner == self._mesh.name:
             acknowledged = await self._handle_cancelled(owner, job_ids)
         else:
             acknowledged = await self._mesh.call(owner, CANCEL_CALL, job_ids)
+        now_s = boot_time_s()
         for job_id in acknowledged or []:
-            self._cancellations_to_notify.pop(job_id, None)
+            cell = self._cancellations_to_notify.pop(job_id, None)
+            if cell is not None:
+                self._acknowledged[job_id] = _Acknowledgement(cell, owner, now_s)
+        is_complete = not self._cancellations_to_notify.keys() & job_ids
+        await self._end_notification(CANCEL_CALL, owner, is_complete)
+
+    async def _end_notification(self, kind: str, owner: str, is_complete: bool) -> None:
+        """Allow the next notification, at once if all of this one is acknowledged."""
+        if not is_complete:
+            await anyio.sleep(NOTIFY_PAUSE_S)
+        self._notifying.discard((kind, owner))
+        self._notify_event.set()
+
+    def _repeat_acknowledged(self) -> None:
+        """Repeat cancellations whose cell has another owner than acknowledged them.
+
+        The next owner may have loaded the cell before the cancellation was stored.
+        """
+        now_s = boot_time_s()
+        for job_id, acknowledgement in list(self._acknowledged.items()):
+            owner = self._directory.owner_of(acknowledgement.cell)
+            if owner is not None and owner != acknowledgement.owner:
+                self._cancellations_to_notify[job_id] = acknowledgement.cell
+            elif now_s - acknowledgement.received_at_s < OWNER_CHANGE_S:
+                continue
+            del self._acknowledged[job_id]
 
     async def _handle_submitted(self, _peer: str, content: Any) -> Any:
         """Add jobs to the cells that this process owns; return their ids."""
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
 from typing import Any
 
 from cell_helpers import CELL, job
+from virtual_loop import virtual_time
 
-from chivetray.cells.job_service import JobService
+from chivetray.cells.job_service import SUBMIT_CALL, JobService
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import job_row
 from chivetray.generated.messages import CellClaim
+from chivetray.jobs.job import decode_spec
+from chivetray.peers.mesh import CALL_TIMEOUT_S
 from chivetray.platform.store import Committed, Row, RowId
 from chivetray.platform.stored_records import Queue
 from chivetray.results import ResultCode
@@ -81,3 +85,130 @@
         claims = [CellClaim(CELL, 4, {QUEUE: 2}, []), CellClaim("b", 1, {QUEUE: 1}, [])]
         service = make_service(owned=[owner], claims=claims)
         assert service.count_pending(make_queue()).pending == 4
+
+
+class NotifiedOwners:
+    """Owners of cells, some of which do not answer.
+
+    :ivar hanging: processes whose answers never come
+    :ivar owners: owner of each cell
+    :ivar calls: process, kind and content of each notification
+    """
+
+    name = "m1"
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, Any] = {}
+        self.hanging: set[str] = set()
+        self.unknown: set[str] = set()
+        self.owners: dict[str, str] = {}
+        self.calls: list[tuple[str, str, list[Any]]] = []
+        self.owned_cells: dict[str, Any] = {}
+
+    async def call(self, name: str, kind: str, argument: list[Any]) -> Any:
+        self.calls.append((name, kind, argument))
+        if name in self.hanging:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return None
+        if kind == SUBMIT_CALL:
+            return [decode_spec(content).job_id for content in argument]
+        return [job_id for job_id in argument if job_id not in self.unknown]
+
+    def owner_of(self, cell: str) -> str | None:
+        return self.owners.get(cell)
+
+    def told(self, name: str) -> list[str]:
+        """Return the cancellations of which a process was notified, in their order."""
+        return [
+            job_id for n, _, job_ids in self.calls if n == name for job_id in job_ids
+        ]
+
+
+def notify(
+    scenario: Callable[[JobService, NotifiedOwners], Awaitable[None]],
+) -> None:
+    async def main() -> None:
+        owners = NotifiedOwners()
+        service = JobService(owners, None, owners, None)  # type: ignore[arg-type]
+        running = asyncio.ensure_future(service.run())
+        await asyncio.sleep(0.01)
+        await scenario(service, owners)
+        assert not running.done()
+        running.cancel()
+
+    with virtual_time() as loop:
+        loop.run_until_complete(main())
+
+
+def cancel_in(service: JobService, job_id: str, cell: str) -> None:
+    service._cancellations_to_notify[job_id] = cell
+    service._notify_event.set()
+
+
+class TestNotifications:
+    """An owner that learns late of a cancellation starts tasks of the job."""
+
+    def test_an_owner_that_hangs_does_not_hold_up_the_others(self) -> None:
+        """Each round waited for all owners, up to the time-out of a call."""
+
+        async def scenario(service: JobService, owners: NotifiedOwners) -> None:
+            owners.owners = {"a": "m2", "b": "m3"}
+            owners.hanging = {"m2"}
+            cancel_in(service, "1", "a")
+            await asyncio.sleep(0.05)
+            cancel_in(service, "2", "b")
+            await asyncio.sleep(0.05)
+            assert owners.told("m3") == ["2"]
+            await asyncio.sleep(1.5)
+            assert owners.told("m2") == ["1", "1"]
+            assert owners.told("m3") == ["2"]
+
+        notify(scenario)
+
+    def test_what_is_not_acknowledged_is_repeated_after_a_pause(self) -> None:
+        async def scenario(service: JobService, owners: NotifiedOwners) -> None:
+            owners.owners = {"a": "m2"}
+            owners.unknown = {"1"}
+            cancel_in(service, "1", "a")
+            await asyncio.sleep(1.0)
+            assert 5 <= len(owners.calls) <= 8
+            owners.unknown.clear()
+            await asyncio.sleep(1.0)
+            calls = len(owners.calls)
+            await asyncio.sleep(10.0)
+            assert len(owners.calls) == calls
+
+        notify(scenario)
+
+    def test_a_cancellation_is_repeated_if_the_cell_had_another_owner(self) -> None:
+        """A process acknowledged it that had lost the cell and did not know it."""
+
+        async def scenario(service: JobService, owners: NotifiedOwners) -> None:
+            owners.owners = {"a": "m2"}
+            cancel_in(service, "1", "a")
+            await asyncio.sleep(0.5)
+            assert owners.told("m2") == ["1"]
+            owners.owners = {}
+            await asyncio.sleep(1.0)
+            owners.owners = {"a": "m3"}
+            await asyncio.sleep(0.5)
+            assert owners.told("m3") == ["1"]
+            await asyncio.sleep(10.0)
+            assert owners.told("m2") + owners.told("m3") == ["1", "1"]
+
+        notify(scenario)
+
+    def test_jobs_that_arrive_one_after_another_are_notified_soon(self) -> None:
+        """A pause after each call would delay urgent jobs."""
+
+        async def scenario(service: JobService, owners: NotifiedOwners) -> None:
+            owners.owners = {CELL: "m2"}
+            for number in range(5):
+                service._jobs_to_notify[str(number)] = job(str(number))
+                service._notify_event.set()
+                await asyncio.sleep(0.002)
+            await asyncio.sleep(0.01)
+            assert not service._jobs_to_notify
+            assert len(owners.calls) <= 5
+
+        notify(scenario)
