Read all pages of changes in one scan

Answers with rows are limited to 500 rows or 1 MB, so after a pause, or with the version from which a process had read for an earlier cell, each scan of 3 s read one page, and the newest changes last. The owner was ignorant for all that time.

Change: a scan goes on while pages are full, and counts as completed at the send time of the last one. It continues within the last transaction of a full page, as a page may cut it and its version may be that of the store. A process that owns no cell forgets the version that it had read up to: the next cell is loaded anew.

Evidence: test_one_scan_reads_all_of_them and TestProcessThatOwnsNoCell, failed before. That the platform's feed has pages is not known; the pages name the limit for reads of rows.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -360,6 +360,9 @@
 
     def _remove_owner(self, cell: str) -> None:
         cell_owner = self.owned_cells.pop(cell, None)
+        if not self.owned_cells:
+            # The next cell is loaded anew and needs none of the changes until then.
+            self.scanned_version = 0
         self._mesh.request_heartbeat()
         if (
             cell_owner is not None
@@ -424,16 +427,24 @@
     async def _scan_changes(self) -> None:
         # A cell that is loaded meanwhile may need changes from before this scan.
         covered = list(self.owned_cells.values())
-        sent_at_s, from_version = boot_time_s(), self.scanned_version
-        changes = await self._store.changes(JOB_TABLE, from_version, 0)
-        if changes.history_gone:
-            await self._reload_jobs(covered, from_version)
-            return
-        if self.scanned_version == from_version:
-            self.scanned_version = changes.version
+        has_more = True
+        while has_more:
+            sent_at_s, from_version = boot_time_s(), self.scanned_version
+            changes = await self._store.changes(JOB_TABLE, from_version, 0)
+            if changes.history_gone:
+                await self._reload_jobs(covered, from_version)
+                return
+            if self.scanned_version == from_version:
+                self.scanned_version = changes.version
+            self._apply_changes(changes.rows)
+            has_more = changes.has_more
+        for cell_owner in covered:
+            cell_owner.cancellations.record_scan(sent_at_s)
+
+    def _apply_changes(self, rows: list[Row]) -> None:
         now_s = boot_time_s()
         for cell_owner in list(self.owned_cells.values()):
-            for row in changes.rows:
+            for row in rows:
                 if row.removed:
                     continue
                 if row.id.key.endswith(CANCEL_SUFFIX):
@@ -441,8 +452,6 @@
                 else:
                     add_job_from_row(cell_owner.state, row, {}, now_s)
             cell_owner.wake()
-        for cell_owner in covered:
-            cell_owner.cancellations.record_scan(sent_at_s)
 
     async def _reload_jobs(self, covered: list[CellOwner], from_version: int) -> None:
         """Load the jobs of cells again whose changes are no longer available.
--- a/src/chivetray/platform/store.py
+++ b/src/chivetray/platform/store.py
@@ -19,7 +19,9 @@
 TRANSACTION_ENTRIES_LIMIT = 100
 TRANSACTION_BYTES_LIMIT = 900_000
 
+# Limits of one page of rows: number, and bytes of the values, which may count encoded.
 PAGE_ROWS = 500
+PAGE_BYTES = 700_000
 
 # Path of transactions.
 TRANSACTION_PATH = "/chivetray/rows-tx"
@@ -95,11 +97,13 @@
 
     :ivar history_gone: whether the store no longer has the changes, so that the
         whole table must be read again
+    :ivar has_more: whether further changes may have been made before the answer
     """
 
     rows: list[Row]
     version: int
     history_gone: bool = False
+    has_more: bool = False
 
 
 class StoreUnavailableError(Exception):
@@ -262,7 +266,12 @@
             if outcome.ok:
                 plain_rows = _list_field(outcome.body, "rows")
                 rows = [row for plain in plain_rows if (row := _decode_row(plain))]
-                return Changes(rows, max(version, _version_field(outcome.body)))
+                newest_version = _version_field(outcome.body)
+                has_more = bool(outcome.body.get("HasMore")) or _is_full_page(rows)
+                if has_more and rows:
+                    # The rest of the last transaction may be on the next page.
+                    newest_version = max(version + 1, rows[-1].version - 1)
+                return Changes(rows, max(version, newest_version), has_more=has_more)
         raise StoreUnavailableError(
             _describe_failure(outcome), isinstance(outcome, Answer)
         )
@@ -301,6 +310,11 @@
         )
 
 
+def _is_full_page(rows: list[Row]) -> bool:
+    size = sum(len(row.value) for row in rows)
+    return len(rows) >= PAGE_ROWS or size >= PAGE_BYTES
+
+
 def _describe_failure(outcome: Outcome) -> str:
     if isinstance(outcome, Answer):
         return f"status {outcome.status}"
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -27,7 +27,8 @@
 from chivetray.clocks import boot_time_s
 from chivetray.jobs.job import encode_spec
 from chivetray.jobs.model import JobSpec, JobState
-from chivetray.platform.store import Changes, Row, StoreUnavailableError
+from chivetray.platform.calls import Answer
+from chivetray.platform.store import PAGE_ROWS, Changes, Row, StoreUnavailableError
 
 SPEC = job("00000000000000c1")
 OTHER = job("00000000000000c2")
@@ -289,6 +290,54 @@
     return directory
 
 
+class TestChangesOnSeveralPages:
+    """After a long pause a scan read one page, and the next one 3 s later."""
+
+    def test_one_scan_reads_all_of_them(self) -> None:
+        """Until then the owner started tasks of jobs that were long cancelled."""
+
+        async def scenario(world: World) -> None:
+            send = world._read
+            feeds: list[int] = []
+
+            def read(path: str) -> Answer:
+                answer = send(path)
+                if "rows-feed" not in path:
+                    return answer
+                rows = answer.body["rows"][:PAGE_ROWS]
+                feeds.append(len(rows))
+                newest = rows[-1]["Ver"] if rows else answer.body["Ver"]
+                return Answer(200, {"Ver": newest, "rows": rows})
+
+            world._read = read  # type: ignore[method-assign]
+            for number in range(2 * PAGE_ROWS):
+                put_cancellation(world, job(f"{number:016x}"))
+            put_job(world, SPEC)
+            put_cancellation(world, SPEC)
+            owner = find_owner(world)
+            sent_at_s = boot_time_s()
+            await owner.cancellations.refresh()
+            assert owner.state.jobs[SPEC.job_id].state == JobState.CANCELLED
+            assert feeds == [PAGE_ROWS, PAGE_ROWS, 4]
+            assert owner.cancellations.scanned_at_s > sent_at_s
+
+        run_fleet(scenario)
+
+
+class TestProcessThatOwnsNoCell:
+    """Its old version made the first scan for its next cell read far back."""
+
+    def test_the_next_cell_begins_at_the_version_it_is_loaded_at(self) -> None:
+        async def scenario(world: World) -> None:
+            manager = world.owner()
+            assert manager is not None
+            assert manager.directory.scanned_version > 0
+            find_owner(world).mark_lost("test")
+            assert manager.directory.scanned_version == 0
+
+        run_fleet(scenario)
+
+
 class TestQueueWhoseFirstJobArrivesDuringTheLoading:
     """Its part was not among those listed, and the changes were read from later on."""
 
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -11,7 +11,10 @@
 from chivetray.platform.calls import Answer, CallSession, _decode_object
 from chivetray.platform.store import (
     ABSENT,
+    PAGE_BYTES,
+    PAGE_ROWS,
     TRANSACTION_ENTRIES_LIMIT,
+    Changes,
     Committed,
     Conflict,
     OutcomeUnknown,
@@ -154,3 +157,44 @@
     def test_a_lost_answer_is_not_answered(self):
         writes = [RowWrite("t", "k", ABSENT, {})]
         assert not write_each(Versions("lost"), writes).failure().answered
+
+
+def read_changes(rows: list[tuple[int, bytes]], **fields: object) -> Changes:
+    """Return the changes in an answer with rows of some versions and values."""
+    encoded = [
+        {"Table": "t", "Key": f"k{number}", "Ver": version, "Value": value}
+        for number, (version, value) in enumerate(
+            (version, base64.b64encode(value).decode()) for version, value in rows
+        )
+    ]
+    content = json.dumps({"Ver": 9000, "rows": encoded, **fields}).encode()
+    store = Store(CannedSession(200, content), "platform")
+    return anyio.run(store.changes, "t", 10, 0)
+
+
+class TestPagesOfChanges:
+    """Changes past the end of a page were taken for read."""
+
+    @pytest.mark.parametrize(
+        ("rows", "fields"),
+        [
+            ([(11 + number, b"") for number in range(PAGE_ROWS)], {}),
+            ([(20, b"x" * PAGE_BYTES)], {}),
+            ([(20, b"")], {"HasMore": True}),
+        ],
+        ids=["rows", "bytes", "flag"],
+    )
+    def test_a_full_page_is_continued_within_its_last_transaction(
+        self, rows: list[tuple[int, bytes]], fields: dict[str, object]
+    ) -> None:
+        changes = read_changes(rows, **fields)
+        assert changes.has_more
+        assert changes.version == rows[-1][0] - 1
+
+    def test_a_short_page_ends_at_the_version_of_the_store(self) -> None:
+        changes = read_changes([(20, b"")])
+        assert not changes.has_more
+        assert changes.version == 9000
+
+    def test_a_page_of_one_transaction_is_not_read_for_ever(self) -> None:
+        assert read_changes([(11, b"x" * PAGE_BYTES)]).version == 11
