Remember cancellations of jobs that the owner does not know yet

The owner placed five tasks of a job and was told of its cancellation 18 ms later, 11 s after the answer to the caller.

Cause: an owner that was notified of the cancellation of an unknown job forgot it and left the notification to be repeated. When the job came to it by another way in between, as from a process that had read the job before it was cancelled, the job was placed at once.

Change: the owner remembers up to 10,000 such cancellations; the job is cancelled as soon as it is added. The notification is repeated until then as before.

Evidence: test_none_of_its_tasks_is_placed, failed before.

--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -369,11 +369,15 @@
     async def _handle_cancelled(self, _peer: str, job_ids: Any) -> Any:
         """Cancel jobs of the cells that this process owns; return the known ids."""
         acknowledged = []
+        owners = list(self._directory.owned_cells.values())
         for job_id in job_ids:
-            for cell_owner in list(self._directory.owned_cells.values()):
+            for cell_owner in owners:
                 if not cell_owner.leaving and cell_owner.cancel(job_id):
                     acknowledged.append(job_id)
                     break
+            else:
+                for cell_owner in owners:
+                    cell_owner.state.remember_cancellation(job_id)
         return acknowledged
 
 
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -36,6 +36,9 @@
 # Time after which an unlisted worker without tasks is removed.
 UNLISTED_WORKER_TTL_S = 10.0
 
+# Cancellations of jobs that are not known yet which an owner remembers.
+MAX_EARLY_CANCELLATIONS = 10_000
+
 # Weight of the newest job in the moving mean of a queue, ``mean_job_cpu_milli``.
 SIZE_LEARNING_RATE = 0.05
 
@@ -79,6 +82,7 @@
         self.arrivals = ArrivalMeter()
         self.longest_lease_s = LEASE_S
         self.cached_order_keys: dict[str, tuple[float, int, tuple[float, ...]]] = {}
+        self._early_cancellations: dict[str, None] = {}
 
     # Jobs
 
@@ -99,6 +103,8 @@
             )
             if is_new and not job.long_running and not spec.repeats:
                 self.arrivals.record(now_s, work_core_s(spec, self.times))
+            if is_new and spec.job_id in self._early_cancellations:
+                self.cancel(spec.job_id)
         return job
 
     def restore_job(
@@ -133,6 +139,15 @@
             log_event(Event.JOB_ENDED, job=job_id, state="CANCELLED", cell=self.name)
         return True
 
+    def remember_cancellation(self, job_id: str) -> None:
+        """Remember a stored cancellation of a job that is not known yet.
+
+        It is cancelled once it is added, before any of its tasks is placed.
+        """
+        if len(self._early_cancellations) >= MAX_EARLY_CANCELLATIONS:
+            del self._early_cancellations[next(iter(self._early_cancellations))]
+        self._early_cancellations[job_id] = None
+
     def end_job(self, job: Job, state: JobState) -> None:
         """Set the final state of a job and stop its tasks and their copies."""
         job.state = state
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -7,14 +7,16 @@
 from types import SimpleNamespace
 from typing import Any
 
-from cell_helpers import CELL, job
+import anyio
+from cell_helpers import CELL, World, job, until
 from virtual_loop import virtual_time
 
 from chivetray.cells.job_service import SUBMIT_CALL, JobService
-from chivetray.cells.state import CellState
+from chivetray.cells.state import MAX_EARLY_CANCELLATIONS, CellState
 from chivetray.cells.tables import job_row
 from chivetray.generated.messages import CellClaim
-from chivetray.jobs.job import decode_spec
+from chivetray.jobs.job import decode_spec, encode_spec
+from chivetray.jobs.model import JobSpec, JobState
 from chivetray.peers.mesh import CALL_TIMEOUT_S
 from chivetray.platform.store import Committed, Row, RowId
 from chivetray.platform.stored_records import Queue
@@ -145,6 +147,44 @@
     service._notify_event.set()
 
 
+class TestCancellationBeforeItsJob:
+    """The owner forgot it, and placed the job before it was told again."""
+
+    @staticmethod
+    async def tell(service: JobService, spec: JobSpec) -> list[str]:
+        told = await service._handle_cancelled("m2", [spec.job_id])
+        assert isinstance(told, list)
+        return told
+
+    def test_none_of_its_tasks_is_placed(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            owner = await world.own()
+            service = make_service(owned=[owner])
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(world.work)
+                tasks.start_soon(owner.run)
+                assert await self.tell(service, job()) == []
+                await service._handle_submitted("m3", [encode_spec(job())])
+                await service._handle_submitted("m3", [encode_spec(job("bb" * 8))])
+                other = owner.state.jobs["bb" * 8]
+                await until(lambda: other.state == JobState.COMPLETED)
+                assert owner.state.jobs[job().job_id].state == JobState.CANCELLED
+                assert not owner.state.jobs[job().job_id].tasks
+                assert await self.tell(service, job()) == [job().job_id]
+                tasks.cancel_scope.cancel()
+            assert sum(world.starts().values()) == 3
+
+        asyncio.run(scenario())
+
+    def test_the_owner_remembers_a_limited_number(self) -> None:
+        state = CellState(CELL)
+        for number in range(MAX_EARLY_CANCELLATIONS + 1):
+            state.remember_cancellation(f"{number:016x}")
+        assert state.add_job(job(f"{0:016x}"), 0.0).state == JobState.QUEUED
+        assert state.add_job(job(f"{1:016x}"), 0.0).state == JobState.CANCELLED
+
+
 class TestNotifications:
     """An owner that learns late of a cancellation starts tasks of the job."""
 
