Repeat a scan that failed after a second

Change: a failed scan is repeated after 1 s. The next scan is due 3 s after the start of the last completed one, whoever asked for it; an idle owner scans as often as before.

Evidence: test_a_scan_that_failed_is_repeated_soon, failed before.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -88,7 +88,7 @@
     :param workers_of: returns the listed workers of a service
     :ivar capacity: capacity of this process in thousandths of a core
     :ivar scanned_version: version of the job table that ``scan`` has read up to
-    :ivar scan_began_at_s: start of the newest scan
+    :ivar scanned_at_s: start of the newest scan that was completed
     :ivar longest_lease_s: upper bound of the leases that workers grant
     :ivar has_vm_orders: whether a manager moves and maintains the VMs of workers
     """
@@ -109,7 +109,7 @@
         self.owned_cells: dict[str, CellOwner] = {}
         self.leaving = False
         self.scanned_version = 0
-        self.scan_began_at_s = 0.0
+        self.scanned_at_s = 0.0
         self.longest_lease_s = LEASE_S
         self.has_vm_orders = False
         self._mesh = mesh
@@ -414,12 +414,12 @@
         if self._scan_ended is not None:
             await self._scan_ended.wait()
             return
-        self.scan_began_at_s = boot_time_s()
-        if not self.owned_cells:
-            return
+        began_at_s = boot_time_s()
         self._scan_ended = anyio.Event()
         try:
-            await self._scan_changes()
+            if self.owned_cells:
+                await self._scan_changes()
+            self.scanned_at_s = began_at_s
         finally:
             self._scan_ended.set()
             self._scan_ended = None
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -52,6 +52,10 @@
 # the owner of their cell.
 JOB_SCAN_INTERVAL_S = 3.0
 
+# The same after a scan that failed. Tasks of jobs cancelled meanwhile run on until the
+# next one.
+JOB_SCAN_RETRY_S = 1.0
+
 # Interval between checks of the settings file for changes.
 SETTINGS_CHECK_INTERVAL_S = 1.0
 
@@ -349,8 +353,8 @@
 
     async def _scan_jobs(self) -> None:
         while True:
-            began_at_s = self._directory.scan_began_at_s
-            due_in_s = began_at_s + JOB_SCAN_INTERVAL_S - boot_time_s()
+            scanned_at_s = self._directory.scanned_at_s
+            due_in_s = scanned_at_s + JOB_SCAN_INTERVAL_S - boot_time_s()
             if due_in_s > 0:
                 await anyio.sleep(due_in_s)
                 continue
@@ -358,6 +362,7 @@
                 await self._directory.scan()
             except StoreUnavailableError as error:
                 log_event(Event.STORE_LOST, reason=str(error), during="scan")
+                await anyio.sleep(JOB_SCAN_RETRY_S)
 
     # Readiness and metrics
 
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -13,7 +13,7 @@
 from cell_helpers import World as CellWorld
 from cell_helpers import job, until
 from run_once_helpers import CELL, MANAGERS, World
-from virtual_loop import virtual_time
+from virtual_loop import START_S, virtual_time
 
 from chivetray.cells.cancellations import (
     MAX_SCAN_AGE_S,
@@ -27,6 +27,7 @@
 from chivetray.clocks import boot_time_s
 from chivetray.jobs.job import encode_spec
 from chivetray.jobs.model import JobSpec, JobState
+from chivetray.manager import Manager
 from chivetray.platform.calls import Answer
 from chivetray.platform.store import PAGE_ROWS, Changes, Row, StoreUnavailableError
 
@@ -427,3 +428,48 @@
         asyncio.run(scenario())
         assert len(loads) == 3
         assert directory.scanned_version == FeedStore.NEWEST
+
+
+class TestPeriodicScan:
+    """It finds the cancellations of jobs of which no task waits."""
+
+    @staticmethod
+    def scan_for(limit_s: float, store: FeedStore, busy: bool = False) -> list[float]:
+        """Return the times at which a process with one cell scans."""
+        times: list[float] = []
+        store.before_answer = lambda: times.append(round(boot_time_s() - START_S, 1))
+
+        async def main() -> None:
+            directory = make_directory(store, [CellFake("a")], 25)
+            directory.scanned_at_s = START_S
+            manager: Any = SimpleNamespace(_directory=directory)
+            running = asyncio.ensure_future(Manager._scan_jobs(manager))
+            while boot_time_s() - START_S < limit_s:
+                await asyncio.sleep(2.1)
+                if busy:
+                    await directory.scan()
+            running.cancel()
+
+        with virtual_time() as loop:
+            loop.run_until_complete(main())
+        return times
+
+    def test_an_idle_owner_scans_each_interval(self) -> None:
+        assert self.scan_for(10.0, FeedStore()) == [3.0, 6.0, 9.0]
+
+    def test_scans_for_starts_take_its_place(self) -> None:
+        """Both together would double the calls of a busy owner."""
+        times = self.scan_for(10.0, FeedStore(), busy=True)
+        assert times == [2.1, 4.2, 6.3, 8.4, 10.5]
+
+    def test_a_scan_that_failed_is_repeated_soon(self) -> None:
+        """After an outage tasks ran on for three seconds until the next one."""
+
+        class Store(FeedStore):
+            async def changes(self, *arguments: Any) -> Changes:
+                found = await super().changes(*arguments)
+                if len(self.asked) == 1:
+                    raise StoreUnavailableError("refused")
+                return found
+
+        assert self.scan_for(8.0, Store()) == [3.0, 4.0, 7.0]
