--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -88,10 +88,14 @@
     :param workers_of: returns the listed workers of a service
     :ivar capacity: capacity of this process in thousandths of a core
     :ivar scanned_version: version of the job table that ``scan`` has read up to
+    :ivar scanned_at_s: start of the newest scan that was completed
     :ivar longest_lease_s: upper bound of the leases that workers grant
     :ivar has_vm_orders: whether a manager moves and maintains the VMs of workers
     """
 
+    # Set while a scan is under way.
+    _scan_ended: anyio.Event | None = None
+
     def __init__(
         self,
         mesh: Mesh,
@@ -105,6 +109,7 @@
         self.owned_cells: dict[str, CellOwner] = {}
         self.leaving = False
         self.scanned_version = 0
+        self.scanned_at_s = 0.0
         self.longest_lease_s = LEASE_S
         self.has_vm_orders = False
         self._mesh = mesh
@@ -243,6 +248,7 @@
         try:
             cell_owner = await self._acquire(cell)
             if cell_owner is not None:
+                cell_owner.cancellations.scan = self.scan
                 self.owned_cells[cell] = cell_owner
                 self._mesh.request_heartbeat()
                 task_group.start_soon(cell_owner.run)
@@ -300,7 +306,8 @@
         elif current is not None and current.released:
             cell_owner.inherited_leases_s = current.leases_s
         state.update_workers(self._workers_of(cell), boot_time_s())
-        lease_ends_s = await self._load_cell(cell_owner)
+        lease_ends_s = await cell_owner.lease_ends.load(self._store, version)
+        await self._load_jobs(state, version)
         lease_ends_s |= {w: written_at_s + left_s for w, left_s in leases_s.items()}
         now_s = boot_time_s()
         state.attach_restored_tasks(
@@ -389,6 +396,9 @@
 
     def _remove_owner(self, cell: str) -> None:
         cell_owner = self.owned_cells.pop(cell, None)
+        if not self.owned_cells:
+            # The next cell is loaded anew and needs none of the changes until then.
+            self.scanned_version = 0
         self._mesh.request_heartbeat()
         if (
             cell_owner is not None
@@ -423,51 +433,54 @@
 
     # Loading of jobs
 
-    async def _load_cell(self, cell_owner: CellOwner) -> dict[str, float]:
-        """Load the jobs of a cell and the stored lease ends, which are returned.
-
-        :return: end of the leases by worker id, on the local clock
-        """
-        state, version = cell_owner.state, cell_owner.guard_version
-        ends_s: dict[str, float] = {}
-
-        async def load_lease_ends() -> None:
-            ends_s.update(await cell_owner.lease_ends.load(self._store, version))
-
-        try:
-            async with anyio.create_task_group() as task_group:
-                task_group.start_soon(load_lease_ends)
-                await self._load_jobs(state, version)
-        except* StoreUnavailableError as group:
-            raise StoreUnavailableError(str(group.exceptions[0])) from group
-        return ends_s
-
     async def _load_jobs(self, state: CellState, guard_version: int) -> None:
+        # Until the cell is among the owned ones, scans do not cover it. So no scan may
+        # end between this and that, and one that ends later may not pass the version.
         version = await load_jobs(self._store, state, guard_version)
-        if version:
-            before = self.scanned_version or version
-            self.scanned_version = min(before, version)
+        before = self.scanned_version or version
+        self.scanned_version = min(before, version)
 
     async def scan(self) -> None:
         """Find jobs and cancellations of which the owner has not been notified.
 
+        A call while a scan is under way waits for its end instead.
+
         :raises StoreUnavailableError: when the store does not answer
         """
-        if not self.owned_cells:
-            return
-        changes = await self._store.changes(JOB_TABLE, self.scanned_version, 0)
-        if changes.history_gone:
-            # Continues from the version that is loaded now. Otherwise each scan would
-            # load everything again.
-            self.scanned_version = 0
-            for cell_owner in list(self.owned_cells.values()):
-                await self._load_jobs(cell_owner.state, cell_owner.guard_version)
-                cell_owner.wake()
+        if self._scan_ended is not None:
+            await self._scan_ended.wait()
             return
-        self.scanned_version = max(self.scanned_version, changes.version)
+        began_at_s = boot_time_s()
+        self._scan_ended = anyio.Event()
+        try:
+            if self.owned_cells:
+                await self._scan_changes()
+            self.scanned_at_s = began_at_s
+        finally:
+            self._scan_ended.set()
+            self._scan_ended = None
+
+    async def _scan_changes(self) -> None:
+        # A cell that is loaded meanwhile may need changes from before this scan.
+        covered = list(self.owned_cells.values())
+        has_more = True
+        while has_more:
+            sent_at_s, from_version = boot_time_s(), self.scanned_version
+            changes = await self._store.changes(JOB_TABLE, from_version, 0)
+            if changes.history_gone:
+                await self._reload_jobs(covered, from_version)
+                return
+            if self.scanned_version == from_version:
+                self.scanned_version = changes.version
+            self._apply_changes(changes.rows)
+            has_more = changes.has_more
+        for cell_owner in covered:
+            cell_owner.cancellations.record_scan(sent_at_s)
+
+    def _apply_changes(self, rows: list[Row]) -> None:
         now_s = boot_time_s()
         for cell_owner in list(self.owned_cells.values()):
-            for row in changes.rows:
+            for row in rows:
                 if row.removed:
                     continue
                 if row.id.key.endswith(CANCEL_SUFFIX):
@@ -476,6 +489,24 @@
                     add_job_from_row(cell_owner.state, row, {}, now_s)
             cell_owner.wake()
 
+    async def _reload_jobs(self, covered: list[CellOwner], from_version: int) -> None:
+        """Load the jobs of cells again whose changes are no longer available.
+
+        Later scans continue from the version that is loaded now, or each would load
+        everything again. If a cell fails to load, or another one was loaded meanwhile,
+        the next scan has to.
+        """
+        versions = []
+        for cell_owner in covered:
+            sent_at_s = boot_time_s()
+            state, guard_version = cell_owner.state, cell_owner.guard_version
+            versions.append(await load_jobs(self._store, state, guard_version))
+            cell_owner.cancellations.record_scan(sent_at_s)
+            cell_owner.wake()
+        is_complete = all(owner in covered for owner in self.owned_cells.values())
+        if self.scanned_version == from_version and is_complete:
+            self.scanned_version = min(versions)
+
 
 def _next_epoch(cell: str, row: Row | None, current: Ownership | None) -> int:
     """Return an epoch above all earlier ones of a cell.
--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -120,6 +120,9 @@
 
     async def _send_start_once(self, placement: Placement) -> bool:
         """Send a start order once; return whether no retry is needed."""
+        cancellations = self._cell_owner.cancellations
+        if not cancellations.may_start(boot_time_s()):
+            await cancellations.refresh()
         job = self._state.jobs.get(placement.ref[0])
         task = job.tasks.get(placement.ref[1]) if job else None
         worker = self._state.workers.get(placement.worker_id)
@@ -135,6 +138,9 @@
         lease_s = self._cell_owner.limit_lease_s(START_LEASE_S, sent_at_s)
         if not lease_s:
             return True
+        if not cancellations.may_start(sent_at_s):
+            # ``resend_unconfirmed`` tries again.
+            return True
         deadline_ms = worker.clock.lower_bound_ms(sent_at_s) + int(lease_s * 1000)
         worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
         worker.lease_sent_at_s = max(worker.lease_sent_at_s, sent_at_s)
