Release an attempt that never ran at the next poll

Callers saw a job with nothing running for up to 4.6 s after one lost answer: a start was not answered, its second try was refused, and the attempt had to be stopped before its task went elsewhere.

Cause: a stopped attempt is released by a poll that is sent after the stop was answered. The poll under way is held for up to 2 s, since nothing ends, and so is the next.

Change: polls are held for 0.2 s while an attempt that was never listed is being stopped or has a start without an answer.

--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -18,6 +18,7 @@
 from chivetray.cells.workers import WorkerState
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event, log_event
+from chivetray.jobs.model import Phase
 from chivetray.platform.workers import (
     Reply,
     TaskName,
@@ -39,6 +40,10 @@
 # The same while a decision needs a recent report of the worker.
 RECENT_REPORT_POLL_WAIT_MS = 500
 
+# The same while the next reply may show that an attempt does not run, since its task
+# waits for that reply, and for one poll more if a poll is under way.
+UNCERTAIN_ATTEMPT_POLL_WAIT_MS = 200
+
 # A poll waits for at most this fraction of the lease, so that two polls in a row can
 # fail before the lease expires.
 POLL_WAIT_LEASE_FRACTION = 0.3
@@ -127,6 +132,8 @@
             self._log_extension(sent_at_s, may_grant_leases)
             lease_s = min(LEASE_S, self._cell_owner.longest_lease_s)
             wait_ms = _poll_wait_ms(worker, sent_at_s, lease_s)
+            if self._awaits_listing(worker):
+                wait_ms = min(wait_ms, UNCERTAIN_ATTEMPT_POLL_WAIT_MS)
             if may_grant_leases:
                 # Counted from a time that the worker's clock has certainly passed, so
                 # that the lease does not outlast the wait of the next owner.
@@ -161,6 +168,17 @@
             return
         await self._handle_poll_failure(worker, reply, sent_at_s, now_s)
 
+    def _awaits_listing(self, worker: WorkerState) -> bool:
+        """Return whether the next reply may show that an attempt does not run."""
+        for ref in worker.tasks:
+            found = self._state.find_newest_attempt(worker, ref)
+            if found is None or found[1].listed_at_s:
+                continue
+            _, task = found
+            if task.phase == Phase.STOPPING or task.unanswered_starts:
+                return True
+        return False
+
     def _log_extension(self, now_s: float, extends: bool) -> None:
         """Log that leases of this cell are no longer extended, or are again."""
         if extends != self._leases_paused:
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -9,13 +9,15 @@
 from typing import Any
 
 import anyio
+import pytest
 from cell_helpers import MemoryWorkers, World, job
 from virtual_loop import virtual_time
 
 from chivetray.cells.owner import CellOwner
 from chivetray.clocks import boot_time_s
 from chivetray.jobs.model import JobSpec, Phase, Step
-from chivetray.platform.calls import NoAnswer
+from chivetray.platform.calls import Answer, NoAnswer, Outcome
+from chivetray.platform.standins.worker import WorkerModel
 from chivetray.platform.workers import Reply, WorkerAddress, decode_reply
 
 JOB = "00000000000000aa"
@@ -26,8 +28,15 @@
     return replace(job(job_id, (LASTING,)), payload="lasts")
 
 
-class UnreachableWorkers(MemoryWorkers):
-    """Workers of which the silent ones leave a call open until its timeout."""
+class HoldingWorkers(MemoryWorkers):
+    """Workers that hold polls, of which the silent ones leave calls open.
+
+    :ivar refusing: start orders to answer next, by the outcome of each
+    """
+
+    def __init__(self, models: dict[str, WorkerModel]):
+        super().__init__(models)
+        self.refusing: list[Outcome] = []
 
     async def _call(
         self, worker: WorkerAddress, call: str, body: Any, timeout_s: float
@@ -36,7 +45,22 @@
             self.calls.append((worker.worker_id, call, body))
             await asyncio.sleep(timeout_s)
             return decode_reply(NoAnswer("silent"))
-        return await super()._call(worker, call, body, timeout_s)
+        if call == "run-start" and self.refusing:
+            outcome = self.refusing.pop(0)
+            await asyncio.sleep(timeout_s if isinstance(outcome, NoAnswer) else 0.004)
+            return decode_reply(outcome)
+        reply = await super()._call(worker, call, body, timeout_s)
+        if call == "hold" and not reply.ended and body.get("WaitMs"):
+            await self._hold(worker.worker_id, body["WaitMs"] / 1000)
+            return await super()._call(worker, call, {**body, "WaitMs": 0}, timeout_s)
+        return reply
+
+    async def _hold(self, worker_id: str, wait_s: float) -> None:
+        """Wait until an attempt ends, or for as long as a poll may be held."""
+        for _ in range(int(wait_s / 0.01)):
+            if self.models[worker_id].ends:
+                return
+            await asyncio.sleep(0.01)
 
 
 def in_virtual_time(scenario: Callable[[], Coroutine[Any, Any, None]]) -> None:
@@ -46,7 +70,7 @@
 
 def make_world(workers: int) -> World:
     world = World(workers=workers, work_s=0.3)
-    world.workers = UnreachableWorkers(world.models)
+    world.workers = HoldingWorkers(world.models)
     for model in world.models.values():
         model.read_time_s, model.started_s = boot_time_s, boot_time_s()
         model.incarnation_ms = 1
@@ -89,3 +113,32 @@
             assert waited_s < 2.0
 
         in_virtual_time(scenario)
+
+
+class TestStartThatIsRefusedAfterOneWithoutAnswer:
+    @pytest.mark.parametrize("phase_s", [0.0, 0.4, 0.8, 1.2, 1.6])
+    def test_its_task_goes_elsewhere_within_3_s(self, phase_s: float) -> None:
+        """It once waited for two polls, which the worker holds for 2 s each.
+
+        The attempt is stopped first, since the start without answer may be carried out.
+        """
+
+        async def scenario() -> None:
+            world = make_world(2)
+            owner = await world.own()
+            async with running(world, owner):
+                workers = owner.state.workers.values()
+                await until(lambda: all(w.clock.known for w in workers), 1.0)
+                # Polls of workers with a task that lasts are held.
+                for number in range(2):
+                    step = replace(LASTING, cpu_milli=3000)
+                    spec = replace(job(f"{number:016x}", (step,)), payload="lasts")
+                    owner.add_job(spec)
+                await until(lambda: all(m.running for m in world.models.values()), 1.0)
+                await asyncio.sleep(5.0 + phase_s)
+                refusal = Answer(409, {"Reason": "room"})
+                world.workers.refusing = [NoAnswer("lost"), refusal]
+                owner.add_job(job(steps=(Step(1, 1000),)))
+                await until(lambda: world.starts()[f"{JOB}.0.0.0"] > 0, 3.0)
+
+        in_virtual_time(scenario)
