--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -114,6 +114,7 @@
         self._workers_of = workers_of
         self.capacity = capacity
         self._advice = advice
+        self._created_at_s = boot_time_s()
         self._acquiring: set[str] = set()
         self._unclaimed_since_s: dict[str, float] = {}
         self._renewals: dict[str, Renewal] = {}
@@ -255,26 +256,30 @@
         current = Ownership.decode(row.value) if row else None
         if row is not None and not await self._is_previous_owner_gone(cell, current):
             return None
+        last_renewal = self._renewals.pop(cell, None)
         epoch = _next_epoch(cell, row, current)
         ownership = Ownership(epoch, self._mesh.name, self._mesh.incarnation)
         acquired_at_s = boot_time_s()
-        version = await self._write_ownership(cell, row, ownership)
+        version = await self._write_ownership(cell, row, last_renewal, ownership)
         if version is None:
             return None
         is_released = bool(current and current.released)
-        earlier_lease_s = 0.0
-        if row is not None:
-            earlier_lease_s = (
-                MAX_RELEASED_LEASE_S if is_released else MAX_EARLIER_LEASE_S
-            )
         leases_s = current.leases_s if current is not None else {}
+        written_at_s = boot_time_s()
+        earlier_lease_until_s = 0.0
+        if is_released:
+            earlier_lease_until_s = written_at_s + MAX_RELEASED_LEASE_S
+        elif row is not None:
+            earlier_lease_until_s = MAX_EARLIER_LEASE_S + self._last_confirmation_s(
+                current, last_renewal, written_at_s
+            )
         log_event(
             Event.CELL_TAKEN,
             cell=cell,
             epoch=epoch,
             before=current.holder if current else "",
             released=is_released,
-            earlier_lease_s=round(earlier_lease_s, 3),
+            earlier_lease_s=round(max(0.0, earlier_lease_until_s - written_at_s), 3),
             leases_s={w: round(s, 3) for w, s in leases_s.items()},
         )
         state = CellState(cell)
@@ -295,8 +300,15 @@
         elif current is not None and current.released:
             cell_owner.inherited_leases_s = current.leases_s
         state.update_workers(self._workers_of(cell), boot_time_s())
-        await self._load_jobs(state, version)
-        state.attach_restored_tasks(boot_time_s(), earlier_lease_s, leases_s)
+        lease_ends_s = await self._load_cell(cell_owner)
+        lease_ends_s |= {w: written_at_s + left_s for w, left_s in leases_s.items()}
+        now_s = boot_time_s()
+        state.attach_restored_tasks(
+            now_s,
+            max(0.0, earlier_lease_until_s - now_s),
+            {w: max(0.0, until_s - now_s) for w, until_s in lease_ends_s.items()},
+            orders_until_s=earlier_lease_until_s - MAX_RELEASED_LEASE_S,
+        )
         if row is not None and self.has_vm_orders:
             await_reservations(state, boot_time_s())
         return cell_owner
@@ -304,22 +316,40 @@
     async def _is_previous_owner_gone(
         self, cell: str, current: Ownership | None
     ) -> bool:
-        """Return whether the owner released the cell, restarted or stopped renewing."""
+        """Return whether the owner released the cell, restarted or stopped renewing.
+
+        In the last case, the read of the last renewal is kept in ``_renewals``.
+        """
         holder = current.holder if current is not None else ""
+        known = self._renewals.pop(cell, None)
         if current is not None and (current.released or self._has_restarted(current)):
             return True
         log_event(Event.CELL_SUSPECTED, cell=cell, holder=holder)
-        before = self._renewals.pop(cell, None) or await self._read_renewal(cell)
+        before = known or await self._read_renewal(cell)
         # A slow store delays the owner's renewals as much as this read.
         observed_until_s = before.read_at_s + RENEWAL_OBSERVATION_S + before.took_s
         await anyio.sleep(max(0.0, observed_until_s - boot_time_s()))
         after = await self._read_renewal(cell)
         if before.version == after.version:
+            self._renewals[cell] = before
             return self.owner_of(cell) is None
         log_event(Event.CELL_OWNER_ALIVE, cell=cell, holder=holder)
         self._unclaimed_since_s.pop(cell, None)
         return False
 
+    def _last_confirmation_s(
+        self, current: Ownership | None, last_renewal: Renewal | None, now_s: float
+    ) -> float:
+        """Return the latest time at which an earlier owner may have written last.
+
+        :param last_renewal: its last renewal, if that was read before the acquisition
+        """
+        if last_renewal is not None:
+            return last_renewal.read_at_s
+        if current is not None and current.holder == self._mesh.name:
+            return min(now_s, self._created_at_s)
+        return now_s
+
     def _has_restarted(self, current: Ownership) -> bool:
         """Return whether the incarnation that owned a cell is known to have ended."""
         if current.holder == self._mesh.name:
@@ -328,21 +358,26 @@
         return peer is not None and peer.incarnation != current.incarnation
 
     async def _write_ownership(
-        self, cell: str, row: Row | None, ownership: Ownership
+        self,
+        cell: str,
+        row: Row | None,
+        last_renewal: Renewal | None,
+        ownership: Ownership,
     ) -> int | None:
-        """Write the owner row; return its version, or ``None`` on failure."""
+        """Write the owner row; return its version, or ``None`` on failure.
+
+        :param last_renewal: renewal of the earlier owner that must be its last one
+        """
         guard = owner_row(cell)
-        before = row.version if row else ABSENT
-        outcome = await self._store.transact(
-            {guard: before}, {guard: ownership.encode()}
-        )
+        expected = {guard: row.version if row else ABSENT}
+        if last_renewal is not None:
+            expected[renewal_row(cell)] = last_renewal.version
+        outcome = await self._store.transact(expected, {guard: ownership.encode()})
         if isinstance(outcome, Committed):
             return outcome.version
         if isinstance(outcome, OutcomeUnknown):
             # The write may have taken effect; a second one reveals whether it has.
-            outcome = await self._store.transact(
-                {guard: before}, {guard: ownership.encode()}
-            )
+            outcome = await self._store.transact(expected, {guard: ownership.encode()})
             if isinstance(outcome, Committed):
                 return outcome.version
         found = getattr(outcome, "rows", {}).get(guard)
@@ -388,6 +423,25 @@
 
     # Loading of jobs
 
+    async def _load_cell(self, cell_owner: CellOwner) -> dict[str, float]:
+        """Load the jobs of a cell and the stored lease ends, which are returned.
+
+        :return: end of the leases by worker id, on the local clock
+        """
+        state, version = cell_owner.state, cell_owner.guard_version
+        ends_s: dict[str, float] = {}
+
+        async def load_lease_ends() -> None:
+            ends_s.update(await cell_owner.lease_ends.load(self._store, version))
+
+        try:
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(load_lease_ends)
+                await self._load_jobs(state, version)
+        except* StoreUnavailableError as group:
+            raise StoreUnavailableError(str(group.exceptions[0])) from group
+        return ends_s
+
     async def _load_jobs(self, state: CellState, guard_version: int) -> None:
         version = await load_jobs(self._store, state, guard_version)
         if version:
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -17,6 +17,7 @@
 from chivetray.cells.advice import record_tickets
 from chivetray.cells.evacuation import evacuate
 from chivetray.cells.gangs import stop_broken_gangs
+from chivetray.cells.lease_ends import LeaseEnds
 from chivetray.cells.order_sender import OrderSender
 from chivetray.cells.orders import StepRef
 from chivetray.cells.placing import place_tasks
@@ -29,11 +30,13 @@
     renewal_row,
 )
 from chivetray.cells.timing import (
+    CONFIRMED_LEASE_S,
     LEASE_EXTENSION_WINDOW_S,
     LEASE_S,
     RETRY_PAUSE_S,
     TICK_S,
 )
+from chivetray.cells.waiting import WAIT_CHECK_INTERVAL_S, OwnerStatus, WaitLog
 from chivetray.clocks import boot_time_s, wall_time_ms
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job, job_age_s
@@ -107,6 +110,7 @@
     :ivar renewal_latency_s: duration of the last renewal of the ownership
     :ivar get_remaining_leases: returns the remaining leases that the next owner has to
         wait for
+    :ivar lease_ends: stored ends of the leases on workers that do not answer
     :ivar inherited_leases_s: remaining leases that the previous owner stored when it
         released the cell, ``None`` if it did not release it
     """
@@ -123,6 +127,7 @@
     ):
         self.state = state
         state.epoch = ownership.epoch
+        state.owned_since_s = boot_time_s()
         self.ownership = ownership
         self.guard_version = guard_version
         self.confirmed_at_s = boot_time_s()
@@ -131,11 +136,15 @@
         self.lost = False
         self.renewal_latency_s = 0.0
         self.longest_lease_s = LEASE_S
+        self.lease_ends = LeaseEnds(state)
         self.inherited_leases_s: dict[str, float] | None = None
         self.get_remaining_leases: Callable[[], dict[str, float]] = lambda: (
             state.remaining_leases(boot_time_s())
         )
         self._store = store
+        self._wait_log = WaitLog(state)
+        self._storing_job_ids: frozenset[str] = frozenset()
+        self._storing_since_s = 0.0
         self._renewals = 0
         self._renewed_at_s = 0.0
         self._may_release_at_s = 0.0
@@ -160,6 +169,13 @@
         unconfirmed_s = now_s - self.confirmed_at_s
         return not self.releasing and unconfirmed_s < LEASE_EXTENSION_WINDOW_S
 
+    def limit_lease_s(self, lease_s: float, now_s: float) -> float:
+        """Return for how long a lease that is granted now may last, 0 for none."""
+        if not self.may_grant_leases(now_s):
+            return 0.0
+        confirmed_left_s = self.confirmed_at_s + CONFIRMED_LEASE_S - now_s
+        return max(0.0, min(lease_s, self.longest_lease_s, confirmed_left_s))
+
     # Inputs
 
     def add_job(self, spec: JobSpec) -> None:
@@ -189,7 +205,10 @@
         """Run the cell until it is lost or released."""
         async with anyio.create_task_group() as task_group:
             self._task_group = task_group
+            self._log_loaded()
             task_group.start_soon(self._renew_ownership)
+            task_group.start_soon(self.lease_ends.run, self, self._store.clock)
+            task_group.start_soon(self._log_waits)
             await self._main_loop(task_group)
             task_group.cancel_scope.cancel()
 
@@ -241,13 +260,40 @@
                 worker.last_stored_end = number
                 self._poller.wake_worker(worker_id)
 
+    def _log_loaded(self) -> None:
+        """Log that the jobs of the cell are read, so that their tasks may be placed."""
+        log_event(
+            Event.CELL_LOADED,
+            cell=self.state.name,
+            epoch=self.epoch,
+            took_s=round(boot_time_s() - self.confirmed_at_s, 3),
+            jobs=len(self.state.active),
+            workers=len(self.state.workers),
+        )
+
+    async def _log_waits(self) -> None:
+        """Log what tasks wait for, also while a write of progress is not answered."""
+        while not self.lost:
+            await anyio.sleep(WAIT_CHECK_INTERVAL_S)
+            now_s = boot_time_s()
+            status = OwnerStatus(
+                self._storing_since_s,
+                self._storing_job_ids,
+                self.leaving,
+                self.may_grant_leases(now_s),
+            )
+            self._wait_log.check(status, now_s, wall_time_ms())
+
     # Store
 
     async def _commit_progress(self, jobs: list[Job]) -> bool:
         """Store the progress of jobs; return whether the cell is still owned."""
+        self._storing_job_ids = frozenset(job.spec.job_id for job in jobs)
+        self._storing_since_s = boot_time_s()
         for batch in _split_into_batches(jobs):
             if not await self._commit_batch(batch):
                 return False
+        self._storing_job_ids, self._storing_since_s = frozenset(), 0.0
         return True
 
     async def transact(
@@ -301,12 +347,12 @@
                     job.version, job.stored_state = outcome.version, state
                 return True
             if isinstance(outcome, Conflict):
-                if not self._is_still_owner(outcome):
+                if not self.is_still_owner(outcome):
                     return False
                 if not self._adopt_versions(outcome, rows, writes):
                     return False
                 continue
-            self._log_failure(outcome)
+            self.log_failure(outcome)
             await anyio.sleep(pause_s)
             pause_s = min(RETRY_PAUSE_MAX_S, 2 * pause_s)
         return False
@@ -330,7 +376,7 @@
             job.version = version
         return True
 
-    def _is_still_owner(self, conflict: Conflict) -> bool:
+    def is_still_owner(self, conflict: Conflict) -> bool:
         """Return whether this process still owns the cell; mark it lost otherwise."""
         found = conflict.rows.get(self.guard_row)
         if found is not None and found.version == self.guard_version:
@@ -338,7 +384,8 @@
         self.mark_lost("another process has taken the cell")
         return False
 
-    def _log_failure(self, outcome: TransactionOutcome, during: str = "") -> None:
+    def log_failure(self, outcome: TransactionOutcome, during: str = "") -> None:
+        """Log that a transaction was not carried out, or may not have been."""
         reason = getattr(outcome, "reason", "")
         log_event(
             Event.COMMIT_FAILED,
@@ -373,7 +420,7 @@
                 continue
             outcome = await self.transact({})
             if isinstance(outcome, Conflict):
-                self._is_still_owner(outcome)
+                self.is_still_owner(outcome)
             elif not isinstance(outcome, Committed):
                 await anyio.sleep(RENEWAL_INTERVAL_S)
 
@@ -405,14 +452,14 @@
         if is_first_try and isinstance(outcome, Refused):
             self.releasing = False
             self._may_release_at_s = boot_time_s() + RETRY_PAUSE_MAX_S
-        self._log_failure(outcome, during="release")
+        self.log_failure(outcome, during="release")
         return False
 
     async def verify_ownership(self) -> None:
         """Check the owner row after a worker has reported a higher fencing token."""
         outcome = await self.transact({})
         if isinstance(outcome, Conflict):
-            self._is_still_owner(outcome)
+            self.is_still_owner(outcome)
 
     # Workers
 
