--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -18,6 +18,7 @@
 from chivetray.cells.workers import WorkerState
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event, log_event
+from chivetray.jobs.model import Phase
 from chivetray.platform.workers import (
     Reply,
     TaskName,
@@ -39,6 +40,10 @@
 # The same while a decision needs a recent report of the worker.
 RECENT_REPORT_POLL_WAIT_MS = 500
 
+# The same while the next reply may show that an attempt does not run, since its task
+# waits for that reply, and for one poll more if a poll is under way.
+UNCERTAIN_ATTEMPT_POLL_WAIT_MS = 200
+
 # A poll waits for at most this fraction of the lease, so that two polls in a row can
 # fail before the lease expires.
 POLL_WAIT_LEASE_FRACTION = 0.3
@@ -139,6 +144,8 @@
                 worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
                 worker.lease_sent_at_s = max(worker.lease_sent_at_s, sent_at_s)
             wait_ms = _poll_wait_ms(worker, sent_at_s)
+            if self._awaits_listing(worker):
+                wait_ms = min(wait_ms, UNCERTAIN_ATTEMPT_POLL_WAIT_MS)
         observed, incarnation = _acknowledgeable_end(worker), worker.incarnation
         reply = await self._workers.poll(
             address, self._cell_owner.epoch, observed, deadline_ms, wait_ms
@@ -167,6 +174,17 @@
             return
         await self._handle_poll_failure(worker, reply, sent_at_s, now_s)
 
+    def _awaits_listing(self, worker: WorkerState) -> bool:
+        """Return whether the next reply may show that an attempt does not run."""
+        for ref in worker.tasks:
+            found = self._state.find_newest_attempt(worker, ref)
+            if found is None or found[1].listed_at_s:
+                continue
+            _, task = found
+            if task.phase == Phase.STOPPING or task.unanswered_starts:
+                return True
+        return False
+
     def _log_extension(self, now_s: float, extends: bool) -> None:
         """Log that leases of this cell are no longer extended, or are again."""
         if extends != self._leases_paused:
