Write log lines in pieces that a pipe takes whole

The queue wrote up to 50 lines, some 20 kB, in one call. A pipe takes such a write in parts: when it is full and was set to not block, the buffer of standard output raised an error and kept a part of the data, and the rest was dropped; when the process was killed meanwhile, the line that it was in had no end; with several writers, parts of others came between.

One write now holds whole lines of at most PIPE_BUF bytes, 4,096 on Linux, and goes to the raw output, so that a pipe takes it whole or not at all. A line that is longer than that can still be cut.

--- a/src/chivetray/log_queue.py
+++ b/src/chivetray/log_queue.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import select
 import threading
 import time
 from collections import deque
@@ -17,6 +18,10 @@
 # Length of the queue; at about 400 bytes a line it stays below 2 MB.
 LINES_LIMIT = 4000
 
+# Most bytes of one write. A pipe takes such a write whole or not at all, also when it
+# is full, when the process is killed, and when other processes write to it.
+WRITE_LIMIT_BYTES = select.PIPE_BUF
+
 # Pause before the next write when the output takes nothing.
 FULL_OUTPUT_PAUSE_S = 0.01
 
@@ -61,13 +66,12 @@
 
     def _write_queued(self) -> None:
         while self._lines:
-            chunk = [self._lines.popleft() for _ in range(min(50, len(self._lines)))]
             if self.dropped > self._reported_dropped:
-                count, self._reported_dropped = (
-                    self.dropped - self._reported_dropped,
-                    self.dropped,
-                )
-                chunk.append(orjson.dumps(self._build_dropped_message(count)))
+                count = self.dropped - self._reported_dropped
+                self._reported_dropped = self.dropped
+                message = self._build_dropped_message(count)
+                self._lines.appendleft(orjson.dumps(message))
+            chunk = self._take_chunk()
             try:
                 self._write(b"\n".join(chunk) + b"\n")
             except (OSError, ValueError):
@@ -75,15 +79,27 @@
                 self.dropped += len(chunk)
                 return
 
+    def _take_chunk(self) -> list[bytes]:
+        """Take as many lines from the queue as one write may hold, at least one."""
+        chunk = [self._lines.popleft()]
+        size = len(chunk[0]) + 1
+        while self._lines and size + len(self._lines[0]) < WRITE_LIMIT_BYTES:
+            chunk.append(self._lines.popleft())
+            size += len(chunk[-1]) + 1
+        return chunk
+
     def _write(self, data: bytes) -> None:
         """Write all of the data, also to an output that takes less in one call.
 
-        An unbuffered text stream ignores how much its output has taken.
+        Neither layer above the raw output does that when the output does not block:
+        the text stream ignores how much was taken, the buffer raises an error and
+        keeps a part.
         """
-        output = getattr(self._stream, "buffer", None)
-        if output is None:
+        buffer = getattr(self._stream, "buffer", None)
+        if buffer is None:
             self._stream.write(data.decode())
             return
+        output = getattr(buffer, "raw", buffer)
         rest = memoryview(data)
         while rest:
             count = output.write(rest)
@@ -91,4 +107,3 @@
                 rest = rest[count:]
             else:
                 time.sleep(FULL_OUTPUT_PAUSE_S)
-        output.flush()
--- a/tests/test_log_queue.py
+++ b/tests/test_log_queue.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import fcntl
 import io
 import json
 import os
+import subprocess
+import sys
+import termios
 import threading
 import time
 
@@ -108,6 +112,79 @@
         assert queue.dropped == 0
 
 
+class TestPipes:
+    """Lines on played days ended in the middle, with the next one glued to them."""
+
+    @staticmethod
+    def read_slowly(reader: int, parts: list[bytes], pause_s: float) -> None:
+        while part := os.read(reader, 1000):
+            parts.append(part)
+            time.sleep(pause_s)
+
+    @staticmethod
+    def fill(queue: LogQueue, writer: int, lines: int = 300) -> None:
+        for number in range(lines):
+            queue.put({"writer": writer, "number": number, "text": "x" * 400})
+
+    def test_no_line_is_cut_that_a_full_pipe_does_not_take(self) -> None:
+        """A pipe that another process has set to not block takes a part of a write."""
+        reader, writer = os.pipe()
+        os.set_blocking(writer, False)
+        stream = os.fdopen(writer, "w")
+        queue = LogQueue(stream, _dropped)
+        self.fill(queue, 0)
+        parts: list[bytes] = []
+        arguments = (reader, parts, 0.001)
+        threading.Thread(target=self.read_slowly, args=arguments, daemon=True).start()
+        deadline_s = time.monotonic() + 10
+        while b"".join(parts).count(b"\n") < 300 and time.monotonic() < deadline_s:
+            time.sleep(0.02)
+        lines = b"".join(parts).decode().splitlines()
+        assert [json.loads(line)["number"] for line in lines] == list(range(300))
+        assert queue.dropped == 0
+
+    def test_lines_of_several_writers_of_one_pipe_are_whole(self) -> None:
+        reader, writer = os.pipe()
+        streams = [os.fdopen(os.dup(writer), "w") for _ in range(3)]
+        for number, stream in enumerate(streams):
+            self.fill(LogQueue(stream, _dropped), number)
+        parts: list[bytes] = []
+        arguments = (reader, parts, 0.0)
+        threading.Thread(target=self.read_slowly, args=arguments, daemon=True).start()
+        deadline_s = time.monotonic() + 10
+        while b"".join(parts).count(b"\n") < 900 and time.monotonic() < deadline_s:
+            time.sleep(0.02)
+        lines = [json.loads(line) for line in b"".join(parts).decode().splitlines()]
+        for number in range(3):
+            own = [line["number"] for line in lines if line["writer"] == number]
+            assert own == list(range(300))
+
+    def test_the_last_line_of_a_killed_process_is_whole(self) -> None:
+        """The next process on the same pipe would go on in the middle of that line."""
+        program = (
+            "import sys, time; from chivetray.log_queue import LogQueue\n"
+            "queue = LogQueue(sys.stdout, lambda count: {})\n"
+            "for number in range(1000): queue.put({'text': 'x' * 391})\n"
+            "time.sleep(60)"
+        )
+        reader, writer = os.pipe()
+        with subprocess.Popen(
+            [sys.executable, "-c", program], stdout=writer
+        ) as process:
+            os.close(writer)
+            # The pipe is full once nothing more arrives there.
+            size, before = 0, -1
+            while size != before or not size:
+                time.sleep(0.5)
+                before = size
+                answer = fcntl.ioctl(reader, termios.FIONREAD, b"    ")
+                size = int.from_bytes(answer, sys.byteorder)
+            process.kill()
+        with os.fdopen(reader, "rb") as stream:
+            written = stream.read()
+        assert written.endswith(b"\n")
+
+
 class TestRepeats:
     def test_a_subject_is_written_once_a_second_with_the_suppressed_count(self) -> None:
         repeats = RepeatFilter()
