Bound the lines of waits that one check writes

Workers of a zone that falls silent hold tasks of hundreds of steps, and each step had its line within one check: a burst that pushes other lines out of the queue of 4,000.

NOTICE_WAITS said "no answer of the owner" also for an owner that answers but does not know the job; it says "not confirmed" now.

--- a/src/chivetray/cells/waiting.py
+++ b/src/chivetray/cells/waiting.py
@@ -37,6 +37,9 @@
 MAX_TASKS_CHECKED = 2000
 MAX_REMEMBERED_WAITS = 2000
 
+# Lines of waits that a check writes; the others follow with the next checks.
+MAX_LINES = 50
+
 # Tasks, workers and jobs that one line names.
 MAX_NAMED_TASKS = 20
 MAX_NAMED_WORKERS = 3
@@ -158,6 +161,7 @@
         self._state = state
         self._waits: dict[TaskRef, _TaskWait] = {}
         self._stopping_since_s: dict[tuple[TaskRef, int], float] = {}
+        self._lines_left = MAX_LINES
 
     def check(self, status: OwnerStatus, now_s: float, now_ms: int) -> None:
         """Log the waits that have begun, changed or ended since the last check.
@@ -167,6 +171,7 @@
         waiting: set[TaskRef] = set()
         checked: set[StepRef] = set()
         left = MAX_TASKS_CHECKED
+        self._lines_left = MAX_LINES
         for job in self._select_jobs():
             for occurrence, number in job.ready_steps(now_ms):
                 if left <= 0:
@@ -263,6 +268,9 @@
         for reason, group in by_reason.items():
             if all(reason in known.told for _, known, _ in group):
                 continue
+            if self._lines_left <= 0:
+                return
+            self._lines_left -= 1
             for _, known, _ in group:
                 known.told.add(reason)
             _log_wait(self._state, job, reason, group, now_s)
@@ -604,7 +612,7 @@
                 notice=key[0],
                 cell=key[1],
                 owner=owner,
-                reason="no answer of the owner" if owner else "no owner",
+                reason="not confirmed" if owner else "no owner",
                 waited_s=round(now_s - wait.since_s, 3),
                 jobs=len(job_ids),
                 first=job_ids[:MAX_NAMED_JOBS],
