--- a/src/chivetray/log_queue.py
+++ b/src/chivetray/log_queue.py
@@ -102,7 +102,7 @@
         output = getattr(buffer, "raw", buffer)
         rest = memoryview(data)
         while rest:
-            count = output.write(rest)
+            count = output.write(rest[:WRITE_LIMIT_BYTES])
             if count:
                 rest = rest[count:]
             else:
--- a/tests/test_log_queue.py
+++ b/tests/test_log_queue.py
@@ -112,6 +112,30 @@
         assert queue.dropped == 0
 
 
+class ForgetfulOutput(SlowOutput):
+    """An output that silently loses what is behind 8,192 bytes of a write."""
+
+    def write(self, data) -> int:
+        self.taken += bytes(data[:8192])
+        return len(data)
+
+
+class TestOutputThatLosesTheRest:
+    def test_no_line_is_cut_in_a_burst_or_by_its_length(self) -> None:
+        """A cut line of a played day ends 8,192 bytes after the start of a write."""
+        output = ForgetfulOutput()
+        queue = LogQueue(io.TextIOWrapper(output, write_through=True), _dropped)
+        for number in range(100):
+            queue.put(
+                {"number": number, "text": "x" * (20_000 if number == 7 else 400)}
+            )
+        deadline_s = time.monotonic() + 5
+        while output.taken.count(b"\n") < 100 and time.monotonic() < deadline_s:
+            time.sleep(0.01)
+        lines = output.taken.decode().splitlines()
+        assert [json.loads(line)["number"] for line in lines] == list(range(100))
+
+
 class TestPipes:
     """Lines on played days ended in the middle, with the next one glued to them."""
 
