Log since when an owner knows a job, and which tasks last

waited_s of TASK_PLACED counts from the acceptance of a job by any process, as its owner sets the time back by the age of the job. It was read as the time for which the owner had known a job whose cancellation it did not know. known_s counts from the time at which this owner learned of the job, and long_running tells the tasks that last from the others.

--- a/src/chivetray/cells/loading.py
+++ b/src/chivetray/cells/loading.py
@@ -75,9 +75,9 @@
         return
     if spec.cell != state.name:
         return
-    now_s -= job_age_s(spec, wall_time_ms())
+    accepted_at_s = now_s - job_age_s(spec, wall_time_ms())
     stored = progress.get(spec.job_id)
     if stored is None:
-        state.add_job(spec, now_s, is_new)
+        state.add_job(spec, accepted_at_s, is_new, now_s)
     else:
-        state.restore_job(spec, stored.value, stored.version, now_s)
+        state.restore_job(spec, stored.value, stored.version, accepted_at_s, now_s)
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -141,8 +141,8 @@
 
     def add_job(self, spec: JobSpec) -> None:
         """Add an accepted job."""
-        age_s = job_age_s(spec, wall_time_ms())
-        self.state.add_job(spec, boot_time_s() - age_s)
+        age_s, now_s = job_age_s(spec, wall_time_ms()), boot_time_s()
+        self.state.add_job(spec, now_s - age_s, known_since_s=now_s)
         self.wake()
 
     def cancel(self, job_id: str) -> bool:
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -90,14 +90,25 @@
 
     # Jobs
 
-    def add_job(self, spec: JobSpec, now_s: float, is_new: bool = True) -> Job:
+    def add_job(
+        self,
+        spec: JobSpec,
+        now_s: float,
+        is_new: bool = True,
+        known_since_s: float | None = None,
+    ) -> Job:
         """Add an accepted job, or return the known job with its id.
 
+        :param now_s: time at which it was accepted
         :param is_new: whether the job has just arrived, and was not restored
+        :param known_since_s: time at which this owner learned of it, ``now_s`` by
+            default
         """
         job = self.jobs.get(spec.job_id)
         if job is None:
             job = self.jobs[spec.job_id] = Job(spec, now_s)
+            if known_since_s is not None:
+                job.known_since_s = known_since_s
             self.active[spec.job_id] = job
             if job.long_running:
                 self.long_running_job_ids[spec.job_id] = None
@@ -112,10 +123,15 @@
         return job
 
     def restore_job(
-        self, spec: JobSpec, progress: bytes, version: int, now_s: float
+        self,
+        spec: JobSpec,
+        progress: bytes,
+        version: int,
+        now_s: float,
+        known_since_s: float | None = None,
     ) -> None:
         """Add a job with the progress stored by an earlier owner."""
-        job = self.add_job(spec, now_s, is_new=False)
+        job = self.add_job(spec, now_s, False, known_since_s)
         job.version = version
         try:
             job.restore(progress)
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -29,7 +29,8 @@
 
     :ivar stored_state: state in the most recently stored progress
     :ivar version: version of the stored progress row, 0 before the first write
-    :ivar first_seen_s: time at which this owner learned of the job
+    :ivar first_seen_s: time at which the job was accepted, on the clock of this owner
+    :ivar known_since_s: time at which this owner learned of the job
     :ivar step_done_at_s: time at which this owner learned of the end of a step, by
         occurrence and number
     """
@@ -40,7 +41,7 @@
         self.stored_state = JobState.QUEUED
         self.version = 0
         self.cancelled = False
-        self.first_seen_s = now_s
+        self.first_seen_s = self.known_since_s = now_s
         self.tasks: dict[TaskKey, Task] = {}
         self.done_steps: set[tuple[int, int]] = set()
         self.step_done_at_s: dict[tuple[int, int], float] = {}
--- a/tests/test_log_fields.py
+++ b/tests/test_log_fields.py
@@ -158,6 +158,7 @@
         lasting.place(32.5)
         first, second = logged.of(Event.TASK_PLACED)
         assert (first["waited_s"], first["away_s"]) == (0.0, 0.0)
+        assert first["long_running"]
         assert (second["waited_s"], second["away_s"]) == (22.5, 2.5)
 
     def test_it_counts_from_the_silence_of_a_worker(self, logged) -> None:
@@ -184,6 +185,14 @@
         last = logged.of(Event.TASK_PLACED)[-1]
         assert (last["waited_s"], last["away_s"]) == (11.5, 1.5)
 
+    def test_a_job_that_its_owner_learns_of_late_is_told(self, logged) -> None:
+        """``waited_s`` counts from the acceptance, which another process confirmed."""
+        state = make_state("w0")
+        state.add_job(job(steps=(Step(1, 1000),)), 10.0, known_since_s=22.0)
+        place_tasks(state, 22.5, 0)
+        (line,) = logged.of(Event.TASK_PLACED)
+        assert (line["waited_s"], line["known_s"]) == (12.5, 0.5)
+
     def test_a_new_owner_counts_from_the_change(self, logged) -> None:
         lasting = Lasting()
         lasting.end_attempt(11.0)
