Add changes of owners, cut zones and lost workers to the random runs

The random runs had no worker that is lost without another one in its place, no owner that is killed soon after its take-over, no cut of a whole zone and no holder of VM orders, so that what waits across them was not seen. New kinds: zone_cuts, owner_losses, losses and vm_orders, in a module of their own, with long-running steps that are limited by worker and jobs that arrive while the cell has no owner; ten more pairs.

--- a/tests/progress.py
+++ b/tests/progress.py
@@ -81,9 +81,48 @@
             "LOST",
             name,
             f"{text}; last run until {last_run_s:.3f}, waits with room since "
-            f"{since_s:.3f}, last fault {self.disturbed_s:.3f}",
+            f"{since_s:.3f}, last fault {self.disturbed_s:.3f}; "
+            f"{self._describe_cause(name)}",
         )
 
+    def _describe_cause(self, name: str) -> str:
+        """Return what the owner of the cell knows of a task that waits."""
+        manager = self.world.owner()
+        if manager is None or manager.process.dead:
+            return "the cell has no owner"
+        owner = next(iter(manager.directory.owned_cells.values()))
+        job_id, *numbers = name.split(".")
+        ref = (job_id, (int(numbers[0]), int(numbers[1]), int(numbers[2])))
+        _, task = owner.state.find_task(ref)
+        text = f"{manager.name} epoch {owner.epoch}"
+        if task is None:
+            return f"{text} does not know it"
+        workers = list(owner.state.workers.values())
+        if task.active:
+            workers = [worker for worker in workers if worker.worker_id == task.worker]
+        text += f" has it {task.phase.name} attempt {task.attempt}"
+        now_s = self.world.now_s()
+        for worker in workers:
+            own_ms = worker.deadline_ms - worker.clock.lower_bound_ms(now_s)
+            times_s = {
+                "silent": worker.silent_since_s - now_s,
+                "earlier lease": worker.earlier_lease_until_s - now_s,
+                "paused": worker.unhealthy_until_s - now_s,
+                "reserved": worker.reserved_until_s - now_s,
+                "VM order": worker.vm_order_until_s - now_s,
+                "own lease": own_ms / 1000 if worker.deadline_ms else -math.inf,
+            }
+            shown = [
+                f"{what} {time_s:.1f} s"
+                for what, time_s in times_s.items()
+                if time_s > 0 or (what == "silent" and worker.silent_since_s)
+            ]
+            flags = ("listed", "tasks_known", "draining", "quarantined")
+            shown += [flag for flag in flags if getattr(worker, flag)]
+            free_milli = worker.cpu_milli - worker.used_cpu_milli
+            text += f"; {worker.worker_id}: {free_milli} free, {', '.join(shown)}"
+        return text
+
     # Tasks
 
     def _names(self, job_id: str) -> list[str]:
--- a/tests/run_once_helpers.py
+++ b/tests/run_once_helpers.py
@@ -21,6 +21,7 @@
 import anyio
 import msgpack
 import orjson
+import owner_faults
 from progress import Progress
 from virtual_loop import PROCESS, SimulatedProcess, VirtualLoop, virtual_time
 
@@ -711,6 +712,8 @@
         # When workers and managers were lost for good.
         self.gone_s: dict[str, float] = {}
         self.reserved_until_s: dict[str, float] = {}
+        self.has_vm_orders = False
+        self._handed_in = 0
         self.progress = Progress(self)
         for number in range(WORKERS):
             self.add_worker(f"w{number}", f"10.1.0.{number + 1}:80", f"r{number % 2}")
@@ -764,6 +767,21 @@
 
         self.later(delay_s, remove)
 
+    def unlist_for(
+        self, worker: SimulatedWorker, delay_s: float, until_s: float
+    ) -> None:
+        """Remove the row of a worker that goes on, and let it come back."""
+
+        def remove() -> None:
+            self.state._commit({}, [("servers", "", worker.worker_id)])
+
+        def put() -> None:
+            if worker.up:
+                self.state.put("servers", "", worker.worker_id, worker.entry())
+
+        self.later(delay_s, remove)
+        self.later(until_s, put)
+
     def find_worker(self, address: str) -> SimulatedWorker | None:
         at_address = [w for w in self.workers.values() if w.address == address and w.up]
         return at_address[-1] if at_address else None
@@ -874,10 +892,12 @@
     ) -> None:
         rng = self.rng(f"{manager.name}/store")
         away = self.store_away.get(manager.name)
-        if away == "silent" or manager.process.dead:
+        if away in ("silent", "cut") or manager.process.dead:
             return
 
         def respond(outcome: Outcome) -> None:
+            if self.store_away.get(manager.name) == "cut":
+                return
             self.later(LATENCY_S, partial(reply, outcome))
 
         if away == "refused":
@@ -885,7 +905,7 @@
             return
         delay_s = TRANSACTION_S if body is not None else LATENCY_S
         if body is None:
-            self.later(delay_s, lambda: respond(self._read(path)))
+            self.later(delay_s, lambda: respond(self.read_store(path)))
             return
         if self._loses_release(manager, body):
             self.later(delay_s, partial(self._transact, body, lambda _: None))
@@ -932,7 +952,7 @@
                 self.ledger.say(f"owner row: {ownership}")
         respond(Answer(200, {"Ver": self.state.version}))
 
-    def _read(self, path: str) -> Answer:
+    def read_store(self, path: str) -> Answer:
         call, _, query = path.rpartition("/")[2].partition("?")
         fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         table, rows = fields["Table"], self.state.rows
@@ -980,6 +1000,7 @@
         number = self._counts.get(f"start/{name}", 0) + 1
         self._counts[f"start/{name}"] = number
         manager = Manager(self, name, number)
+        manager.directory.has_vm_orders = self.has_vm_orders
         self.managers[name] = manager
         manager.process.start(manager.run())
         return manager
@@ -1047,17 +1068,34 @@
     async def submit(self, arrivals: list[tuple[float, JobSpec]]) -> None:
         for at_s, spec in sorted(arrivals, key=lambda item: item[0]):
             await asyncio.sleep(max(0.0, self.begun_s + at_s - self.now_s()))
-            self.ledger.add_job(spec)
-            row = job_row(spec.queue, spec.job_id)
-            value = base64.b64encode(encode_spec(spec)).decode()
-            self.state.put(JOB_TABLE, row.part, row.key, value)
+            self.hand_in(spec)
+
+    def hand_in(self, spec: JobSpec) -> None:
+        """Store an accepted job."""
+        self.ledger.add_job(spec)
+        row = job_row(spec.queue, spec.job_id)
+        value = base64.b64encode(encode_spec(spec)).decode()
+        self.state.put(JOB_TABLE, row.part, row.key, value)
+
+    def hand_in_soon(self, rng: random.Random) -> None:
+        """Hand in a job within a second, while the cell may have no owner."""
+        number = owner_faults.FIRST_JOB + self._handed_in
+        self._handed_in += 1
+        steps = (Step(rng.choice((1, 3)), 1000),)
+        if rng.random() < 0.3:
+            steps = (Step(2, 500, long_running=True, max_unavailable=1),)
+        spec = _spec(number, "lasting" if steps[0].long_running else "plain", steps)
+        self.later(rng.uniform(0.0, 1.0), partial(self.hand_in, spec))
 
     async def run(self) -> None:
         """Run jobs under faults, heal the faults, and wait for the jobs to end."""
         self.begun_s = self.now_s()
         self.observe()
         working = asyncio.ensure_future(self.work())
-        arrivals = asyncio.ensure_future(self.submit(jobs_of(self.rng("jobs"))))
+        jobs = jobs_of(self.rng("jobs"))
+        if owner_faults.FAULTS.keys() & set(self.kinds):
+            jobs += owner_faults.lasting_jobs(self.rng("lasting jobs"), _spec)
+        arrivals = asyncio.ensure_future(self.submit(jobs))
         await asyncio.sleep(FAULTS_BEGIN_S)
         faults = [
             asyncio.ensure_future(FAULTS[kind](self, self.rng(f"kind/{kind}")))
@@ -1350,7 +1388,7 @@
         lost_releases,
         moves,
     )
-}
+} | owner_faults.FAULTS
 
 
 @dataclass
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -13,15 +13,13 @@
 # Looks for a new owner, 50 ms apart.
 TAKEOVER_LOOKS = 100
 
-LASTING = JobSpec(
-    f"{0:016x}",
-    "lasting",
-    CELL,
-    "lasting",
-    (Step(4, 500, long_running=True, max_unavailable=1),),
-    max_attempts=50,
-    target_ms=600,
-)
+LASTING_STEP = Step(4, 500, long_running=True, max_unavailable=1)
+
+
+def spec(number: int, queue: str, step: Step) -> JobSpec:
+    return JobSpec(
+        f"{number:016x}", queue, CELL, queue, (step,), max_attempts=50, target_ms=600
+    )
 
 
 def play(script: Callable[[World], Awaitable[None]], watched_s: float) -> list[str]:
@@ -32,7 +30,7 @@
         working = asyncio.ensure_future(world.work())
         world.begun_s = world.now_s()
         world.observe()
-        await world.submit([(0.2, LASTING)])
+        await world.submit([(0.2, spec(0, "lasting", LASTING_STEP))])
         await asyncio.sleep(8.0)
         assert all(record.runs for record in world.ledger.tasks.values())
         await script(world)
--- a/tests/test_run_once.py
+++ b/tests/test_run_once.py
@@ -30,6 +30,16 @@
     ("moves", "store_away"),
     ("drains", "late_orders"),
     ("lost_writes", "releases"),
+    ("zone_cuts", "kills"),
+    ("zone_cuts", "losses"),
+    ("zone_cuts", "vm_orders"),
+    ("losses", "owner_losses"),
+    ("losses", "kills"),
+    ("losses", "restarts"),
+    ("silent_workers", "owner_losses"),
+    ("vm_orders", "owner_losses"),
+    ("moves", "kills"),
+    ("store_away", "kills"),
 )
 
 
@@ -41,7 +51,7 @@
 
 
 class TestOneKindOfFault:
-    """Guards against two runs of a task at once, and too many tasks away."""
+    """Guards against two runs of a task, too many tasks away, and waits without end."""
 
     @pytest.mark.parametrize("seed", SEEDS)
     @pytest.mark.parametrize("kind", FAULTS)
