Test that an owner finds a job stored while it loads its cell

Callers would see LOST: an accepted job that never begins. An owner lists the partitions of queues, reads each, and scans from the version of these reads. A job that is the first of a partition between the two is in neither. Only the notification by its entry tells the owner, which an entry that ends after the store's answer does not send.

--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -9,6 +9,7 @@
 from virtual_loop import virtual_time
 
 from chivetray.jobs.model import JobSpec, Step
+from chivetray.platform.calls import Answer
 
 # Looks for a new owner, 50 ms apart.
 TAKEOVER_LOOKS = 100
@@ -99,3 +100,29 @@
                 await asyncio.sleep(4.0)
 
         assert not play(script, 20.0)
+
+
+class TestJobStoredWhileACellIsLoaded:
+    """Guards against a job that no owner sees until the cell is loaded again.
+
+    Only its entry would tell the owner, and an entry may end after the store's answer.
+    """
+
+    def test_it_is_the_first_of_its_partition(self) -> None:
+        async def script(world: World) -> None:
+            read = world.read_store
+            stored = False
+
+            def store_job_after(path: str) -> Answer:
+                nonlocal stored
+                answer = read(path)
+                if "rows-parts" in path and not stored:
+                    stored = True
+                    world.hand_in(spec(1, "later", Step(1, 500)))
+                return answer
+
+            world.read_store = store_job_after  # type: ignore[method-assign]
+            await change_owner(world)
+            assert stored
+
+        assert not play(script, 12.0)
