Test that a lost worker's tasks wait for no order to its incarnation before

Callers would see LOST without any change of owner: a worker restarts, and is lost 3 s later. Its tasks began after the restart, and wait until MAX_ORDER_DELAY_S and the longest lease after the last order to the incarnation before.

--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from run_once_helpers import CELL, World
+from run_once_helpers import CELL, SimulatedWorker, World
 from virtual_loop import virtual_time
 
 from chivetray.jobs.model import JobSpec, Step
@@ -70,6 +70,12 @@
     raise AssertionError("no process has taken the cell")
 
 
+def set_draining(world: World, workers: list[SimulatedWorker], value: bool) -> None:
+    for worker in workers:
+        worker.draining = value
+        world.publish(worker)
+
+
 class TestWorkerLostWhileOwnersChange:
     """Guards against a wait for leases of earlier owners that each owner begins anew.
 
@@ -126,3 +132,25 @@
             assert stored
 
         assert not play(script, 12.0)
+
+
+class TestWorkerLostAfterARestart:
+    """Guards against a wait of 19 s for orders to the incarnation before."""
+
+    def test_its_tasks_began_after_the_restart(self) -> None:
+        async def script(world: World) -> None:
+            worker = next(w for w in world.workers.values() if w.runs)
+            others = [w for w in world.workers.values() if w is not worker]
+            set_draining(world, others, True)
+            await asyncio.sleep(1.0)
+            worker.crash()
+            await asyncio.sleep(0.3)
+            worker.begin_again()
+            world.publish(worker)
+            await asyncio.sleep(2.0)
+            assert worker.runs
+            set_draining(world, others, False)
+            await asyncio.sleep(1.0)
+            lose_worker(world)
+
+        assert not play(script, 20.0)
