Test a worker that is lost after a restart and a change of owner

A new owner expects orders of the earlier one until LEASE_EXTENSION_WINDOW_S after its take-over, and adds MAX_ORDER_DELAY_S and the longest lease for a worker that has restarted, although the worker has answered it and runs the tasks by its own orders.

--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -154,3 +154,17 @@
             lose_worker(world)
 
         assert not play(script, 20.0)
+
+    def test_its_owner_changes_after_the_restart(self) -> None:
+        async def script(world: World) -> None:
+            worker = next(w for w in world.workers.values() if w.runs)
+            worker.crash()
+            await asyncio.sleep(0.1)
+            worker.begin_again()
+            world.publish(worker)
+            await change_owner(world)
+            await asyncio.sleep(1.0)
+            assert worker.runs
+            lose_worker(world)
+
+        assert not play(script, 30.0)
