Store in a cell's owner row how long the owner's leases may last

A new owner counted 7.4 s for the leases of any earlier owner. One of the release before this change extends them for up to 11 s after its last confirmed write, so that a task could have run twice during a rolling update.

Change: the owner row tells the limit; rows without one, and damaged rows, count as 11 s.

Evidence: test_leases_of_an_earlier_release_last_longer fails without the change (7.6 s).

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -16,12 +16,13 @@
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import (
     CANCEL_SUFFIX,
+    EARLIER_RELEASE_LEASE_LIMIT_S,
     JOB_TABLE,
     Ownership,
     owner_row,
     renewal_row,
 )
-from chivetray.cells.timing import LEASE_S, MAX_EARLIER_LEASE_S, MAX_RELEASED_LEASE_S
+from chivetray.cells.timing import LEASE_S, MAX_RELEASED_LEASE_S, SLOW_CLOCK_FACTOR
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event, log_event
 from chivetray.peers.mesh import Mesh
@@ -276,9 +277,10 @@
         if is_released:
             earlier_lease_until_s = written_at_s + MAX_RELEASED_LEASE_S
         elif row is not None:
-            earlier_lease_until_s = MAX_EARLIER_LEASE_S + self._last_confirmation_s(
+            confirmed_at_s = self._last_confirmation_s(
                 current, last_renewal, written_at_s
             )
+            earlier_lease_until_s = confirmed_at_s + _longest_lease_s(current)
         log_event(
             Event.CELL_TAKEN,
             cell=cell,
@@ -508,6 +510,15 @@
             self.scanned_version = min(versions)
 
 
+def _longest_lease_s(owner: Ownership | None) -> float:
+    """Return how long a lease may last after an owner's last confirmed write.
+
+    :param owner: ``None`` if its row cannot be decoded
+    """
+    limit_s = owner.lease_limit_s if owner else EARLIER_RELEASE_LEASE_LIMIT_S
+    return limit_s * SLOW_CLOCK_FACTOR
+
+
 def _next_epoch(cell: str, row: Row | None, current: Ownership | None) -> int:
     """Return an epoch above all earlier ones of a cell.
 
--- a/src/chivetray/cells/tables.py
+++ b/src/chivetray/cells/tables.py
@@ -7,6 +7,7 @@
 
 import msgpack
 
+from chivetray.cells.timing import CONFIRMED_LEASE_S
 from chivetray.platform.store import RowId
 
 # Accepted jobs and cancellation marks, with some parts for each queue. The store
@@ -21,6 +22,10 @@
 CELL_TABLE = "cells"
 PROGRESS_TABLE = "progress"
 
+# Longest time from the last confirmed write to the end of a lease of an owner whose
+# row does not tell it.
+EARLIER_RELEASE_LEASE_LIMIT_S = 11.0
+
 # Addresses of the manager processes.
 MEMBER_TABLE = "members"
 
@@ -75,6 +80,8 @@
     :ivar released: whether the owner has released the cell
     :ivar leases_s: by worker id, how long the leases of silent workers may still last
         after the release
+    :ivar lease_limit_s: longest time from the owner's last confirmed write to the end
+        of a lease
     """
 
     epoch: int
@@ -82,19 +89,29 @@
     incarnation: str
     released: bool = False
     leases_s: dict[str, float] = field(default_factory=dict)
+    lease_limit_s: float = CONFIRMED_LEASE_S
 
     def encode(self) -> bytes:
         """Return the ownership as it is stored in the row."""
         values = [self.epoch, self.holder, self.incarnation, self.released]
-        return bytes(msgpack.packb([*values, self.leases_s]))
+        return bytes(msgpack.packb([*values, self.leases_s, self.lease_limit_s]))
 
     @classmethod
     def decode(cls, content: bytes) -> Ownership | None:
         """Return the ownership in a row, or ``None`` when it cannot be decoded."""
         try:
-            epoch, holder, incarnation, released, leases_s = msgpack.unpackb(content)
+            epoch, holder, incarnation, released, leases_s, *rest = msgpack.unpackb(
+                content
+            )
+            # Rows of earlier releases end here.
+            (lease_limit_s,) = rest or (EARLIER_RELEASE_LEASE_LIMIT_S,)
         except (ValueError, TypeError, msgpack.UnpackException):
             return None
         return cls(
-            int(epoch), str(holder), str(incarnation), bool(released), dict(leases_s)
+            int(epoch),
+            str(holder),
+            str(incarnation),
+            bool(released),
+            dict(leases_s),
+            float(lease_limit_s),
         )
--- a/tests/test_lease_ends.py
+++ b/tests/test_lease_ends.py
@@ -6,6 +6,7 @@
 from typing import Any, ClassVar
 
 import anyio
+import msgpack
 import pytest
 from cell_helpers import MemoryWorkers, World, job, until
 from test_cell_owner import running
@@ -191,15 +192,15 @@
 class SilentOwnerStore(RenewalStore):
     """A store with the cell of an owner that has ceased to renew it."""
 
-    def __init__(self, holder: str = "q") -> None:
+    def __init__(self, holder: str = "q", content: bytes = b"") -> None:
         super().__init__()
-        self.holder = holder
+        self.content = content or Ownership(1, holder, "0").encode()
         self.clock = RemoteClock()
         self.expected: list[dict[RowId, int]] = []
 
     async def read_row(self, row: RowId) -> Row:
         if row.key == "owner":
-            return Row(row, Ownership(1, self.holder, "0").encode(), 41)
+            return Row(row, self.content, 41)
         return await super().read_row(row)
 
     async def read(self, *_: object) -> tuple[list[Row], int]:
@@ -261,6 +262,14 @@
         left_s = owner.state.workers["w0"].remaining_lease_s(boot_time_s())
         assert left_s <= MAX_EARLIER_LEASE_S - 2.0
 
+    @pytest.mark.parametrize("content", [[1, "q", "0", False, {}], "damaged"])
+    def test_leases_of_an_earlier_release_last_longer(self, content: Any) -> None:
+        """Its row does not tell for how long; it extended them for 4 s more."""
+        store = SilentOwnerStore(content=msgpack.packb(content))
+        owner = self.acquire(store, watched_s=RENEWAL_OBSERVATION_S)
+        left_s = owner.state.workers["w0"].remaining_lease_s(boot_time_s())
+        assert left_s > 11.0 * 1.02 - RENEWAL_OBSERVATION_S - 0.1
+
 
 class HoldingWorkers(MemoryWorkers):
     """Workers that hold a poll for as long as it asks."""
