Back off writes of lease ends that fail

A write of lease ends that the store refused was repeated each 0.03 s, for each cell, in the moments when a zone is cut off and all cells have silent workers. These writes count against the store's limit and could keep it from serving renewals. Found in a review.

Change: the pause between tries doubles up to 0.5 s, as for commits.

Evidence: test_a_store_that_refuses_writes_is_not_asked_all_the_time failed before.

--- a/src/chivetray/cells/lease_ends.py
+++ b/src/chivetray/cells/lease_ends.py
@@ -13,7 +13,7 @@
 import msgpack
 
 from chivetray.cells.tables import lease_row
-from chivetray.cells.timing import RETRY_PAUSE_S, TICK_S
+from chivetray.cells.timing import RETRY_PAUSE_MAX_S, RETRY_PAUSE_S, TICK_S
 from chivetray.cells.workers import WorkerState
 from chivetray.clocks import CLOCK_DRIFT, RemoteClock, boot_time_s
 from chivetray.events import Event, log_event
@@ -104,14 +104,17 @@
 
     async def run(self, owner: CellOwner, store_clock: RemoteClock) -> None:
         """Keep the row up to date until the cell is lost or released."""
+        pause_s = RETRY_PAUSE_S
         while not owner.lost:
             self._wake = anyio.Event()
             content = self.choose_content(store_clock, owner.confirmed_at_s)
             if content is None or await self._store(owner, content):
+                pause_s = RETRY_PAUSE_S
                 with anyio.move_on_after(TICK_S):
                     await self._wake.wait()
             else:
-                await anyio.sleep(RETRY_PAUSE_S)
+                await anyio.sleep(pause_s)
+                pause_s = min(RETRY_PAUSE_MAX_S, 2 * pause_s)
 
     def choose_content(
         self, store_clock: RemoteClock, confirmed_at_s: float
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -34,6 +34,7 @@
     CONFIRMED_LEASE_S,
     LEASE_EXTENSION_WINDOW_S,
     LEASE_S,
+    RETRY_PAUSE_MAX_S,
     RETRY_PAUSE_S,
     TICK_S,
 )
@@ -62,9 +63,6 @@
 # interval for a renewal.
 RENEWAL_INTERVAL_S = 0.5
 
-# Upper bound of the exponential backoff after a failed write.
-RETRY_PAUSE_MAX_S = 0.5
-
 # A round of decisions that takes longer than this is followed by an equally long pause.
 LONG_DECISION_S = 0.005
 
--- a/src/chivetray/cells/timing.py
+++ b/src/chivetray/cells/timing.py
@@ -34,6 +34,9 @@
 # Delay before a failed write is retried, doubled up to a limit.
 RETRY_PAUSE_S = 0.03
 
+# Upper bound of that delay.
+RETRY_PAUSE_MAX_S = 0.5
+
 # Longest time between two rounds of decisions when nothing happens, and time between
 # two retries of orders whose outcome is unknown.
 TICK_S = 0.25
--- a/tests/test_lease_ends.py
+++ b/tests/test_lease_ends.py
@@ -188,6 +188,30 @@
 
         asyncio.run(scenario())
 
+    def test_a_store_that_refuses_writes_is_not_asked_all_the_time(self) -> None:
+        """The writes of all cells together kept it from serving renewals."""
+
+        async def scenario() -> int:
+            world = World(workers=1, work_s=30)
+            owner = await world.own()
+            refused = 0
+
+            def refuse(number: int, body: dict) -> Outcome | None:
+                nonlocal refused
+                if any(row["Key"] == ROW.key for row in body["Writes"]):
+                    refused += 1
+                    return Answer(503, {})
+                return None
+
+            world.store.fail = refuse
+            async with running(world, owner):
+                await place_and_lose(world, owner)
+                await until(lambda: refused > 0)
+                await asyncio.sleep(1.5)
+            return refused
+
+        assert asyncio.run(scenario()) < 10
+
 
 class SilentOwnerStore(RenewalStore):
     """A store with the cell of an owner that has ceased to renew it."""
