Expect late orders of earlier owners until the end of their window

An order without an answer is carried out up to 12 s late, also by a later incarnation of its worker. A new owner took the last such order of earlier owners to be up to 3.6 s older than it may be, and for no order at all once their leases had ended, so that a task of a restarted worker could run twice.

Change: the time of the last order is that of the last renewal and the window in which an owner sends orders after it, whether their leases have ended or not.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -22,7 +22,12 @@
     owner_row,
     renewal_row,
 )
-from chivetray.cells.timing import LEASE_S, MAX_RELEASED_LEASE_S, SLOW_CLOCK_FACTOR
+from chivetray.cells.timing import (
+    LEASE_EXTENSION_WINDOW_S,
+    LEASE_S,
+    MAX_RELEASED_LEASE_S,
+    SLOW_CLOCK_FACTOR,
+)
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event, log_event
 from chivetray.peers.mesh import Mesh
@@ -273,14 +278,16 @@
         is_released = bool(current and current.released)
         leases_s = current.leases_s if current is not None else {}
         written_at_s = boot_time_s()
-        earlier_lease_until_s = 0.0
+        earlier_lease_until_s = orders_until_s = 0.0
         if is_released:
             earlier_lease_until_s = written_at_s + MAX_RELEASED_LEASE_S
+            orders_until_s = written_at_s
         elif row is not None:
             confirmed_at_s = self._last_confirmation_s(
                 current, last_renewal, written_at_s
             )
             earlier_lease_until_s = confirmed_at_s + _longest_lease_s(current)
+            orders_until_s = confirmed_at_s + LEASE_EXTENSION_WINDOW_S
         log_event(
             Event.CELL_TAKEN,
             cell=cell,
@@ -316,7 +323,7 @@
             now_s,
             max(0.0, earlier_lease_until_s - now_s),
             {w: max(0.0, until_s - now_s) for w, until_s in lease_ends_s.items()},
-            orders_until_s=earlier_lease_until_s - MAX_RELEASED_LEASE_S,
+            orders_until_s=orders_until_s,
         )
         if row is not None and self.has_vm_orders:
             await_reservations(state, boot_time_s())
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -314,11 +314,12 @@
         :param remaining_s: the same by worker id, for workers that did not answer the
             earlier owner, as it stored while they were silent or when it released the
             cell
-        :param orders_until_s: time until which earlier owners may have sent orders, by
-            default the latest one if this owner has just acquired the cell
+        :param orders_until_s: time until which earlier owners may have sent orders, 0
+            if there was none; by default the latest one after an acquisition just now
         """
         if orders_until_s is None:
-            orders_until_s = now_s + LEASE_EXTENSION_WINDOW_S
+            is_first = earlier_lease_s == 0
+            orders_until_s = 0.0 if is_first else now_s + LEASE_EXTENSION_WINDOW_S
         restarted: set[str] = set()
         for job in list(self.active.values()):
             for task in job.active_tasks():
@@ -363,8 +364,7 @@
         for worker in self.workers.values():
             lease_s = remaining_s.get(worker.worker_id, earlier_lease_s)
             worker.earlier_lease_until_s = now_s + lease_s
-            if earlier_lease_s:
-                worker.lease_sent_at_s = orders_until_s
+            worker.lease_sent_at_s = orders_until_s
             if worker.worker_id in restarted:
                 self._expect_late_orders(worker)
 
