Grant no lease on an acquisition without a renewal

A new owner counted the acquisition of its cell as a renewal and granted leases on it. The next one may have read the renewal row before that, finds it unchanged after the death of the owner between, and would wait for leases from before it only: a task could run twice.

Change: leases count from the last confirmed renewal, so that an unchanged renewal row proves that nobody has granted any. Owners of earlier releases are waited for from the acquisition.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -360,9 +360,12 @@
 
         :param last_renewal: its last renewal, if that was read before the acquisition
         """
+        if current is None or current.lease_limit_s >= EARLIER_RELEASE_LEASE_LIMIT_S:
+            # It may have granted leases without a renewal.
+            return now_s
         if last_renewal is not None:
             return last_renewal.read_at_s
-        if current is not None and current.holder == self._mesh.name:
+        if current.holder == self._mesh.name:
             return min(now_s, self._created_at_s)
         return now_s
 
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -167,16 +167,19 @@
         return self.ownership.epoch
 
     def may_grant_leases(self, now_s: float) -> bool:
-        """Return whether the next owner would wait for a lease that is granted now."""
-        unconfirmed_s = now_s - self.confirmed_at_s
-        return not self.releasing and unconfirmed_s < LEASE_EXTENSION_WINDOW_S
+        """Return whether the next owner would wait for a lease that is granted now.
+
+        It counts from the last renewal, so the acquisition of the cell allows none.
+        """
+        unrenewed_s = now_s - self._renewed_at_s
+        return not self.releasing and unrenewed_s < LEASE_EXTENSION_WINDOW_S
 
     def limit_lease_s(self, lease_s: float, now_s: float) -> float:
         """Return for how long a lease that is granted now may last, 0 for none."""
         if not self.may_grant_leases(now_s):
             return 0.0
-        confirmed_left_s = self.confirmed_at_s + CONFIRMED_LEASE_S - now_s
-        return max(0.0, min(lease_s, self.longest_lease_s, confirmed_left_s))
+        renewed_left_s = self._renewed_at_s + CONFIRMED_LEASE_S - now_s
+        return max(0.0, min(lease_s, self.longest_lease_s, renewed_left_s))
 
     # Inputs
 
