Keep the observed renewal when a cell fails to load

An owner that could not read the jobs of the cell it had acquired tried again as if another process had owned it meanwhile, and counted the wait for leases anew with each try. The store is slow or away in just these moments. Found in a review.

Change: the next try uses the renewal that was observed before; nobody has granted a lease since.

Evidence: test_a_load_that_fails_does_not_begin_the_wait_anew failed before.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -315,8 +315,14 @@
         elif current is not None and current.released:
             cell_owner.inherited_leases_s = current.leases_s
         state.update_workers(self._workers_of(cell), boot_time_s())
-        lease_ends_s = await cell_owner.lease_ends.load(self._store, version)
-        await self._load_jobs(state, version)
+        try:
+            lease_ends_s = await cell_owner.lease_ends.load(self._store, version)
+            await self._load_jobs(state, version)
+        except StoreUnavailableError:
+            if last_renewal is not None:
+                # No lease was granted, so the next try need not wait for any.
+                self._renewals[cell] = last_renewal
+            raise
         lease_ends_s |= {w: written_at_s + left_s for w, left_s in leases_s.items()}
         now_s = boot_time_s()
         state.attach_restored_tasks(
--- a/tests/test_lease_ends.py
+++ b/tests/test_lease_ends.py
@@ -17,11 +17,20 @@
 from chivetray.cells.directory import RENEWAL_OBSERVATION_S, CellDirectory, Renewal
 from chivetray.cells.owner import CellOwner
 from chivetray.cells.tables import Ownership, lease_row, owner_row, renewal_row
-from chivetray.cells.timing import CONFIRMED_LEASE_S, MAX_EARLIER_LEASE_S
+from chivetray.cells.timing import (
+    CONFIRMED_LEASE_S,
+    LEASE_EXTENSION_WINDOW_S,
+    MAX_EARLIER_LEASE_S,
+)
 from chivetray.clocks import RemoteClock, boot_time_s
 from chivetray.jobs.model import Step
 from chivetray.platform.calls import Answer, NoAnswer, Outcome
-from chivetray.platform.store import Committed, Row, RowId
+from chivetray.platform.store import (
+    Committed,
+    Row,
+    RowId,
+    StoreUnavailableError,
+)
 from chivetray.platform.workers import Reply, WorkerAddress
 
 LASTING = Step(1, 1000, long_running=True)
@@ -173,21 +182,6 @@
 
         asyncio.run(scenario())
 
-
-class TestUnreadableRow:
-    def test_the_longest_lease_is_waited_for(self) -> None:
-        async def scenario() -> None:
-            world = World(work_s=30)
-            first = await world.own()
-            async with running(world, first):
-                busy = await place_and_lose(world, first)
-            world.state.put(ROW.table, ROW.part, ROW.key, "wQ==")
-            second = await world.own(first, earlier_lease_s=5.0)
-            lease_s = second.state.workers[busy].remaining_lease_s(boot_time_s())
-            assert lease_s > 4.9
-
-        asyncio.run(scenario())
-
     def test_a_store_that_refuses_writes_is_not_asked_all_the_time(self) -> None:
         """The writes of all cells together kept it from serving renewals."""
 
@@ -213,6 +207,21 @@
         assert asyncio.run(scenario()) < 10
 
 
+class TestUnreadableRow:
+    def test_the_longest_lease_is_waited_for(self) -> None:
+        async def scenario() -> None:
+            world = World(work_s=30)
+            first = await world.own()
+            async with running(world, first):
+                busy = await place_and_lose(world, first)
+            world.state.put(ROW.table, ROW.part, ROW.key, "wQ==")
+            second = await world.own(first, earlier_lease_s=5.0)
+            lease_s = second.state.workers[busy].remaining_lease_s(boot_time_s())
+            assert lease_s > 4.9
+
+        asyncio.run(scenario())
+
+
 class SilentOwnerStore(RenewalStore):
     """A store with the cell of an owner that has ceased to renew it."""
 
@@ -221,6 +230,7 @@
         self.content = content or Ownership(1, holder, "0").encode()
         self.clock = RemoteClock()
         self.expected: list[dict[RowId, int]] = []
+        self.reads_to_fail = 0
 
     async def read_row(self, row: RowId) -> Row:
         if row.key == "owner":
@@ -228,6 +238,9 @@
         return await super().read_row(row)
 
     async def read(self, *_: object) -> tuple[list[Row], int]:
+        if self.reads_to_fail:
+            self.reads_to_fail -= 1
+            raise StoreUnavailableError("away")
         return [], 50
 
     async def parts(self, _: str) -> list[str]:
@@ -286,6 +299,28 @@
         left_s = owner.state.workers["w0"].remaining_lease_s(boot_time_s())
         assert left_s <= MAX_EARLIER_LEASE_S - 2.0
 
+    def test_a_load_that_fails_does_not_begin_the_wait_anew(self) -> None:
+        store = SilentOwnerStore()
+        store.reads_to_fail = 1
+        directory = self.directory(store)
+        read_at_s = boot_time_s() - RENEWAL_OBSERVATION_S
+        directory._renewals["pool-a"] = Renewal(store.version, read_at_s, 0.0)
+        with pytest.raises(StoreUnavailableError):
+            anyio.run(directory._acquire, "pool-a")
+        owner = anyio.run(directory._acquire, "pool-a")
+        assert owner is not None
+        worker = owner.state.workers["w0"]
+        assert worker.earlier_lease_until_s <= read_at_s + MAX_EARLIER_LEASE_S + 0.01
+
+    @pytest.mark.parametrize("watched_s", [RENEWAL_OBSERVATION_S, 20.0])
+    def test_its_last_orders_may_have_followed_its_last_renewal(
+        self, watched_s: float
+    ) -> None:
+        """A later incarnation of their worker may carry them out seconds later."""
+        owner = self.acquire(SilentOwnerStore(), watched_s)
+        sent_s = boot_time_s() - owner.state.workers["w0"].lease_sent_at_s
+        assert sent_s <= watched_s - LEASE_EXTENSION_WINDOW_S + 0.5
+
     @pytest.mark.parametrize("content", [[1, "q", "0", False, {}], "damaged"])
     def test_leases_of_an_earlier_release_last_longer(self, content: Any) -> None:
         """Its row does not tell for how long; it extended them for 4 s more."""
@@ -310,6 +345,27 @@
 class TestOwnerWithoutConfirmation:
     """Guards against a lease that outlasts the wait of the next owner."""
 
+    def test_an_acquisition_alone_allows_no_lease(self) -> None:
+        """The next owner may have read the last renewal before it."""
+
+        async def scenario() -> list[dict[str, Any]]:
+            world = World(workers=1, work_s=30)
+            first = await world.own()
+            async with running(world, first):
+                first.add_job(job(steps=(LASTING,)))
+                await until(lambda: first.state.workers["w0"].deadline_ms > 0)
+            second = await world.own(first)
+            world.store.fail = lambda number, body: NoAnswer("away")
+            async with running(world, second):
+                worker = second.state.workers["w0"]
+                await until(lambda: worker.tasks_known)
+                await asyncio.sleep(0.5)
+            return [b for _, _, b in world.workers.calls if b["FencingToken"] == 2]
+
+        calls = asyncio.run(scenario())
+        assert calls
+        assert not any("DeadlineMs" in body for body in calls)
+
     def test_no_lease_lasts_longer_after_the_last_confirmed_write(self) -> None:
         async def scenario() -> None:
             world = World(workers=1, work_s=30)
