Observe a process that has just acquired a cell before taking it

A process that had read the renewal row before the present owner acquired the cell took that unchanged row for the silence of this owner, and took the cell from it at once, while it was loading. On a slow store several processes could take a cell from each other. Found in a review.

Change: if the owner row is newer than the renewal that was read, the owner is observed anew; the wait for leases still counts from the earlier read.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -266,7 +266,9 @@
     async def _acquire(self, cell: str) -> CellOwner | None:
         row = await self._store.read_row(owner_row(cell))
         current = Ownership.decode(row.value) if row else None
-        if row is not None and not await self._is_previous_owner_gone(cell, current):
+        if row is not None and not await self._is_previous_owner_gone(
+            cell, current, row.version
+        ):
             return None
         last_renewal = self._renewals.pop(cell, None)
         epoch = _next_epoch(cell, row, current)
@@ -336,24 +338,30 @@
         return cell_owner
 
     async def _is_previous_owner_gone(
-        self, cell: str, current: Ownership | None
+        self, cell: str, current: Ownership | None, acquired_version: int = 0
     ) -> bool:
         """Return whether the owner released the cell, restarted or stopped renewing.
 
-        In the last case, the read of the last renewal is kept in ``_renewals``.
+        In the last case, the first read of the last renewal is kept in ``_renewals``.
+
+        :param acquired_version: version of the owner row
         """
         holder = current.holder if current is not None else ""
         known = self._renewals.pop(cell, None)
         if current is not None and (current.released or self._has_restarted(current)):
             return True
         log_event(Event.CELL_SUSPECTED, cell=cell, holder=holder)
-        before = known or await self._read_renewal(cell)
+        before = known
+        if before is None or before.version < acquired_version:
+            # An earlier read does not tell whether this owner renews.
+            before = await self._read_renewal(cell)
         # A slow store delays the owner's renewals as much as this read.
         observed_until_s = before.read_at_s + RENEWAL_OBSERVATION_S + before.took_s
         await anyio.sleep(max(0.0, observed_until_s - boot_time_s()))
         after = await self._read_renewal(cell)
         if before.version == after.version:
-            self._renewals[cell] = before
+            is_unchanged = known is not None and known.version == before.version
+            self._renewals[cell] = known if known and is_unchanged else before
             return self.owner_of(cell) is None
         log_event(Event.CELL_OWNER_ALIVE, cell=cell, holder=holder)
         self._unclaimed_since_s.pop(cell, None)
