Store no lease ends of workers that only a cut-off owner cannot reach

An owner that was cut off from the store and from a worker while a poll was held there found that it had written something since the poll was sent, held the worker's leases, and could not extend them after the cut before one more write was confirmed. A lost answer to one poll led to two writes.

Change: a write counts that was sent after the failure of the poll was seen; nothing is stored and nothing adopted while the store's clock is unknown.

--- a/src/chivetray/cells/lease_ends.py
+++ b/src/chivetray/cells/lease_ends.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -82,6 +83,9 @@
         self._chosen_ms = dict(self.stored_ms)
         ends_s = {}
         for worker_id, end_ms in self.stored_ms.items():
+            self._state.hold_lease_end(worker_id, math.inf)
+            if not store.clock.known:
+                continue
             left_ms = max(0, end_ms - store.clock.lower_bound_ms(now_s))
             ends_s[worker_id] = now_s + left_ms / 1000 / (1 - CLOCK_DRIFT)
         for worker_id, end_s in ends_s.items():
@@ -126,7 +130,9 @@
         :param confirmed_at_s: send time of the last write that proved the ownership
         """
         now_s = boot_time_s()
-        chosen_ms = {}
+        chosen_ms: dict[str, int] = {}
+        if not store_clock.known:
+            return None
         for worker_id, worker in self._state.workers.items():
             if not self._needs_entry(worker, confirmed_at_s):
                 continue
@@ -151,7 +157,7 @@
             return not worker.tasks_known or worker.silent_since_s > 0
         if worker.address and not worker.silent_since_s:
             return False
-        return confirmed_at_s >= worker.silent_since_s + STORE_AFTER_SILENCE_S
+        return confirmed_at_s >= worker.silence_seen_at_s + STORE_AFTER_SILENCE_S
 
     async def _store(self, owner: CellOwner, content: dict[str, int]) -> bool:
         """Write the row once; return whether it holds the content."""
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
 from typing import Any
@@ -148,7 +149,7 @@
         self._storing_job_ids: frozenset[str] = frozenset()
         self._storing_since_s = 0.0
         self._renewals = 0
-        self._renewed_at_s = 0.0
+        self._renewed_at_s = -math.inf
         self._may_release_at_s = 0.0
         self._commit_scope: anyio.CancelScope | None = None
         self._commit_sent_at_s = 0.0
--- a/tests/test_lease_ends.py
+++ b/tests/test_lease_ends.py
@@ -234,7 +234,7 @@
 
     async def read_row(self, row: RowId) -> Row:
         if row.key == "owner":
-            return Row(row, self.content, 41)
+            return Row(row, self.content, 4)
         return await super().read_row(row)
 
     async def read(self, *_: object) -> tuple[list[Row], int]:
@@ -288,7 +288,7 @@
         store = SilentOwnerStore()
         self.acquire(store, watched_s=RENEWAL_OBSERVATION_S)
         (expected,) = store.expected
-        assert expected == {owner_row("pool-a"): 41, renewal_row("pool-a"): 5}
+        assert expected == {owner_row("pool-a"): 4, renewal_row("pool-a"): 5}
 
     def test_its_own_earlier_incarnation_ended_before_its_start(self) -> None:
         store = SilentOwnerStore(holder="p")
