Poll an idle worker at once when the list shows its restart

Callers saw tasks wait for up to 2 s with an idle worker that had restarted.

Cause: the loop that polls an idle worker pauses for 2 s and was not woken when the list of workers showed the restart, after which nothing is placed before a poll.

Change: reading the list wakes the loops of workers whose tasks are not known.

Evidence: the test failed before (limit 0.5 s).

--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -193,6 +193,9 @@
     def update_workers(self, entries: Iterable[WorkerRecord]) -> None:
         """Update the workers of the cell from the store's worker list."""
         self.state.update_workers(entries, boot_time_s())
+        for worker in self.state.workers.values():
+            if not worker.tasks_known:
+                self._poller.wake_worker(worker.worker_id)
         self.wake()
 
     def wake(self) -> None:
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -115,6 +115,23 @@
         in_virtual_time(scenario)
 
 
+class TestIdleWorkerThatRestarts:
+    def test_it_is_used_as_soon_as_it_is_listed(self) -> None:
+        """Nothing was placed there until the pause of its poll loop had ended."""
+
+        async def scenario() -> None:
+            world = make_world(1)
+            owner = await world.own()
+            async with running(world, owner):
+                await asyncio.sleep(1.0)
+                world.models["w0"].restart(2)
+                owner.update_workers(world.entries())
+                owner.add_job(lasting_job())
+                await until(lambda: bool(world.models["w0"].running), 0.5)
+
+        in_virtual_time(scenario)
+
+
 class TestStartThatIsRefusedAfterOneWithoutAnswer:
     @pytest.mark.parametrize("phase_s", [0.0, 0.4, 0.8, 1.2, 1.6])
     def test_its_task_goes_elsewhere_within_3_s(self, phase_s: float) -> None:
