Ask for VMs beside those that take no tasks

Callers saw a long-running task wait as long as workers of its pool did not answer or were quarantined, though spare VMs were there.

Cause: the owner asks for one worker more than are usable if such a task fits on none. The holder of VM orders compares that with all VMs of the pool, also with those that are not usable, and ordered nothing.

Change: workers that do not answer, are quarantined or drain are added to the number.

Evidence: the test failed before, no VM was moved.

--- a/src/chivetray/cells/load.py
+++ b/src/chivetray/cells/load.py
@@ -40,8 +40,8 @@
         thousandths of a core-second
     :ivar arriving_milli: CPU that keeps up with the rate at which jobs arrive
     :ivar workers: usage of the listed workers
-    :ivar required_workers: number of usable workers that the cell should have at least,
-        whatever its demand
+    :ivar required_workers: number of workers that the cell should have at least,
+        whatever its demand; those that take no tasks for an unknown time included
     """
 
     used_milli: int
@@ -87,11 +87,22 @@
     required_workers = min(
         usable_count + 1, _workers_for_blocked_tasks(state, now_s, now_ms)
     )
+    if required_workers:
+        required_workers += _count_unavailable_workers(state)
     return CellLoad(
         used_milli, waiting_milli_s, arriving_milli, workers, required_workers
     )
 
 
+def _count_unavailable_workers(state: CellState) -> int:
+    """Return how many listed workers take no tasks, for an unknown time."""
+    return sum(
+        worker.listed
+        and bool(worker.silent_since_s or worker.quarantined or worker.draining)
+        for worker in state.workers.values()
+    )
+
+
 def _workers_for_blocked_tasks(state: CellState, now_s: float, now_ms: int) -> int:
     """Return how many workers suffice for long-running tasks that fit on none now.
 
--- a/tests/test_cell_state.py
+++ b/tests/test_cell_state.py
@@ -7,6 +7,7 @@
 import pytest
 from cell_helpers import CELL, job
 
+from chivetray.capacity.sizing import PoolState, PoolVm, plan_moves
 from chivetray.cells.advice import get_ticket, record_tickets
 from chivetray.cells.evacuation import evacuate, reserve_workers
 from chivetray.cells.gangs import stop_broken_gangs
@@ -291,6 +292,19 @@
         assert measure_load(state, 1.0, 0).required_workers == 2
         assert measure_load(self.running("w0", "w1"), 1.0, 0).required_workers == 0
 
+    def test_workers_that_do_not_answer_are_no_room(self) -> None:
+        """They counted as VMs of the pool, so that it got no other one."""
+        state = cell(entry("w0"), entry("w1"))
+        for worker in state.workers.values():
+            worker.silent_since_s = 1.0
+        state.add_job(job(steps=(Step(1, 1000, long_running=True),)), 0.0)
+        required = measure_load(state, 5.0, 0).required_workers
+        vms = [PoolVm(f"m{n}", f"w{n}", 4000, 0, 5000, True) for n in range(2)]
+        spare = PoolVm("m2", "", 4000, 0, 0, True)
+        pool = PoolState(CELL, 0, vms, 0, required)
+        moves = plan_moves([pool], "standby", [spare])
+        assert [(move.machine, move.target) for move in moves] == [("m2", CELL)]
+
 
 class TestQuarantine:
     """A worker on which tasks of many jobs fail runs one task at a time."""
