Test that workers take tasks again after a silence longer than a lease

Callers would see LOST: tasks wait for ever while workers are sound and empty. Once the lease of a silent worker has expired, its tasks are freed, and a worker without tasks that is known already is not polled. Only the answer to a poll ends its silence, so the same owner places nothing there again, until the worker restarts or the owner changes.

Five workers that are silent for 9 or 12 s take no more tasks at all; after 5 and 7 s they do.

--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import pytest
 from run_once_helpers import CELL, SimulatedWorker, World
 from virtual_loop import virtual_time
 
@@ -15,6 +16,7 @@
 TAKEOVER_LOOKS = 100
 
 LASTING_STEP = Step(4, 500, long_running=True, max_unavailable=1)
+EVERYWHERE_STEP = Step(5, 500, long_running=True, per_worker=1)
 
 
 def spec(number: int, queue: str, step: Step) -> JobSpec:
@@ -23,7 +25,11 @@
     )
 
 
-def play(script: Callable[[World], Awaitable[None]], watched_s: float) -> list[str]:
+def play(
+    script: Callable[[World], Awaitable[None]],
+    watched_s: float,
+    step: Step = LASTING_STEP,
+) -> list[str]:
     """Run a script in a world whose tasks are at work; return the problems."""
 
     async def scenario() -> World:
@@ -31,7 +37,7 @@
         working = asyncio.ensure_future(world.work())
         world.begun_s = world.now_s()
         world.observe()
-        await world.submit([(0.2, spec(0, "lasting", LASTING_STEP))])
+        await world.submit([(0.2, spec(0, "lasting", step))])
         await asyncio.sleep(8.0)
         assert all(record.runs for record in world.ledger.tasks.values())
         await script(world)
@@ -76,6 +82,17 @@
         world.publish(worker)
 
 
+async def silence(world: World, workers: list[SimulatedWorker], for_s: float) -> None:
+    """Lose all calls between workers and managers for a while."""
+    pairs = {(name, worker.address) for name in world.managers for worker in workers}
+    world.ledger.say(f"{[w.worker_id for w in workers]} are silent for {for_s} s")
+    world.lost_calls |= pairs
+    world.fault_s = world.now_s() + for_s
+    await asyncio.sleep(for_s)
+    world.lost_calls -= pairs
+    world.ledger.say("they answer")
+
+
 class TestWorkerLostWhileOwnersChange:
     """Guards against a wait for leases of earlier owners that each owner begins anew.
 
@@ -134,6 +151,32 @@
         assert not play(script, 12.0)
 
 
+class TestWorkersSilentForLongerThanALease:
+    """Guards against workers that are not polled again, and take no more tasks.
+
+    Issue 35: LOST, a long-running task never ran again, "with capacity for it".
+    """
+
+    @pytest.mark.parametrize("for_s", [5.0, 7.0, 9.0, 12.0])
+    def test_they_take_tasks_again(self, for_s: float) -> None:
+        async def script(world: World) -> None:
+            workers = list(world.workers.values())
+            assert all(worker.runs for worker in workers)
+            await silence(world, workers, for_s)
+
+        assert not play(script, 20.0, EVERYWHERE_STEP)
+
+    def test_those_that_have_got_no_task_since(self) -> None:
+        async def script(world: World) -> None:
+            busy = [w for w in world.workers.values() if w.runs]
+            idle = [w for w in world.workers.values() if not w.runs]
+            await silence(world, busy, 10.0)
+            await asyncio.sleep(6.0)
+            set_draining(world, idle, True)
+
+        assert not play(script, 20.0)
+
+
 class TestWorkerLostAfterARestart:
     """Guards against a wait of 19 s for orders to the incarnation before."""
 
