Test workers after a cut that is shorter than a lease

The lease of a worker counts from the last poll that reached it, up to 2 s before a cut that loses calls and answers.

--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -166,6 +166,24 @@
 
         assert not play(script, 20.0, EVERYWHERE_STEP)
 
+    @pytest.mark.parametrize("after_s", [0.0, 0.9, 1.6])
+    def test_a_cut_that_is_shorter_than_a_lease(self, after_s: float) -> None:
+        """The last lease was granted before the cut, and ends during it."""
+
+        async def script(world: World) -> None:
+            workers = list(world.workers.values())
+            manager = world.owner()
+            assert manager is not None
+            for owner in manager.directory.owned_cells.values():
+                owner.longest_lease_s = 6.0
+            await asyncio.sleep(3.0 + after_s)
+            pairs = {(name, w.address) for name in world.managers for w in workers}
+            world.lost_replies |= pairs
+            await silence(world, workers, 5.1)
+            world.lost_replies -= pairs
+
+        assert not play(script, 20.0, EVERYWHERE_STEP)
+
     def test_those_that_have_got_no_task_since(self) -> None:
         async def script(world: World) -> None:
             busy = [w for w in world.workers.values() if w.runs]
