Count no silence before the placement as an absence in find_waits

Silences are joined over a change of owner only, and an absence begins with the placement of its attempt at the earliest.

test_find_waits.py::test_a_silence_before_the_placement_does_not_count is new.

--- a/lab/find_waits.py
+++ b/lab/find_waits.py
@@ -73,11 +73,13 @@
     """Silence of a worker towards the owner of its cell.
 
     :ivar until_s: time at which it ended, or its owner was replaced; 0 before
+    :ivar replaced: whether it ended with its owner
     """
 
     since_s: float
     lease_until_s: float | None
     until_s: float = 0.0
+    replaced: bool = False
 
 
 @dataclass(slots=True)
@@ -85,11 +87,13 @@
     """Newest attempts of tasks, and which of the tasks are away.
 
     :ivar newest: number and worker of the newest attempt, by task
+    :ivar placed_at_s: time of its placement, by task
     :ivar away: absences that have not ended, by task
     :ivar silences: last silence by worker
     """
 
     newest: dict[str, tuple[int, str]] = field(default_factory=dict)
+    placed_at_s: dict[str, float] = field(default_factory=dict)
     away: dict[str, Absence] = field(default_factory=dict)
     silences: dict[str, Silence] = field(default_factory=dict)
     accepted_at_s: dict[str, float] = field(default_factory=dict)
@@ -151,7 +155,7 @@
         self._epochs[cell] = max(epoch, self._epochs.get(cell, 0))
         for worker in self.silences:
             if self._cells.get(worker) == cell:
-                self._hear(worker, at_s)
+                self._hear(worker, at_s, replaced=True)
 
     def _place(self, event: Event, at_s: float) -> None:
         for occurrence, step, index, number, worker, _ in event.get("placed", []):
@@ -161,7 +165,7 @@
             elif task not in self.away and self.newest[task][0] < number:
                 self._leave(task, at_s, "no line")
             self.return_task(task, at_s, "TASK_PLACED")
-            self.newest[task] = (number, worker)
+            self.newest[task], self.placed_at_s[task] = (number, worker), at_s
 
     def _add_first(self, task: str, step: int, event: Event, at_s: float) -> None:
         """Add the wait of a task for its first placement."""
@@ -179,18 +183,20 @@
             own_left_s = (event["deadline_ms"] - event["clock_ms"]) / 1000
             left_s = max(left_s, own_left_s)
         before = self.silences.get(worker)
-        if before is not None and since_s - before.until_s < REPORT_S:
+        if before is not None and (
+            before.replaced and since_s - before.until_s < REPORT_S
+        ):
             since_s = min(since_s, before.since_s)
         self.silences[worker] = Silence(since_s, at_s + left_s)
         for task, (_, task_worker) in self.newest.items():
             if task_worker == worker:
                 self._leave(task, since_s, "WORKER_SILENT")
 
-    def _hear(self, worker: str, at_s: float) -> None:
+    def _hear(self, worker: str, at_s: float, replaced: bool = False) -> None:
         """Take the tasks of a worker for running that were away by its silence."""
         silence = self.silences.get(worker)
         if silence is not None and not silence.until_s:
-            silence.until_s = at_s
+            silence.until_s, silence.replaced = at_s, replaced
         for task, absence in list(self.away.items()):
             if absence.worker == worker and absence.began == "WORKER_SILENT":
                 del self.away[task]
@@ -210,7 +216,8 @@
         if silence is not None and (
             not silence.until_s or at_s - silence.until_s < REPORT_S
         ):
-            absence.from_s = min(at_s, silence.since_s)
+            began_s = max(silence.since_s, self.placed_at_s.get(task, 0.0))
+            absence.from_s = min(at_s, began_s)
             absence.lease_until_s = silence.lease_until_s
         self.away[task] = absence
 
--- a/tests/test_find_waits.py
+++ b/tests/test_find_waits.py
@@ -98,6 +98,14 @@
         events = [FIRST, silent(20.5), answers(26), lapsed, placed(26.2, 2, "w1")]
         assert absences(*events) == [(20, 26.2)]
 
+    def test_a_silence_before_the_placement_does_not_count(self) -> None:
+        """Short silences follow each other while a worker restarts again and again."""
+        events = [FIRST, silent(20.5), answers(21), lost(21), placed(21, 2, "w0")]
+        events += [silent(22.5), answers(24)]
+        again = event(26, "TASK_VANISHED", task=TASK, attempt=2, worker="w0")
+        events += [again, placed(26, 3, "w1")]
+        assert absences(*events, over_s=3.0) == []
+
     def test_it_lasts_over_changes_of_the_owner(self) -> None:
         """Lines of a former owner do not end it."""
         events = [FIRST, silent(20.5), taken(22, 2), silent(22.5, 2)]
