Count a silence that hid a restart in away_s

A worker that was silent for 4.1 s answered as a later incarnation. A task that no poll has listed since the last silence began is counted from there.

--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -240,7 +240,7 @@
             worker.listed = False
             self._cell_owner.wake()
         if not worker.silent_since_s:
-            worker.silent_since_s = sent_at_s
+            worker.silent_since_s = worker.last_silence_at_s = sent_at_s
             log_event(
                 Event.WORKER_SILENT,
                 worker=worker.worker_id,
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -447,7 +447,7 @@
             elif found[1].may_run_after_restart:
                 task = found[1]
                 if task.phase == Phase.RUNNING:
-                    task.away_since_s = worker.silent_since_s or now_s
+                    task.away_since_s = _find_end(worker, task, now_s)
                 self._move_to_new_incarnation(worker, *found)
             else:
                 self.release_attempt(worker, *found, now_s)
@@ -563,9 +563,7 @@
         """Free the resources of an ended attempt; its task waits again unless done."""
         worker.free((job.spec.job_id, task.key), now_s)
         if task.phase != Phase.DONE:
-            task.away_since_s = (
-                task.away_since_s or worker.silent_since_s or task.stopped_at_s or now_s
-            )
+            task.away_since_s = _find_end(worker, task, now_s)
             task.phase = Phase.WAITING
             task.percent = 0
         self.mark_changed(job.spec.job_id)
@@ -679,3 +677,13 @@
             worker.probed_at_s = now_s
         self.mark_changed(job.spec.job_id)
         return Placement(ref, task.attempt, worker.worker_id, worker.incarnation)
+
+
+def _find_end(worker: WorkerState, task: Task, now_s: float) -> float:
+    """Return since when a task that has ended is not known to run."""
+    if task.away_since_s:
+        return task.away_since_s
+    if max(task.listed_at_s, task.running_at_s) < worker.last_silence_at_s:
+        # No poll has listed it since the worker fell silent.
+        return worker.last_silence_at_s
+    return task.stopped_at_s or now_s
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -44,6 +44,7 @@
         earlier incarnation, 0 if there is none
     :ivar silent_since_s: time of the first call without an answer, 0 while the worker
         answers
+    :ivar last_silence_at_s: time at which the last silence began, 0 if there was none
     :ivar missing_since_s: time at which the worker disappeared from the list
     :ivar unhealthy_until_s: time until which nothing new is placed
     :ivar reserved_until_s: time until which nothing new is placed, since the VM is
@@ -81,6 +82,7 @@
     lease_end_held: bool = False
     late_orders_until_s: float = 0.0
     silent_since_s: float = 0.0
+    last_silence_at_s: float = 0.0
     missing_since_s: float = 0.0
     unhealthy_until_s: float = 0.0
     reserved_until_s: float = 0.0
--- a/tests/test_log_fields.py
+++ b/tests/test_log_fields.py
@@ -163,11 +163,20 @@
 
     def test_it_counts_from_the_silence_of_a_worker(self, logged) -> None:
         lasting = Lasting()
-        lasting.worker.silent_since_s = 30.0
+        lasting.worker.silent_since_s = lasting.worker.last_silence_at_s = 30.0
         lasting.state.reschedule_worker_tasks(lasting.worker, 36.0, "lease expired")
         lasting.place(36.0)
         assert logged.of(Event.TASK_PLACED)[1]["away_s"] == 6.0
 
+    def test_it_counts_from_a_silence_that_hid_a_restart(self, logged) -> None:
+        """The reply that shows the restart has ended the silence."""
+        lasting = Lasting()
+        lasting.task.listed_at_s = 29.0
+        lasting.worker.last_silence_at_s = 30.0
+        lasting.state.handle_worker_restart(lasting.worker, 2, 34.0)
+        lasting.place(34.0)
+        assert logged.of(Event.TASK_PLACED)[1]["away_s"] == 4.0
+
     def test_starts_that_are_refused_do_not_reset_it(self, logged) -> None:
         lasting = Lasting(run=False)
         lasting.end_attempt(13.0)
