Tell waits for the list of workers and for the removal of a lease end

TASK_WAITS gave "no suitable worker" also for workers that are not listed, as while a new owner's list lacks them. They have a reason of their own, and CELL_LOADED counts only listed workers.

A start that is not sent before the stored end of the worker's leases is removed was told as "start order", as if an answer were missing.

--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -280,7 +280,7 @@
             epoch=self.epoch,
             took_s=round(boot_time_s() - self.confirmed_at_s, 3),
             jobs=len(self.state.active),
-            workers=len(self.state.workers),
+            workers=sum(worker.listed for worker in self.state.workers.values()),
         )
 
     async def _log_waits(self) -> None:
--- a/src/chivetray/cells/waiting.py
+++ b/src/chivetray/cells/waiting.py
@@ -76,6 +76,7 @@
     OLDER_ATTEMPT = "older attempt there"
     PER_WORKER = "limit per worker"
     FULL = "no room"
+    UNLISTED = "worker that is not listed"
     NO_WORKER = "no suitable worker"
     GANG_ROOM = "room for the gang"
     NOT_DECIDED = "decision"
@@ -85,7 +86,12 @@
 BRIEF_REASONS = frozenset({WaitReason.START, WaitReason.STORE, WaitReason.NOT_DECIDED})
 
 # Obstacles that end with another task, or never.
-_WITHOUT_ROOM = (WaitReason.OLDER_ATTEMPT, WaitReason.PER_WORKER, WaitReason.FULL)
+_WITHOUT_ROOM = (
+    WaitReason.OLDER_ATTEMPT,
+    WaitReason.PER_WORKER,
+    WaitReason.FULL,
+    WaitReason.UNLISTED,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -348,6 +354,8 @@
         return Wait(reason, None, workers)
     if job.spec.job_id in status.storing_job_ids:
         return Wait(WaitReason.STORE, None, workers)
+    if worker.lease_end_held:
+        return Wait(WaitReason.LEASE_END_HELD, None, workers)
     if not status.may_grant_leases:
         return Wait(WaitReason.LEASES_PAUSED, None, workers)
     return Wait(WaitReason.START, None, workers, unanswered=task.unanswered_starts)
@@ -447,7 +455,9 @@
     now_s: float,
 ) -> tuple[WaitReason | None, float | None]:
     """Return what keeps a step's tasks from a worker, and until when if known."""
-    if not worker.listed or not worker.fits_when_empty(step):
+    if not worker.listed:
+        return WaitReason.UNLISTED, None
+    if not worker.fits_when_empty(step):
         return WaitReason.NO_WORKER, None
     if not worker.quarantined and not worker.fits(step):
         return WaitReason.FULL, None
