Log when starts wait for a scan that fails

STARTS_PAUSED and STARTS_RESUMED tell the time in which an owner starts nothing because its scans for cancellations fail, with the age of the last complete one. One line each, not one for each task or round.

--- a/src/chivetray/cells/cancellations.py
+++ b/src/chivetray/cells/cancellations.py
@@ -33,22 +33,29 @@
 class CancellationWatch:
     """Knowledge of the owner of one cell about stored cancellations.
 
+    :param cell: name of the cell, for the log
+    :param epoch: epoch of the owner, for the log
     :param scanned_at_s: send time of the last completed scan that covers the cell; the
         loading of the cell counts as one
     :ivar scan: scans the store for cancellations, or waits for the scan under way;
         ``None`` if only this process cancels jobs
     """
 
-    def __init__(self, scanned_at_s: float):
+    def __init__(self, cell: str, epoch: int, scanned_at_s: float):
+        self._cell, self._epoch = cell, epoch
         self.scanned_at_s = scanned_at_s
         self.scan: Callable[[], Awaitable[None]] | None = None
         self._failed_at_s = 0.0
         self._tried_at_s = 0.0
         self._scanning = False
+        self._paused = False
 
     def record_scan(self, sent_at_s: float) -> None:
         """Record a completed scan that covers the cell."""
         self.scanned_at_s = max(self.scanned_at_s, sent_at_s)
+        if self._paused and self.may_start(boot_time_s()):
+            self._paused = False
+            log_event(Event.STARTS_RESUMED, cell=self._cell, epoch=self._epoch)
 
     def may_start(self, now_s: float) -> bool:
         """Return whether tasks whose jobs are not known as cancelled may start."""
@@ -91,3 +98,11 @@
         now_s = boot_time_s()
         if not self.may_start(now_s):
             self._failed_at_s = now_s
+            if not self._paused:
+                self._paused = True
+                log_event(
+                    Event.STARTS_PAUSED,
+                    cell=self._cell,
+                    epoch=self._epoch,
+                    scan_age_s=round(now_s - self.scanned_at_s, 3),
+                )
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -101,7 +101,9 @@
         self.guard_version = guard_version
         self.confirmed_at_s = boot_time_s()
         # The jobs of the cell are loaded later than this.
-        self.cancellations = CancellationWatch(self.confirmed_at_s)
+        self.cancellations = CancellationWatch(
+            state.name, ownership.epoch, self.confirmed_at_s
+        )
         self.leaving = False
         self.releasing = False
         self.lost = False
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -107,6 +107,11 @@
         "Leases in a cell are not extended, since its last write is too old.",
     )
     LEASES_RESUMED = (1628, "Leases in a cell are extended again.")
+    STARTS_PAUSED = (
+        1630,
+        "No task of a cell starts, since cancellations were read too long ago.",
+    )
+    STARTS_RESUMED = (1631, "Tasks of a cell start again.")
 
     JOB_ACCEPTED = (1640, "A job was stored.")
     JOB_REFUSED = (1641, "A job was not accepted.")
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -25,6 +25,7 @@
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import cancel_row, job_row
 from chivetray.clocks import boot_time_s
+from chivetray.events import Event
 from chivetray.jobs.job import encode_spec
 from chivetray.jobs.model import JobSpec, JobState
 from chivetray.manager import Manager
@@ -213,7 +214,7 @@
 class TestScansThatFail:
     """The store carries out writes of the owner, but does not answer its scans."""
 
-    def test_nothing_starts_and_later_jobs_wait_unplaced(self) -> None:
+    def test_nothing_starts_and_later_jobs_wait_unplaced(self, logged) -> None:  # type: ignore[no-untyped-def]
         """Tasks that are placed without a start occupy their workers."""
 
         async def scenario(world: CellWorld, owner: CellOwner, scans: Scans) -> None:
@@ -230,6 +231,10 @@
             await until(lambda: len(world.starts()) == 6, limit_s=1.0)
 
         run_owner(scenario, MAX_SCAN_AGE_S + 1.0)
+        (paused,) = logged.of(Event.STARTS_PAUSED)
+        assert (paused["cell"], paused["epoch"]) == (CELL, 1)
+        assert paused["scan_age_s"] > MAX_SCAN_AGE_S
+        assert len(logged.of(Event.STARTS_RESUMED)) == 1
 
 
 class CellFake:
@@ -238,7 +243,7 @@
     def __init__(self, name: str):
         self.state = CellState(name)
         self.guard_version = 1
-        self.cancellations = CancellationWatch(0.0)
+        self.cancellations = CancellationWatch(name, 1, 0.0)
         self.told: list[str] = []
 
     def cancel(self, job_id: str) -> bool:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -83,7 +83,7 @@
         class Owner:
             state = CellState("pool-a")
             guard_version = 10
-            cancellations = CancellationWatch(0.0)
+            cancellations = CancellationWatch("pool-a", 1, 0.0)
 
             def wake(self) -> None:
                 pass
