--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -15,11 +15,12 @@
 from chivetray.cells.directory import CellDirectory
 from chivetray.cells.store_access import StoreAccess
 from chivetray.cells.tables import cancel_row, job_row, progress_row
+from chivetray.cells.waiting import WAIT_CHECK_INTERVAL_S, NoticeLog
 from chivetray.clocks import boot_time_s, wall_time_ms
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job, decode_spec, encode_spec
 from chivetray.jobs.model import JobSpec, JobState
-from chivetray.peers.mesh import Mesh
+from chivetray.peers.mesh import CALL_TIMEOUT_S, Mesh
 from chivetray.platform.store import (
     ABSENT,
     Committed,
@@ -39,6 +40,9 @@
 # store last some seconds.
 STORE_RETRY_AFTER_S = 2.0
 
+# Share of a caller's time in which the owner is asked, before the store is read.
+QUERY_TIME_SHARE = 0.5
+
 # Pause between notifications of an owner while some are not acknowledged.
 NOTIFY_PAUSE_S = 0.15
 
@@ -158,10 +162,12 @@
         self, queue: Queue, job_id: str, timeout_s: float
     ) -> JobAnswer:
         """Return the state of a job; only the store can tell that it does not exist."""
-        state = await self._query_owner(queue.service, job_id)
+        deadline_s = boot_time_s() + timeout_s
+        query_timeout_s = min(CALL_TIMEOUT_S, timeout_s * QUERY_TIME_SHARE)
+        state = await self._query_owner(queue.service, job_id, query_timeout_s)
         if state is None:
             try:
-                with anyio.fail_after(timeout_s):
+                with anyio.fail_after(max(0.0, deadline_s - boot_time_s())):
                     state = await self._read_stored_state(queue, job_id)
             except (StoreUnavailableError, TimeoutError, ValueError) as error:
                 # A damaged row tells no more than an absent answer.
@@ -173,13 +179,15 @@
             return JobAnswer(ResultCode.NO_JOB, "no such job")
         return JobAnswer(ResultCode.OK, state=state)
 
-    async def _query_owner(self, cell: str, job_id: str) -> JobState | None:
+    async def _query_owner(
+        self, cell: str, job_id: str, timeout_s: float
+    ) -> JobState | None:
         owner = self._directory.owner_of(cell)
         if owner is None:
             return None
         if owner == self._mesh.name:
             return self._local_state(job_id)
-        reply = await self._mesh.call(owner, STATE_CALL, job_id)
+        reply = await self._mesh.call(owner, STATE_CALL, job_id, timeout_s)
         return None if reply is None else JobState(reply)
 
     def _local_state(self, job_id: str) -> JobState | None:
@@ -272,6 +280,7 @@
         """Store jobs, and notify owners of jobs and cancellations, until cancelled."""
         async with anyio.create_task_group() as task_group:
             self._task_group = task_group
+            task_group.start_soon(self._log_waits)
             while True:
                 self._notify_event = anyio.Event()
                 self._repeat_acknowledged()
@@ -286,6 +295,15 @@
                 with anyio.move_on_after(math.inf if is_idle else NOTIFY_PAUSE_S):
                     await self._notify_event.wait()
 
+    async def _log_waits(self) -> None:
+        """Log which notices wait for an owner."""
+        log = NoticeLog(self._directory.owner_of)
+        while True:
+            await anyio.sleep(WAIT_CHECK_INTERVAL_S)
+            log.check(
+                self._jobs_to_notify, self._cancellations_to_notify, boot_time_s()
+            )
+
     def _notify_owners(self, task_group: TaskGroup) -> None:
         """Begin to notify each owner to which no notification of a kind is under way.
 
--- a/src/chivetray/platform/store.py
+++ b/src/chivetray/platform/store.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from chivetray.clocks import RemoteClock, boot_time_s
 from chivetray.platform.calls import Answer, CallSession, NoAnswer, NotSent, Outcome
 
 # A transaction takes 11 ms at the median and about 100 ms when writers queue.
@@ -19,6 +20,10 @@
 TRANSACTION_ENTRIES_LIMIT = 100
 TRANSACTION_BYTES_LIMIT = 900_000
 
+# Size of a row in a call apart from its value, such as its names, for the limit on a
+# call's bytes. The value grows by a third when it is encoded as text.
+ROW_OVERHEAD_BYTES = 600
+
 # Limits of one page of rows: number, and bytes of the values, which may count encoded.
 PAGE_ROWS = 500
 PAGE_BYTES = 700_000
@@ -121,6 +126,7 @@
     """Client of the metadata store.
 
     :param address: address and port, or a URL with its scheme
+    :ivar clock: the store's clock, which is the same for all its clients
     """
 
     def __init__(
@@ -129,6 +135,7 @@
         self._session = session
         self._timeout_s = timeout_s
         self.calls = 0
+        self.clock = RemoteClock()
         self.on_latency: Callable[[str, float], None] = lambda _name, _latency_s: None
         self.move_to(address)
 
@@ -161,9 +168,10 @@
             ],
             "Remove": [_encode_row_id(row) for row in removed],
         }
-        started_s = time.monotonic()
+        started_s, sent_at_s = time.monotonic(), boot_time_s()
         outcome = await self.call("POST", TRANSACTION_PATH, body, self._timeout_s)
         self.on_latency("store transaction", time.monotonic() - started_s)
+        self._observe_clock(outcome, sent_at_s)
         if isinstance(outcome, NotSent):
             return Refused(outcome.reason)
         if isinstance(outcome, NoAnswer):
@@ -300,15 +308,22 @@
 
     async def _get(self, path: str, query: dict[str, str]) -> dict[str, Any]:
         path = f"{path}?{urllib.parse.urlencode(query)}"
-        started_s = time.monotonic()
+        started_s, sent_at_s = time.monotonic(), boot_time_s()
         outcome = await self.call("GET", path, None, self._timeout_s)
         self.on_latency("store reading", time.monotonic() - started_s)
+        self._observe_clock(outcome, sent_at_s)
         if isinstance(outcome, Answer) and outcome.ok:
             return outcome.body
         raise StoreUnavailableError(
             _describe_failure(outcome), isinstance(outcome, Answer)
         )
 
+    def _observe_clock(self, outcome: Outcome, sent_at_s: float) -> None:
+        if isinstance(outcome, Answer):
+            clock_ms = outcome.body.get("NowMs")
+            if isinstance(clock_ms, int):
+                self.clock.observe(clock_ms, sent_at_s, boot_time_s())
+
 
 def _is_full_page(rows: list[Row]) -> bool:
     size = sum(len(row.value) for row in rows)
