Tell tasks that wait for a scan for cancellations

TASK_WAITS names the reason "scan for cancellations" for tasks that are placed without a start order, or not placed, because the owner's scans fail (STARTS_PAUSED).

--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -294,6 +294,8 @@
                 self._storing_job_ids,
                 self.leaving,
                 self.may_grant_leases(now_s),
+                self.cancellations.may_start(now_s),
+                self.cancellations.may_place(now_s),
             )
             self._wait_log.check(status, now_s, wall_time_ms())
 
--- a/src/chivetray/cells/waiting.py
+++ b/src/chivetray/cells/waiting.py
@@ -55,6 +55,7 @@
     FIRST_REPLY = "first reply"
     START = "start order"
     LEASES_PAUSED = "leases paused"
+    CANCELLATIONS = "scan for cancellations"
     STOP = "stop order"
     STOP_PUT_OFF = "stop put off"
     END_REPORT = "report of the end"
@@ -118,6 +119,8 @@
     storing_job_ids: frozenset[str] = frozenset()
     leaving: bool = False
     may_grant_leases: bool = True
+    may_start: bool = True
+    may_place: bool = True
 
 
 @dataclass(slots=True)
@@ -350,6 +353,8 @@
         return Wait(WaitReason.STORE, None, workers)
     if not status.may_grant_leases:
         return Wait(WaitReason.LEASES_PAUSED, None, workers)
+    if not status.may_start:
+        return Wait(WaitReason.CANCELLATIONS, None, workers)
     return Wait(WaitReason.START, None, workers, unanswered=task.unanswered_starts)
 
 
@@ -374,6 +379,8 @@
     """Return what a task without a worker waits for, other than a worker."""
     if status.leaving:
         return Wait(WaitReason.OWNER_LEAVES)
+    if not status.may_place:
+        return Wait(WaitReason.CANCELLATIONS)
     if status.storing_since_s and (
         now_s - status.storing_since_s >= WAIT_CHECK_INTERVAL_S
     ):
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -176,6 +176,7 @@
         [
             (OwnerStatus(10.0, frozenset({JOB})), "store"),
             (OwnerStatus(may_grant_leases=False), "leases paused"),
+            (OwnerStatus(may_start=False), "scan for cancellations"),
         ],
     )
     def test_a_start_that_is_not_sent(self, logged, status, reason: str) -> None:
@@ -283,6 +284,7 @@
         [
             (OwnerStatus(leaving=True), "owner leaves"),
             (OwnerStatus(storing_since_s=10.0), "store"),
+            (OwnerStatus(may_place=False), "scan for cancellations"),
         ],
     )
     def test_an_owner_that_places_nothing(self, logged, status, reason: str) -> None:
