--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -4,13 +4,16 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 
 import anyio
+import pytest
 from cell_helpers import CELL, World, job, until
 from virtual_loop import virtual_time
 
+from chivetray.cells import job_service
 from chivetray.cells.job_service import SUBMIT_CALL, JobService
 from chivetray.cells.state import MAX_EARLY_CANCELLATIONS, CellState
 from chivetray.cells.tables import job_row
@@ -234,6 +237,24 @@
 
         notify(scenario)
 
+    def test_many_jobs_without_an_owner_do_not_hold_up_the_others(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The limit of jobs in a call was used up before they were sorted by owner."""
+        monkeypatch.setattr(job_service, "NOTIFY_BATCH_JOBS", 3)
+
+        async def scenario(service: JobService, owners: NotifiedOwners) -> None:
+            owners.owners = {CELL: "m2"}
+            for number in range(5):
+                spec = replace(job(str(number)), cell="without")
+                service._jobs_to_notify[spec.job_id] = spec
+            service._jobs_to_notify["9"] = job("9")
+            service._notify_event.set()
+            await asyncio.sleep(0.05)
+            assert "9" not in service._jobs_to_notify
+
+        notify(scenario)
+
     def test_what_is_not_acknowledged_is_repeated_after_a_pause(self) -> None:
         async def scenario(service: JobService, owners: NotifiedOwners) -> None:
             owners.owners = {"a": "m2"}
