--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -133,7 +133,9 @@
         self.guard_version = guard_version
         self.confirmed_at_s = boot_time_s()
         # The jobs of the cell are loaded later than this.
-        self.cancellations = CancellationWatch(self.confirmed_at_s)
+        self.cancellations = CancellationWatch(
+            state.name, ownership.epoch, self.confirmed_at_s
+        )
         self.leaving = False
         self.releasing = False
         self.lost = False
@@ -297,6 +299,8 @@
                 self._storing_job_ids,
                 self.leaving,
                 self.may_grant_leases(now_s),
+                self.cancellations.may_start(now_s),
+                self.cancellations.may_place(now_s),
             )
             self._wait_log.check(status, now_s, wall_time_ms())
 
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -116,6 +116,11 @@
         1630,
         "A new owner has read the ends of the leases on workers that did not answer.",
     )
+    STARTS_PAUSED = (
+        1633,
+        "No task of a cell starts, since cancellations were read too long ago.",
+    )
+    STARTS_RESUMED = (1634, "Tasks of a cell start again.")
 
     JOB_ACCEPTED = (1640, "A job was stored.")
     JOB_REFUSED = (1641, "A job was not accepted.")
