--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -34,6 +34,7 @@
     CONFIRMED_LEASE_S,
     LEASE_EXTENSION_WINDOW_S,
     LEASE_S,
+    RETRY_PAUSE_MAX_S,
     RETRY_PAUSE_S,
     TICK_S,
 )
@@ -62,9 +63,6 @@
 # interval for a renewal.
 RENEWAL_INTERVAL_S = 0.5
 
-# Upper bound of the exponential backoff after a failed write.
-RETRY_PAUSE_MAX_S = 0.5
-
 # A round of decisions that takes longer than this is followed by an equally long pause.
 LONG_DECISION_S = 0.005
 
@@ -169,16 +167,19 @@
         return self.ownership.epoch
 
     def may_grant_leases(self, now_s: float) -> bool:
-        """Return whether the next owner would wait for a lease that is granted now."""
-        unconfirmed_s = now_s - self.confirmed_at_s
-        return not self.releasing and unconfirmed_s < LEASE_EXTENSION_WINDOW_S
+        """Return whether the next owner would wait for a lease that is granted now.
+
+        It counts from the last renewal, so the acquisition of the cell allows none.
+        """
+        unrenewed_s = now_s - self._renewed_at_s
+        return not self.releasing and unrenewed_s < LEASE_EXTENSION_WINDOW_S
 
     def limit_lease_s(self, lease_s: float, now_s: float) -> float:
         """Return for how long a lease that is granted now may last, 0 for none."""
         if not self.may_grant_leases(now_s):
             return 0.0
-        confirmed_left_s = self.confirmed_at_s + CONFIRMED_LEASE_S - now_s
-        return max(0.0, min(lease_s, self.longest_lease_s, confirmed_left_s))
+        renewed_left_s = self._renewed_at_s + CONFIRMED_LEASE_S - now_s
+        return max(0.0, min(lease_s, self.longest_lease_s, renewed_left_s))
 
     # Inputs
 
