Test what else a review of the waits for leases found

Two more ways to a wait that is too long:

- one poll without answer holds the lease of its worker until two writes are confirmed;
- a start that is answered by a new incarnation tells its clock, while the lease is known on the former one: the owner, and later ones, wait for the worker's former uptime.

--- a/tests/test_review_35.py
+++ b/tests/test_review_35.py
@@ -25,7 +25,8 @@
     MAX_EARLIER_LEASE_S,
     MAX_ORDER_DELAY_S,
 )
-from chivetray.clocks import RemoteClock, boot_time_s
+from chivetray.cells.workers import WorkerState
+from chivetray.clocks import CLOCK_DRIFT, RemoteClock, boot_time_s
 from chivetray.jobs.model import Step
 from chivetray.platform.calls import Answer, NoAnswer, Outcome
 from chivetray.platform.store import Committed, Row, StoreUnavailableError
@@ -34,6 +35,9 @@
 LASTING = Step(1, 1000, long_running=True)
 ROW = lease_row(CELL)
 
+# Longest time from the sending of an order to the end of a lease that it grants.
+LATE_ORDER_LEASE_S = MAX_ORDER_DELAY_S + LEASE_S / (1 - CLOCK_DRIFT)
+
 
 class ListedStore(MemoryStore):
     """A store without jobs, of which the reads of one table may fail.
@@ -223,6 +227,64 @@
         asyncio.run(scenario())
 
 
+class TestOnePollWithoutAnswer:
+    def test_it_does_not_hold_the_lease(self) -> None:
+        """With a slow store, two writes take longer than the rest of the lease."""
+
+        async def scenario() -> None:
+            world = World(workers=1, work_s=30)
+            world.workers = HeldPolls(world.models)
+            owner = await world.own()
+            async with running(world, owner):
+                owner.add_job(job(steps=(LASTING,)))
+                worker = owner.state.workers["w0"]
+                await until(lambda: worker.deadline_ms > 0)
+                await asyncio.sleep(1.2)
+                world.workers.silent.add("w0")
+                await until(lambda: worker.silent_since_s > 0)
+                world.workers.silent.clear()
+                await until(lambda: not worker.silent_since_s)
+            assert (ROW.table, ROW.part, ROW.key) not in world.state.rows
+
+        asyncio.run(scenario())
+
+
+class TestStartAnsweredByANewIncarnation:
+    """Its answer tells the new clock, and the deadline sent is on the old one."""
+
+    @staticmethod
+    def silent_worker(now_s: float) -> tuple[CellState, WorkerState]:
+        """Return a worker that was up for 480 s before it restarted."""
+        world = World(workers=1)
+        state = CellState(CELL)
+        state.update_workers(world.entries(), now_s)
+        worker = state.workers["w0"]
+        worker.allocate(("00000000000000aa", (0, 0, 0)), LASTING)
+        worker.tasks_known, worker.lease_sent_at_s = True, now_s
+        worker.deadline_ms = 480_000 + int(LEASE_S * 1000)
+        worker.clock.observe(1000, now_s, now_s)
+        worker.silent_since_s = now_s - 2.0
+        return state, worker
+
+    def test_the_worker_is_given_up_after_the_time_of_a_late_order(self) -> None:
+        now_s = boot_time_s()
+        _, worker = self.silent_worker(now_s)
+        assert worker.has_lease_expired(now_s + LATE_ORDER_LEASE_S + 1.0)
+
+    def test_later_owners_wait_no_longer_than_for_a_late_order(self) -> None:
+        now_s = boot_time_s()
+        state, worker = self.silent_worker(now_s)
+        store_clock = RemoteClock()
+        store_clock.observe(5000, now_s, now_s)
+        ends = LeaseEnds(state)
+        ends.choose_content(store_clock, now_s)
+        state.handle_worker_restart(worker, worker.incarnation + 1, now_s)
+        content = ends.choose_content(store_clock, now_s)
+        limit_ms = 5000 + LATE_ORDER_LEASE_S * 1000 * (1 + CLOCK_DRIFT) + 500
+        assert content is not None
+        assert content["w0"] <= limit_ms
+
+
 class TestStoreThatRefusesWrites:
     def test_lease_ends_are_written_again_with_growing_pauses(
         self, monkeypatch: pytest.MonkeyPatch
