Bound a lease by the last order that may have granted it

A worker that restarts under its id answers a start with the clock of its new incarnation, which answers to starts do not name. Its deadline on the earlier clock then seemed to be its former uptime away: 505 s in the test. If it fell silent before a poll showed the restart, its tasks waited for that long, and so did those of later owners, since the end was stored. Found in a review.

Change: no lease lasts longer than the longest one after the last order that grants a lease and the longest delay of an order; a stored end is replaced by an earlier one.

--- a/src/chivetray/cells/lease_ends.py
+++ b/src/chivetray/cells/lease_ends.py
@@ -14,7 +14,11 @@
 import msgpack
 
 from chivetray.cells.tables import lease_row
-from chivetray.cells.timing import RETRY_PAUSE_MAX_S, RETRY_PAUSE_S, TICK_S
+from chivetray.cells.timing import (
+    RETRY_PAUSE_MAX_S,
+    RETRY_PAUSE_S,
+    TICK_S,
+)
 from chivetray.cells.workers import WorkerState
 from chivetray.clocks import CLOCK_DRIFT, RemoteClock, boot_time_s
 from chivetray.events import Event, log_event
@@ -39,6 +43,9 @@
 # Added to an end that is stored, for rounding.
 LEASE_END_MARGIN_S = 0.02
 
+# Difference from which an earlier end replaces a stored one.
+LOWERED_BY_S = 1.0
+
 
 class LeaseEnds:
     """The row with the lease ends of one cell, and what its owner has to store there.
@@ -138,7 +145,9 @@
                 continue
             end_s = now_s + worker.remaining_lease_s(now_s)
             known_ms = self._chosen_ms.get(worker_id)
-            if known_ms is None or end_s > self._state.held_lease_ends_s[worker_id]:
+            held_s = self._state.held_lease_ends_s.get(worker_id, 0.0)
+            is_earlier = end_s < held_s - LOWERED_BY_S
+            if known_ms is None or end_s > held_s or is_earlier:
                 end_s += LEASE_END_MARGIN_S
                 self._state.hold_lease_end(worker_id, end_s)
                 known_ms = store_clock.upper_bound_ms(end_s)
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from chivetray.cells.timing import MAX_ORDER_DELAY_S, MAX_RELEASED_LEASE_S
 from chivetray.clocks import CLOCK_DRIFT, RemoteClock
 from chivetray.jobs.model import Step, TaskKey
 
@@ -209,9 +211,20 @@
         left_s = self.earlier_lease_until_s - now_s
         if self.deadline_ms and self.clock.known:
             left_ms = self.deadline_ms - self.clock.lower_bound_ms(now_s)
-            left_s = max(left_s, left_ms / 1000 / (1 - CLOCK_DRIFT))
+            own_left_s = left_ms / 1000 / (1 - CLOCK_DRIFT)
+            left_s = max(left_s, min(own_left_s, self._last_lease_end_s - now_s))
         return max(0.0, left_s)
 
+    @property
+    def _last_lease_end_s(self) -> float:
+        """Time at which a lease that any order has granted has ended.
+
+        The deadline may be on the clock of an earlier incarnation, which tells nothing.
+        """
+        if not self.lease_sent_at_s:
+            return math.inf
+        return self.lease_sent_at_s + MAX_ORDER_DELAY_S + MAX_RELEASED_LEASE_S
+
     def describe_lease(self, now_s: float) -> dict[str, Any]:
         """Return what is known of the lease, as fields for the log.
 
@@ -241,6 +254,6 @@
         """Return whether every task that ran here has certainly been killed."""
         if now_s < self.earlier_lease_until_s:
             return False
-        if not self.deadline_ms:
+        if not self.deadline_ms or now_s > self._last_lease_end_s:
             return True
         return self.clock.known and self.clock.lower_bound_ms(now_s) > self.deadline_ms
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -303,7 +303,7 @@
         """Until then the owner started tasks of jobs that were long cancelled."""
 
         async def scenario(world: World) -> None:
-            send = world._read
+            send = world.read_store
             feeds: list[int] = []
 
             def read(path: str) -> Answer:
@@ -315,7 +315,7 @@
                 newest = rows[-1]["Ver"] if rows else answer.body["Ver"]
                 return Answer(200, {"Ver": newest, "rows": rows})
 
-            world._read = read  # type: ignore[method-assign]
+            world.read_store = read  # type: ignore[method-assign]
             for number in range(2 * PAGE_ROWS):
                 put_cancellation(world, job(f"{number:016x}"))
             put_job(world, SPEC)
