Let a new owner tell the lease limit of the owner before it

A new owner that is lost within 4 s of its acquisition hid that the one before it, of an earlier release, had granted leases of up to 11 s. Found in a review; concerns rolling updates only.

Change: the owner row takes over the longer limit, unless the cell was released. Not covered by a test of its own.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -23,6 +23,7 @@
     renewal_row,
 )
 from chivetray.cells.timing import (
+    CONFIRMED_LEASE_S,
     LEASE_EXTENSION_WINDOW_S,
     LEASE_S,
     MAX_RELEASED_LEASE_S,
@@ -272,7 +273,12 @@
             return None
         last_renewal = self._renewals.pop(cell, None)
         epoch = _next_epoch(cell, row, current)
-        ownership = Ownership(epoch, self._mesh.name, self._mesh.incarnation)
+        ownership = Ownership(
+            epoch,
+            self._mesh.name,
+            self._mesh.incarnation,
+            lease_limit_s=_inherit_lease_limit_s(row, current),
+        )
         acquired_at_s = boot_time_s()
         version = await self._write_ownership(cell, row, last_renewal, ownership)
         if version is None:
@@ -534,6 +540,17 @@
             self.scanned_version = min(versions)
 
 
+def _inherit_lease_limit_s(row: Row | None, current: Ownership | None) -> float:
+    """Return the lease limit that a new owner has to tell the one after it.
+
+    It may not reach the workers on which an earlier owner has granted longer leases.
+    """
+    if row is None or (current is not None and current.released):
+        return CONFIRMED_LEASE_S
+    earlier_s = current.lease_limit_s if current else EARLIER_RELEASE_LEASE_LIMIT_S
+    return max(CONFIRMED_LEASE_S, earlier_s)
+
+
 def _longest_lease_s(owner: Ownership | None) -> float:
     """Return how long a lease may last after an owner's last confirmed write.
 
