--- a/tests/test_review_35.py
+++ b/tests/test_review_35.py
@@ -8,6 +8,8 @@
 import asyncio
 from typing import Any, ClassVar
 
+import anyio
+import orjson
 import pytest
 from cell_helpers import CELL, MemoryStore, MemoryWorkers, World, job, until
 from test_cell_owner import running
@@ -35,6 +37,8 @@
 LASTING = Step(1, 1000, long_running=True)
 ROW = lease_row(CELL)
 
+LINK_BYTES_PER_S = 5_000_000 / 8
+
 # Longest time from the sending of an order to the end of a lease that it grants.
 LATE_ORDER_LEASE_S = MAX_ORDER_DELAY_S + LEASE_S / (1 - CLOCK_DRIFT)
 
@@ -191,6 +195,29 @@
         asyncio.run(scenario())
 
 
+class TestLongLeaseThatAReleaseTells:
+    """Guards against a second run during the lease of a late order."""
+
+    def test_an_owner_that_fails_to_load_does_not_forget_it(self) -> None:
+        async def scenario() -> None:
+            world = World(workers=1, work_s=30)
+            world.store = ListedStore(world.state)
+            first = await world.own()
+            await first.transact({})
+            first.get_remaining_leases = lambda: {"w0": 15.0}
+            released_at_s = boot_time_s()
+            assert await first._release_cell()
+            directory = make_directory(world, "p")
+            world.store.failing_reads = 1
+            with pytest.raises(StoreUnavailableError):
+                await directory._acquire(CELL)
+            owner = await acquire(directory)
+            worker = owner.state.workers["w0"]
+            assert worker.earlier_lease_until_s >= released_at_s + 15.0
+
+        asyncio.run(scenario())
+
+
 class HeldPolls(MemoryWorkers):
     """Workers that hold polls; those that fall silent meanwhile do not answer them."""
 
@@ -328,3 +355,43 @@
         worker.silent_since_s = now_s - 2.0
         worker.earlier_lease_until_s = now_s + CONFIRMED_LEASE_S
         assert not LeaseEnds(state).choose_content(RemoteClock(), now_s)
+
+
+class ThinLinkStore(MemoryStore):
+    """A store behind a link of 5 Mbit/s; a call that is given up is not carried out."""
+
+    async def call(
+        self, method: str, path: str, body: Any, timeout_s: float
+    ) -> Outcome:
+        size_bytes = len(orjson.dumps(body))
+        await asyncio.sleep(size_bytes / LINK_BYTES_PER_S)
+        return await super().call(method, path, body, timeout_s)
+
+
+class TestLargeCommitOverAThinLink:
+    def test_renewals_do_not_keep_it_from_ending(self) -> None:
+        """A renewal that is answered meanwhile has the commit given up and repeated."""
+
+        async def scenario() -> None:
+            world = World()
+            world.store = ThinLinkStore(world.state)
+            owner = await world.own()
+            jobs = []
+            for number in range(40):
+                spec = job(f"{number:016x}", (Step(500, 10),))
+                jobs.append(owner.state.add_job(spec, 0.0))
+                for task in jobs[-1].step_tasks(0, 0):
+                    task.checkpoint = "0" * 32
+                    owner.state.assign(
+                        jobs[-1], task, spec.steps[0], owner.state.workers["w0"], 0.0
+                    )
+            sent_bytes = sum(len(j.encode()) * 4 // 3 for j in jobs)
+            limit_s = 2 * sent_bytes / LINK_BYTES_PER_S + 2.0
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(owner._renew_ownership)
+                with anyio.move_on_after(limit_s):
+                    await owner._commit_progress(jobs)
+                tasks.cancel_scope.cancel()
+            assert all(j.version > 0 for j in jobs)
+
+        asyncio.run(scenario())
