Keep commits small enough for a thin link

A commit of over 0.3 MB took longer over a link of 5 Mbit/s than the interval of renewals. The renewal was answered first and had the commit given up while it was being sent, each time anew: nothing of the cell was stored, placed or stopped.

Change: a commit holds 150 kB at most, which such a link sends in half of the interval.

Evidence: TestLargeCommitOverAThinLink failed before.

--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -47,7 +47,6 @@
 from chivetray.platform.advice import AdviceClient
 from chivetray.platform.store import (
     ROW_OVERHEAD_BYTES,
-    TRANSACTION_BYTES_LIMIT,
     TRANSACTION_ENTRIES_LIMIT,
     Committed,
     Conflict,
@@ -71,6 +70,10 @@
 # and as a write; the owner row is a precondition, the renewal row a write.
 ROWS_PER_COMMIT = (TRANSACTION_ENTRIES_LIMIT - 2) // 2
 
+# Most bytes of one commit. A VM with a link of 5 Mbit/s sends them in half of the
+# interval of renewals, which would otherwise overtake the commit each time.
+COMMIT_BYTES_LIMIT = 150_000
+
 
 @dataclass(frozen=True, slots=True)
 class _EncodedJob:
@@ -89,7 +92,7 @@
         encoded = _EncodedJob(job, job.state, job.encode())
         row_bytes = ROW_OVERHEAD_BYTES + len(encoded.content) * 4 // 3
         is_full = len(batch) == ROWS_PER_COMMIT
-        if batch and (is_full or batch_bytes + row_bytes > TRANSACTION_BYTES_LIMIT):
+        if batch and (is_full or batch_bytes + row_bytes > COMMIT_BYTES_LIMIT):
             yield batch
             batch, batch_bytes = [], 0
         batch.append(encoded)
