--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -223,6 +223,8 @@
 
     async def _wait_until_leases_allowed(self, worker: WorkerState) -> None:
         """Wait until the entry with the end of the worker's leases is removed."""
+        if not worker.lease_end_held:
+            return
         self._cell_owner.lease_ends.wake()
         with anyio.move_on_after(TICK_S):
             while worker.lease_end_held and not self._cell_owner.lost:
