Keep the observed renewal until the cell is acquired and loaded

A failed read or a refused write between the observation and the take-over forgot when the earlier owner had renewed last, so that the next try counted the wait for leases from a new read: the wait began anew with each try. Found in a review; by reading, without a test of its own. TestLoadThatFailsAfterATakeOver covers a failed load.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -271,7 +271,7 @@
             cell, current, row.version
         ):
             return None
-        last_renewal = self._renewals.pop(cell, None)
+        last_renewal = self._renewals.get(cell)
         epoch = _next_epoch(cell, row, current)
         ownership = Ownership(
             epoch,
@@ -323,14 +323,10 @@
         elif current is not None and current.released:
             cell_owner.inherited_leases_s = current.leases_s
         state.update_workers(self._workers_of(cell), boot_time_s())
-        try:
-            lease_ends_s = await cell_owner.lease_ends.load(self._store, version)
-            await self._load_jobs(state, version)
-        except StoreUnavailableError:
-            if last_renewal is not None:
-                # No lease was granted, so the next try need not wait for any.
-                self._renewals[cell] = last_renewal
-            raise
+        lease_ends_s = await cell_owner.lease_ends.load(self._store, version)
+        await self._load_jobs(state, version)
+        # Until here no lease was granted, so the read stays valid for another try.
+        self._renewals.pop(cell, None)
         lease_ends_s |= {w: written_at_s + left_s for w, left_s in leases_s.items()}
         now_s = boot_time_s()
         state.attach_restored_tasks(
@@ -353,8 +349,9 @@
         :param acquired_version: version of the owner row
         """
         holder = current.holder if current is not None else ""
-        known = self._renewals.pop(cell, None)
+        known = self._renewals.get(cell)
         if current is not None and (current.released or self._has_restarted(current)):
+            self._renewals.pop(cell, None)
             return True
         log_event(Event.CELL_SUSPECTED, cell=cell, holder=holder)
         before = known
@@ -370,6 +367,7 @@
             self._renewals[cell] = known if known and is_unchanged else before
             return self.owner_of(cell) is None
         log_event(Event.CELL_OWNER_ALIVE, cell=cell, holder=holder)
+        self._renewals.pop(cell, None)
         self._unclaimed_since_s.pop(cell, None)
         return False
 
