Wait for the longest lease that a worker of an unseen restart may grant

The bound on leases by the last order counted 7.2 s, the longest lease that an owner asks for. A later incarnation of a worker takes a deadline on the earlier clock for the longest lease of the platform, 10 s on some deployments.

Evidence: TestLongestLeaseOfAWorker fails without the change.

--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -286,6 +286,7 @@
             mem_mb=entry.mem_mb,
             gpu=entry.gpu,
             idle_since_s=now_s,
+            longest_lease_s=self._longest_lease_s(),
             lease_end_held=entry.worker_id in self.held_lease_ends_s,
         )
         self.workers[entry.worker_id] = worker
@@ -338,6 +339,7 @@
                         0,
                         0,
                         listed=False,
+                        longest_lease_s=self._longest_lease_s(),
                         lease_end_held=task.worker in self.held_lease_ends_s,
                     )
                     self.workers[task.worker] = worker
@@ -473,14 +475,17 @@
         """
         if not worker.lease_sent_at_s:
             return
-        lease_s = self.longest_lease_s / (1 - CLOCK_DRIFT)
         worker.late_orders_until_s = (
-            worker.lease_sent_at_s + MAX_ORDER_DELAY_S + lease_s
+            worker.lease_sent_at_s + MAX_ORDER_DELAY_S + self._longest_lease_s()
         )
         worker.earlier_lease_until_s = max(
             worker.earlier_lease_until_s, worker.late_orders_until_s
         )
 
+    def _longest_lease_s(self) -> float:
+        """Return the longest lease of workers, on a clock that may be slow."""
+        return self.longest_lease_s / (1 - CLOCK_DRIFT)
+
     def _move_to_new_incarnation(
         self, worker: WorkerState, job: Job, task: Task
     ) -> None:
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -40,6 +40,7 @@
         been sent, by this owner or an earlier one
     :ivar earlier_lease_until_s: time until which a lease may last that an earlier owner
         granted, or an order to an earlier incarnation
+    :ivar longest_lease_s: longest lease that an order of any deadline grants here
     :ivar lease_end_held: whether no order may grant a lease, since the end of the
         leases here is stored for later owners
     :ivar late_orders_until_s: time until which a lease may last by an order to an
@@ -82,6 +83,7 @@
     deadline_ms: int = 0
     lease_sent_at_s: float = 0.0
     earlier_lease_until_s: float = 0.0
+    longest_lease_s: float = MAX_RELEASED_LEASE_S
     lease_end_held: bool = False
     late_orders_until_s: float = 0.0
     silent_since_s: float = 0.0
@@ -223,7 +225,7 @@
         """
         if not self.lease_sent_at_s:
             return math.inf
-        return self.lease_sent_at_s + MAX_ORDER_DELAY_S + MAX_RELEASED_LEASE_S
+        return self.lease_sent_at_s + MAX_ORDER_DELAY_S + self.longest_lease_s
 
     def describe_lease(self, now_s: float) -> dict[str, Any]:
         """Return what is known of the lease, as fields for the log.
--- a/tests/test_worker_restart.py
+++ b/tests/test_worker_restart.py
@@ -326,3 +326,21 @@
     def test_no_number_is_sent_to_a_worker_that_may_have_restarted(self) -> None:
         world = World(workers=1, work_s=0.05)
         assert self.observed(world, asyncio.run(world.own()), silent=True)[0] == 0
+
+
+class TestLongestLeaseOfAWorker:
+    """Guards against a second run during a lease that a new incarnation grants.
+
+    An order with a deadline on the clock of the earlier one grants the longest lease.
+    """
+
+    def test_a_late_order_of_an_unseen_restart_is_waited_for(self) -> None:
+        state = CellState(CELL)
+        state.longest_lease_s = 10.0
+        state.update_workers([entry("w0")], 0.0)
+        worker = state.workers["w0"]
+        worker.lease_sent_at_s, worker.deadline_ms = 1.0, 900_000
+        worker.clock.observe(100, 1.0, 1.0)
+        assert worker.remaining_lease_s(1.0) >= MAX_ORDER_DELAY_S + 10.0
+        assert not worker.has_lease_expired(1.0 + MAX_ORDER_DELAY_S + 10.0)
+        assert worker.has_lease_expired(1.0 + MAX_ORDER_DELAY_S + 10.5)
