Grant the lease of a start only, until an attempt is known to run

Callers saw a long-running task away for 8 s longer after it had been placed on a worker that was idle and did not answer, such as one behind a cut link.

Cause: idle workers are not polled, so that such a worker gets tasks. Nothing made the owner poll it after the start had no answer; the first poll, up to 2 s later, granted a lease of 7 s in place of the start's 4 s, though no attempt was known to run; and starts were tried again, each with a lease, after the worker was known to be silent.

Change: a start without an answer is followed by a poll at once; a poll extends leases only if an attempt on the worker is known to have started; no start is sent to a worker that is silent.

--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -129,6 +129,9 @@
             return True
         if not worker.clock.known or worker.incarnation != placement.incarnation:
             return True
+        if worker.silent_since_s:
+            # Each try would grant a lease; it is sent again once the worker answers.
+            return True
         if worker.lease_end_held:
             return True
         sent_at_s = boot_time_s()
@@ -225,6 +228,8 @@
         if verdict == Verdict.FENCED:
             await self._cell_owner.verify_ownership()
             return True
+        if verdict == Verdict.NO_ANSWER:
+            self._poller.wake_worker(worker.worker_id)
         if verdict in (Verdict.NO_ANSWER, Verdict.LATE):
             return False
         if verdict == Verdict.OTHER_INCARNATION:
--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -136,7 +136,7 @@
         if may_extend_lease and worker.tasks:
             lease_s = self._cell_owner.limit_lease_s(LEASE_S, sent_at_s)
             self._log_extension(sent_at_s, lease_s > 0)
-            if lease_s:
+            if lease_s and self._may_run_tasks(worker):
                 # Counted from a time that the worker's clock has certainly passed, so
                 # that the lease does not outlast the wait of the next owner.
                 clock_ms = worker.clock.lower_bound_ms(sent_at_s)
@@ -174,6 +174,17 @@
             return
         await self._handle_poll_failure(worker, reply, sent_at_s, now_s)
 
+    def _may_run_tasks(self, worker: WorkerState) -> bool:
+        """Return whether an attempt on a worker is known to have started.
+
+        The lease of a start order suffices for an attempt that may never start.
+        """
+        for ref in worker.tasks:
+            found = self._state.find_newest_attempt(worker, ref)
+            if found is None or found[1].phase != Phase.PLACED:
+                return True
+        return False
+
     def _awaits_listing(self, worker: WorkerState) -> bool:
         """Return whether the next reply may show that an attempt does not run."""
         for ref in worker.tasks:
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -115,6 +115,33 @@
         in_virtual_time(scenario)
 
 
+class TestIdleWorkerThatDoesNotAnswer:
+    def test_its_task_waits_for_the_lease_of_its_start_only(self) -> None:
+        """A poll once granted a full lease there, though no attempt was known to run.
+
+        Idle workers are not polled, so that one that is cut off still gets tasks.
+        """
+
+        async def scenario() -> None:
+            world = make_world(2)
+            owner = await world.own()
+            async with running(world, owner):
+                workers = owner.state.workers.values()
+                await until(lambda: all(w.clock.known for w in workers), 1.0)
+                await asyncio.sleep(1.0)
+                world.workers.silent.update(world.models)
+                owner.add_job(lasting_job())
+                task = owner.state.jobs[JOB].step_tasks(0, 0)[0]
+                await until(lambda: task.phase == Phase.PLACED, 1.0)
+                world.workers.silent = {task.worker}
+                waited_s = await until(
+                    lambda: any(model.running for model in world.models.values()), 30.0
+                )
+            assert waited_s < 6.0
+
+        in_virtual_time(scenario)
+
+
 class TestStartThatIsRefusedAfterOneWithoutAnswer:
     @pytest.mark.parametrize("phase_s", [0.0, 0.4, 0.8, 1.2, 1.6])
     def test_its_task_goes_elsewhere_within_3_s(self, phase_s: float) -> None:
