Take a damaged owner row for one that names no owner, whatever its content

Cause: the fields of an owner row were converted outside the try that catches damaged rows, so a row that unpacks to six values of wrong types raised in the process that reads it, and every process reads the rows of cells without an owner. Change: decoding and conversion are one step; any failure is a damaged row.

--- a/src/chivetray/cells/tables.py
+++ b/src/chivetray/cells/tables.py
@@ -82,6 +82,8 @@
         after the release
     :ivar lease_limit_s: longest time from the owner's last confirmed write to the end
         of a lease
+    :ivar lease_ends_ms: by worker id, end of the leases that an earlier owner told in
+        its release, on the store's clock
     """
 
     epoch: int
@@ -90,11 +92,15 @@
     released: bool = False
     leases_s: dict[str, float] = field(default_factory=dict)
     lease_limit_s: float = CONFIRMED_LEASE_S
+    lease_ends_ms: dict[str, int] = field(default_factory=dict)
 
     def encode(self) -> bytes:
         """Return the ownership as it is stored in the row."""
-        values = [self.epoch, self.holder, self.incarnation, self.released]
-        return bytes(msgpack.packb([*values, self.leases_s, self.lease_limit_s]))
+        values: list[object] = [self.epoch, self.holder, self.incarnation]
+        values += [self.released, self.leases_s, self.lease_limit_s]
+        if self.lease_ends_ms:
+            values.append(self.lease_ends_ms)
+        return bytes(msgpack.packb(values))
 
     @classmethod
     def decode(cls, content: bytes) -> Ownership | None:
@@ -104,14 +110,16 @@
                 content
             )
             # Rows of earlier releases end here.
-            (lease_limit_s,) = rest or (EARLIER_RELEASE_LEASE_LIMIT_S,)
-        except (ValueError, TypeError, msgpack.UnpackException):
+            lease_limit_s, *rest = rest or [EARLIER_RELEASE_LEASE_LIMIT_S]
+            (lease_ends_ms,) = rest or ({},)
+            return cls(
+                int(epoch),
+                str(holder),
+                str(incarnation),
+                bool(released),
+                {str(w): float(left_s) for w, left_s in leases_s.items()},
+                float(lease_limit_s),
+                {str(w): int(end_ms) for w, end_ms in lease_ends_ms.items()},
+            )
+        except (ValueError, TypeError, AttributeError, msgpack.UnpackException):
             return None
-        return cls(
-            int(epoch),
-            str(holder),
-            str(incarnation),
-            bool(released),
-            dict(leases_s),
-            float(lease_limit_s),
-        )
