Store the leases that a release told with the next acquisition

Change: the acquisition keeps them, on the store's clock, so that owners in a row wait until one time and not anew each.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -29,7 +29,7 @@
     MAX_RELEASED_LEASE_S,
     SLOW_CLOCK_FACTOR,
 )
-from chivetray.clocks import boot_time_s
+from chivetray.clocks import CLOCK_DRIFT, boot_time_s
 from chivetray.events import Event, log_event
 from chivetray.peers.mesh import Mesh
 from chivetray.platform.advice import AdviceClient
@@ -278,6 +278,7 @@
             self._mesh.name,
             self._mesh.incarnation,
             lease_limit_s=_inherit_lease_limit_s(row, current),
+            lease_ends_ms=self._inherit_lease_ends_ms(current),
         )
         acquired_at_s = boot_time_s()
         version = await self._write_ownership(cell, row, last_renewal, ownership)
@@ -327,6 +328,8 @@
         await self._load_jobs(state, version)
         # Until here no lease was granted, so the read stays valid for another try.
         self._renewals.pop(cell, None)
+        for worker_id, end_s in self._inherited_ends_s(current).items():
+            lease_ends_s[worker_id] = max(lease_ends_s.get(worker_id, 0.0), end_s)
         lease_ends_s |= {w: written_at_s + left_s for w, left_s in leases_s.items()}
         now_s = boot_time_s()
         state.attach_restored_tasks(
@@ -339,6 +342,33 @@
             await_reservations(state, boot_time_s())
         return cell_owner
 
+    def _inherit_lease_ends_ms(self, current: Ownership | None) -> dict[str, int]:
+        """Return the lease ends to store with the acquisition of a cell.
+
+        A release tells them only once, and a new owner may be lost before it has stored
+        them among its own lease ends.
+        """
+        if current is None or not self._store.clock.known:
+            return {}
+        if not current.released:
+            return current.lease_ends_ms
+        now_s = boot_time_s()
+        return {
+            worker_id: self._store.clock.upper_bound_ms(now_s + left_s)
+            for worker_id, left_s in current.leases_s.items()
+        }
+
+    def _inherited_ends_s(self, current: Ownership | None) -> dict[str, float]:
+        """Return the ends of :meth:`_inherit_lease_ends_ms` on the local clock."""
+        if current is None or current.released or not self._store.clock.known:
+            return {}
+        now_s = boot_time_s()
+        now_ms = self._store.clock.lower_bound_ms(now_s)
+        return {
+            worker_id: now_s + max(0, end_ms - now_ms) / 1000 / (1 - CLOCK_DRIFT)
+            for worker_id, end_ms in current.lease_ends_ms.items()
+        }
+
     async def _is_previous_owner_gone(
         self, cell: str, current: Ownership | None, acquired_version: int = 0
     ) -> bool:
