Set the pace of best-effort tasks that an earlier owner may have changed

A new owner assumed full pace, so a task that was slowed down stayed so, and one whose pace it took for lower ran on. Change: a restored task has an unknown pace, and the first report of its worker is answered with the pace that this owner chooses.

--- a/src/chivetray/cells/sharing.py
+++ b/src/chivetray/cells/sharing.py
@@ -35,7 +35,7 @@
     orders = []
     for ref, task in best_effort_tasks:
         percent = choose_pace(task.pace_percent, worst_latency_ratio)
-        if percent != task.pace_percent:
+        if percent != task.pace_percent or not task.pace_known:
             orders.append((ref, task.attempt, percent))
     return orders
 
@@ -46,7 +46,7 @@
     """Record that a worker has changed the pace of an attempt."""
     found = state.find_newest_attempt(worker, ref)
     if found is not None and found[1].attempt == attempt:
-        found[1].pace_percent = percent
+        found[1].pace_percent, found[1].pace_known = percent, True
 
 
 def has_mixed_tasks(worker: WorkerState) -> bool:
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -676,7 +676,7 @@
         task.start_unanswered = task.inherited = task.stop_sent = False
         task.unanswered_starts = 0
         task.stop_sent_at_s = 0.0
-        task.pace_percent = 100
+        task.pace_percent, task.pace_known = 100, True
         worker.allocate(ref, step)
         if worker.quarantined:
             worker.probed_at_s = now_s
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -205,7 +205,7 @@
             task.phase = _PHASE_BY_CODE[row[3]]
             task.attempt, task.failures = row[4], row[5]
             task.worker, task.incarnation, task.checkpoint = row[6], row[7], row[8]
-            task.inherited = True
+            task.inherited, task.pace_known = True, False
             task.address = row[9]
             task.copies = dict(row[10])
             # Rows of earlier releases end here.
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -155,6 +155,8 @@
     :ivar inherited: whether an earlier owner placed the newest attempt, so that it is
         unknown whether its start requests were answered
     :ivar pace_percent: share of full speed at which a best-effort task may run
+    :ivar pace_known: whether the worker is known to run the newest attempt at that
+        share; an earlier owner may have set another one
     :ivar not_before_s: time before which the task is not placed again
     :ivar away_since_s: time since which the task is not known to run, 0 while it runs
         and if an earlier owner knows it
@@ -178,6 +180,7 @@
     level: int = 0
     failed_attempt: int = 0
     pace_percent: int = 100
+    pace_known: bool = True
     running_at_s: float = 0.0
     stopped_at_s: float = 0.0
     start_unanswered: bool = False
