Stop ended attempts whose start may still reach a restarted worker

The owner forgot the attempt with its end. Change: the worker's state remembers ended attempts with an unanswered start, or one of an earlier owner, for as long as an order can be late. A restarted worker is told at once to stop them, so that it rejects their start.

--- a/src/chivetray/cells/orders.py
+++ b/src/chivetray/cells/orders.py
@@ -26,6 +26,7 @@
     BROKEN_GANG = "broken gang"
     DONE_ELSEWHERE = "done elsewhere"
     EARLIER_OWNER = "earlier owner"
+    ENDED_BEFORE_RESTART = "ended before restart"
     EVACUATION = "evacuation"
     JOB_ENDED = "job ended"
     REFUSED_START = "refused start"
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -172,6 +172,9 @@
     if job is None or task is None:
         _log_ignored_end(state, worker, ended, job, task)
         return
+    is_newest = task.worker == worker.worker_id and task.attempt == ended.attempt
+    if is_newest and (task.start_unanswered or task.inherited):
+        worker.expect_late_start((job.spec.job_id, task.key), ended.attempt, now_s)
     if ended.how == AttemptEnd.DONE and 0 < ended.attempt <= task.attempt:
         _apply_done(state, worker, job, task, ended, now_s)
         return
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -440,6 +440,7 @@
         worker.deadline_ms = 0
         worker.clock.known = False
         worker.failing_jobs.clear()
+        self._stop_late_starts(worker, now_s)
         for ref in list(worker.tasks):
             found = self.find_newest_attempt(worker, ref)
             if found is None:
@@ -454,6 +455,17 @@
             else:
                 self.release_attempt(worker, *found, now_s)
 
+    def _stop_late_starts(self, worker: WorkerState, now_s: float) -> None:
+        """Stop ended attempts in a new incarnation, which does not know of their end.
+
+        A worker rejects the start of an attempt that was stopped before.
+        """
+        for (ref, attempt), until_s in worker.late_starts_until_s.items():
+            if until_s >= now_s:
+                name, reason = TaskName(*ref), StopReason.ENDED_BEFORE_RESTART
+                order = StopOrder(name, attempt, worker.worker_id, reason)
+                self.stop_orders.append(order)
+
     def _is_of_earlier_incarnation(self, worker: WorkerState, ref: TaskRef) -> bool:
         """Return whether a worker had a task before its present incarnation."""
         _, task = self.find_task(ref)
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -45,6 +45,8 @@
         leases here is stored for later owners
     :ivar late_orders_until_s: time until which a lease may last by an order to an
         earlier incarnation, 0 if there is none
+    :ivar late_starts_until_s: by task and attempt, time until which a start of an ended
+        attempt that was not answered may be carried out by a later incarnation
     :ivar silent_since_s: time of the first call without an answer, 0 while the worker
         answers
     :ivar silence_seen_at_s: time at which that call had failed
@@ -86,6 +88,7 @@
     longest_lease_s: float = MAX_RELEASED_LEASE_S
     lease_end_held: bool = False
     late_orders_until_s: float = 0.0
+    late_starts_until_s: dict[tuple[TaskRef, int], float] = field(default_factory=dict)
     silent_since_s: float = 0.0
     silence_seen_at_s: float = 0.0
     last_silence_at_s: float = 0.0
@@ -144,6 +147,13 @@
             return is_due and not self.has_probe
         return True
 
+    def expect_late_start(self, ref: TaskRef, attempt: int, now_s: float) -> None:
+        """Remember an ended attempt of which a start was not answered."""
+        remembered = self.late_starts_until_s
+        for key in [key for key, until_s in remembered.items() if until_s < now_s]:
+            del remembered[key]
+        remembered[ref, attempt] = now_s + MAX_ORDER_DELAY_S
+
     def pause(self, until_s: float) -> None:
         """Place nothing new on the worker until a time."""
         self.unhealthy_until_s = max(self.unhealthy_until_s, until_s)
