Let managers without cells send fewer heartbeats in a larger fleet

Change: only owners keep that interval, since only their silence has to be noticed soon. Others send 25 messages a second whatever the size of the fleet; each heartbeat tells when the next one follows, and a peer counts as lost after 2.5 of these intervals. With ten peers or fewer all is as before. A new configuration, which all read at the same time, is announced to 8 peers at random. A heartbeat is encoded once for all peers, and one that repeats the last is not validated again. Evidence: test_mesh.py::TestHeartbeatsOfLargeFleets; with 96 peers a manager without cells sent 240 messages a second before and sends 25 now. Streams still connect all pairs, and owners' heartbeats still grow with the fleet.

--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -283,7 +283,7 @@
         return [FLEET_CELL, *names] if names and self._fleet_runner else names
 
     def _on_config_change(self) -> None:
-        self._mesh.request_heartbeat()
+        self._mesh.request_announcement()
         self._directory.wake()
 
     def _on_mesh_change(self) -> None:
@@ -305,6 +305,7 @@
             leaving=self._stopping.is_set(),
             store_reached=self._store.is_served,
             capacity=self._compute_capacity(),
+            interval_ms=0,
             claims=self._directory.claims(),
         )
 
--- a/src/chivetray/peers/codec.py
+++ b/src/chivetray/peers/codec.py
@@ -100,6 +100,7 @@
 
     def __init__(self) -> None:
         self._unpacker = msgpack.Unpacker(max_buffer_size=MESSAGE_LIMIT_BYTES)
+        self._last_heartbeat: tuple[Any, PeerMessage] | None = None
 
     def feed(self, content: bytes) -> Iterator[PeerMessage]:
         """Add received bytes and yield the messages that are complete.
@@ -109,12 +110,21 @@
         try:
             self._unpacker.feed(content)
             for unpacked in self._unpacker:
-                yield _validate(unpacked)
+                yield self._decode(unpacked)
         except (ValidationError, ValueError, TypeError, KeyError) as error:
             raise _protocol_error(error) from error
         except msgpack.UnpackException as error:
             raise _protocol_error(error) from error
 
+    def _decode(self, unpacked: Any) -> PeerMessage:
+        """Validate a message; most heartbeats repeat the one before unchanged."""
+        if self._last_heartbeat is not None and unpacked == self._last_heartbeat[0]:
+            return self._last_heartbeat[1]
+        message = _validate(unpacked)
+        if isinstance(message, NodeHeartbeat):
+            self._last_heartbeat = (unpacked, message)
+        return message
+
 
 def encode_content(value: Any) -> bytes:
     """Return the encoded form of the argument or result of a call."""
--- a/src/chivetray/peers/mesh.py
+++ b/src/chivetray/peers/mesh.py
@@ -5,7 +5,7 @@
 import itertools
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import anyio
@@ -25,16 +25,28 @@
     PeerProtocolError,
     decode_content,
     encode_content,
+    encode_message,
 )
 from chivetray.peers.stream import PeerStream
 
-# Heartbeats carry cell claims and pending counts. A count may be up to 2 s old.
+# Heartbeats of owners carry cell claims and pending counts. A count may be up to 2 s
+# old.
 HEARTBEAT_INTERVAL_S = 0.4
 
+# Peers to which a manager without cells sends heartbeats at that interval on average.
+# With more peers it sends less often, so that its messages do not grow with the fleet:
+# only the silence of an owner has to be noticed soon.
+FREQUENT_PEERS = 10
+
+# Peers that are told at once of a new configuration, which all managers read at about
+# the same time. Those whose reads fail hear of it from some.
+ANNOUNCED_PEERS = 8
+
 # Time without messages after which a manager is considered lost. The timeout can be
 # short, because a cell is taken over only after a check that its owner no longer
-# renews its claim.
+# renews its claim. A manager that sends less often gets this many of its intervals.
 PEER_TIMEOUT_S = 1.0
+PEER_TIMEOUT_INTERVALS = 2.5
 PEER_TIMEOUT_CHECK_INTERVAL_S = 0.1
 
 HELLO_TIMEOUT_S = 1.0
@@ -46,6 +58,9 @@
 
 CALL_TIMEOUT_S = 0.8
 
+# Time that a heartbeat may wait for room in the buffers of a connection.
+SEND_TIMEOUT_S = 0.05
+
 # Calls of one peer that are handled concurrently; further calls are dropped.
 MAX_CALLS_PER_PEER = 512
 
@@ -95,6 +110,12 @@
         """Whether the store serves the manager directly."""
         return self.heartbeat is not None and self.heartbeat.store_reached
 
+    @property
+    def timeout_s(self) -> float:
+        """Time without messages after which the manager is considered lost."""
+        interval_ms = self.heartbeat.interval_ms if self.heartbeat is not None else 0
+        return max(PEER_TIMEOUT_S, PEER_TIMEOUT_INTERVALS * interval_ms / 1000)
+
     @property
     def capacity(self) -> int:
         """CPU capacity of the manager in thousandths of a core."""
@@ -108,7 +129,7 @@
 class Mesh:
     """Manages the streams of this manager to all other managers.
 
-    :param make_heartbeat: returns the heartbeat to send
+    :param make_heartbeat: returns the heartbeat to send; its interval is set here
     :param on_change: called after a peer was added or removed, or after the cells,
         configuration version, leaving flag or store access it reports have changed
     """
@@ -135,6 +156,7 @@
         self._call_numbers = itertools.count(1)
         self._tasks: TaskGroup | None = None
         self._heartbeat_requested = anyio.Event()
+        self._all_requested = False
 
     def add_address(self, name: str, address: str) -> None:
         """Record the address at which another manager listens."""
@@ -147,6 +169,11 @@
 
     def request_heartbeat(self) -> None:
         """Request a heartbeat to all peers without waiting for the interval."""
+        self._all_requested = True
+        self._heartbeat_requested.set()
+
+    def request_announcement(self) -> None:
+        """Request a heartbeat to some peers, such as about a new configuration."""
         self._heartbeat_requested.set()
 
     async def run(self) -> None:
@@ -256,7 +283,7 @@
             if peer is None:
                 return
             try:
-                await stream.send(self._make_heartbeat())
+                await stream.send(self._build_heartbeat())
                 async for message in messages:
                     peer.last_message_at_s = boot_time_s()
                     self._handle_message(peer, message)
@@ -315,6 +342,8 @@
     def _handle_message(self, peer: Peer, message: PeerMessage) -> None:
         if isinstance(message, NodeHeartbeat):
             previous = peer.heartbeat
+            if message is previous:
+                return
             peer.heartbeat = message
             if previous is None or _reported_state(previous) != _reported_state(
                 message
@@ -334,24 +363,44 @@
             await anyio.sleep(PEER_TIMEOUT_CHECK_INTERVAL_S)
             now_s = boot_time_s()
             for peer in list(self.peers.values()):
-                if now_s - peer.last_message_at_s > PEER_TIMEOUT_S:
+                if now_s - peer.last_message_at_s > peer.timeout_s:
                     self._remove_peer(peer, "silent")
                     await peer.stream.aclose()
 
     async def _send_heartbeats(self) -> None:
+        due_s = 0.0
         while True:
-            heartbeat = self._make_heartbeat()
-            for peer in list(self.peers.values()):
-                with anyio.move_on_after(0.05):
-                    try:
-                        await peer.stream.send(heartbeat)
-                    except _STREAM_ERRORS:
-                        # The task that reads the stream ends and removes the peer.
-                        continue
+            now_s = boot_time_s()
+            is_for_all = self._all_requested or now_s >= due_s
+            self._all_requested = False
             self._heartbeat_requested = anyio.Event()
-            with anyio.move_on_after(HEARTBEAT_INTERVAL_S):
+            heartbeat = self._build_heartbeat()
+            peers = list(self.peers.values())
+            if is_for_all:
+                due_s = now_s + heartbeat.interval_ms / 1000
+            else:
+                peers = random.sample(peers, min(ANNOUNCED_PEERS, len(peers)))
+            await _send_to(peers, encode_message(heartbeat))
+            with anyio.move_on_after(max(0.0, due_s - boot_time_s())):
                 await self._heartbeat_requested.wait()
 
+    def _build_heartbeat(self) -> NodeHeartbeat:
+        heartbeat = self._make_heartbeat()
+        intervals = 1.0 if heartbeat.claims else len(self.peers) / FREQUENT_PEERS
+        interval_ms = int(1000 * HEARTBEAT_INTERVAL_S * max(1.0, intervals))
+        return replace(heartbeat, interval_ms=interval_ms)
+
+
+async def _send_to(peers: list[Peer], content: bytes) -> None:
+    """Send an encoded message to some peers; one that is stuck is left out."""
+    for peer in peers:
+        with anyio.move_on_after(SEND_TIMEOUT_S):
+            try:
+                await peer.stream.send_encoded(content)
+            except _STREAM_ERRORS:
+                # The task that reads the stream ends and removes the peer.
+                continue
+
 
 def _reported_state(heartbeat: NodeHeartbeat) -> tuple[object, ...]:
     """Return the values of a heartbeat whose change triggers ``on_change``."""
--- a/src/chivetray/peers/stream.py
+++ b/src/chivetray/peers/stream.py
@@ -62,7 +62,13 @@
 
         :raises anyio.BrokenResourceError: when the connection is closed
         """
-        content = encode_message(message)
+        await self.send_encoded(encode_message(message))
+
+    async def send_encoded(self, content: bytes) -> None:
+        """Send one message that is encoded already, such as one for many peers.
+
+        :raises anyio.BrokenResourceError: when the connection is closed
+        """
         async with self._send_lock:
             await self._stream.send(content)
         self.sent_bytes += len(content)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import socket
 from collections.abc import AsyncIterator, Callable
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -12,6 +14,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from virtual_loop import virtual_time
 
 from chivetray.generated.messages import (
     CellClaim,
@@ -27,7 +30,13 @@
     encode_content,
     encode_message,
 )
-from chivetray.peers.mesh import Mesh
+from chivetray.peers.mesh import (
+    FREQUENT_PEERS,
+    HEARTBEAT_INTERVAL_S,
+    PEER_TIMEOUT_S,
+    Mesh,
+    Peer,
+)
 from chivetray.peers.stream import PeerStream
 
 LIMIT_S = 5.0
@@ -40,7 +49,7 @@
 
 
 def make_heartbeat() -> NodeHeartbeat:
-    return NodeHeartbeat(1000, 1, False, True, [CellClaim("a", 1, {}, True)])
+    return NodeHeartbeat(1000, 1, False, True, 400, [CellClaim("a", 1, {}, True)])
 
 
 def make_mesh(name: str) -> Mesh:
@@ -143,7 +152,7 @@
         async def main() -> int:
             mesh = make_mesh("m1")
             big = NodeHeartbeat(
-                1000, 1, False, True, [CellClaim("a" * 2**20, 1, {}, True)]
+                1000, 1, False, True, 400, [CellClaim("a" * 2**20, 1, {}, True)]
             )
             mesh._make_heartbeat = lambda: big
             seen = 0
@@ -193,7 +202,7 @@
 class TestFuzzedStream:
     MESSAGES = (
         NodeHello("m1", "z1", "i", "127.0.0.1:1"),
-        NodeHeartbeat(1000, 3, False, True, [CellClaim("a", 2, {"q": 1}, True)]),
+        NodeHeartbeat(1000, 3, False, True, 400, [CellClaim("a", 2, {"q": 1}, True)]),
         NodeCall(1, "submitted", encode_content(["x", 1])),
         NodeAnswer(1, encode_content(None)),
     )
@@ -226,3 +235,64 @@
     def test_any_value_is_decoded_or_refused(self, value: Any) -> None:
         with contextlib.suppress(PeerProtocolError):
             list(MessageDecoder().feed(bytes(msgpack.packb(value))))
+
+
+class CountingStream:
+    """A stream that counts the messages of a given number of bytes."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+
+    async def send_encoded(self, _content: bytes) -> None:
+        self.sent += 1
+
+
+def send_for(seconds: float, peers: int, owned: int) -> tuple[int, Mesh]:
+    """Return the messages that a manager sends to its peers in some seconds."""
+    claims = [CellClaim(f"c{number}", 1, {}, True) for number in range(owned)]
+
+    async def main() -> tuple[int, Mesh]:
+        mesh = make_mesh("m1")
+        mesh._make_heartbeat = lambda: NodeHeartbeat(1000, 1, False, True, 0, claims)
+        streams = [CountingStream() for _ in range(peers)]
+        for number, stream in enumerate(streams):
+            name = f"p{number}"
+            mesh.peers[name] = Peer(name, "z", "i", "a:1", stream, True, 0.0)  # type: ignore[arg-type]
+        sending = asyncio.ensure_future(mesh._send_heartbeats())
+        await asyncio.sleep(seconds)
+        sending.cancel()
+        return sum(stream.sent for stream in streams), mesh
+
+    with virtual_time() as loop:
+        return loop.run_until_complete(main())
+
+
+class TestHeartbeatsOfLargeFleets:
+    """Guards against messages that grow with the square of the fleet.
+
+    At 97 managers more than half of their processor time went into heartbeats.
+    """
+
+    @pytest.mark.parametrize("peers", [17, 96, 447, 999])
+    def test_a_manager_without_cells_sends_no_more_in_a_larger_fleet(
+        self, peers: int
+    ) -> None:
+        sent, _ = send_for(200.0, peers, owned=0)
+        assert sent / 200.0 <= 1.1 * FREQUENT_PEERS / HEARTBEAT_INTERVAL_S + peers / 200
+
+    def test_an_owner_shows_each_peer_soon_that_it_is_alive(self) -> None:
+        sent, _ = send_for(20.0, 96, owned=1)
+        assert sent >= 96 * 20 * 0.95 / HEARTBEAT_INTERVAL_S
+
+    def test_a_small_fleet_notices_every_silence_as_soon_as_before(self) -> None:
+        sent, mesh = send_for(20.0, 5, owned=0)
+        assert sent >= 5 * 20 * 0.95 / HEARTBEAT_INTERVAL_S
+        assert mesh._build_heartbeat().interval_ms == 1000 * HEARTBEAT_INTERVAL_S
+
+    def test_a_manager_that_sends_seldom_is_not_taken_for_lost(self) -> None:
+        _, mesh = send_for(1.0, 96, owned=0)
+        peer = mesh.peers["p0"]
+        peer.heartbeat = mesh._build_heartbeat()
+        assert peer.timeout_s > 2 * peer.heartbeat.interval_ms / 1000
+        owner = NodeHeartbeat(1000, 1, False, True, 400, [])
+        assert replace(peer, heartbeat=owner).timeout_s == PEER_TIMEOUT_S
--- a/tests/test_slow_store.py
+++ b/tests/test_slow_store.py
@@ -33,7 +33,11 @@
         self.outcome: Outcome = Answer(200, {"Ver": 7})
         self.timeouts_s: list[float] = []
 
-    async def call(self, _method: str, _url: str, timeout_s: float, *_: Any) -> Outcome:
+    async def call(
+        self, _method: str, _url: str, limit_s: float, *_: Any, silence_s: float
+    ) -> Outcome:
+        # Answers arrive as a whole, so that a silence is one until the answer.
+        timeout_s = min(limit_s, silence_s)
         self.timeouts_s.append(timeout_s)
         if self.delay_s > timeout_s:
             await asyncio.sleep(timeout_s)
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -29,7 +29,7 @@
         self.outcome = outcome
         self.calls = 0
 
-    async def call(self, *_: Any) -> Outcome:
+    async def call(self, *_: Any, **_options: Any) -> Outcome:
         self.calls += 1
         return self.outcome
 
@@ -44,6 +44,7 @@
             leaving=False,
             store_reached=True,
             capacity=1000,
+            interval_ms=400,
             claims=[],
         )
         self.peers["m2"] = Peer("m2", "z1", "i2", "b:1", None, True, 0.0, beat)  # type: ignore[arg-type]
