--- a/tests/test_order_holder.py
+++ b/tests/test_order_holder.py
@@ -202,7 +202,7 @@
         class Directory:
             owned_cells: ClassVar = {"pool-a": Owner()}
 
-            def owner_of(self, cell: str) -> str | None:
+            def serving_owner_of(self, cell: str) -> str | None:
                 return Mesh.name if cell in self.owned_cells else None
 
         entry = WorkerRecord(
--- a/tests/test_vm_order_reports.py
+++ b/tests/test_vm_order_reports.py
@@ -141,7 +141,7 @@
     def __init__(self, cell: Cell):
         self.owned_cells = {"pool-a": cell}
 
-    def owner_of(self, _: str) -> str:
+    def serving_owner_of(self, _: str) -> str:
         return Mesh.name
 
 
