Share out VMs under shortage, and give back those that only late work holds

Pattern: turns of five times the mean on a fleet that is too small for all at once. The queue whose turn came first took 48 of 49 spare VMs of the small twin and kept them for late work; the next one held 2 and lost all its jobs for 15 s. Hypothesis: VMs that go on with work whose objective has passed keep others from work in time. Change: demand tells work in time from late work; VMs are divided by equal shares, first for work in time, then for the rest; a pool with more VMs than work in time needs gives back VMs with tasks, those that are empty soonest, which take no new tasks until then. VMs with long-running tasks stay, and no VM is exchanged between two queues that both need it in time.

--- a/src/chivetray/capacity/reports.py
+++ b/src/chivetray/capacity/reports.py
@@ -19,7 +19,7 @@
 
 # Name of the call, with the version of its arguments and reply. A process of another
 # release does not answer it, and no VM order is based on its cells.
-CAPACITY_CALL = "capacity/2"
+CAPACITY_CALL = "capacity/3"
 
 # Age, counted from its request, up to which a report proves that a worker is empty. The
 # owner keeps the worker empty for ``RESERVATION_S`` after the request, by which an
@@ -36,6 +36,7 @@
     idle_ms: int
     usable: bool
     tasks_known: bool = True
+    empties_in_ms: int | None = None
 
 
 @dataclass(slots=True)
@@ -55,6 +56,8 @@
     owner: str = ""
     requested_at_s: float = 0.0
     is_confirmed: bool = True
+    late_used_milli: int = 0
+    late_waiting_milli_s: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,7 +136,9 @@
         if reply is None:
             log_event(Event.MAINTENANCE_WAITS, cell=cell, reason="owner did not answer")
             return
-        used, waiting, arriving, workers, required_workers, epoch, confirmed = reply
+        used, waiting, arriving, workers, required_workers, epoch, confirmed, *late = (
+            reply
+        )
         if epoch < self._epochs.get(cell, 0):
             reason = "a process that has lost the cell answered"
             log_event(Event.MAINTENANCE_WAITS, cell=cell, reason=reason)
@@ -148,6 +153,7 @@
             owner,
             requested_at_s,
             confirmed,
+            *late,
         )
         for worker_id, *values in workers:
             report.workers[worker_id] = WorkerReport(*values)
@@ -182,12 +188,15 @@
                     worker.idle_ms,
                     worker.usable,
                     worker.tasks_known,
+                    worker.empties_in_ms,
                 ]
                 for worker in load.workers
             ],
             load.required_workers,
             owner.epoch,
             now_s - owner.confirmed_at_s < MAX_CONFIRMATION_AGE_S,
+            load.late_used_milli,
+            load.late_waiting_milli_s,
         ]
 
     def worker(self, machine: PlatformVm) -> WorkerReport | None:
--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -13,6 +13,7 @@
 from chivetray.capacity.recent_orders import DUTY_TABLE, FLEET_CELL, RecentOrders
 from chivetray.capacity.reports import CellReports
 from chivetray.capacity.sizing import (
+    LATE_DRAIN_S,
     DemandMeter,
     Move,
     PoolState,
@@ -231,7 +232,7 @@
                 for pool in pools
             }
             log_event(Event.POOL_SIZES, pools=sizes, spares=len(spares))
-        planned_moves = plan_moves(pools, standby[0], spares)
+        planned_moves = plan_moves(pools, standby[0], spares, self._emptying)
         # Reservations of workers whose VM is no longer in the plan are dropped.
         before = self._emptying
         self._emptying = {
@@ -283,12 +284,13 @@
                     worker_report.tasks,
                     worker_report.idle_ms,
                     True,
+                    worker_report.empties_in_ms,
                 )
                 pools[machine.pool].vms.append(vm)
         for cell, pool in pools.items():
             report = self._reports.cells[cell]
             demand_milli = forecast_demand(
-                report.used_milli,
+                report.used_milli - report.late_used_milli,
                 report.waiting_milli_s,
                 report.arriving_milli,
                 pool.capacity_milli,
@@ -297,6 +299,8 @@
             pool.required_vms = report.required_workers
             meter = self._demand_meters.setdefault(cell, DemandMeter())
             pool.demand_milli = meter.record(demand_milli, now_s)
+            late_milli = report.late_waiting_milli_s / LATE_DRAIN_S
+            pool.late_demand_milli = report.late_used_milli + int(late_milli)
         return list(pools.values()), spares
 
     def _is_still_empty(self, move: Move) -> bool:
--- a/src/chivetray/capacity/sizing.py
+++ b/src/chivetray/capacity/sizing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
 # Capacity beyond the demand that a pool should have, as a share of the demand.
@@ -20,6 +20,14 @@
 # about the run time of a task; a VM does not help with work that ends sooner.
 BACKLOG_DRAIN_S = 1.0
 
+# The same for work whose objective cannot be met any more. It is finished, but on what
+# other queues leave.
+LATE_DRAIN_S = 4.0
+
+# Part of its share that a pool must lack before others give it VMs that have tasks.
+# Such a VM serves nobody for about the run time of a task and the time of a move.
+LACK_SHARE = 0.125
+
 # Window over which the highest demand counts as the demand of a pool.
 DEMAND_WINDOW_S = 0.4
 
@@ -30,6 +38,8 @@
 
     :ivar idle_ms: time since its last task ended, 0 while it has tasks
     :ivar movable: whether the VM may be moved; a wave or a move in progress prevents it
+    :ivar empties_in_ms: expected time until its tasks have ended, ``None`` if one of
+        them does not end
     """
 
     machine: str
@@ -38,13 +48,16 @@
     tasks: int
     idle_ms: int
     movable: bool
+    empties_in_ms: int | None = None
 
 
 @dataclass(slots=True)
 class PoolState:
     """A pool with its VMs and its demand.
 
-    :ivar demand_milli: demand in thousandths of a core
+    :ivar demand_milli: demand in thousandths of a core, of jobs that can meet their
+        objective
+    :ivar late_demand_milli: the same of all other jobs
     :ivar arriving: number of VMs that are on their way into the pool
     :ivar required_vms: number of VMs that the pool should have whatever its demand
     """
@@ -54,6 +67,12 @@
     vms: list[PoolVm] = field(default_factory=list)
     arriving: int = 0
     required_vms: int = 0
+    late_demand_milli: int = 0
+
+    @property
+    def size(self) -> int:
+        """Number of VMs that the pool has or that are on their way."""
+        return len(self.vms) + self.arriving
 
     @property
     def capacity_milli(self) -> int:
@@ -104,53 +123,155 @@
     return max(MIN_VMS, int(needed + 0.999))
 
 
+def share_out(total: int, wishes: list[int]) -> list[int]:
+    """Share out a number of VMs so that the smallest share is as large as possible.
+
+    Whoever wishes for less than an equal share gets all of it; the others share what is
+    left. Of equal ones, the first get a VM more.
+    """
+    shares = [0] * len(wishes)
+    order = sorted(range(len(wishes)), key=lambda index: (wishes[index], -index))
+    for position, index in enumerate(order):
+        shares[index] = min(wishes[index], total // (len(order) - position))
+        total -= shares[index]
+    return shares
+
+
+@dataclass(frozen=True, slots=True)
+class PoolShare:
+    """Number of VMs that a pool should have.
+
+    :ivar in_time: for the jobs that can meet their objective
+    :ivar vms: for all its jobs
+    :ivar wanted_in_time: as ``in_time``, if there were VMs enough
+    :ivar wanted: as ``vms``, if there were VMs enough
+    """
+
+    in_time: int
+    vms: int
+    wanted_in_time: int
+    wanted: int
+
+
+def share_vms(pools: list[PoolState], total: int, vm_milli: int) -> list[PoolShare]:
+    """Divide VMs among pools: first for work in time, then for work that is late.
+
+    No pool gets its whole demand while another one lacks an equal share, so that a
+    queue whose turn comes first does not keep the fleet from the next one.
+
+    :param total: number of VMs to divide
+    :param vm_milli: CPU of a VM, where a pool has none
+    """
+    wishes: list[tuple[int, int, int]] = []
+    for pool in pools:
+        sizes = [vm.cpu_milli for vm in pool.vms]
+        size_milli = sum(sizes) // len(sizes) if sizes else vm_milli
+        floor = max(MIN_VMS, pool.required_vms)
+        in_time = max(floor, target_vm_count(pool.demand_milli, size_milli))
+        demand_milli = pool.demand_milli + pool.late_demand_milli
+        wanted = max(floor, target_vm_count(demand_milli, size_milli))
+        wishes.append((floor, in_time, wanted))
+    shares = [0] * len(pools)
+    in_time_shares = shares
+    for level in range(3):
+        more = [wish[level] - share for wish, share in zip(wishes, shares, strict=True)]
+        added = share_out(total - sum(shares), more)
+        shares = [share + more for share, more in zip(shares, added, strict=True)]
+        if level == 1:
+            in_time_shares = shares
+    return [
+        PoolShare(in_time, share, wish[1], wish[2])
+        for in_time, share, wish in zip(in_time_shares, shares, wishes, strict=True)
+    ]
+
+
 def plan_moves(
-    pools: Iterable[PoolState], standby: str, spares: Iterable[PoolVm]
+    pools: Iterable[PoolState],
+    standby: str,
+    spares: Iterable[PoolVm],
+    emptying: Container[str] = (),
 ) -> list[Move]:
-    """Return the moves that bring pools to their target sizes.
+    """Return the moves that bring pools to their shares.
 
-    Pools that lack VMs get spare VMs first, then idle VMs of pools with too many. Other
-    idle VMs beyond a pool's target size move to the standby pool.
+    Pools that lack VMs get spare VMs first, then idle VMs of pools with too many. What
+    a pool still lacks for work in time it gets from pools with more VMs than such work
+    needs there: these VMs take no new tasks until they are empty. Other idle VMs that
+    no pool wants move to the standby pool.
 
     :param standby: name of the standby pool
     :param spares: VMs in the standby pool
+    :param emptying: names of the VMs that take no new tasks already
     """
-    moves: list[Move] = []
     available = [vm for vm in spares if vm.movable]
-    shortages: list[tuple[float, int, PoolState]] = []
+    # The pool that lacks most for its size comes first.
+    ranked = sorted(pools, key=_urgency, reverse=True)
+    sizes = [vm.cpu_milli for pool in ranked for vm in pool.vms] or [
+        vm.cpu_milli for vm in available
+    ]
+    vm_milli = sum(sizes) // len(sizes) if sizes else 0
+    total = sum(pool.size for pool in ranked) + len(available)
+    shares = share_vms(ranked, total, vm_milli)
+    moves: list[Move] = []
     surplus: list[tuple[PoolVm, str]] = []
-    for pool in pools:
-        vm_sizes = [vm.cpu_milli for vm in pool.vms] or [
-            vm.cpu_milli for vm in available
+    for pool, share in zip(ranked, shares, strict=True):
+        idle = [
+            vm
+            for vm in pool.vms
+            if vm.movable and not vm.tasks and vm.idle_ms >= IDLE_BEFORE_REMOVAL_MS
         ]
-        vm_milli = sum(vm_sizes) // len(vm_sizes) if vm_sizes else 0
-        target = max(target_vm_count(pool.demand_milli, vm_milli), pool.required_vms)
-        missing = target - len(pool.vms) - pool.arriving
-        if missing > 0:
-            urgency = pool.demand_milli / max(1, len(pool.vms) * max(1, vm_milli))
-            shortages.append((-urgency, missing, pool))
-        elif missing < 0:
-            idle = [
-                vm
-                for vm in pool.vms
-                if vm.movable and not vm.tasks and vm.idle_ms >= IDLE_BEFORE_REMOVAL_MS
-            ]
-            idle.sort(key=lambda vm: -vm.idle_ms)
-            surplus += [(vm, pool.name) for vm in idle[:-missing]]
-    shortages.sort(key=lambda item: item[0])
-    for _, missing, pool in shortages:
-        for _ in range(missing):
-            if available:
-                vm = available.pop(0)
-                moves.append(Move(vm.machine, vm.worker_id, standby, pool.name))
-            elif surplus:
-                vm, source = surplus.pop(0)
-                moves.append(Move(vm.machine, vm.worker_id, source, pool.name))
+        idle.sort(key=lambda vm: -vm.idle_ms)
+        surplus += [(vm, pool.name) for vm in idle[: max(0, pool.size - share.vms)]]
+    lacking: list[tuple[PoolState, int]] = []
+    for pool, share in zip(ranked, shares, strict=True):
+        missing = share.vms - pool.size
+        while missing > 0 and (available or surplus):
+            vm, source = (available.pop(0), standby) if available else surplus.pop(0)
+            moves.append(Move(vm.machine, vm.worker_id, source, pool.name))
+            missing -= 1
+        missing = min(missing, share.in_time - pool.size)
+        if missing > LACK_SHARE * share.in_time:
+            lacking.append((pool, missing))
+    given = {move.machine for move in moves}
+    busy = _vms_to_give_back(ranked, shares, given, emptying)
+    for pool, missing in lacking:
+        for _ in range(min(missing, len(busy))):
+            vm, source = busy.pop(0)
+            moves.append(Move(vm.machine, vm.worker_id, source, pool.name))
     for vm, source in surplus:
         moves.append(Move(vm.machine, vm.worker_id, source, standby))
     return moves
 
 
+def _urgency(pool: PoolState) -> float:
+    present_milli = sum(vm.cpu_milli for vm in pool.vms)
+    return (pool.demand_milli + pool.late_demand_milli) / max(1, present_milli)
+
+
+def _vms_to_give_back(
+    pools: list[PoolState],
+    shares: list[PoolShare],
+    given: Container[str],
+    emptying: Container[str],
+) -> list[tuple[PoolVm, str]]:
+    """Return the VMs with tasks that pools over their share can give to others.
+
+    A pool that needs all its VMs for work in time gives none: the exchange would only
+    cost time. VMs that take no new tasks already come first, then those that are empty
+    soonest.
+    """
+    found: list[tuple[bool, int, str, PoolVm, str]] = []
+    for pool, share in zip(pools, shares, strict=True):
+        kept = max(share.vms, share.wanted_in_time)
+        excess = pool.size - kept - sum(vm.machine in given for vm in pool.vms)
+        ending = [
+            (vm.machine not in emptying, vm.empties_in_ms, vm.machine, vm, pool.name)
+            for vm in pool.vms
+            if vm.movable and vm.tasks and vm.empties_in_ms is not None
+        ]
+        found += sorted(ending, key=lambda item: item[:3])[: max(0, excess)]
+    return [item[3:] for item in sorted(found, key=lambda item: item[:3])]
+
+
 class DemandMeter:
     """Highest recent demand of a pool, so that a short gap in demand moves no VM."""
 
--- a/src/chivetray/cells/load.py
+++ b/src/chivetray/cells/load.py
@@ -6,7 +6,10 @@
 
 from chivetray.cells.evacuation import has_room
 from chivetray.cells.state import CellState
+from chivetray.cells.workers import WorkerState
+from chivetray.jobs.job import Job
 from chivetray.jobs.model import Phase, Step
+from chivetray.jobs.ordering import full_value_deadline_s, remaining_critical_path_s
 
 # Shortest run time assumed for a waiting task: for less, moving a VM is not worth it.
 MIN_RUN_TIME_S = 0.5
@@ -21,6 +24,8 @@
     :ivar idle_ms: time since its last task ended, 0 while it has tasks
     :ivar usable: whether new tasks may be placed on it
     :ivar tasks_known: whether a poll by the owner has shown which tasks run on it
+    :ivar empties_in_ms: expected time until its tasks have ended, ``None`` if one of
+        them does not end
     """
 
     worker_id: str
@@ -29,6 +34,7 @@
     idle_ms: int
     usable: bool
     tasks_known: bool
+    empties_in_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,12 +42,14 @@
     """CPU usage and demand of a cell, in thousandths of a core.
 
     :ivar used_milli: CPU allocated to tasks on all workers of the cell
-    :ivar waiting_milli_s: CPU time that the waiting tasks are expected to need, in
-        thousandths of a core-second
+    :ivar waiting_milli_s: CPU time that the waiting tasks of jobs are expected to need
+        that can meet their objective, in thousandths of a core-second
     :ivar arriving_milli: CPU that keeps up with the rate at which jobs arrive
     :ivar workers: usage of the listed workers
     :ivar required_workers: number of workers that the cell should have at least,
         whatever its demand; those that take no tasks for an unknown time included
+    :ivar late_used_milli: CPU allocated to tasks of jobs whose objective has passed
+    :ivar late_waiting_milli_s: the same as ``waiting_milli_s`` of all other jobs
     """
 
     used_milli: int
@@ -49,6 +57,8 @@
     arriving_milli: int
     workers: list[WorkerLoad]
     required_workers: int = 0
+    late_used_milli: int = 0
+    late_waiting_milli_s: int = 0
 
 
 def measure_load(state: CellState, now_s: float, now_ms: int) -> CellLoad:
@@ -56,19 +66,21 @@
 
     :param now_ms: time of day in ms since 1970
     """
-    waiting_milli_s = 0
+    waiting_milli_s = {False: 0, True: 0}
+    late_used_milli = 0
     for job in state.active.values():
         if job.state.ended:
             continue
-        for occurrence, step_number in job.ready_steps(now_ms):
-            step = job.spec.steps[step_number]
-            tasks = job.step_tasks(occurrence, step_number)
-            count = sum(task.phase == Phase.WAITING for task in tasks)
-            if count and not step.best_effort:
-                run_time_s = state.times.expected_s(job.spec.queue, step.estimate_ms)
-                waiting_milli_s += int(
-                    count * step.cpu_milli * max(MIN_RUN_TIME_S, run_time_s)
-                )
+        deadline_s = full_value_deadline_s(job, state.times)
+        if deadline_s < now_s and not job.long_running:
+            late_used_milli += sum(
+                job.spec.steps[task.key[1]].cpu_milli for task in job.active_tasks()
+            )
+        wait_milli_s = _waiting_milli_s(state, job, now_ms)
+        if wait_milli_s:
+            left_s = remaining_critical_path_s(job, state.times)
+            is_late = now_s + left_s > deadline_s and not job.long_running
+            waiting_milli_s[is_late] += wait_milli_s
     workers = [
         WorkerLoad(
             worker.worker_id,
@@ -77,6 +89,7 @@
             int((now_s - worker.idle_since_s) * 1000) if not worker.tasks else 0,
             worker.accepts_tasks(now_s),
             worker.tasks_known,
+            _empties_in_ms(state, worker, now_s),
         )
         for worker in state.workers.values()
         if worker.listed
@@ -90,10 +103,42 @@
     if required_workers:
         required_workers += _count_unavailable_workers(state)
     return CellLoad(
-        used_milli, waiting_milli_s, arriving_milli, workers, required_workers
+        used_milli,
+        waiting_milli_s[False],
+        arriving_milli,
+        workers,
+        required_workers,
+        min(used_milli, late_used_milli),
+        waiting_milli_s[True],
     )
 
 
+def _waiting_milli_s(state: CellState, job: Job, now_ms: int) -> int:
+    """Return the CPU time that the waiting tasks of a job are expected to need."""
+    total = 0
+    for occurrence, step_number in job.ready_steps(now_ms):
+        step = job.spec.steps[step_number]
+        tasks = job.step_tasks(occurrence, step_number)
+        count = sum(task.phase == Phase.WAITING for task in tasks)
+        if count and not step.best_effort:
+            run_time_s = state.times.expected_s(job.spec.queue, step.estimate_ms)
+            total += int(count * step.cpu_milli * max(MIN_RUN_TIME_S, run_time_s))
+    return total
+
+
+def _empties_in_ms(state: CellState, worker: WorkerState, now_s: float) -> int | None:
+    """Return when the tasks of a worker are expected to have ended."""
+    ends_in_s = 0.0
+    for ref, step in worker.tasks.items():
+        job, task = state.find_task(ref)
+        if step.long_running or job is None or task is None:
+            return None
+        run_time_s = state.times.expected_s(job.spec.queue, step.estimate_ms)
+        began_s = task.running_at_s or now_s
+        ends_in_s = max(ends_in_s, began_s + run_time_s - now_s)
+    return int(ends_in_s * 1000)
+
+
 def _count_unavailable_workers(state: CellState) -> int:
     """Return how many listed workers take no tasks, for an unknown time."""
     return sum(
