Let an error in one cell cost the ownership of that cell alone

Cause: an exception in the owner of a cell ended the whole process, with the other cells and the requests of its callers; a stored progress row with an unknown phase raised a KeyError in every process that loaded the cell, one after another. Change: the error is logged (CELL_FAILED) and the cell is acquired anew with a new fencing token; a row with unknown values counts as damaged, as one of another format did.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -303,7 +303,7 @@
                 self.owned_cells[cell] = cell_owner
                 cell_owner.leaving = self.leaving
                 self._mesh.request_heartbeat()
-                task_group.start_soon(cell_owner.run)
+                task_group.start_soon(self._run_owner, cell_owner)
                 task_group.start_soon(self._load_other_parts, cell_owner)
         except StoreUnavailableError as error:
             log_event(Event.CELL_TAKE_FAILED, cell=cell, reason=str(error))
@@ -312,6 +312,21 @@
             self._acquiring.discard(cell)
             self._mesh.request_heartbeat()
 
+    async def _run_owner(self, cell_owner: CellOwner) -> None:
+        """Run the owner of a cell; an error in it ends this ownership alone."""
+        try:
+            await cell_owner.run()
+        except Exception as error:
+            # Other cells and the callers of this process go on; the cell is acquired
+            # again, with a new fencing token.
+            log_event(
+                Event.CELL_FAILED,
+                cell=cell_owner.state.name,
+                epoch=cell_owner.epoch,
+                reason=repr(error),
+            )
+            cell_owner.mark_lost("an error")
+
     async def _acquire(self, cell: str) -> CellOwner | None:
         row = await self._store.read_row(owner_row(cell))
         current = Ownership.decode(row.value) if row else None
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -145,7 +145,7 @@
         job.version = version
         try:
             job.restore(progress)
-        except (ValueError, TypeError, IndexError) as error:
+        except (ValueError, TypeError, LookupError) as error:
             log_event(Event.ROW_DAMAGED, job=spec.job_id, reason=str(error))
         if job.state.ended and not job.active_tasks():
             self.active.pop(spec.job_id, None)
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -106,6 +106,10 @@
         1632,
         "A read of a cell's jobs failed and is repeated; the load goes on.",
     )
+    CELL_FAILED = (
+        1635,
+        "An error ended the ownership of a cell, which is acquired again.",
+    )
     CELL_LOADED = (1631, "A new owner has read the jobs of its cell and places tasks.")
     LEASES_PAUSED = (
         1627,
