Let no scan that ends with the load of a cell pass its jobs

Change: the version is set back to that of the load once the renewals have ended. Evidence: found by reading; test_directory.py::TestScanThatEndsWithALoad failed before (9 in place of 5).

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -566,6 +566,10 @@
             lease_ends_s = await cell_owner.lease_ends.load(self._store, version)
             async with cell_owner.renewed_while_loading():
                 await self._load_jobs(state, version)
+                scanned_version = self.scanned_version
+            # A scan that has ended meanwhile has not covered this cell.
+            scanned = self.scanned_version or scanned_version
+            self.scanned_version = min(scanned, scanned_version)
         except StoreUnavailableError:
             del self.loading_cells[state.name]
             raise
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
+from collections.abc import AsyncIterator
 from types import SimpleNamespace
 from typing import Any, ClassVar
 
@@ -94,6 +96,36 @@
         assert directory.scanned_version < created_at_version
 
 
+class TestScanThatEndsWithALoad:
+    def test_the_next_one_reads_what_the_loaded_cell_has_missed(self) -> None:
+        """Guards against a job that no scan finds: it was stored during the load."""
+        directory = CellDirectory.__new__(CellDirectory)
+        directory._store = None  # type: ignore[assignment]
+        directory._mesh = SimpleNamespace(request_heartbeat=lambda: None)  # type: ignore[assignment]
+        directory.loading_cells = {}
+
+        async def load_jobs(*_: object) -> None:
+            directory.scanned_version = 5
+
+        async def load_ends(*_: object) -> dict[str, float]:
+            return {}
+
+        @contextlib.asynccontextmanager
+        async def renewed() -> AsyncIterator[None]:
+            yield
+            directory.scanned_version = 9
+
+        directory._load_jobs = load_jobs  # type: ignore[method-assign]
+        owner: Any = SimpleNamespace(
+            state=CellState("pool-a"),
+            guard_version=1,
+            lease_ends=SimpleNamespace(load=load_ends),
+            renewed_while_loading=renewed,
+        )
+        asyncio.run(directory._load(owner))
+        assert directory.scanned_version == 5
+
+
 class TestSlowStore:
     def test_the_queues_of_a_cell_are_read_together(self) -> None:
         """Sequential reads would take seconds with a slow store."""
@@ -262,6 +294,7 @@
             name="m2", incarnation="2", request_heartbeat=lambda: None
         )
         directory.loading_cells = {}
+        directory.scanned_version = 0
         directory._workers = directory._advice = None  # type: ignore[assignment]
         directory.longest_lease_s = 7.0
         directory.has_vm_orders = False
