Simplify the model of links in the test of recovery, and name open wishes

Found in a last read of the change: the test counted loaded cells after it had killed their owners, with a second function for that case, and kept a table that nobody read; share_vms used one name for two things.

--- a/src/chivetray/capacity/sizing.py
+++ b/src/chivetray/capacity/sizing.py
@@ -174,8 +174,10 @@
     shares = [0] * len(pools)
     in_time_shares = shares
     for level in range(3):
-        more = [wish[level] - share for wish, share in zip(wishes, shares, strict=True)]
-        added = share_out(total - sum(shares), more)
+        open_wishes = [
+            w[level] - share for w, share in zip(wishes, shares, strict=True)
+        ]
+        added = share_out(total - sum(shares), open_wishes)
         shares = [share + more for share, more in zip(shares, added, strict=True)]
         if level == 1:
             in_time_shares = shares
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -58,7 +58,6 @@
         try:
             with anyio.fail_after(timeout_s):
                 while left > 0:
-                    world.waiting[manager] = min(left, WINDOW_BYTES)
                     with anyio.fail_after(silence_s):
                         await world.receive_chunk(manager)
                     left -= CHUNK_BYTES
@@ -74,7 +73,6 @@
 
     def __init__(self, loop: Any, link_mbps: float):
         self.link_mbps = link_mbps
-        self.waiting: dict[Manager, int] = {}
         self._links: dict[str, anyio.Lock] = {}
         super().__init__(loop, 1, ())
 
@@ -138,12 +136,10 @@
             world.kill(manager, 1.0)
         observe_events(lambda event, _: seen.append(event))
         await asyncio.sleep(1.0 + LOADED_WITHIN_S)
+        cells = world.loaded_cells()
         for manager in world.managers.values():
             manager.process.kill()
-        return world.loaded_cells() or loaded(world)
-
-    def loaded(world: LinkWorld) -> set[str]:
-        return {c for m in world.managers.values() for c in m.directory.owned_cells}
+        return cells
 
     with virtual_time() as loop:
         return loop.run_until_complete(scenario()), seen
