--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -7,6 +7,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from chivetray.cells.crashes import record_crash
 from chivetray.cells.reports import apply_poll_reply
 from chivetray.cells.sharing import (
     confirm_pace,
@@ -249,7 +250,9 @@
             await self._cell_owner.verify_ownership()
         elif reply.verdict == Verdict.OTHER_INCARNATION:
             # No task of this incarnation can run where another one answers.
-            self._state.reschedule_worker_tasks(worker, now_s, "another worker answers")
+            seen_by = "another worker answers"
+            record_crash(self._state, worker, seen_by, now_s)
+            self._state.reschedule_worker_tasks(worker, now_s, seen_by)
             worker.listed = False
             self._cell_owner.wake()
         if not worker.silent_since_s:
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from chivetray.cells.crashes import record_crash
 from chivetray.cells.orders import (
     Placement,
     StepRef,
@@ -428,6 +429,7 @@
             attempts=self._describe_attempts(worker),
             lease=worker.describe_lease(now_s),
         )
+        record_crash(self, worker, source, now_s)
         worker.incarnation = incarnation
         worker.tasks_known = worker.draining = False
         worker.last_applied_end = worker.last_stored_end = (
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -184,6 +184,10 @@
     WORKER_REBORN = (1662, "A worker has restarted.")
     WORKER_LOST = (1663, "The tasks of a worker no longer run and are queued again.")
     WORKER_SILENT = (1664, "A worker does not answer.")
+    WORKER_CRASHED = (
+        1666,
+        "A worker is known to have ended; lists what ran there and for how long.",
+    )
     WORKER_ANSWERS = (1665, "A worker answers again.")
 
     VM_MOVED = (1670, "A VM was sent to another pool.")
--- a/tests/test_log_fields.py
+++ b/tests/test_log_fields.py
@@ -407,3 +407,40 @@
         assert line["newest_attempt"] == 1
         assert line["newest_worker"] == placement.worker_id
         assert line["job_state"] == "RUNNING"
+
+
+class TestWorkerCrashed:
+    """Guards against crashes that the log does not tell from other losses."""
+
+    def test_line_tells_what_ran_and_for_how_long(self, logged) -> None:
+        state = make_state("w0")
+        start_tasks(state, Step(2, 1000))
+        worker = state.workers["w0"]
+        second = TaskName(JOB, (0, 0, 1))
+        running = [RunningTask(name, 1, "", 50, 0) for name in (NAME, second)]
+        apply_poll_reply(state, worker, Reply(Verdict.OK, 900, 1, running), 0.6, 0.7)
+        worker.silent_since_s = 1.0
+        state.handle_worker_restart(worker, 2, 4.0)
+        (line,) = logged.of(Event.WORKER_CRASHED)
+        assert (line["worker"], line["seen_by"], line["silent_s"]) == ("w0", "reply", 3)
+        assert line["planned"] == ""
+        assert line["attempts"] == [
+            [str(name), 1, "RUNNING", 0.5] for name in (NAME, second)
+        ]
+
+    def test_end_of_a_draining_worker_is_planned(self, logged) -> None:
+        state = make_state("w0")
+        start_tasks(state, Step(1, 1000))
+        worker = state.workers["w0"]
+        worker.draining = True
+        state.handle_worker_restart(worker, 2, 4.0)
+        (line,) = logged.of(Event.WORKER_CRASHED)
+        assert line["planned"] == "drain"
+
+    def test_end_of_a_reserved_worker_is_planned(self, logged) -> None:
+        state = make_state("w0")
+        start_tasks(state, Step(1, 1000))
+        reserve_workers(state, ["w0"], 3.0)
+        state.handle_worker_restart(state.workers["w0"], 2, 4.0)
+        (line,) = logged.of(Event.WORKER_CRASHED)
+        assert line["planned"] == "VM order"
