--- a/tests/progress.py
+++ b/tests/progress.py
@@ -37,7 +37,8 @@
         now_s = self.world.now_s()
         self.disturbed_s = max(self.disturbed_s, self._disturbed_until_s(now_s))
         for job_id in self.world.ledger.specs:
-            self._look_at_job(job_id, now_s)
+            if job_id not in self.world.ledger.failed_jobs:
+                self._look_at_job(job_id, now_s)
 
     def _look_at_job(self, job_id: str, now_s: float) -> None:
         waiting = self._waiting_tasks(job_id)
--- a/tests/run_once_helpers.py
+++ b/tests/run_once_helpers.py
@@ -22,6 +22,7 @@
 import msgpack
 import orjson
 import owner_faults
+from deadly_tasks import DeadlyTasks, deadly_tasks
 from progress import Progress
 from virtual_loop import PROCESS, SimulatedProcess, VirtualLoop, virtual_time
 
@@ -151,6 +152,7 @@
         self.specs: dict[str, JobSpec] = {}
         self.stored: set[tuple[str, int, str]] = set()
         self.stored_done: set[str] = set()
+        self.failed_jobs: set[str] = set()
         self.problems: list[str] = []
         self.trace: list[str] = []
 
@@ -179,7 +181,9 @@
 
     def note_stored(self, key: str, content: bytes) -> None:
         """Record the placements and the ends in a row of progress."""
-        _, _, _, done_ranges, unfinished = msgpack.unpackb(content)
+        _, state, _, done_ranges, unfinished = msgpack.unpackb(content)
+        if state == JobState.FAILED:
+            self.failed_jobs.add(key)
         for occurrence, step, start, end in done_ranges:
             self.stored_done |= {
                 f"{key}.{occurrence}.{step}.{index}" for index in range(start, end)
@@ -211,6 +215,7 @@
                 self.problem("ORDER", run.task, text)
         record.began += 1
         record.runs[id(run)] = run
+        self.world.deadly.begun(run)
 
     def _check_done(
         self, run: Run, record: TaskRecord, sender: Sender, text: str
@@ -717,6 +722,7 @@
         self.reserved_until_s: dict[str, float] = {}
         self.has_vm_orders = False
         self._handed_in = 0
+        self.deadly = DeadlyTasks(self)
         self.progress = Progress(self)
         for number in range(WORKERS):
             self.add_worker(f"w{number}", f"10.1.0.{number + 1}:80", f"r{number % 2}")
@@ -1160,7 +1166,12 @@
     def _unsettled(self) -> list[str]:
         """Return what has not ended, and what should run and does not."""
         found = []
+        deadly_jobs = self.deadly.job_ids
         for job in self._states().values():
+            if job.spec.job_id in deadly_jobs:
+                if job.state != JobState.FAILED:
+                    found.append(f"{job.spec.job_id} {job.state.name}")
+                continue
             if not job.long_running and job.state != JobState.COMPLETED:
                 open_tasks = [
                     f"{t.key} {t.phase.name} attempt {t.attempt} on {t.worker or '-'}"
@@ -1169,6 +1180,8 @@
                 ]
                 found.append(f"{job.spec.job_id} {job.state.name} {open_tasks}")
         for name, record in self.ledger.tasks.items():
+            if record.job_id in deadly_jobs:
+                continue
             if record.step.long_running and len(record.runs) != 1:
                 found.append(f"{name}: {len(record.runs)} runs")
         return found
@@ -1176,6 +1189,8 @@
     def _check_ends(self) -> None:
         for text in self._unsettled():
             self.ledger.problem("UNFINISHED", text.split()[0], text)
+        states = {job_id: job.state for job_id, job in self._states().items()}
+        self.deadly.check_ends(states)
         for job in self._states().values():
             if job.state == JobState.COMPLETED:
                 for name, record in self.ledger.tasks.items():
@@ -1408,6 +1423,7 @@
         releases,
         lost_releases,
         moves,
+        deadly_tasks,
     )
 } | owner_faults.FAULTS
 
