--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -18,6 +18,7 @@
 from chivetray.cells.workers import WorkerState
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event, log_event
+from chivetray.jobs.job import Job
 from chivetray.jobs.model import Phase, Task
 from chivetray.platform.workers import (
     Reply,
@@ -137,6 +138,8 @@
             return True
         if worker.lease_end_held:
             return True
+        if worker.listed and worker.is_overcommitted:
+            return self._withhold_start(job, task, placement)
         sent_at_s = boot_time_s()
         lease_s = self._cell_owner.limit_lease_s(START_LEASE_S, sent_at_s)
         if not lease_s:
@@ -181,6 +184,19 @@
             placement, worker, reply, earlier_try_unanswered
         )
 
+    def _withhold_start(self, job: Job, task: Task, placement: Placement) -> bool:
+        """Give up an attempt whose worker has become too small; return ``True``.
+
+        A worker that checks no admission would start it. A start that may be carried
+        out already is stopped there.
+        """
+        if task.start_unanswered or task.inherited:
+            self._state.stop_attempt(job, task.key, StopReason.WORKER_TOO_SMALL)
+        else:
+            reject_start(self._state, placement, boot_time_s())
+        self._cell_owner.wake()
+        return True
+
     def _log_start(
         self,
         placement: Placement,
--- a/src/chivetray/cells/orders.py
+++ b/src/chivetray/cells/orders.py
@@ -33,6 +33,7 @@
     SUSPECTED = "suspected of a crash"
     UNKNOWN_ATTEMPT = "unknown attempt"
     VANISHED_COPY = "vanished copy"
+    WORKER_TOO_SMALL = "worker too small"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -131,6 +131,15 @@
         """Whether tasks of too many different jobs have failed here in a row."""
         return len(self.failing_jobs) >= FAILURES_BEFORE_QUARANTINE
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether the capacity has shrunk below what is allocated."""
+        return (
+            self.used_cpu_milli > self.cpu_milli
+            or self.used_mem_mb > self.mem_mb
+            or self.used_gpu > self.gpu
+        )
+
     @property
     def has_probe(self) -> bool:
         """Whether tasks run here that a quarantine does not exempt."""
--- a/tests/run_once_helpers.py
+++ b/tests/run_once_helpers.py
@@ -22,6 +22,7 @@
 import msgpack
 import orjson
 import owner_faults
+from capacity_faults import capacity_changes, check_capacity
 from deadly_tasks import DeadlyTasks, deadly_tasks
 from progress import Progress
 from virtual_loop import PROCESS, SimulatedProcess, VirtualLoop, virtual_time
@@ -217,6 +218,7 @@
         record.began += 1
         record.runs[id(run)] = run
         self.world.deadly.begun(run)
+        check_capacity(self.world, run, sender)
 
     def _check_done(
         self, run: Run, record: TaskRecord, sender: Sender, text: str
@@ -347,6 +349,7 @@
         self.up, self.draining = True, False
         self.runs: dict[str, Run] = {}
         self.sender: Sender | None = None
+        self.capacity_changes: list[tuple[float, int]] = []
         self.waiting: list[tuple[float, Callable[[], None], Callable[[], None]]] = []
         self._was_lapsed = True
 
@@ -1151,6 +1154,11 @@
 
     def _heal(self) -> None:
         self.ledger.say("faults end")
+        for worker in self.workers.values():
+            if worker.up and worker.capacity_changes:
+                worker.cpu_milli = WORKER_CPU_MILLI
+                worker.capacity_changes.append((self.now_s(), WORKER_CPU_MILLI))
+                self.publish(worker)
         self.lost_calls.clear()
         self.lost_replies.clear()
         self.late_workers.clear()
@@ -1433,6 +1441,7 @@
         lost_releases,
         moves,
         deadly_tasks,
+        capacity_changes,
     )
 } | owner_faults.FAULTS
 
--- a/tests/test_run_once.py
+++ b/tests/test_run_once.py
@@ -48,6 +48,10 @@
     ("deadly_tasks", "late_orders"),
     ("deadly_tasks", "owner_losses"),
     ("deadly_tasks", "drains"),
+    ("capacity_changes", "late_orders"),
+    ("capacity_changes", "silent_workers"),
+    ("capacity_changes", "kills"),
+    ("capacity_changes", "releases"),
 )
 
 
