--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -50,6 +50,7 @@
     By default each worker has a rack of its own.
 
     :ivar deadly: tasks that crash their workers
+    :ivar crash_after_s: time after their start at which they do
     :ivar crashes: crashes under each deadly task
     :ivar further_starts: starts of each deadly task after the third crash
     :ivar taken_along: crashes of each deadly task that took unsettled tasks of other
@@ -62,6 +63,7 @@
         self.specs: dict[str, JobSpec] = {}
         self.work_s: dict[str, float] = {}
         self.deadly: set[TaskRef] = set()
+        self.crash_after_s = 0.0
         self.crashes: dict[TaskRef, int] = {}
         self.further_starts: dict[TaskRef, int] = {}
         self.taken_along: dict[TaskRef, int] = {}
@@ -104,7 +106,11 @@
             self._start(worker, placement.ref, placement.attempt)
         self.state.stop_orders.clear()
         for worker in list(self.workers):
-            culprits = [ref for ref in worker.runs if ref in self.deadly]
+            culprits = [
+                ref
+                for ref, (began_s, _) in worker.runs.items()
+                if ref in self.deadly and self.now_s - began_s >= self.crash_after_s
+            ]
             if worker.up and culprits:
                 self.crash(worker, culprits)
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -198,3 +198,17 @@
         assert {fleet.job_state(i) for i in deadly} <= {JobState.FAILED}
         assert {fleet.job_state(i) for i in innocent} <= {JobState.COMPLETED}
         assert max(fleet.further_starts.values(), default=0) < 3
+
+
+class TestLateCrash:
+    # Guards against BUDGET by a task that crashes its worker after it has settled,
+    # while younger tasks are there.
+    def test_a_task_that_crashes_late_beside_younger_ones_is_stopped(self) -> None:
+        fleet = CrashFleet(workers=3)
+        fleet.crash_after_s = 2.5
+        fleet.add_job(1, Step(1, 1000), {0}, work_s=100.0)
+        for number in range(2, 150):
+            fleet.add_job(number, Step(1, 1000), work_s=0.8)
+            fleet.run(0.3)
+        assert max(fleet.crashes.values()) >= 3
+        assert max(fleet.further_starts.values()) < 3
