Move order, arrivals and run times of jobs to a package of their own

Scheduling decisions get the package scheduling, organisations the package organisations; neither may import network code. A job can name its organisation; a job without one is stored as before.

--- a/src/chivetray/cells/load.py
+++ b/src/chivetray/cells/load.py
@@ -10,7 +10,10 @@
 from chivetray.cells.workers import WorkerState
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import Phase, Step
-from chivetray.jobs.ordering import full_value_deadline_s, remaining_critical_path_s
+from chivetray.scheduling.ordering import (
+    full_value_deadline_s,
+    remaining_critical_path_s,
+)
 
 # Shortest run time assumed for a waiting task: for less, moving a VM is not worth it.
 MIN_RUN_TIME_S = 0.5
--- a/src/chivetray/cells/placing.py
+++ b/src/chivetray/cells/placing.py
@@ -11,8 +11,8 @@
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import Phase, Step, Task
-from chivetray.jobs.ordering import order_key
 from chivetray.jobs.placement import choose_worker
+from chivetray.scheduling.ordering import order_key
 
 # Time for which the sort key of a job is reused, unless one of its steps gets done.
 ORDER_KEY_TTL_S = 0.3
--- a/src/chivetray/cells/slack.py
+++ b/src/chivetray/cells/slack.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from chivetray.cells.state import CellState
-from chivetray.jobs.ordering import full_value_deadline_s, remaining_critical_path_s
+from chivetray.scheduling.ordering import (
+    full_value_deadline_s,
+    remaining_critical_path_s,
+)
 
 
 def is_short_of_room(state: CellState) -> bool:
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -33,14 +33,14 @@
 from chivetray.cells.workers import TaskRef, WorkerState
 from chivetray.clocks import CLOCK_DRIFT
 from chivetray.events import Event, log_event
-from chivetray.jobs.arrivals import ArrivalMeter
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import JobSpec, JobState, Phase, Step, Task, TaskKey
-from chivetray.jobs.ordering import full_value_deadline_s, work_core_s
-from chivetray.jobs.runtimes import RunTimes
 from chivetray.jobs.suspicion import UNEXPLAINED_CRASHES_LIMIT, LostAttempt
 from chivetray.platform.stored_records import WorkerRecord
 from chivetray.platform.workers import TaskName
+from chivetray.scheduling.arrivals import ArrivalMeter
+from chivetray.scheduling.ordering import full_value_deadline_s, work_core_s
+from chivetray.scheduling.run_times import RunTimes
 
 # Time after which an unlisted worker without tasks is removed.
 UNLISTED_WORKER_TTL_S = 10.0
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -252,6 +252,9 @@
     """Return a job specification as bytes for storage."""
     steps = [[getattr(step, name) for name in _STEP_FIELDS] for step in spec.steps]
     spec_values = [getattr(spec, name) for name in _SPEC_FIELDS]
+    if not spec.organisation:
+        # Without organisations, rows are as earlier releases wrote them.
+        del spec_values[-1]
     return bytes(msgpack.packb([FORMAT_VERSION, spec_values, steps]))
 
 
@@ -264,7 +267,10 @@
         format_version, spec_values, steps = msgpack.unpackb(content)
         if format_version != FORMAT_VERSION:
             raise ValueError("stored job specification has an unsupported format")
-        values = dict(zip(_SPEC_FIELDS, spec_values, strict=True))
+        if len(spec_values) not in (len(_SPEC_FIELDS) - 1, len(_SPEC_FIELDS)):
+            raise ValueError("stored job specification has an unsupported format")
+        # A job without an organisation is stored without the last field.
+        values = dict(zip(_SPEC_FIELDS, spec_values, strict=False))
         return JobSpec(**values, steps=tuple(_decode_step(row) for row in steps))
     except (TypeError, msgpack.UnpackException) as error:
         raise ValueError(
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -64,6 +64,7 @@
     :ivar target_ms: time that the job may take in addition to that
     :ivar accepted_ms: wall-clock time at which the job was accepted, in ms since 1970
     :ivar repeats: number of scheduled occurrences, 0 for a job that is due at once
+    :ivar organisation: organisation that submitted the job, empty for none
     """
 
     job_id: str
@@ -80,6 +81,7 @@
     start_at_ms: int = 0
     interval_ms: int = 0
     ticket_validity_ms: int = 0
+    organisation: str = ""
 
     def occurrences(self) -> int:
         """Return how often the steps of the job run."""
--- /dev/null
+++ b/src/chivetray/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations that callers belong to: their keys, weights and caps."""
--- a/src/chivetray/platform/stored_records.py
+++ b/src/chivetray/platform/stored_records.py
@@ -7,6 +7,8 @@
 
 import orjson
 
+from chivetray.organisations.model import Organisation
+
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
 WAVE_PREFIX = "wave/"
@@ -25,6 +27,7 @@
     :ivar service: pool of workers that run the jobs
     :ivar ticket_validity_ms: validity of the tickets that jobs of the queue need,
         0 for none
+    :ivar public: whether callers need no key of an organisation
     """
 
     key: str
@@ -38,6 +41,7 @@
     target_ms: int = 0
     timeout_ms: int = 0
     ticket_validity_ms: int = 0
+    public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,12 +70,18 @@
 
 @dataclass(frozen=True, slots=True)
 class OperatorConfig:
-    """The operator's configuration."""
+    """The operator's configuration.
+
+    :ivar organisations: organisations by name; empty if callers need no keys
+    :ivar key_owners: name of the organisation by the digest of a key
+    """
 
     version: int
     queues: tuple[Queue, ...] = ()
     pools: dict[str, Pool] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    organisations: dict[str, Organisation] = field(default_factory=dict)
+    key_owners: dict[bytes, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/chivetray/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions on jobs, free of network and clock access."""
--- a/src/chivetray/jobs/ordering.py
+++ b/src/chivetray/scheduling/ordering.py
@@ -4,7 +4,7 @@
 
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import JobSpec
-from chivetray.jobs.runtimes import RunTimes
+from chivetray.scheduling.run_times import RunTimes
 
 # Time per step of the critical path that goes into scheduling, starting and storing.
 STEP_OVERHEAD_S = 0.06
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from chivetray.jobs.arrivals import WINDOW_S, ArrivalMeter
+from chivetray.scheduling.arrivals import WINDOW_S, ArrivalMeter
 
 
 def meter(jobs: int, core_s: float) -> ArrivalMeter:
--- a/tests/test_cell_owner.py
+++ b/tests/test_cell_owner.py
@@ -18,8 +18,11 @@
 from chivetray.cells.state import CellState
 from chivetray.clocks import boot_time_s
 from chivetray.jobs.model import JobState, Step
-from chivetray.jobs.ordering import full_value_deadline_s, remaining_critical_path_s
 from chivetray.platform.calls import Answer, NoAnswer, Outcome
+from chivetray.scheduling.ordering import (
+    full_value_deadline_s,
+    remaining_critical_path_s,
+)
 
 
 @asynccontextmanager
--- a/tests/test_cell_state.py
+++ b/tests/test_cell_state.py
@@ -24,9 +24,7 @@
 from chivetray.cells.workers import WorkerState
 from chivetray.jobs.job import Job, decode_spec, encode_spec, job_age_s
 from chivetray.jobs.model import JobState, Phase, Step
-from chivetray.jobs.ordering import order_key
 from chivetray.jobs.pacing import choose_pace
-from chivetray.jobs.runtimes import RunTimes
 from chivetray.platform.stored_records import WorkerRecord
 from chivetray.platform.workers import (
     AttemptEnd,
@@ -36,6 +34,8 @@
     TaskName,
     Verdict,
 )
+from chivetray.scheduling.ordering import order_key
+from chivetray.scheduling.run_times import RunTimes
 
 JOB = "00000000000000aa"
 
