Keep requests for VMs until they leave or are withdrawn for a reason

The plan of moves was made anew in each round. A VM with tasks could be given back, and one that had been idle for 250 ms could move; a VM that had just been emptied was neither. It dropped out of the plan, its reservation was released, the evacuated tasks returned there and other VMs were asked for.

A task is stopped at most twice to free a VM before the grace of 6 s ends. A VM that empties for a pool is no candidate of a wave, and one whose maintenance was accepted gets no move on an old list of VMs.

Tests that passed names of VMs to plan_moves pass requests now, with the same assertion.

--- a/src/chivetray/capacity/moves.py
+++ b/src/chivetray/capacity/moves.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from chivetray.capacity.sizing import Move
+from chivetray.capacity.move_plan import Move
 from chivetray.platform.vm_api import PlatformVm, PlatformVmState, VmOrderOutcome
 
 # Time after which a worker that has ended is no longer listed: three heartbeats and one
--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -9,18 +9,18 @@
 
 import anyio
 
+from chivetray.capacity.move_plan import Move, plan_moves
 from chivetray.capacity.moves import VmMoves
 from chivetray.capacity.recent_orders import DUTY_TABLE, FLEET_CELL, RecentOrders
 from chivetray.capacity.reports import CellReports
 from chivetray.capacity.sizing import (
     LATE_DRAIN_S,
     DemandMeter,
-    Move,
     PoolState,
     PoolVm,
     forecast_demand,
-    plan_moves,
 )
+from chivetray.capacity.vm_requests import VmRequests
 from chivetray.capacity.wave_runner import MaintenanceOrder, WaveRunner
 from chivetray.cells.configuration import Configuration
 from chivetray.cells.directory import CellDirectory
@@ -86,7 +86,7 @@
         )
         self._demand_meters: dict[str, DemandMeter] = {}
         self._moves = VmMoves(migrate_s, boot_time_s)
-        self._emptying: dict[str, Move] = {}
+        self._requests = VmRequests(boot_time_s)
         self._active_owner: CellOwner | None = None
         self._sizes_logged_at_s = 0.0
 
@@ -130,7 +130,7 @@
         # A VM list from an earlier time as holder may be outdated.
         self._machines = []
         self._moves.forget()
-        self._emptying.clear()
+        self._requests.forget()
         self._active_owner = owner
 
     async def _run_round(self, owner: CellOwner) -> None:
@@ -145,7 +145,9 @@
             return
         by_name = {machine.name: machine for machine in self._machines}
         standby = self._standby_pools()
-        maintenance = self._waves.plan(by_name, standby, self._moves)
+        # A VM that empties for a pool that lacks it is maintained after its move.
+        leaving = {n for n in by_name if n in self._moves or n in self._requests}
+        maintenance = self._waves.plan(by_name, standby, leaving)
         moves = await self._plan_moves(sorted(standby))
         await self._send_orders(owner, maintenance, moves)
 
@@ -173,7 +175,7 @@
     async def _refresh_machines(self) -> bool:
         """Read the list of VMs if it is due; return whether the list is current."""
         requested_at_s = boot_time_s()
-        busy = bool(self._moves or self._emptying or self._waves.emptying)
+        busy = bool(self._moves or self._requests or self._waves.emptying)
         interval_s = BUSY_LIST_INTERVAL_S if busy else LIST_INTERVAL_S
         if self._machines and requested_at_s - self._listed_at_s < interval_s:
             return True
@@ -189,7 +191,7 @@
 
     async def _refresh_reports(self, cells: Iterable[str]) -> None:
         """Request the load of cells, and have workers of leaving VMs reserved."""
-        reserved_workers = {move.worker_id for move in self._emptying.values()}
+        reserved_workers = self._requests.workers()
         reserved_workers |= set(self._waves.emptying.values())
         reserved_workers |= self._waves.ended_workers() | self._moves.ended_workers()
         uncertain_workers = set()
@@ -232,25 +234,32 @@
                 for pool in pools
             }
             log_event(Event.POOL_SIZES, pools=sizes, spares=len(spares))
-        planned_moves = plan_moves(pools, standby[0], spares, self._emptying)
-        # Reservations of workers whose VM is no longer in the plan are dropped.
-        before = self._emptying
-        self._emptying = {
-            m.machine: m for m in planned_moves if m.source not in standby
-        }
-        new_sources = {m.source for vm, m in self._emptying.items() if vm not in before}
+        self._requests.end_overdue(self._available_vms())
+        plan = plan_moves(pools, standby[0], spares, self._requests.moves())
+        for vm, reason in plan.withdrawn.items():
+            self._requests.withdraw(vm, reason)
+        new_sources = self._requests.request(
+            move for move in plan.moves if move.source not in standby
+        )
         if new_sources:
             # The owners reserve these workers at once, so that empty ones leave now.
             await self._refresh_reports(new_sources)
         by_name = {machine.name: machine for machine in self._machines}
-        ready = [
+        return [
             move
-            for move in [*self._moves.moves_to_repeat(), *planned_moves]
+            for move in [*self._moves.moves_to_repeat(), *plan.moves]
             if self._reports.is_empty(by_name[move.machine], set(standby))
         ]
-        for move in ready:
-            self._emptying.pop(move.machine, None)
-        return ready
+
+    def _available_vms(self) -> set[str]:
+        """Return the VMs that may be ordered to another pool."""
+        return {
+            machine.name
+            for machine in self._machines
+            if machine.state == PlatformVmState.UP
+            and machine.name not in self._moves
+            and not self._waves.claims(machine.name)
+        }
 
     def _pool_states(
         self, standby: list[str], now_s: float
@@ -283,7 +292,7 @@
                     machine.cpu_milli,
                     worker_report.tasks,
                     worker_report.idle_ms,
-                    True,
+                    not self._requests.is_paused(machine.name),
                     worker_report.empties_in_ms,
                 )
                 pools[machine.pool].vms.append(vm)
@@ -324,6 +333,7 @@
             target=move.target,
             epoch=owner.epoch,
         )
+        self._requests.settle(move.machine)
         self._moves.begin_order(move)
         answer = await self._client.move(move.machine, move.target, owner.epoch)
         self._moves.end_order(move, answer)
--- a/src/chivetray/capacity/sizing.py
+++ b/src/chivetray/capacity/sizing.py
@@ -1,8 +1,7 @@
-"""Sizes of pools, and the VM moves that bring pools to them."""
+"""Demand of pools, and how many VMs each of them should have."""
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
 # Capacity beyond the demand that a pool should have, as a share of the demand.
@@ -12,10 +11,6 @@
 # other VMs have arrived.
 MIN_VMS = 2
 
-# Time that a VM must be idle before it leaves its pool. A move costs about as much as
-# one second of a VM in a pool.
-IDLE_BEFORE_REMOVAL_MS = 250
-
 # Time within which the backlog that remains when a VM arrives should be served. It is
 # about the run time of a task; a VM does not help with work that ends sooner.
 BACKLOG_DRAIN_S = 1.0
@@ -24,10 +19,6 @@
 # other queues leave.
 LATE_DRAIN_S = 4.0
 
-# Part of its share that a pool must lack before others give it VMs that have tasks.
-# Such a VM serves nobody for about the run time of a task and the time of a move.
-LACK_SHARE = 0.125
-
 # Window over which the highest demand counts as the demand of a pool.
 DEMAND_WINDOW_S = 0.4
 
@@ -85,16 +76,6 @@
         return present + self.arriving * vm_milli // 2
 
 
-@dataclass(frozen=True, slots=True)
-class Move:
-    """A VM that is to change its pool."""
-
-    machine: str
-    worker_id: str
-    source: str
-    target: str
-
-
 def forecast_demand(
     used_milli: int,
     waiting_milli_s: int,
@@ -187,93 +168,6 @@
     ]
 
 
-def plan_moves(
-    pools: Iterable[PoolState],
-    standby: str,
-    spares: Iterable[PoolVm],
-    emptying: Container[str] = (),
-) -> list[Move]:
-    """Return the moves that bring pools to their shares.
-
-    Pools that lack VMs get spare VMs first, then idle VMs of pools with too many. What
-    a pool still lacks for work in time it gets from pools with more VMs than such work
-    needs there: these VMs take no new tasks until they are empty. Other idle VMs that
-    no pool wants move to the standby pool.
-
-    :param standby: name of the standby pool
-    :param spares: VMs in the standby pool
-    :param emptying: names of the VMs that take no new tasks already
-    """
-    available = [vm for vm in spares if vm.movable]
-    # The pool that lacks most for its size comes first.
-    ranked = sorted(pools, key=_urgency, reverse=True)
-    sizes = [vm.cpu_milli for pool in ranked for vm in pool.vms] or [
-        vm.cpu_milli for vm in available
-    ]
-    vm_milli = sum(sizes) // len(sizes) if sizes else 0
-    total = sum(pool.size for pool in ranked) + len(available)
-    shares = share_vms(ranked, total, vm_milli)
-    moves: list[Move] = []
-    surplus: list[tuple[PoolVm, str]] = []
-    for pool, share in zip(ranked, shares, strict=True):
-        idle = [
-            vm
-            for vm in pool.vms
-            if vm.movable and not vm.tasks and vm.idle_ms >= IDLE_BEFORE_REMOVAL_MS
-        ]
-        idle.sort(key=lambda vm: -vm.idle_ms)
-        surplus += [(vm, pool.name) for vm in idle[: max(0, pool.size - share.vms)]]
-    lacking: list[tuple[PoolState, int]] = []
-    for pool, share in zip(ranked, shares, strict=True):
-        missing = share.vms - pool.size
-        while missing > 0 and (available or surplus):
-            vm, source = (available.pop(0), standby) if available else surplus.pop(0)
-            moves.append(Move(vm.machine, vm.worker_id, source, pool.name))
-            missing -= 1
-        missing = min(missing, share.in_time - pool.size)
-        if missing > LACK_SHARE * share.in_time:
-            lacking.append((pool, missing))
-    given = {move.machine for move in moves}
-    busy = _vms_to_give_back(ranked, shares, given, emptying)
-    for pool, missing in lacking:
-        for _ in range(min(missing, len(busy))):
-            vm, source = busy.pop(0)
-            moves.append(Move(vm.machine, vm.worker_id, source, pool.name))
-    for vm, source in surplus:
-        moves.append(Move(vm.machine, vm.worker_id, source, standby))
-    return moves
-
-
-def _urgency(pool: PoolState) -> float:
-    present_milli = sum(vm.cpu_milli for vm in pool.vms)
-    return (pool.demand_milli + pool.late_demand_milli) / max(1, present_milli)
-
-
-def _vms_to_give_back(
-    pools: list[PoolState],
-    shares: list[PoolShare],
-    given: Container[str],
-    emptying: Container[str],
-) -> list[tuple[PoolVm, str]]:
-    """Return the VMs with tasks that pools over their share can give to others.
-
-    A pool that needs all its VMs for work in time gives none: the exchange would only
-    cost time. VMs that take no new tasks already come first, then those that are empty
-    soonest.
-    """
-    found: list[tuple[bool, int, str, PoolVm, str]] = []
-    for pool, share in zip(pools, shares, strict=True):
-        kept = max(share.vms, share.wanted_in_time)
-        excess = pool.size - kept - sum(vm.machine in given for vm in pool.vms)
-        ending = [
-            (vm.machine not in emptying, vm.empties_in_ms, vm.machine, vm, pool.name)
-            for vm in pool.vms
-            if vm.movable and vm.tasks and vm.empties_in_ms is not None
-        ]
-        found += sorted(ending, key=lambda item: item[:3])[: max(0, excess)]
-    return [item[3:] for item in sorted(found, key=lambda item: item[:3])]
-
-
 class DemandMeter:
     """Highest recent demand of a pool, so that a short gap in demand moves no VM."""
 
--- a/src/chivetray/capacity/wave_runner.py
+++ b/src/chivetray/capacity/wave_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
@@ -125,9 +126,16 @@
         return set(self._listed_until_s)
 
     def claims(self, vm: str) -> bool:
-        """Return whether a VM is being emptied, or may be about to go down."""
+        """Return whether a VM is being emptied, or is or may be about to go down.
+
+        The list of VMs may still show a VM as up after its order was accepted. A move
+        that was decided on such a list would be answered ``busy``.
+        """
+        down_since_s = boot_time_s() - self._maintenance_s - TIME_MARGIN_S
         return vm in self.emptying or any(
-            vm in progress.unanswered for progress in self._progress_by_key.values()
+            vm in progress.unanswered
+            or progress.ordered_at_s.get(vm, -math.inf) > down_since_s
+            for progress in self._progress_by_key.values()
         )
 
     def plan(
@@ -142,7 +150,7 @@
 
         :param by_name: all VMs
         :param standby: pools in which no tasks run
-        :param moving: VMs that are on their way to another pool
+        :param moving: VMs that are or will be on their way to another pool
         """
         self._by_name, self._standby = by_name, standby
         emptying: dict[str, str] = {}
--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -27,6 +27,10 @@
 # stopped on a reserved worker.
 EVACUATION_GRACE_S = 6.0
 
+# Attempts of a task that are stopped at once to free a VM. Each costs a restart from a
+# checkpoint; after that the task ends where it runs or is stopped after the grace.
+EVACUATIONS_LIMIT = 2
+
 # Unavailable tasks that one log line lists at most.
 MAX_LISTED_TASKS = 20
 
@@ -96,8 +100,12 @@
                     and has_room(state, job, task, now_s)
                 )
             else:
-                movable = reserved and (step.checkpointing or overdue)
+                is_spared = task.evacuations >= EVACUATIONS_LIMIT
+                movable = reserved and (
+                    overdue or (step.checkpointing and not is_spared)
+                )
             if movable:
+                task.evacuations += 1
                 if step.long_running:
                     fields = _describe_step(state, worker, job, task, step, now_s)
                     log_event(Event.TASK_EVACUATED, **fields)
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -201,6 +201,14 @@
     VM_MOVED = (1670, "A VM was sent to another pool.")
     VM_MAINTAINED = (1671, "A VM was taken down for maintenance.")
     VM_ORDERED = (1677, "An order for a VM is sent; names the report it is based on.")
+    VM_REQUESTED = (
+        1678,
+        "A pool is asked for a VM; its worker takes no new tasks until it leaves.",
+    )
+    VM_REQUEST_WITHDRAWN = (
+        1679,
+        "A pool keeps a VM that it was asked for; names the reason.",
+    )
     VM_ORDER_FAILED = (1672, "An order for a VM was not carried out.")
     MAINTENANCE_WAITS = (1673, "A VM of a wave cannot be taken down yet.")
     MAINTENANCE_COMPLETED = (1674, "All VMs of a wave were maintained.")
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -163,6 +163,8 @@
     :ivar stop_sent: whether a stop of the newest attempt was sent, which the worker may
         still carry out
     :ivar stop_sent_at_s: time at which that stop was last sent
+    :ivar evacuations: number of attempts that were stopped to free a VM for a move or
+        for maintenance
     :ivar inherited: whether an earlier owner placed the newest attempt, so that it is
         unknown whether its start requests were answered
     :ivar pace_percent: share of full speed at which a best-effort task may run
@@ -205,6 +207,7 @@
     unanswered_starts: int = 0
     stop_sent: bool = False
     stop_sent_at_s: float = 0.0
+    evacuations: int = 0
     inherited: bool = False
     not_before_s: float = 0.0
     away_since_s: float = 0.0
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -8,13 +8,12 @@
     choose_vms,
     find_vms_under_way,
 )
+from chivetray.capacity.move_plan import Move, plan_moves
 from chivetray.capacity.sizing import (
     DemandMeter,
-    Move,
     PoolState,
     PoolVm,
     forecast_demand,
-    plan_moves,
     target_vm_count,
 )
 from chivetray.platform.vm_api import PlatformVmState
@@ -30,27 +29,29 @@
     def test_a_pool_that_lacks_vms_gets_spares_first(self) -> None:
         pool = PoolState("a", 64000, [vm("a1", 9), vm("a2", 9)])
         idle = PoolState("b", 0, [vm(f"b{n}") for n in range(5)])
-        moves = plan_moves([pool, idle], "spare", [vm("s1"), vm("s2")])
+        moves = plan_moves([pool, idle], "spare", [vm("s1"), vm("s2")]).moves
         into = [m for m in moves if m.target == "a"]
         assert into[:2] == [Move("s1", "w-s1", "spare", "a"), into[1]]
         assert {m.source for m in into} == {"spare", "b"}
 
     def test_vms_on_their_way_are_counted(self) -> None:
         pool = PoolState("a", 64000, [vm("a1", 9), vm("a2", 9)], arriving=3)
-        assert plan_moves([pool], "spare", [vm("s1")]) == []
+        assert plan_moves([pool], "spare", [vm("s1")]).moves == []
 
     def test_a_pool_gets_the_vms_that_its_tasks_need_apart_from_their_demand(
         self,
     ) -> None:
         pool = PoolState("a", 1000, [vm("a1", 1), vm("a2", 1)], required_vms=3)
-        assert [m.target for m in plan_moves([pool], "spare", [vm("s1")])] == ["a"]
+        assert [m.target for m in plan_moves([pool], "spare", [vm("s1")]).moves] == [
+            "a"
+        ]
 
     def test_the_pool_that_is_shortest_of_cores_comes_first(self) -> None:
         pools = [
             PoolState("a", 64000, [vm("a1", 9), vm("a2", 9)]),
             PoolState("b", 200000, [vm("b1", 9), vm("b2", 9)]),
         ]
-        assert plan_moves(pools, "spare", [vm("s1")])[0].target == "b"
+        assert plan_moves(pools, "spare", [vm("s1")]).moves[0].target == "b"
 
 
 class TestForecast:
@@ -78,13 +79,13 @@
 class TestTrough:
     def test_idle_vms_leave_and_busy_ones_stay(self) -> None:
         pool = PoolState("a", 1000, [vm("a1", 3), vm("a2"), vm("a3"), vm("a4", 1)])
-        moves = plan_moves([pool], "spare", [])
+        moves = plan_moves([pool], "spare", []).moves
         assert {m.machine for m in moves} == {"a2", "a3"}
         assert {m.target for m in moves} == {"spare"}
 
     def test_a_vm_that_has_just_become_idle_stays(self) -> None:
         pool = PoolState("a", 0, [vm("a1", 1), vm("a2", 1), vm("a3", idle_ms=100)])
-        assert plan_moves([pool], "spare", []) == []
+        assert plan_moves([pool], "spare", []).moves == []
 
     def test_a_short_gap_moves_nothing(self) -> None:
         meter = DemandMeter()
--- a/tests/test_cell_state.py
+++ b/tests/test_cell_state.py
@@ -7,7 +7,8 @@
 import pytest
 from cell_helpers import CELL, job
 
-from chivetray.capacity.sizing import PoolState, PoolVm, plan_moves
+from chivetray.capacity.move_plan import plan_moves
+from chivetray.capacity.sizing import PoolState, PoolVm
 from chivetray.cells.advice import get_ticket, record_tickets
 from chivetray.cells.evacuation import evacuate, reserve_workers
 from chivetray.cells.gangs import stop_broken_gangs
@@ -302,7 +303,7 @@
         vms = [PoolVm(f"m{n}", f"w{n}", 4000, 0, 5000, True) for n in range(2)]
         spare = PoolVm("m2", "", 4000, 0, 0, True)
         pool = PoolState(CELL, 0, vms, 0, required)
-        moves = plan_moves([pool], "standby", [spare])
+        moves = plan_moves([pool], "standby", [spare]).moves
         assert [(move.machine, move.target) for move in moves] == [("m2", CELL)]
 
 
--- a/tests/test_order_holder.py
+++ b/tests/test_order_holder.py
@@ -8,10 +8,11 @@
 
 import msgpack
 
+from chivetray.capacity.move_plan import Move, plan_moves
 from chivetray.capacity.recent_orders import ORDERS_ROW
 from chivetray.capacity.reports import CellReport, CellReports, WorkerReport
 from chivetray.capacity.runner import FleetRunner
-from chivetray.capacity.sizing import Move, PoolVm, plan_moves
+from chivetray.capacity.sizing import PoolVm
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import owner_row
 from chivetray.clocks import boot_time_s
@@ -229,7 +230,9 @@
         holder.runner._waves.emptying = {"vm-2": "w2"}
         (pool,), _ = holder.runner._pool_states(["spare"], 1.0)
         assert [vm.machine for vm in pool.vms] == ["vm-1"]
-        assert [m.target for m in plan_moves([pool], "spare", [SPARE])] == ["pool-a"]
+        assert [m.target for m in plan_moves([pool], "spare", [SPARE]).moves] == [
+            "pool-a"
+        ]
 
 
 class TestLogOfOrders:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -8,11 +8,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from chivetray.capacity.move_plan import Move, plan_moves
 from chivetray.capacity.sizing import (
     MIN_VMS,
     PoolState,
     PoolVm,
-    plan_moves,
     share_out,
     share_vms,
 )
@@ -76,39 +76,47 @@
 
     def test_the_first_queue_gives_back_what_late_work_holds(self) -> None:
         pools = [pool("a", 51, 16, late_vms=60), pool("b", 2, 20)]
-        moves = plan_moves(pools, "spare", [])
+        moves = plan_moves(pools, "spare", []).moves
         assert all(move.source == "a" and move.target == "b" for move in moves)
         shares = share_vms(pools, 53, VM_MILLI)
         assert len(moves) == shares[1].wanted_in_time - 2
 
     def test_vms_that_both_need_in_time_are_not_exchanged(self) -> None:
-        assert plan_moves([pool("a", 51, 60), pool("b", 2, 20)], "spare", []) == []
+        assert (
+            plan_moves([pool("a", 51, 60), pool("b", 2, 20)], "spare", []).moves == []
+        )
 
     def test_idle_vms_go_to_the_queue_below_its_share(self) -> None:
         spares = [PoolVm(f"s{n}", "", VM_MILLI, 0, 0, True) for n in range(8)]
-        moves = plan_moves([pool("a", 40, 200), pool("b", 2, 20)], "spare", spares)
+        moves = plan_moves(
+            [pool("a", 40, 200), pool("b", 2, 20)], "spare", spares
+        ).moves
         assert [move.target for move in moves] == ["b"] * 8
 
     def test_vms_that_are_empty_soonest_are_given(self) -> None:
-        moves = plan_moves([pool("a", 20, 1, 30), pool("b", 2, 4)], "spare", [])
+        moves = plan_moves([pool("a", 20, 1, 30), pool("b", 2, 4)], "spare", []).moves
         assert [move.machine for move in moves] == ["a0", "a1", "a2"]
 
     def test_vms_that_take_no_new_tasks_already_are_kept_on(self) -> None:
         pools = [pool("a", 20, 1, 30), pool("b", 2, 4)]
-        moves = plan_moves(pools, "spare", [], {"a9", "a8", "a7"})
+        requests = {f"a{n}": Move(f"a{n}", f"w-a{n}", "a", "b") for n in (7, 8, 9)}
+        moves = plan_moves(pools, "spare", [], requests).moves
         assert {move.machine for move in moves} == {"a7", "a8", "a9"}
 
     def test_a_vm_with_a_task_that_does_not_end_stays(self) -> None:
         lasting = PoolState("a", 0, [busy_vm(f"a{n}", None) for n in range(20)])
-        assert plan_moves([lasting, pool("b", 2, 20)], "spare", []) == []
+        assert plan_moves([lasting, pool("b", 2, 20)], "spare", []).moves == []
 
     def test_a_small_lack_is_not_worth_an_exchange(self) -> None:
-        assert plan_moves([pool("a", 30, 1, 60), pool("b", 23, 20)], "spare", []) == []
+        assert (
+            plan_moves([pool("a", 30, 1, 60), pool("b", 23, 20)], "spare", []).moves
+            == []
+        )
 
     def test_vms_on_their_way_count(self) -> None:
         second = pool("b", 2, 20)
         second.arriving = 23
-        assert plan_moves([pool("a", 30, 1, 60), second], "spare", []) == []
+        assert plan_moves([pool("a", 30, 1, 60), second], "spare", []).moves == []
 
 
 class TestSmallQueueBesideALargeOne:
@@ -125,7 +133,7 @@
         late, in_time = pool("a", 50, 2, late_vms=100), pool("b", 2, 30)
         shares = share_vms([late, in_time], 52, VM_MILLI)
         assert shares[1].vms == shares[1].wanted
-        moves = plan_moves([late, in_time], "spare", [])
+        moves = plan_moves([late, in_time], "spare", []).moves
         assert len(moves) == shares[1].wanted - 2
 
     def test_it_gets_what_is_left(self) -> None:
@@ -134,4 +142,4 @@
 
     def test_no_busy_vm_is_taken_for_it(self) -> None:
         late, in_time = pool("a", 2, 0, late_vms=100), pool("b", 50, 40)
-        assert plan_moves([late, in_time], "spare", []) == []
+        assert plan_moves([late, in_time], "spare", []).moves == []
--- a/tests/test_unanswered_vm_orders.py
+++ b/tests/test_unanswered_vm_orders.py
@@ -13,10 +13,11 @@
 from typing import ClassVar
 
 from chivetray.capacity.maintenance import find_vms_under_way
+from chivetray.capacity.move_plan import Move
 from chivetray.capacity.moves import VmMoves
 from chivetray.capacity.reports import CellReport, CellReports, WorkerReport
 from chivetray.capacity.runner import FleetRunner
-from chivetray.capacity.sizing import DEMAND_WINDOW_S, Move
+from chivetray.capacity.sizing import DEMAND_WINDOW_S
 from chivetray.capacity.wave_runner import WaveRunner
 from chivetray.cells.tables import owner_row
 from chivetray.clocks import boot_time_s
--- a/tests/test_vm_order_reports.py
+++ b/tests/test_vm_order_reports.py
@@ -12,6 +12,7 @@
 from test_wave_runner import WAVE
 
 from chivetray.capacity import reports, runner
+from chivetray.capacity.move_plan import Move
 from chivetray.capacity.recent_orders import MAX_CONFIRMATION_AGE_S
 from chivetray.capacity.reports import (
     MAX_REPORT_AGE_S,
@@ -20,7 +21,6 @@
     OrderBasis,
     WorkerReport,
 )
-from chivetray.capacity.sizing import Move
 from chivetray.capacity.wave_runner import MaintenanceOrder, WaveProgress
 from chivetray.cells.evacuation import RESERVATION_S, reserve_workers
 from chivetray.cells.placing import place_tasks
