Start no task on a list of workers that may hide a draining one

The list of workers is read each 0.9 s, but nothing bounded its age when reads fail or take long, and a process without cells does not read it. The test sends a start on an old list without the change.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -107,6 +108,7 @@
     :ivar scanned_version: version of the job table that ``scan`` has read up to
     :ivar scanned_at_s: start of the newest scan that was completed
     :ivar longest_lease_s: upper bound of the leases that workers grant
+    :ivar longest_list_age_s: age of the list of workers above which no task starts
     :ivar has_vm_orders: whether a manager moves and maintains the VMs of workers
     """
 
@@ -134,6 +136,7 @@
         self.scanned_version = 0
         self.scanned_at_s = 0.0
         self.longest_lease_s = LEASE_S
+        self.longest_list_age_s = math.inf
         self.has_vm_orders = False
         self._mesh = mesh
         self._store = store
@@ -382,6 +385,9 @@
         )
         cell_owner.confirmed_at_s = acquired_at_s
         cell_owner.longest_lease_s = self.longest_lease_s
+        cell_owner.longest_list_age_s = self.longest_list_age_s
+        # A process without cells does not read the list, so it may be of any age.
+        cell_owner.workers_listed_at_s = 0.0
         if row is None:
             cell_owner.inherited_leases_s = {}
         elif current is not None and current.released:
--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -147,6 +147,15 @@
         if not cancellations.may_start(sent_at_s):
             # ``resend_unconfirmed`` tries again.
             return True
+        if not self._cell_owner.is_worker_list_recent(sent_at_s):
+            list_age_s = sent_at_s - self._cell_owner.workers_listed_at_s
+            log_event(
+                Event.WORKER_LIST_OLD,
+                cell=self._state.name,
+                epoch=self._cell_owner.epoch,
+                age_s=round(list_age_s, 1),
+            )
+            return True
         deadline_ms = worker.clock.lower_bound_ms(sent_at_s) + int(lease_s * 1000)
         worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
         worker.lease_sent_at_s = max(worker.lease_sent_at_s, sent_at_s)
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -112,6 +112,9 @@
     :ivar leaving: whether the cell is to be released
     :ivar releasing: whether a write that releases the cell may be carried out
     :ivar longest_lease_s: upper bound of the leases that workers grant
+    :ivar longest_list_age_s: age of the list of workers above which no start order is
+        sent, since a worker may have begun to drain
+    :ivar workers_listed_at_s: send time of the read of that list
     :ivar renewal_latency_s: duration of the last renewal of the ownership
     :ivar get_remaining_leases: returns the remaining leases that the next owner has to
         wait for
@@ -145,6 +148,8 @@
         self.lost = False
         self.renewal_latency_s = 0.0
         self.longest_lease_s = LEASE_S
+        self.longest_list_age_s = math.inf
+        self.workers_listed_at_s = self.confirmed_at_s
         self.lease_ends = LeaseEnds(state)
         self.inherited_leases_s: dict[str, float] | None = None
         self.get_remaining_leases: Callable[[], dict[str, float]] = lambda: (
@@ -202,14 +207,25 @@
         self.wake()
         return known
 
-    def update_workers(self, entries: Iterable[WorkerRecord]) -> None:
-        """Update the workers of the cell from the store's worker list."""
-        self.state.update_workers(entries, boot_time_s())
+    def update_workers(
+        self, entries: Iterable[WorkerRecord], sent_at_s: float | None = None
+    ) -> None:
+        """Update the workers of the cell from the store's worker list.
+
+        :param sent_at_s: send time of the read of the list, by default now
+        """
+        now_s = boot_time_s()
+        self.workers_listed_at_s = now_s if sent_at_s is None else sent_at_s
+        self.state.update_workers(entries, now_s)
         for worker in self.state.workers.values():
             if not worker.tasks_known:
                 self._poller.wake_worker(worker.worker_id)
         self.wake()
 
+    def is_worker_list_recent(self, now_s: float) -> bool:
+        """Return whether draining workers are known well enough to start tasks."""
+        return now_s - self.workers_listed_at_s <= self.longest_list_age_s
+
     def wake(self) -> None:
         """Start the next round of the main loop without delay."""
         self._wake.set()
--- a/src/chivetray/cells/worker_list.py
+++ b/src/chivetray/cells/worker_list.py
@@ -31,10 +31,11 @@
     """The workers that are listed in the store.
 
     :ivar read_at_s: time of the last successful read, 0 before the first one
+    :ivar sent_at_s: send time of that read
     """
 
     def __init__(self, store: Store):
-        self.read_at_s = 0.0
+        self.read_at_s = self.sent_at_s = 0.0
         self._store = store
         self._by_service: dict[str, list[WorkerRecord]] = {}
         self._entries: dict[str, WorkerRecord] = {}
@@ -59,6 +60,7 @@
             if not is_first_read and not is_needed():
                 await anyio.sleep(0.1)
                 continue
+            sent_at_s = boot_time_s()
             try:
                 rows, _ = await self._store.read(WORKER_TABLE, "")
             except StoreUnavailableError as error:
@@ -67,7 +69,7 @@
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
             is_first_read = False
-            self.read_at_s = boot_time_s()
+            self.read_at_s, self.sent_at_s = boot_time_s(), sent_at_s
             self._apply_rows({row.id.key: (row.version, row.value) for row in rows})
             on_read()
             await self._wait_until_next_read(self.read_at_s)
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -198,6 +198,10 @@
     )
     WORKER_ANSWERS = (1665, "A worker answers again.")
 
+    WORKER_LIST_OLD = (
+        1667,
+        "No task starts, since a worker may have begun to drain after the last list.",
+    )
     VM_MOVED = (1670, "A VM was sent to another pool.")
     VM_MAINTAINED = (1671, "A VM was taken down for maintenance.")
     VM_ORDERED = (1677, "An order for a VM is sent; names the report it is based on.")
@@ -253,6 +257,7 @@
         Event.MAINTENANCE_WAITS,
         Event.STORE_LOST,
         Event.VM_LIST_MISSING,
+        Event.WORKER_LIST_OLD,
     }
 )
 _repeat_filter = RepeatFilter()
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -12,6 +12,7 @@
 from chivetray.api.jobs import JobsApp
 from chivetray.capacity.recent_orders import FLEET_CELL
 from chivetray.capacity.runner import FleetRunner
+from chivetray.cells.cancellations import START_DELAY_S
 from chivetray.cells.configuration import Configuration
 from chivetray.cells.directory import CellDirectory
 from chivetray.cells.job_service import JobService
@@ -62,6 +63,10 @@
 # Settings whose changes take effect without a restart.
 APPLIED_SETTINGS = ("store", "vms", "grace_s", "cpu_share", "cores", "link_mbps")
 
+# Least age of the list of workers up to which tasks start: the list is read each 0.9 s,
+# and a read of a slow store takes a quarter of a second.
+MIN_LIST_AGE_S = 1.4
+
 # Part of the time between SIGTERM and SIGKILL that is reserved for closing connections
 # and exiting.
 STOP_RESERVE_S = 1.2
@@ -110,6 +115,9 @@
             self._store.fit_link(settings.link_mbps),
         )
         self._directory.longest_lease_s = settings.longest_lease_ms / 1000
+        self._directory.longest_list_age_s = max(
+            MIN_LIST_AGE_S, settings.drain_ms / 1000 - START_DELAY_S
+        )
         self._job_service = JobService(
             self._mesh, self._store, self._directory, self._configuration
         )
@@ -342,7 +350,8 @@
     def _update_worker_lists(self) -> None:
         for cell_owner in self._directory.owned_cells.values():
             cell_owner.update_workers(
-                self._worker_list.workers_of(cell_owner.state.name)
+                self._worker_list.workers_of(cell_owner.state.name),
+                self._worker_list.sent_at_s,
             )
 
     async def _scan_jobs(self) -> None:
--- a/tests/test_worker_list.py
+++ b/tests/test_worker_list.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
-from cell_helpers import CELL, job
+import anyio
+from cell_helpers import CELL, World, job, until
 
 from chivetray.cells import worker_list
 from chivetray.cells.placing import place_tasks
 from chivetray.cells.state import CellState
 from chivetray.cells.worker_list import WorkerList
+from chivetray.clocks import boot_time_s
 from chivetray.platform.store import Store
 
 
@@ -89,3 +92,25 @@
         views.read(w0=content())
         state.update_workers(views.worker_list.workers_of(CELL), 101.0)
         assert len(place_tasks(state, 101.0, 0)) == 3
+
+
+class TestListThatCannotBeRead:
+    """A task started 3.3 s after the notice of a draining worker, on an old list."""
+
+    def test_no_start_is_sent_until_the_list_is_read_again(self) -> None:
+        async def main() -> None:
+            world = World(workers=1)
+            owner = await world.own()
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(owner.run)
+                task_group.start_soon(world.work)
+                owner.longest_list_age_s = 0.3
+                owner.workers_listed_at_s = boot_time_s() - 0.4
+                owner.add_job(job())
+                await anyio.sleep(0.3)
+                assert not world.starts()
+                owner.update_workers(world.entries(), boot_time_s())
+                await until(world.starts)
+                task_group.cancel_scope.cancel()
+
+        asyncio.run(main())
