Decode organisations and authorise calls by the digests of their keys

Invalid entries are described and left out; the rest of the configuration stays in force. Keys are required as soon as any entry exists, so that a fault in all of them does not open the routes.

--- a/src/chivetray/platform/stored_records.py
+++ b/src/chivetray/platform/stored_records.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import Any
 
 import orjson
 
-from chivetray.organisations.model import Organisation
+from chivetray.organisations.keys import abbreviate_digest, digest_key
+from chivetray.organisations.model import Organisation, Resources
 
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
@@ -15,6 +17,13 @@
 WORKER_TABLE = "servers"
 STATUS_TABLE = "status"
 
+# Start of a configuration row's content in which digests stand for the keys, as peers
+# exchange it. A row in the store is JSON, which never starts like this.
+REDACTED_PREFIX = b"\0key digests\n"
+
+# Limit on the name of an organisation, which is stored with each of its jobs.
+NAME_LIMIT_CHARS = 200
+
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
 
@@ -74,6 +83,9 @@
 
     :ivar organisations: organisations by name; empty if callers need no keys
     :ivar key_owners: name of the organisation by the digest of a key
+    :ivar requires_keys: whether callers need keys; also true if every entry of an
+        organisation is invalid, since otherwise a fault would open all routes
+    :ivar faults: descriptions of the invalid entries of organisations, without keys
     """
 
     version: int
@@ -82,6 +94,8 @@
     limits: CallerLimits = CallerLimits()
     organisations: dict[str, Organisation] = field(default_factory=dict)
     key_owners: dict[bytes, str] = field(default_factory=dict)
+    requires_keys: bool = False
+    faults: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,18 +139,35 @@
 
 
 def decode_config(content: bytes) -> OperatorConfig | None:
-    """Decode the operator's configuration, or return ``None`` when it is invalid."""
-    plain = _decode_object(content)
+    """Decode the operator's configuration, or return ``None`` when it is invalid.
+
+    An invalid entry of an organisation does not make the configuration invalid.
+
+    :param content: content of the row, in which digests may stand for the keys
+    """
+    has_digests = content.startswith(REDACTED_PREFIX)
+    plain = _decode_object(content.removeprefix(REDACTED_PREFIX))
     if plain is None or not isinstance(plain.get("Version"), int):
         return None
     try:
         queues = tuple(_decode_queue(row) for row in plain.get("Routes") or [])
         pools = [_decode_pool(row) for row in plain.get("Services") or []]
         limits = _decode_limits(plain.get("Limits") or {})
+        organisations = _OrganisationDecoder(has_digests)
+        organisations.decode(plain.get("Tenants") or [])
     except (KeyError, TypeError, ValueError, AttributeError):
         return None
     by_name = {pool.name: pool for pool in pools}
-    return OperatorConfig(plain["Version"], queues, by_name, limits)
+    return OperatorConfig(
+        plain["Version"],
+        queues,
+        by_name,
+        limits,
+        organisations.found,
+        organisations.key_owners(),
+        bool(plain.get("Tenants")),
+        tuple(organisations.faults),
+    )
 
 
 def decode_worker(worker_id: str, content: bytes) -> WorkerRecord | None:
@@ -223,6 +254,8 @@
         target_ms=int(row.get("TargetLatencyMs") or 0),
         timeout_ms=int(row.get("TimeoutMs") or 0),
         ticket_validity_ms=int(advice.get("ValidityMs") or 0),
+        # Any other value, such as the string "false", must not open a route.
+        public=row.get("Public") is True,
     )
 
 
@@ -243,3 +276,95 @@
         header_timeout_ms=int(row.get("HeaderTimeoutMs") or defaults.header_timeout_ms),
         idle_timeout_ms=int(row.get("IdleTimeoutMs") or defaults.idle_timeout_ms),
     )
+
+
+def is_usable_key(key: Any) -> bool:
+    """Return whether a key can be sent in a header."""
+    return isinstance(key, str) and key.isprintable() and bool(key) and " " not in key
+
+
+class _OrganisationDecoder:
+    """Decodes organisations; what is invalid is left out and described.
+
+    :ivar found: organisations by name
+    :ivar faults: descriptions of what is invalid, without keys
+    """
+
+    def __init__(self, has_digests: bool):
+        self.found: dict[str, Organisation] = {}
+        self.faults: list[str] = []
+        self._has_digests = has_digests
+        self._claims: dict[bytes, set[str]] = {}
+
+    def decode(self, rows: Any) -> None:
+        """Decode all entries.
+
+        :raises TypeError: if they are not a list
+        """
+        if not isinstance(rows, list):
+            raise TypeError("the organisations are not a list")
+        for number, row in enumerate(rows):
+            self._decode_entry(row, f"organisation {number}")
+        for digest, names in self._claims.items():
+            if len(names) > 1:
+                listed = ", ".join(sorted(names))
+                key = abbreviate_digest(digest)
+                self.faults.append(f"key {key} belongs to several: {listed}")
+
+    def key_owners(self) -> dict[bytes, str]:
+        """Return the owner of each key that belongs to one organisation only."""
+        return {
+            digest: next(iter(names))
+            for digest, names in self._claims.items()
+            if len(names) == 1
+        }
+
+    def _decode_entry(self, row: Any, place: str) -> None:
+        name = row.get("Name") if isinstance(row, dict) else None
+        if not isinstance(name, str) or not 0 < len(name) <= NAME_LIMIT_CHARS:
+            self.faults.append(f"{place} has no valid name and is ignored")
+            return
+        if name in self.found:
+            self.faults.append(f"{place} repeats the name {name} and is ignored")
+            return
+        place = f"{place} ({name})"
+        cap = row.get("Cap") or {}
+        if not isinstance(cap, dict):
+            self.faults.append(f"the cap of {place} is not an object")
+            cap = {}
+        cpu_milli, mem_mb, gpu = (
+            int(self._read_number(cap, field_name, place, is_integer=True))
+            for field_name in ("Cpu", "MemMb", "Gpu")
+        )
+        weight_per_s = self._read_number(row, "Weight", place)
+        resources = Resources(cpu_milli, mem_mb, gpu)
+        self.found[name] = Organisation(name, weight_per_s, resources)
+        keys = row.get("ApiKeys") or []
+        if not isinstance(keys, list):
+            self.faults.append(f"the keys of {place} are not a list")
+            return
+        for number, key in enumerate(keys):
+            digest = self._read_digest(key)
+            if digest is None:
+                self.faults.append(f"key {number} of {place} is not a valid string")
+            else:
+                self._claims.setdefault(digest, set()).add(name)
+
+    def _read_digest(self, key: Any) -> bytes | None:
+        if not is_usable_key(key):
+            return None
+        return bytes.fromhex(key) if self._has_digests else digest_key(key.encode())
+
+    def _read_number(
+        self, row: dict[str, Any], name: str, place: str, is_integer: bool = False
+    ) -> float:
+        """Return a number; 0, which stands for none, if it is absent or invalid."""
+        value = row.get(name)
+        if value is None:
+            return 0.0
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        is_valid = is_number and math.isfinite(value) and value >= 0
+        if is_valid and (not is_integer or value == int(value)):
+            return float(value)
+        self.faults.append(f"{name} of {place} is not a valid number and counts as 0")
+        return 0.0
--- a/src/chivetray/platform/submissions.py
+++ b/src/chivetray/platform/submissions.py
@@ -37,11 +37,12 @@
 
 
 def decode_submission(
-    job_id: str, queue: Queue, content: bytes, now_ms: int
+    job_id: str, queue: Queue, content: bytes, now_ms: int, organisation: str = ""
 ) -> JobSpec:
     """Decode and validate a submission.
 
     :param now_ms: time of acceptance in ms since the Unix epoch
+    :param organisation: organisation of the caller, empty for none
     :raises SubmissionError: with the first fault found
     """
     try:
@@ -80,6 +81,7 @@
         start_at_ms=_read_count(plain, "StartAtMs", "the submission"),
         interval_ms=_read_count(plain, "IntervalMs", "the submission"),
         ticket_validity_ms=queue.ticket_validity_ms,
+        organisation=organisation,
     )
 
 
--- a/tools/check_names.py
+++ b/tools/check_names.py
@@ -14,12 +14,12 @@
 
 # Names of the platform's messages that no other page of the project uses.
 NAMES = (
-    "AdmissionCheck Affinity AllOrNothing AllowConcurrent AntiAffinity "
-    "Checkpointing ClockMs ColdLeftMs DeadlineMs DependsOn "
+    "AdmissionCheck Affinity AllOrNothing AllowConcurrent AntiAffinity ApiKeys "
+    "Authorization Checkpointing ClockMs ColdLeftMs DeadlineMs DependsOn "
     "DurationS EstimateMs ExpectedRev FencingToken Fills HasMore IntervalMs "
     "LongRunning MayMiss MemMb NextToken NowMs PageToken PathPrefix "
     "RemainingMs RepeatCount SameRack SeqNo StartAtMs TargetLatencyMs "
-    "TargetMs TaskSpec ValidityMs WaitMs rows-tx rows-get rows-feed rows-parts "
+    "Tenants TargetMs TaskSpec ValidityMs WaitMs rows-tx rows-get rows-feed rows-parts "
     "run-start run-stop machine-move machine-upkeep"
 ).split()
 
