--- a/src/chivetray/api/jobs.py
+++ b/src/chivetray/api/jobs.py
@@ -9,9 +9,12 @@
 
 import orjson
 
+from chivetray.api.access import AccessCheck
 from chivetray.cells.configuration import Configuration
-from chivetray.cells.job_service import JobAnswer, JobService
+from chivetray.cells.job_answers import JobAnswer
+from chivetray.cells.job_service import JobService
 from chivetray.manager_metrics import ManagerMetrics
+from chivetray.platform.caller_keys import CHALLENGE
 from chivetray.platform.submissions import STATE_NAMES, is_job_id
 from chivetray.results import ResultCode
 
@@ -48,6 +51,7 @@
         self._configuration = configuration
         self._job_service = job_service
         self._metrics = metrics
+        self._access = AccessCheck(configuration, metrics)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request."""
@@ -74,7 +78,15 @@
         method = scope["method"]
         if queue is None:
             return JobAnswer(ResultCode.NO_QUEUE, "no queue matches this host and path")
+        access = self._access.check(queue, scope["headers"], method)
+        if access.refusal is not None:
+            return access.refusal
         body = await _read_body(receive, config.limits.body_bytes)
+        if self._configuration.current is not config:
+            # The key may have been revoked while the body arrived.
+            access = self._access.check(queue, scope["headers"], method)
+            if access.refusal is not None:
+                return access.refusal
         job_id = path[len(queue.path_prefix) :]
         if method == "GET" and not job_id:
             return self._job_service.count_pending(queue)
@@ -84,16 +96,25 @@
                 return JobAnswer(ResultCode.BAD_SUBMISSION, message)
             return JobAnswer(ResultCode.NO_JOB, "no such job")
         timeout_s = _read_timeout_s(headers, queue.timeout_ms)
+        caller = access.organisation
         if method == "POST":
             started_s = time.monotonic()
-            answer = await self._job_service.submit(queue, job_id, body, timeout_s)
+            answer = await self._job_service.submit(
+                queue, job_id, body, timeout_s, caller
+            )
             self._metrics.observe_latency("acceptance", time.monotonic() - started_s)
-            return answer
-        if method == "GET":
-            return await self._job_service.read_state(queue, job_id, timeout_s)
-        if method == "DELETE":
-            return await self._job_service.cancel(queue, job_id, timeout_s)
-        return JobAnswer(ResultCode.BAD_METHOD, f"{method} is not a method for jobs")
+        elif method == "GET":
+            answer = await self._job_service.read_state(
+                queue, job_id, timeout_s, caller
+            )
+        elif method == "DELETE":
+            answer = await self._job_service.cancel(queue, job_id, timeout_s, caller)
+        else:
+            message = f"{method} is not a method for jobs"
+            return JobAnswer(ResultCode.BAD_METHOD, message)
+        if answer.refusal:
+            self._metrics.count_refusal(answer.refusal, caller)
+        return answer
 
     async def _send(self, answer: JobAnswer, send: Send) -> None:
         status = answer.code.http_status or 200
@@ -113,6 +134,8 @@
         if answer.retry_after_s:
             seconds = max(1, math.ceil(answer.retry_after_s))
             headers.append((b"retry-after", str(seconds).encode()))
+        if answer.code == ResultCode.KEY_REFUSED:
+            headers.append(CHALLENGE)
         if self.closing:
             headers.append((b"connection", b"close"))
         await send(
--- a/src/chivetray/cells/acceptance.py
+++ b/src/chivetray/cells/acceptance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -38,6 +39,7 @@
 
     STORED = "stored"
     STORED_BEFORE = "stored before"
+    STORED_BY_ANOTHER = "stored by another organisation"
     REFUSED = "refused"
     UNKNOWN = "unknown"
 
@@ -46,6 +48,7 @@
 class _PendingRow:
     """A row that waits to be created.
 
+    :ivar judge: outcome for a row that was stored before, by its value
     :ivar unknown: whether an earlier transaction with the row had no answer, so that
         the row may exist
     """
@@ -53,6 +56,7 @@
     row: RowId
     value: bytes
     deadline_s: float
+    judge: Callable[[bytes], Acceptance]
     unknown: bool = False
     reason: str = ""
     outcome: Acceptance | None = None
@@ -72,13 +76,20 @@
         self._running_transactions: dict[str, int] = {}
 
     async def create(
-        self, task_group: TaskGroup, row: RowId, value: bytes, timeout_s: float
+        self,
+        task_group: TaskGroup,
+        row: RowId,
+        value: bytes,
+        timeout_s: float,
+        judge: Callable[[bytes], Acceptance] = lambda _value: Acceptance.STORED_BEFORE,
     ) -> tuple[Acceptance, str]:
         """Create a row unless it exists; return the outcome and the reason.
 
         After ``REFUSED`` the row does not exist and will not be created later.
+
+        :param judge: returns the outcome for a row that was stored before, by its value
         """
-        pending = _PendingRow(row, value, boot_time_s() + timeout_s)
+        pending = _PendingRow(row, value, boot_time_s() + timeout_s, judge)
         self._waiting.setdefault(row.part, []).append(pending)
         if self._running_transactions.get(row.part, 0) < TRANSACTIONS_PER_QUEUE:
             self._running_transactions[row.part] = (
@@ -119,7 +130,7 @@
         elif isinstance(outcome, Conflict):
             for row, pending in rows.items():
                 if row in outcome.rows:
-                    pending.finish(Acceptance.STORED_BEFORE)
+                    pending.finish(pending.judge(outcome.rows[row].value))
                 else:
                     to_retry.append(pending)
         elif isinstance(outcome, Refused):
--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -13,15 +13,27 @@
 from chivetray.cells.acceptance import Acceptance, JobAcceptor
 from chivetray.cells.configuration import Configuration
 from chivetray.cells.directory import CellDirectory
+from chivetray.cells.job_answers import (
+    CAP_REFUSAL,
+    STORE_RETRY_AFTER_S,
+    UNREADABLE_ROW,
+    JobAnswer,
+    answer_hidden,
+    answer_repeated,
+    judge_stored,
+    organisation_field,
+)
+from chivetray.cells.job_states import JobStates
 from chivetray.cells.store_access import StoreAccess
-from chivetray.cells.tables import cancel_row, job_row, progress_row
+from chivetray.cells.tables import cancel_row, job_row
 from chivetray.cells.waiting import WAIT_CHECK_INTERVAL_S, NoticeLog
 from chivetray.clocks import boot_time_s, wall_time_ms
 from chivetray.events import Event, log_event
 from chivetray.generated.messages import CellClaim
-from chivetray.jobs.job import Job, decode_spec, encode_spec
-from chivetray.jobs.model import JobSpec, JobState
-from chivetray.peers.mesh import CALL_TIMEOUT_S, Mesh
+from chivetray.jobs.job import decode_spec, encode_spec
+from chivetray.jobs.model import JobSpec
+from chivetray.organisations.task_size import find_oversized
+from chivetray.peers.mesh import Mesh
 from chivetray.platform.store import (
     ABSENT,
     Committed,
@@ -37,13 +49,6 @@
 # Pause between tries of a store call on behalf of a caller.
 RETRY_PAUSE_S = 0.05
 
-# Delay after which a caller may retry while the store is unavailable. Outages of the
-# store last some seconds.
-STORE_RETRY_AFTER_S = 2.0
-
-# Share of a caller's time in which the owner is asked, before the store is read.
-QUERY_TIME_SHARE = 0.5
-
 # Pause between notifications of an owner while some are not acknowledged.
 NOTIFY_PAUSE_S = 0.15
 
@@ -56,28 +61,11 @@
 
 SUBMIT_CALL = "submitted"
 CANCEL_CALL = "cancelled"
-STATE_CALL = "state"
 
 # Most jobs of which an owner is notified in one call.
 NOTIFY_BATCH_JOBS = 5000
 
 
-@dataclass(frozen=True, slots=True)
-class JobAnswer:
-    """Answer to a caller.
-
-    :ivar retry_after_s: delay after which the caller may retry, 0 for none
-    :ivar state: state of the job that was asked for
-    :ivar pending: number of jobs of the queue that have not started
-    """
-
-    code: ResultCode
-    message: str = ""
-    retry_after_s: float = 0.0
-    state: JobState | None = None
-    pending: int | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class _Acknowledgement:
     """A cancellation that the owner of a cell has acknowledged."""
@@ -110,24 +98,39 @@
         self._task_group: TaskGroup | None = None
         mesh.handlers[SUBMIT_CALL] = self._handle_submitted
         mesh.handlers[CANCEL_CALL] = self._handle_cancelled
-        mesh.handlers[STATE_CALL] = self._handle_state_request
+        self._states = JobStates(mesh, store, directory, self._notify_unfinished)
 
     # Submissions
 
     async def submit(
-        self, queue: Queue, job_id: str, body: bytes, timeout_s: float
+        self,
+        queue: Queue,
+        job_id: str,
+        body: bytes,
+        timeout_s: float,
+        organisation: str = "",
     ) -> JobAnswer:
-        """Store a job, unless it is already stored."""
+        """Store a job, unless it is already stored.
+
+        :param organisation: organisation of the caller, empty for none
+        """
         try:
-            spec = decode_submission(job_id, queue, body, wall_time_ms())
+            spec = decode_submission(job_id, queue, body, wall_time_ms(), organisation)
         except SubmissionError as error:
             log_event(Event.JOB_REFUSED, job=job_id, reason=error.message)
             return JobAnswer(error.code, error.message)
         row = job_row(queue.key, job_id)
-        answer = await self._create(row, encode_spec(spec), timeout_s)
+        answer = await self._refuse_oversized(spec, row, timeout_s)
+        if answer is None:
+            answer = await self._create(row, spec, timeout_s)
         if answer.code == ResultCode.OK:
             if not answer.message:
-                log_event(Event.JOB_ACCEPTED, job=job_id, cell=spec.cell)
+                log_event(
+                    Event.JOB_ACCEPTED,
+                    job=job_id,
+                    cell=spec.cell,
+                    **organisation_field(organisation),
+                )
                 self._jobs_to_notify[job_id] = spec
                 self._notify_event.set()
             # A job that was stored before may belong to another cell than the one its
@@ -138,93 +141,74 @@
                 job=job_id,
                 code=answer.code.number,
                 reason=answer.message,
+                **organisation_field(organisation),
             )
         return answer
 
-    async def _create(self, row: RowId, value: bytes, timeout_s: float) -> JobAnswer:
+    async def _refuse_oversized(
+        self, spec: JobSpec, row: RowId, timeout_s: float
+    ) -> JobAnswer | None:
+        """Refuse a job that can never run within the cap of its organisation.
+
+        One that was stored before, under a higher cap, may run and is not refused.
+        """
+        config = self._configuration.current if spec.organisation else None
+        organisation = config and config.organisations.get(spec.organisation)
+        reason = find_oversized(spec, organisation.cap) if organisation else ""
+        if not reason:
+            return None
+        try:
+            with anyio.fail_after(timeout_s):
+                found = await self._store.read_row(row)
+        except (StoreUnavailableError, TimeoutError) as error:
+            message = f"{reason}; whether it was stored before is unknown: {error}"
+            return JobAnswer(ResultCode.ACCEPTANCE_UNKNOWN, message)
+        if found is not None:
+            return answer_repeated(judge_stored(found.value, spec.organisation))
+        return JobAnswer(ResultCode.TASK_ABOVE_CAP, reason, refusal=CAP_REFUSAL)
+
+    async def _create(self, row: RowId, spec: JobSpec, timeout_s: float) -> JobAnswer:
         """Create the row of a job if it does not exist."""
         if self._task_group is None:
             message = "the process has just started"
             return JobAnswer(ResultCode.NOT_READY, message, 1.0)
         acceptance, reason = await self._acceptor.create(
-            self._task_group, row, value, timeout_s
+            self._task_group,
+            row,
+            encode_spec(spec),
+            timeout_s,
+            lambda value: judge_stored(value, spec.organisation),
         )
         if acceptance == Acceptance.STORED:
             return JobAnswer(ResultCode.OK)
-        if acceptance == Acceptance.STORED_BEFORE:
-            return JobAnswer(ResultCode.OK, "the job was stored before")
         if acceptance == Acceptance.REFUSED:
             return JobAnswer(ResultCode.STORE_AWAY, reason, STORE_RETRY_AFTER_S)
-        return JobAnswer(ResultCode.ACCEPTANCE_UNKNOWN, reason)
+        return answer_repeated(acceptance, reason)
 
     # State
 
     async def read_state(
-        self, queue: Queue, job_id: str, timeout_s: float
+        self, queue: Queue, job_id: str, timeout_s: float, organisation: str = ""
     ) -> JobAnswer:
-        """Return the state of a job; only the store can tell that it does not exist."""
-        deadline_s = boot_time_s() + timeout_s
-        query_timeout_s = min(CALL_TIMEOUT_S, timeout_s * QUERY_TIME_SHARE)
-        state = await self._query_owner(queue.service, job_id, query_timeout_s)
-        if state is None:
-            try:
-                with anyio.fail_after(max(0.0, deadline_s - boot_time_s())):
-                    state = await self._read_stored_state(queue, job_id)
-            except (StoreUnavailableError, TimeoutError, ValueError) as error:
-                # A damaged row tells no more than an absent answer.
-                message = str(error) or "the store does not answer"
-                return JobAnswer(
-                    ResultCode.STATE_UNREADABLE, message, STORE_RETRY_AFTER_S
-                )
-        if state is None:
-            return JobAnswer(ResultCode.NO_JOB, "no such job")
-        return JobAnswer(ResultCode.OK, state=state)
-
-    async def _query_owner(
-        self, cell: str, job_id: str, timeout_s: float
-    ) -> JobState | None:
-        owner = self._directory.serving_owner_of(cell)
-        if owner is None:
-            return None
-        if owner == self._mesh.name:
-            return self._local_state(job_id)
-        reply = await self._mesh.call(owner, STATE_CALL, job_id, timeout_s)
-        return None if reply is None else JobState(reply)
-
-    def _local_state(self, job_id: str) -> JobState | None:
-        for cell_owner in self._directory.owned_cells.values():
-            job = cell_owner.state.jobs.get(job_id)
-            if job is not None:
-                return job.visible_state
-        return None
-
-    async def _handle_state_request(self, _peer: str, job_id: Any) -> Any:
-        state = self._local_state(str(job_id))
-        return None if state is None else int(state)
-
-    async def _read_stored_state(self, queue: Queue, job_id: str) -> JobState | None:
-        row = job_row(queue.key, job_id)
-        end = cancel_row(queue.key, job_id).key + "\0"
-        rows, _ = await self._store.read(row.table, row.part, job_id, end)
-        by_key = {found.id.key: found for found in rows}
-        if job_id not in by_key:
-            return None
-        spec = decode_spec(by_key[job_id].value)
-        job = Job(spec)
-        progress = await self._store.read_row(progress_row(spec.cell, job_id))
-        if progress is not None:
-            job.restore(progress.value)
-        if cancel_row(queue.key, job_id).key in by_key and not job.state.ended:
-            return JobState.CANCELLED
-        if not job.state.ended:
-            self._jobs_to_notify.setdefault(job_id, spec)
-            self._notify_event.set()
-        return job.state
+        """Return the state of a job; only the store can tell that it does not exist.
+
+        :param organisation: organisation of the caller, empty for none
+        """
+        return await self._states.read_state(queue, job_id, timeout_s, organisation)
+
+    def _notify_unfinished(self, spec: JobSpec) -> None:
+        self._jobs_to_notify.setdefault(spec.job_id, spec)
+        self._notify_event.set()
 
     # Cancellations
 
-    async def cancel(self, queue: Queue, job_id: str, timeout_s: float) -> JobAnswer:
-        """Store the cancellation of a job."""
+    async def cancel(
+        self, queue: Queue, job_id: str, timeout_s: float, organisation: str = ""
+    ) -> JobAnswer:
+        """Store the cancellation of a job.
+
+        :param organisation: organisation of the caller, empty for none
+        """
         row = job_row(queue.key, job_id)
         deadline_s = boot_time_s() + timeout_s
         while True:
@@ -233,6 +217,11 @@
                 found = await self._store.read_row(row)
                 if found is None:
                     return JobAnswer(ResultCode.NO_JOB, "no such job")
+                stored = judge_stored(found.value, organisation)
+                if stored == Acceptance.STORED_BY_ANOTHER:
+                    return answer_hidden(job_id, organisation, "cancellation")
+                if stored == Acceptance.UNKNOWN:
+                    return JobAnswer(ResultCode.STATE_UNREADABLE, UNREADABLE_ROW)
                 marker_row = cancel_row(queue.key, job_id)
                 outcome = await self._store.transact(
                     {marker_row: ABSENT}, {marker_row: b"1"}
--- a/src/chivetray/manager_metrics.py
+++ b/src/chivetray/manager_metrics.py
@@ -22,6 +22,12 @@
     Event.JOB_ENDED.name: ("acceptance to completion", "took_s"),
 }
 
+# Limit on the pairs of labels of refusals. Within it, each reason has a pair for the
+# organisations that have none of their own.
+MAX_REFUSAL_LABELS = 50
+MAX_REFUSAL_REASONS = 10
+OTHER_ORGANISATIONS = "(other)"
+
 # Returns the value of each gauge by the name of the gauge and its subject.
 ReadGauges = Callable[[], Mapping[tuple[str, str], float]]
 
@@ -57,6 +63,13 @@
             ("code",),
             registry=self.registry,
         )
+        self._refusals = Counter(
+            "chivetray_refusals",
+            "Refused calls by reason and organisation of the caller.",
+            ("reason", "organisation"),
+            registry=self.registry,
+        )
+        self._refusal_labels: set[tuple[str, str]] = set()
         self._latencies: dict[str, LatencyHistogram] = {}
         self._read_gauges = read_gauges
         self.registry.register(self)
@@ -81,6 +94,20 @@
         """Count one answer to a caller."""
         self._answers.labels(code).inc()
 
+    def count_refusal(self, reason: str, organisation: str) -> None:
+        """Count one refused call.
+
+        :param reason: one of at most ``MAX_REFUSAL_REASONS``
+        :param organisation: organisation of the caller, empty if it is not known
+        """
+        labels = (reason, organisation)
+        if labels not in self._refusal_labels:
+            if len(self._refusal_labels) < MAX_REFUSAL_LABELS - MAX_REFUSAL_REASONS:
+                self._refusal_labels.add(labels)
+            else:
+                labels = (reason, OTHER_ORGANISATIONS)
+        self._refusals.labels(*labels).inc()
+
     def collect(self) -> Iterator[SummaryMetricFamily | GaugeMetricFamily]:
         """Yield the latencies and the gauges; called by the registry."""
         latencies = SummaryMetricFamily(
--- a/src/chivetray/results.py
+++ b/src/chivetray/results.py
@@ -49,6 +49,24 @@
     NO_JOB = (124, 410, Ran.NO, "No such job exists.")
     STATE_UNREADABLE = (125, 503, Ran.NO, "The job's state cannot be read now.")
     BAD_METHOD = (126, 405, Ran.NO, "The HTTP method is not supported for jobs.")
+    KEY_REFUSED = (
+        127,
+        401,
+        Ran.NO,
+        "The call presents no valid key of an organisation.",
+    )
+    JOB_ID_TAKEN = (
+        128,
+        409,
+        Ran.NO,
+        "The identifier belongs to a job of another organisation.",
+    )
+    TASK_ABOVE_CAP = (
+        129,
+        400,
+        Ran.NO,
+        "A task needs more than the cap of its organisation allows.",
+    )
     BODY_TOO_LARGE = (104, 413, Ran.NO, "The request body is larger than the limit.")
     BUFFERS_FULL = (105, 503, Ran.NO, "The memory for request bodies is in use.")
     QUEUE_FULL = (106, 503, Ran.NO, "The queue of the service is full.")
