--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import os
 import signal
@@ -130,7 +131,12 @@
     # Calls
 
     def call(
-        self, manager: str, method: str, rest: str = "", body: Any = None
+        self,
+        manager: str,
+        method: str,
+        rest: str = "",
+        body: Any = None,
+        key: str = "",
     ) -> tuple[int, dict[str, Any]]:
         """Call a manager as a caller does; status 0 means that it did not answer."""
         url = f"http://{self.manager_address(manager)}:{CALLERS_PORT}{TRY_PREFIX}{rest}"
@@ -141,6 +147,8 @@
             method=method,
             headers={"Host": TRY_HOST, "Content-Type": "application/json"},
         )
+        if key:
+            request.add_header("Authorization", f"Token {key}")
         try:
             with urllib.request.urlopen(request, timeout=5) as answer:
                 return answer.status, json.loads(answer.read() or b"{}")
@@ -149,6 +157,21 @@
         except OSError:
             return 0, {}
 
+    def call_twice(self, manager: str, method: str, body: bytes) -> list[int]:
+        """Call a manager twice over one connection; return the statuses."""
+        address = f"{self.manager_address(manager)}:{CALLERS_PORT}"
+        connection = http.client.HTTPConnection(address, timeout=5)
+        statuses = []
+        for _ in range(2):
+            path = f"{TRY_PREFIX}00000000000000aa"
+            connection.request(method, path, body, {"Host": TRY_HOST})
+            answer = connection.getresponse()
+            answer.read()
+            assert not answer.will_close
+            statuses.append(answer.status)
+        connection.close()
+        return statuses
+
     def pending(self, manager: str) -> int | None:
         status, body = self.call(manager, "GET")
         return body["Pending"] if status == 200 else None
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -5,10 +5,17 @@
 import asyncio
 import json
 import time
+from types import SimpleNamespace
+from typing import Any
 
 import anyio
+import pytest
+from api_helpers import KEY_A, operator_config
+from virtual_loop import virtual_time
 
-from chivetray.cells.configuration import Configuration
+from chivetray.cells.configuration import CONTENT_CALL, Configuration
+from chivetray.organisations.keys import digest_key
+from chivetray.peers.codec import encode_content
 from chivetray.platform.store import Changes, Row, RowId, StoreUnavailableError
 
 
@@ -104,3 +111,109 @@
         store = Feed(config_row(3), Changes([], 0, history_gone=True))
         assert follow(store).version == 3
         assert store.readings == 2
+
+
+class RejectingStore(Feed):
+    """A store that rejects reads, or does not answer them, from some moment on."""
+
+    def __init__(self, row: Row, hangs: bool):
+        super().__init__(row)
+        self.hangs = hangs
+
+    async def read_row(self, _: RowId) -> Row:
+        if self.hangs:
+            await anyio.sleep(60)
+        raise StoreUnavailableError("rejected")
+
+
+class PeerMesh:
+    """A mesh with peers that have versions in force.
+
+    :ivar sent: encoded answers of the peers
+    """
+
+    def __init__(self, **contents: bytes):
+        self.handlers: dict[str, Any] = {}
+        self.peers = dict.fromkeys(contents)
+        self.sent: list[bytes] = []
+        self._peers = {name: make_peer(text) for name, text in contents.items()}
+
+    async def call(self, name: str, kind: str, argument: Any) -> Any:
+        if kind not in self._peers[name].handlers:
+            await anyio.sleep(0.8)
+            return None
+        answer = await self._peers[name].handlers[kind]("m1", argument)
+        self.sent.append(encode_content(answer))
+        return answer
+
+
+def make_peer(content: bytes) -> Any:
+    """Return the mesh of a peer; one of an earlier build if it has no content."""
+    mesh = SimpleNamespace(handlers={})
+    if content:
+        config = Configuration(None, lambda: None)  # type: ignore[arg-type]
+        config.connect(mesh)  # type: ignore[arg-type]
+        config._apply_config(content)
+    return mesh
+
+
+def ask(mesh: PeerMesh, store: Feed, announced: dict[str, int]) -> Configuration:
+    """Hear of versions while the store does not serve; return what is in force."""
+
+    async def main() -> Configuration:
+        config = Configuration(store, lambda: None)  # type: ignore[arg-type]
+        config.connect(mesh)  # type: ignore[arg-type]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(config.run)
+            await anyio.sleep(1.0)
+            for peer, version in announced.items():
+                config.note_peer_version(version, peer)
+            # A heartbeat may take 1.2 s of the 3 s to a manager without cells.
+            await anyio.sleep(1.8)
+            tasks.cancel_scope.cancel()
+        return config
+
+    with virtual_time() as loop:
+        return loop.run_until_complete(main())
+
+
+class TestContentOfAPeer:
+    """A manager that the store rejects kept accepting revoked keys."""
+
+    @pytest.mark.parametrize("hangs", [False, True])
+    def test_it_is_in_force_in_time_and_holds_no_key(self, hangs: bool) -> None:
+        rows = [{"Name": "a", "ApiKeys": ["new-key"]}]
+        mesh = PeerMesh(m2=operator_config(2, Tenants=rows))
+        store = RejectingStore(config_row(1, operator_config(1)), hangs)
+        config = ask(mesh, store, {"m2": 2})
+        assert config.version == 2 and config.current is not None
+        assert config.current.key_owners == {digest_key(b"new-key"): "a"}
+        assert config.revoked_keys[digest_key(KEY_A.encode())] == "a"
+        assert mesh.sent and not any(b"new-key" in sent for sent in mesh.sent)
+
+    def test_peers_that_cannot_send_it_do_not_hold_up_others(self) -> None:
+        mesh = PeerMesh(m2=b"", m3=operator_config(2))
+        store = RejectingStore(config_row(1, operator_config(1)), False)
+        assert ask(mesh, store, {"m2": 2, "m3": 2, "gone": 9}).version == 2
+
+    def test_a_peer_that_is_behind_its_word_changes_nothing(self) -> None:
+        mesh = PeerMesh(m2=operator_config(2))
+        store = RejectingStore(config_row(3, operator_config(3)), False)
+        assert ask(mesh, store, {"m2": 4}).version == 3
+
+    def test_a_row_that_can_be_read_is_not_requested(self) -> None:
+        mesh = PeerMesh(m2=operator_config(2))
+        store = Feed(config_row(2, operator_config(2)))
+        assert ask(mesh, store, {"m2": 2}).version == 2
+        assert not mesh.sent
+
+    def test_content_that_a_peer_has_from_a_peer_is_passed_on(self) -> None:
+        mesh = PeerMesh(m2=operator_config(2))
+        store = RejectingStore(config_row(1, operator_config(1)), False)
+        ask(mesh, store, {"m2": 2})
+        answer = asyncio.run(mesh.handlers[CONTENT_CALL]("m3", 1))
+        assert asyncio.run(mesh.handlers[CONTENT_CALL]("m3", 2)) is None
+        config = Configuration(None, lambda: None)  # type: ignore[arg-type]
+        config._apply_config(answer)
+        assert config.version == 2 and config.current is not None
+        assert config.current.key_owners[digest_key(KEY_A.encode())] == "a"
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 from typing import Any
 
 import pytest
+from api_helpers import KEY_A, operator_config
 
 from chivetray.cells.store_access import StoreAccess
 from chivetray.generated.messages import NodeHeartbeat
@@ -18,6 +20,7 @@
     RowId,
     StoreUnavailableError,
 )
+from chivetray.platform.stored_records import decode_config
 
 ROW = RowId("jobs", "q", "k")
 
@@ -116,3 +119,21 @@
         with pytest.raises(StoreUnavailableError):
             asyncio.run(store.read("jobs", "q"))
         assert not store.is_served
+
+
+class TestRelayedConfiguration:
+    def test_no_key_crosses_the_stream_of_a_peer(self) -> None:
+        """The row holds the keys in plain text, and was relayed as it is."""
+        content = operator_config(7)
+        value = base64.b64encode(content).decode()
+        row = {"Table": "op", "part": "", "Key": "config", "Ver": 9, "Value": value}
+        served = Answer(200, {"rows": [row], "Ver": 9})
+        peer, _, _ = access(served, None)
+        call = ["GET", "/chivetray/rows-get?Table=op", None, 1.0]
+        reply = asyncio.run(peer._serve_peer("m1", call))
+        relayed = base64.b64decode(reply[2]["rows"][0]["Value"])
+        assert KEY_A.encode() not in relayed and KEY_A not in str(reply)
+        store, _, _ = access(NotSent("x"), reply)
+        found = asyncio.run(store.read_row(RowId("op", "", "config")))
+        assert found is not None
+        assert decode_config(found.value) == decode_config(content)
