--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -297,6 +297,7 @@
         directory.scanned_version = 0
         directory._workers = directory._advice = None  # type: ignore[assignment]
         directory.longest_lease_s = 7.0
+        directory.longest_list_age_s = 60.0
         directory.has_vm_orders = False
         directory._workers_of = lambda _: []  # type: ignore[method-assign]
         directory._load_jobs = load_jobs  # type: ignore[method-assign]
