Move long-running tasks off VMs that await maintenance

Few of them may leave at a time, so they once kept their VMs, reserved one after another, until the end of the wave. They now leave from its start, while the VMs go on serving other tasks, and start on such VMs only where no other has room. A pool without room for them gets another VM.

--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -31,6 +31,11 @@
 # checkpoint; after that the task ends where it runs or is stopped after the grace.
 EVACUATIONS_LIMIT = 2
 
+# Shortest time for which a long-running task runs before it is moved from a VM that a
+# wave takes down later. If other tasks take the room that was found for it, it may
+# start on another such VM.
+RELOCATION_INTERVAL_S = 5.0
+
 # Unavailable tasks that one log line lists at most.
 MAX_LISTED_TASKS = 20
 
@@ -49,18 +54,22 @@
     worker_ids: Iterable[str],
     now_s: float,
     uncertain_ids: Iterable[str] = (),
+    awaiting_ids: Iterable[str] = (),
 ) -> None:
     """Reserve workers, so that nothing new is placed there; release all others.
 
     :param uncertain_ids: workers for whose VM an order of an earlier holder of VM
         orders may be carried out
+    :param awaiting_ids: workers whose VM a wave has still to take down
     """
     state.vm_requests_at_s = now_s
     reserved_ids = set(worker_ids)
-    uncertain_ids = set(uncertain_ids)
+    uncertain_ids, awaiting_ids = set(uncertain_ids), set(awaiting_ids)
     for worker in state.workers.values():
         is_uncertain = worker.worker_id in uncertain_ids
         worker.vm_order_until_s = now_s + RESERVATION_S if is_uncertain else 0.0
+        is_awaiting = worker.worker_id in awaiting_ids
+        worker.maintenance_until_s = now_s + RESERVATION_S if is_awaiting else 0.0
         if worker.worker_id in reserved_ids:
             if not worker.is_reserved(now_s):
                 worker.reserved_since_s = now_s
@@ -80,7 +89,11 @@
 
 
 def evacuate(state: CellState, now_s: float) -> None:
-    """Stop movable tasks on draining and reserved workers; they restart elsewhere."""
+    """Stop movable tasks on draining and reserved workers; they restart elsewhere.
+
+    Long-running tasks also leave workers whose VM awaits maintenance: few may leave at
+    a time, and the worker serves others meanwhile.
+    """
     for worker in state.workers.values():
         reserved = worker.is_reserved(now_s)
         if not reserved and not worker.draining:
@@ -95,9 +108,11 @@
             if step.best_effort and not is_limited:
                 movable = True
             elif step.long_running:
+                # On another VM that awaits maintenance it would soon be stopped again.
+                stays_up = worker.awaits_maintenance(now_s) and not overdue
                 movable = worker.draining or (
                     can_interrupt_task(state, job, task, step, now_s)
-                    and has_room(state, job, task, now_s)
+                    and has_room(state, job, task, now_s, stays_up)
                 )
             else:
                 is_spared = task.evacuations >= EVACUATIONS_LIMIT
@@ -105,15 +120,55 @@
                     overdue or (step.checkpointing and not is_spared)
                 )
             if movable:
-                task.evacuations += 1
-                if step.long_running:
-                    fields = _describe_step(state, worker, job, task, step, now_s)
-                    log_event(Event.TASK_EVACUATED, **fields)
-                state.stop_task(job, task, StopReason.EVACUATION)
+                _stop(state, worker, job, task, step, now_s)
+    for worker in state.workers.values():
+        is_serving = not worker.is_reserved(now_s) and not worker.draining
+        if is_serving and worker.awaits_maintenance(now_s):
+            _relocate_long_running(state, worker, now_s)
+
+
+def _relocate_long_running(state: CellState, worker: WorkerState, now_s: float) -> None:
+    """Stop long-running tasks for which a worker has room that stays up."""
+    if worker.silent_since_s:
+        return
+    for ref, step in list(worker.tasks.items()):
+        if not step.long_running or step.best_effort or step.gang:
+            continue
+        found = state.find_newest_attempt(worker, ref)
+        if found is None or found[1].phase != Phase.RUNNING:
+            continue
+        job, task = found
+        is_settled = now_s - task.running_at_s >= RELOCATION_INTERVAL_S
+        if (
+            is_settled
+            and has_room(state, job, task, now_s, stays_up=True)
+            and can_interrupt_task(state, job, task, step, now_s)
+        ):
+            _stop(state, worker, job, task, step, now_s)
+
+
+def _stop(
+    state: CellState,
+    worker: WorkerState,
+    job: Job,
+    task: Task,
+    step: Step,
+    now_s: float,
+) -> None:
+    task.evacuations += 1
+    if step.long_running:
+        fields = _describe_step(state, worker, job, task, step, now_s)
+        log_event(Event.TASK_EVACUATED, **fields)
+    state.stop_task(job, task, StopReason.EVACUATION)
 
 
-def has_room(state: CellState, job: Job, task: Task, now_s: float) -> bool:
-    """Return whether a worker other than a task's own could take the task now."""
+def has_room(
+    state: CellState, job: Job, task: Task, now_s: float, stays_up: bool = False
+) -> bool:
+    """Return whether a worker other than a task's own could take the task now.
+
+    :param stays_up: whether only workers count whose VM awaits no maintenance
+    """
     occurrence, step_number, _ = task.key
     step = job.spec.steps[step_number]
     others = [
@@ -129,10 +184,25 @@
         and not worker.isolated_for
         and worker.accepts_tasks(now_s)
         and worker.may_run(step, now_s)
+        and not (stays_up and worker.awaits_maintenance(now_s))
     ]
     return choose_worker(step, candidates, set(), tasks_per_worker, {}) is not None
 
 
+def is_budget_left(
+    state: CellState, job: Job, task: Task, step: Step, now_s: float
+) -> bool:
+    """Return whether recent reports allow that a long-running task is stopped."""
+    occurrence, step_number, _ = task.key
+    others = [t for t in job.step_tasks(occurrence, step_number) if t is not task]
+    recent = [
+        other
+        for other in others
+        if _is_at_work(state, other) and now_s - other.listed_at_s < MAX_REPORT_AGE_S
+    ]
+    return len(others) - len(recent) < max(1, step.max_unavailable)
+
+
 def can_interrupt_task(
     state: CellState, job: Job, task: Task, step: Step, now_s: float
 ) -> bool:
@@ -141,14 +211,12 @@
     One task of its step may always be unavailable, and up to
     ``max_unavailable`` at once. If old reports prevent that, newer ones are requested.
     """
+    if is_budget_left(state, job, task, step, now_s):
+        return True
     occurrence, step_number, _ = task.key
     others = [t for t in job.step_tasks(occurrence, step_number) if t is not task]
-    max_unavailable = max(1, step.max_unavailable)
     at_work = [other for other in others if _is_at_work(state, other)]
-    recent = [t for t in at_work if now_s - t.listed_at_s < MAX_REPORT_AGE_S]
-    if len(others) - len(recent) < max_unavailable:
-        return True
-    if len(others) - len(at_work) < max_unavailable:
+    if len(others) - len(at_work) < max(1, step.max_unavailable):
         for other in at_work:
             worker = state.workers[other.worker]
             worker.reports_wanted_until_s = now_s + REPORTS_WANTED_S
--- a/src/chivetray/cells/load.py
+++ b/src/chivetray/cells/load.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from chivetray.cells.evacuation import has_room
+from chivetray.cells.evacuation import has_room, is_budget_left
 from chivetray.cells.isolation import count_wanted_workers
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import WorkerState
@@ -30,6 +30,11 @@
     :ivar tasks_known: whether a poll by the owner has shown which tasks run on it
     :ivar empties_in_ms: expected time until its tasks have ended, ``None`` if one of
         them does not end
+    :ivar long_running: number of its long-running tasks
+    :ivar budget_used: whether no long-running task may be stopped there, since as many
+        others of their steps are unavailable as allowed
+    :ivar silent: whether its last call was not answered
+    :ivar listed: whether the list of workers has it
     """
 
     worker_id: str
@@ -39,6 +44,10 @@
     usable: bool
     tasks_known: bool
     empties_in_ms: int | None = None
+    long_running: int = 0
+    budget_used: bool = False
+    silent: bool = False
+    listed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +59,7 @@
     :ivar waiting_milli_s: CPU time that the waiting tasks of jobs are expected to need
         that can meet their objective, in thousandths of a core-second
     :ivar arriving_milli: CPU that keeps up with the rate at which jobs arrive
-    :ivar workers: usage of the listed workers
+    :ivar workers: usage of the workers that are listed, reserved or have tasks
     :ivar required_workers: number of workers that the cell should have at least,
         whatever its demand; those that take no tasks for an unknown time included
     :ivar late_used_milli: CPU allocated to tasks of jobs whose objective has passed
@@ -95,9 +104,13 @@
             worker.accepts_tasks(now_s),
             worker.tasks_known,
             _empties_in_ms(state, worker, now_s),
+            sum(step.long_running for step in worker.tasks.values()),
+            _is_budget_used(state, worker, now_s),
+            bool(worker.silent_since_s),
+            worker.listed,
         )
         for worker in state.workers.values()
-        if worker.listed
+        if worker.listed or worker.is_reserved(now_s) or worker.tasks
     ]
     used_milli = sum(worker.used_cpu_milli for worker in state.workers.values())
     used_milli += _isolation_milli(state)
@@ -106,6 +119,8 @@
     required_workers = min(
         usable_count + 1, _workers_for_blocked_tasks(state, now_s, now_ms)
     )
+    if _lacks_room_for_relocation(state, now_s):
+        required_workers = usable_count + 1
     if required_workers:
         required_workers += _count_unavailable_workers(state)
     return CellLoad(
@@ -162,6 +177,19 @@
     return int(ends_in_s * 1000)
 
 
+def _is_budget_used(state: CellState, worker: WorkerState, now_s: float) -> bool:
+    """Return whether no long-running task of a worker may be stopped now."""
+    is_lasting = False
+    for ref, step in worker.tasks.items():
+        job, task = state.find_task(ref)
+        if not step.long_running or job is None or task is None:
+            continue
+        if is_budget_left(state, job, task, step, now_s):
+            return False
+        is_lasting = True
+    return is_lasting
+
+
 def _count_unavailable_workers(state: CellState) -> int:
     """Return how many listed workers take no tasks, for an unknown time."""
     return sum(
@@ -195,6 +223,25 @@
     return required
 
 
+def _lacks_room_for_relocation(state: CellState, now_s: float) -> bool:
+    """Return whether a long-running task can leave no VM that awaits maintenance.
+
+    Idle VMs leave a pool, so that it may have no room although its demand is low.
+    """
+    for worker in state.workers.values():
+        if not worker.awaits_maintenance(now_s) or worker.silent_since_s:
+            continue
+        for ref, step in worker.tasks.items():
+            if not step.long_running or step.best_effort or step.gang:
+                continue
+            job, task = state.find_task(ref)
+            if job is None or task is None or task.phase != Phase.RUNNING:
+                continue
+            if not has_room(state, job, task, now_s, stays_up=True):
+                return True
+    return False
+
+
 def _workers_for_step(state: CellState, step: Step) -> int:
     """Return how many workers like those of the cell can run all tasks of a step."""
     tasks_per_worker = [
--- a/src/chivetray/cells/placing.py
+++ b/src/chivetray/cells/placing.py
@@ -138,6 +138,12 @@
         is_suspect = any(task.suspect for task in tasks)
         workers = workers_for(state, job_id, is_suspect, workers)
         return place_gang(state, job, step, tasks, workers, now_s)
+    # A long-running task that starts there would be moved again.
+    awaiting = {
+        worker.worker_id
+        for worker in workers
+        if step.long_running and worker.awaits_maintenance(now_s)
+    }
     placements = []
     open_workers = workers_for(state, job_id, False, workers)
     for task in tasks:
@@ -150,7 +156,11 @@
             copy_workers = set(task.copies.values())
             candidates = [w for w in candidates if w.worker_id not in copy_workers]
         chosen = choose_worker(
-            step, candidates, task.avoided_workers, tasks_per_worker, tasks_per_rack
+            step,
+            candidates,
+            task.avoided_workers | awaiting,
+            tasks_per_worker,
+            tasks_per_rack,
         )
         if chosen is None:
             if task.copies or task.suspect:
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -59,6 +59,8 @@
     :ivar answered_poll_sent_at_s: send time of the last poll with an answer
     :ivar reports_wanted_until_s: time until which polls are short, since a decision
         needs recent reports
+    :ivar maintenance_until_s: time until which the VM counts as one that a wave has
+        still to take down; long-running tasks leave it, and come here last
     :ivar vm_order_until_s: time until which an order for the VM may be carried out that
         was given by an earlier holder of VM orders, or by a report of an earlier owner
     :ivar isolated_for: job whose suspected tasks the worker is kept free for, empty for
@@ -101,6 +103,7 @@
     unhealthy_until_s: float = 0.0
     reserved_until_s: float = 0.0
     reserved_since_s: float = 0.0
+    maintenance_until_s: float = 0.0
     vm_order_until_s: float = 0.0
     idle_since_s: float = 0.0
     answered_poll_sent_at_s: float = 0.0
@@ -158,6 +161,10 @@
         """Return whether the VM is being evacuated for an order to the platform."""
         return now_s < self.reserved_until_s
 
+    def awaits_maintenance(self, now_s: float) -> bool:
+        """Return whether a wave has still to take the VM down."""
+        return now_s < self.maintenance_until_s
+
     def accepts_tasks(self, now_s: float) -> bool:
         """Return whether new tasks may be placed on the worker."""
         if not (self.listed and self.tasks_known and self.clock.known):
