Plan maintenance waves backwards from their end

VMs that could not leave held slots too, and the next VM of a slot was emptied only when the slot was free.

choose_vms is replaced by plan_wave; its tests check the same on the chosen VMs.

--- a/src/chivetray/capacity/reports.py
+++ b/src/chivetray/capacity/reports.py
@@ -19,7 +19,7 @@
 
 # Name of the call, with the version of its arguments and reply. A process of another
 # release does not answer it, and no VM order is based on its cells.
-CAPACITY_CALL = "capacity/3"
+CAPACITY_CALL = "capacity/4"
 
 # Age, counted from its request, up to which a report proves that a worker is empty. The
 # owner keeps the worker empty for ``RESERVATION_S`` after the request, by which an
@@ -29,7 +29,14 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerReport:
-    """Load of one worker, as reported by the owner of its cell."""
+    """Load of one worker, as reported by the owner of its cell.
+
+    :ivar long_running: number of its long-running tasks
+    :ivar budget_used: whether no long-running task may be stopped there, since as many
+        others of their steps are unavailable as allowed
+    :ivar silent: whether its last call was not answered
+    :ivar listed: whether the list of workers has it
+    """
 
     tasks: int
     used_milli: int
@@ -37,6 +44,10 @@
     usable: bool
     tasks_known: bool = True
     empties_in_ms: int | None = None
+    long_running: int = 0
+    budget_used: bool = False
+    silent: bool = False
+    listed: bool = True
 
 
 @dataclass(slots=True)
@@ -87,6 +98,7 @@
 
     :ivar cells: newest report by cell; missing if the owner did not answer
     :ivar holder_epoch: epoch of this process as holder of the fleet duty
+    :ivar awaiting_maintenance: workers by cell whose VMs a wave has still to take down
     :param on_arrivals: called when VMs are on their way to a cell of this process
     """
 
@@ -95,6 +107,7 @@
     ):
         self.cells: dict[str, CellReport] = {}
         self.holder_epoch = 0
+        self.awaiting_maintenance: dict[str, list[str]] = {}
         self._highest_holder_epoch = 0
         self._epochs: dict[str, int] = {}
         self._mesh = mesh
@@ -121,6 +134,7 @@
                 arriving_count = arriving.get(cell, 0)
                 argument = [cell, reserved_workers, arriving_count, self.holder_epoch]
                 argument.append(uncertain_workers or [])
+                argument.append(self.awaiting_maintenance.get(cell, []))
                 tasks.start_soon(self._request_report, cell, argument)
 
     async def _request_report(self, cell: str, argument: list[Any]) -> None:
@@ -160,7 +174,8 @@
         self.cells[cell] = report
 
     async def _handle_request(self, _peer: str, argument: Any) -> Any:
-        cell, reserved_workers, arriving, holder_epoch, uncertain_workers = argument
+        cell, reserved_workers, arriving, holder_epoch, uncertain_workers = argument[:5]
+        awaiting_maintenance = argument[5]
         if holder_epoch < self._highest_holder_epoch:
             # A process that has lost the duty would release the workers that the
             # holder has reserved.
@@ -170,8 +185,14 @@
         if owner is None or owner.leaving:
             return None
         now_s = boot_time_s()
-        reserve_workers(owner.state, reserved_workers, now_s, uncertain_workers)
-        if reserved_workers:
+        reserve_workers(
+            owner.state,
+            reserved_workers,
+            now_s,
+            uncertain_workers,
+            awaiting_maintenance,
+        )
+        if reserved_workers or awaiting_maintenance:
             owner.wake()
         if arriving:
             self._on_arrivals()
@@ -189,6 +210,10 @@
                     worker.usable,
                     worker.tasks_known,
                     worker.empties_in_ms,
+                    worker.long_running,
+                    worker.budget_used,
+                    worker.silent,
+                    worker.listed,
                 ]
                 for worker in load.workers
             ],
--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -21,7 +21,8 @@
     forecast_demand,
 )
 from chivetray.capacity.vm_requests import VmRequests
-from chivetray.capacity.wave_runner import MaintenanceOrder, WaveRunner
+from chivetray.capacity.wave_progress import MaintenanceOrder
+from chivetray.capacity.wave_runner import WaveRunner
 from chivetray.cells.configuration import Configuration
 from chivetray.cells.directory import CellDirectory
 from chivetray.cells.owner import CellOwner
@@ -145,9 +146,9 @@
             return
         by_name = {machine.name: machine for machine in self._machines}
         standby = self._standby_pools()
-        # A VM that empties for a pool that lacks it is maintained after its move.
-        leaving = {n for n in by_name if n in self._moves or n in self._requests}
-        maintenance = self._waves.plan(by_name, standby, leaving)
+        # A VM that empties for a pool that lacks it is maintained after its move. If
+        # the wave would be late, it claims the VM, and the request is withdrawn.
+        maintenance = self._waves.plan(by_name, standby, self._moves, self._requests)
         moves = await self._plan_moves(sorted(standby))
         await self._send_orders(owner, maintenance, moves)
 
@@ -284,7 +285,7 @@
             elif machine.pool in pools and movable:
                 # A VM that a wave empties is no capacity: its pool gets another first.
                 worker_report = self._reports.worker(machine)
-                if worker_report is None:
+                if worker_report is None or not worker_report.listed:
                     continue
                 vm = PoolVm(
                     machine.name,
@@ -296,6 +297,8 @@
                     worker_report.empties_in_ms,
                 )
                 pools[machine.pool].vms.append(vm)
+        # A VM that a wave has still to take down would have to be emptied again.
+        spares.sort(key=lambda vm: self._waves.awaits(vm.machine))
         for cell, pool in pools.items():
             report = self._reports.cells[cell]
             demand_milli = forecast_demand(
--- a/src/chivetray/capacity/wave_runner.py
+++ b/src/chivetray/capacity/wave_runner.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import math
+from collections import defaultdict
 from collections.abc import Container, Iterable
-from dataclasses import dataclass, field
 
 import msgpack
 
 from chivetray.capacity.maintenance import (
-    PendingVm,
-    PoolCapacity,
-    choose_vms,
+    EMPTYING_LEAD_S,
+    WavePlan,
     find_vms_under_way,
+    plan_wave,
 )
 from chivetray.capacity.moves import WORKER_UNLISTED_AFTER_S
 from chivetray.capacity.recent_orders import (
@@ -22,8 +22,10 @@
     TIME_MARGIN_S,
     RecentOrders,
 )
-from chivetray.capacity.reports import CellReports, OrderBasis
-from chivetray.capacity.sizing import BACKLOG_DRAIN_S
+from chivetray.capacity.reports import CellReports
+from chivetray.capacity.wave_inputs import describe_vm, measure_pools
+from chivetray.capacity.wave_progress import MaintenanceOrder, WaveProgress
+from chivetray.capacity.wave_waits import WaitReason
 from chivetray.cells.configuration import Configuration
 from chivetray.cells.owner import CellOwner
 from chivetray.clocks import boot_time_s, wall_time_ms
@@ -37,39 +39,9 @@
     VmOrderOutcome,
 )
 
-
-@dataclass(slots=True)
-class WaveProgress:
-    """Progress of one wave.
-
-    :ivar done: VMs whose maintenance the platform has accepted
-    :ivar ordered_at_s: latest time at which this holder's last order for a VM may have
-        been carried out, for each VM that got one
-    :ivar unanswered: VMs whose order has no answer; it is sent again until it has one
-        or the list of VMs shows its effect
-    :ivar version: version of the stored row
-    :ivar stored: size of ``done`` in the stored row, -1 if the row must be written
-    :ivar announced: whether the status of the wave was published
-    """
-
-    started_ms: int
-    done: set[str] = field(default_factory=set)
-    ordered_at_s: dict[str, float] = field(default_factory=dict)
-    unanswered: set[str] = field(default_factory=set)
-    version: int = 0
-    stored: int = -1
-    completed: bool = False
-    announced: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class MaintenanceOrder:
-    """An order for one VM of a wave, and the report that it is decided on."""
-
-    wave: Wave
-    progress: WaveProgress
-    vm: PlatformVm
-    basis: OrderBasis
+# Time for which a VM whose order was refused gets none. The platform refuses orders for
+# a VM that moves, and the list that shows it may be 0.3 s old.
+REFUSED_ORDER_PAUSE_S = 0.6
 
 
 class WaveRunner:
@@ -96,6 +68,7 @@
         self._maintenance_s = maintenance_s
         self._by_name: dict[str, PlatformVm] = {}
         self._standby: set[str] = set()
+        self._awaiting: set[str] = set()
         self._listed_until_s: dict[str, float] = {}
         self._progress_by_key: dict[str, WaveProgress] = {}
 
@@ -138,11 +111,16 @@
             for progress in self._progress_by_key.values()
         )
 
+    def awaits(self, vm: str) -> bool:
+        """Return whether a wave has still to take a VM down."""
+        return vm in self._awaiting
+
     def plan(
         self,
         by_name: dict[str, PlatformVm],
         standby: set[str],
         moving: Container[str],
+        requested: Container[str] = (),
     ) -> list[MaintenanceOrder]:
         """Return the maintenance orders of one round.
 
@@ -150,10 +128,14 @@
 
         :param by_name: all VMs
         :param standby: pools in which no tasks run
-        :param moving: VMs that are or will be on their way to another pool
+        :param moving: VMs that are or may be on their way to another pool
+        :param requested: VMs that will move to another pool once they are empty; one
+            that is due is taken for the wave
         """
         self._by_name, self._standby = by_name, standby
         emptying: dict[str, str] = {}
+        awaiting: defaultdict[str, list[str]] = defaultdict(list)
+        self._awaiting = set()
         orders = []
         for key, wave in list(self._configuration.waves.items()):
             progress = self._progress_by_key.setdefault(
@@ -161,28 +143,65 @@
             )
             if progress.completed:
                 continue
-            _settle_orders(progress, by_name)
-            chosen = self._choose_vms(wave, progress, by_name, standby, moving)
-            emptying |= {name: by_name[name].worker_id for name in chosen}
-            for name in chosen:
-                under_way = self._find_under_way(wave, progress, by_name)
-                if len(under_way | {name}) > wave.cap:
-                    continue
-                machine = by_name[name]
-                if name in moving or not self._reports.is_empty(machine, standby):
+            progress.settle_orders(by_name)
+            longest_s = self._maintenance_s + TIME_MARGIN_S
+            progress.end_maintenances(by_name, boot_time_s(), longest_s)
+            plan = self._plan_wave(wave, progress, moving, requested)
+            emptying |= {name: by_name[name].worker_id for name in plan.vms}
+            for name in plan.vms:
+                if name not in plan.waits:
+                    order = self._decide_order(wave, progress, by_name[name], plan)
+                    orders += [order] if order else []
+            for name in wave.machines:
+                vm = by_name.get(name)
+                if vm is None or name in progress.done:
                     continue
-                if machine.pool not in standby and name not in self.emptying:
-                    # The owner must learn of the reservation first.
-                    continue
-                progress.ordered_at_s[name] = boot_time_s()
-                basis = self._reports.basis(machine.pool, machine.worker_id)
-                orders.append(MaintenanceOrder(wave, progress, machine, basis))
+                self._awaiting.add(name)
+                if vm.worker_id:
+                    awaiting[vm.pool].append(vm.worker_id)
+            self._record_waits(wave, progress, plan)
         self.emptying = {n: w for n, w in emptying.items() if n in by_name}
+        self._reports.awaiting_maintenance = dict(awaiting)
         return orders
 
-    def _find_under_way(
-        self, wave: Wave, progress: WaveProgress, by_name: dict[str, PlatformVm]
-    ) -> set[str]:
+    def _decide_order(
+        self, wave: Wave, progress: WaveProgress, vm: PlatformVm, plan: WavePlan
+    ) -> MaintenanceOrder | None:
+        """Return the order for a VM, or note what it waits for."""
+        if len(self._find_under_way(wave, progress) | {vm.name}) > wave.cap:
+            plan.waits[vm.name] = WaitReason.CAP
+            return None
+        is_reserved = vm.pool in self._standby or vm.name in self.emptying
+        if not is_reserved or not self._reports.is_empty(vm, self._standby):
+            # The owner must learn of the reservation first.
+            plan.waits[vm.name] = WaitReason.BUSY
+            return None
+        progress.ordered_at_s[vm.name] = boot_time_s()
+        basis = self._reports.basis(vm.pool, vm.worker_id)
+        return MaintenanceOrder(wave, progress, vm, basis)
+
+    def _record_waits(self, wave: Wave, progress: WaveProgress, plan: WavePlan) -> None:
+        """Record what VMs wait for, and log those that are late."""
+        now_s = boot_time_s()
+        under_way = self._find_under_way(wave, progress)
+        waits = plan.waits | dict.fromkeys(under_way, WaitReason.MAINTENANCE)
+        progress.waits.record(waits, now_s)
+        late_s = -self._time_left_s(wave, progress)
+        if late_s > 0:
+            left = [
+                name
+                for name in wave.machines
+                if name in self._by_name
+                and (name not in progress.done or name in under_way)
+            ]
+            progress.waits.log_late(wave.number, left, late_s)
+
+    @staticmethod
+    def _time_left_s(wave: Wave, progress: WaveProgress) -> float:
+        return wave.duration_s - (wall_time_ms() - progress.started_ms) / 1000
+
+    def _find_under_way(self, wave: Wave, progress: WaveProgress) -> set[str]:
+        by_name = self._by_name
         states = {n: by_name[n].state for n in wave.machines if n in by_name}
         now_s = boot_time_s()
         # The list may not yet show the effect of an earlier holder's last orders.
@@ -191,52 +210,56 @@
         maintenance_s = self._maintenance_s + TIME_MARGIN_S
         return find_vms_under_way(states, ordered_at_s, now_s, maintenance_s)
 
-    def _choose_vms(
+    def _plan_wave(
         self,
         wave: Wave,
         progress: WaveProgress,
-        by_name: dict[str, PlatformVm],
-        standby: set[str],
         moving: Container[str],
-    ) -> list[str]:
+        requested: Container[str],
+    ) -> WavePlan:
+        now_s = boot_time_s()
         pending = []
         for name in wave.machines:
-            machine = by_name.get(name)
-            if machine is None or name in progress.done:
+            vm = self._by_name.get(name)
+            if vm is None or name in progress.done:
                 continue
-            report = self._reports.worker(machine)
-            up = machine.state == PlatformVmState.UP and name not in moving
+            obstacle = None
+            refused_at_s = progress.refused_at_s.get(name, -math.inf)
+            if name in moving or vm.state == PlatformVmState.MOVING:
+                obstacle = WaitReason.MOVING
+            elif (
+                not self._orders.is_unblocked(name)
+                or now_s - refused_at_s < REFUSED_ORDER_PAUSE_S
+            ):
+                obstacle = WaitReason.ORDER_OPEN
             pending.append(
-                PendingVm(
-                    name,
-                    machine.pool,
-                    up and self._orders.is_unblocked(name),
-                    machine.pool in standby,
-                    report.tasks if report else 0,
-                    machine.cpu_milli,
+                describe_vm(
+                    vm,
+                    self._reports,
+                    self._standby,
+                    obstacle,
+                    name in requested,
+                    now_s - progress.chosen_at_s.get(name, now_s),
                 )
             )
-        pool_capacities = {}
-        for cell, cell_report in self._reports.cells.items():
-            capacity = sum(
-                m.cpu_milli
-                for m in by_name.values()
-                if m.pool == cell
-                and m.name not in self.emptying
-                and m.state == PlatformVmState.UP
-            )
-            waiting_milli = int(cell_report.waiting_milli_s / BACKLOG_DRAIN_S)
-            demand = cell_report.used_milli + waiting_milli
-            pool_capacities[cell] = PoolCapacity(capacity, demand)
-        elapsed_s = (wall_time_ms() - progress.started_ms) / 1000
-        return choose_vms(
+        under_way = self._find_under_way(wave, progress)
+        began_before_s = now_s - self._maintenance_s + EMPTYING_LEAD_S
+        plan = plan_wave(
             pending,
             set(self.emptying),
-            self._find_under_way(wave, progress, by_name),
+            under_way,
             wave.cap,
-            pool_capacities,
-            wave.duration_s - elapsed_s,
+            measure_pools(self._reports.cells, self._by_name, self.emptying),
+            self._time_left_s(wave, progress),
+            self._maintenance_s,
+            sum(
+                progress.ordered_at_s.get(name, math.inf) < began_before_s
+                for name in under_way
+            ),
         )
+        chosen_at_s = progress.chosen_at_s
+        progress.chosen_at_s = {n: chosen_at_s.get(n, now_s) for n in plan.vms}
+        return plan
 
     def withdraw(self, order: MaintenanceOrder) -> None:
         """Withdraw an order that was not sent."""
@@ -279,6 +302,8 @@
             progress.unanswered.discard(name)
             log_event(Event.VM_MAINTAINED, vm=name, wave=wave.number)
         else:
+            if answer != VmOrderOutcome.UNKNOWN:
+                progress.refused_at_s[name] = boot_time_s()
             log_event(
                 Event.VM_ORDER_FAILED,
                 vm=name,
@@ -331,19 +356,3 @@
         version = found.version if found else 0
         outcome = await self._store.transact({row: version}, {row: value})
         return isinstance(outcome, Committed)
-
-
-def _settle_orders(progress: WaveProgress, by_name: dict[str, PlatformVm]) -> None:
-    """Count unanswered orders as accepted if a list of VMs shows their effect.
-
-    A VM is up in the list that an order for it is decided on, so any list that shows it
-    in maintenance is newer.
-    """
-    for name in list(progress.unanswered):
-        vm = by_name.get(name)
-        if vm is None:
-            progress.unanswered.discard(name)
-        elif vm.state == PlatformVmState.MAINTENANCE:
-            progress.unanswered.discard(name)
-            progress.done.add(name)
-            log_event(Event.VM_MAINTAINED, vm=name, answered=False)
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -212,6 +212,10 @@
     VM_ORDER_FAILED = (1672, "An order for a VM was not carried out.")
     MAINTENANCE_WAITS = (1673, "A VM of a wave cannot be taken down yet.")
     MAINTENANCE_COMPLETED = (1674, "All VMs of a wave were maintained.")
+    MAINTENANCE_LATE = (
+        1687,
+        "A VM is not maintained at the end of its wave; names what it waited for.",
+    )
 
     VM_LIST_MISSING = (
         1676,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -5,8 +5,8 @@
 from chivetray.capacity.maintenance import (
     PendingVm,
     PoolCapacity,
-    choose_vms,
     find_vms_under_way,
+    plan_wave,
 )
 from chivetray.capacity.move_plan import Move, plan_moves
 from chivetray.capacity.sizing import (
@@ -111,13 +111,13 @@
     def test_no_more_are_emptied_than_may_be_down(self) -> None:
         pending = [PendingVm(f"m{n}", "a", True, False, 0, 16000) for n in range(9)]
         capacities = {"a": PoolCapacity(16000 * 40, 0)}
-        assert len(choose_vms(pending, set(), {"m9"}, 4, capacities, 100.0)) == 3
+        assert len(plan_wave(pending, set(), {"m9"}, 4, capacities, 100.0).vms) == 3
 
     def test_vms_wait_while_their_pool_is_in_need(self) -> None:
         pending = [PendingVm(f"m{n}", "a", True, False, 5, 16000) for n in range(4)]
         capacities = {"a": PoolCapacity(64000, 60000)}
-        assert choose_vms(pending, set(), set(), 4, capacities, 100.0) == []
-        assert len(choose_vms(pending, set(), set(), 4, capacities, 1.0)) == 4
+        assert plan_wave(pending, set(), set(), 4, capacities, 100.0).vms == []
+        assert len(plan_wave(pending, set(), set(), 4, capacities, 1.0).vms) == 4
 
     def test_standby_vms_come_first(self) -> None:
         pending = [
@@ -125,4 +125,4 @@
             PendingVm("m2", "spare", True, True, 0, 16000),
         ]
         capacities = {"a": PoolCapacity(160000, 0)}
-        assert choose_vms(pending, set(), set(), 1, capacities, 100.0) == ["m2"]
+        assert plan_wave(pending, set(), set(), 1, capacities, 100.0).vms == ["m2"]
--- a/tests/test_vm_order_reports.py
+++ b/tests/test_vm_order_reports.py
@@ -21,7 +21,7 @@
     OrderBasis,
     WorkerReport,
 )
-from chivetray.capacity.wave_runner import MaintenanceOrder, WaveProgress
+from chivetray.capacity.wave_progress import MaintenanceOrder, WaveProgress
 from chivetray.cells.evacuation import RESERVATION_S, reserve_workers
 from chivetray.cells.placing import place_tasks
 from chivetray.cells.state import CellState
