--- a/src/chivetray/capacity/maintenance.py
+++ b/src/chivetray/capacity/maintenance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -34,6 +35,10 @@
 # Time after which a VM that is not empty does not count as the next one in a slot.
 STALLED_AFTER_S = 3.0
 
+# VMs of a pool with long-running tasks that take no other tasks meanwhile. Few of these
+# tasks may leave at a time, so that more VMs would serve nobody for long.
+MAX_LASTING_PER_POOL = 2
+
 # Share of a pool's cores that must stay unused while one of its VMs is emptied, unless
 # the VM is due.
 MIN_FREE_SHARE = 0.15
@@ -201,11 +206,16 @@
     ready = {vm.machine for vm in kept if vm.empty and vm.obstacle is None}
     free_slots = max_down - len(under_way | ready)
     slots_ahead = max_down - len(under_way | holding) + ending_soon
+    lasting = Counter(vm.pool for vm in kept if vm.long_running)
     peaks = {n for n in pool_capacities if choice.free_milli[n] < 0}
     for vm in sorted(candidates, key=lambda vm: _due_order(vm, peaks)):
         if vm.machine not in plan.due or vm.emptying_s == 0:
             continue
-        if vm.is_stalled:
+        if vm.long_running:
+            if lasting[vm.pool] < MAX_LASTING_PER_POOL:
+                lasting[vm.pool] += 1
+                choice.add(vm)
+        elif vm.is_stalled:
             choice.add(vm)
         elif slots_ahead > 0:
             choice.add(vm)
--- a/src/chivetray/cells/load.py
+++ b/src/chivetray/cells/load.py
@@ -119,8 +119,10 @@
     required_workers = min(
         usable_count + 1, _workers_for_blocked_tasks(state, now_s, now_ms)
     )
-    if _lacks_room_for_relocation(state, now_s):
-        required_workers = usable_count + 1
+    required_workers = max(
+        required_workers,
+        min(usable_count + 1, _workers_for_relocation(state, now_s)),
+    )
     if required_workers:
         required_workers += _count_unavailable_workers(state)
     return CellLoad(
@@ -223,14 +225,17 @@
     return required
 
 
-def _lacks_room_for_relocation(state: CellState, now_s: float) -> bool:
-    """Return whether a long-running task can leave no VM that awaits maintenance.
+def _workers_for_relocation(state: CellState, now_s: float) -> int:
+    """Return how many workers suffice for long-running tasks that cannot be moved now.
 
-    Idle VMs leave a pool, so that it may have no room although its demand is low.
+    They are on VMs that await maintenance, and no other worker has room. Idle VMs leave
+    a pool, so that this happens while its demand is low.
     """
+    required = awaiting_count = 0
     for worker in state.workers.values():
         if not worker.awaits_maintenance(now_s) or worker.silent_since_s:
             continue
+        awaiting_count += 1
         for ref, step in worker.tasks.items():
             if not step.long_running or step.best_effort or step.gang:
                 continue
@@ -238,8 +243,8 @@
             if job is None or task is None or task.phase != Phase.RUNNING:
                 continue
             if not has_room(state, job, task, now_s, stays_up=True):
-                return True
-    return False
+                required = max(required, _workers_for_step(state, step))
+    return required + awaiting_count if required else 0
 
 
 def _workers_for_step(state: CellState, step: Step) -> int:
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -291,6 +291,7 @@
                 worker.listed, worker.missing_since_s = False, now_s
             if (
                 not worker.tasks
+                and not worker.is_reserved(now_s)
                 and now_s - worker.missing_since_s > UNLISTED_WORKER_TTL_S
             ):
                 del self.workers[worker_id]
