--- a/tests/test_wave_end.py
+++ b/tests/test_wave_end.py
@@ -40,6 +40,14 @@
         """A pool of low demand once had no VM left that could take them."""
         self.check(play(per_worker=1, peak_per_s=5.0))
 
+    def test_with_a_holder_that_is_lost_in_the_middle(self) -> None:
+        """The next one knows only the rows, and waits for the orders before it."""
+
+        def prepare(fleet: WaveFleet) -> None:
+            fleet.holder_lost_at_s = 8.0
+
+        self.check(play(prepare=prepare))
+
 
 class TestVmThatCannotLeave:
     """It takes no slot of the cap from the others, and the log says why it is late."""
--- a/tests/wave_fleet.py
+++ b/tests/wave_fleet.py
@@ -8,10 +8,11 @@
 from types import SimpleNamespace
 from typing import Any
 
-from test_order_holder import Mesh, Own, Store
+from test_order_holder import Mesh, Own
 from test_vm_requests import MIGRATE_S, STEP_S, Cell, Platform
 from virtual_loop import START_S, virtual_time
 
+from chivetray.capacity.recent_orders import DUTY_TABLE
 from chivetray.capacity.reports import CellReports
 from chivetray.capacity.runner import ROUND_INTERVAL_S, FleetRunner
 from chivetray.cells.evacuation import evacuate
@@ -20,6 +21,7 @@
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event, observe_events
 from chivetray.jobs.model import JobSpec, Phase, Step, Task
+from chivetray.platform.store import Committed, Row, RowId
 from chivetray.platform.stored_records import OperatorConfig, Pool, Wave
 from chivetray.platform.vm_api import PlatformVm, PlatformVmState, VmOrderOutcome
 from chivetray.platform.workers import (
@@ -183,11 +185,30 @@
             cell.set_workers([self._worker(vm) for vm in up])
 
 
+class WaveStore:
+    """The rows of the duty and the status of waves."""
+
+    def __init__(self) -> None:
+        self.rows: dict[RowId, Row] = {}
+
+    async def read(self, *_: object) -> tuple[list[Row], int]:
+        return [row for row in self.rows.values() if row.id.table == DUTY_TABLE], 1
+
+    async def read_row(self, row: RowId) -> Row | None:
+        return self.rows.get(row)
+
+    async def transact(self, _: object, writes: dict[RowId, bytes]) -> Committed:
+        self.rows |= {row: Row(row, value, 1) for row, value in writes.items()}
+        return Committed(1)
+
+
 class WaveFleet:
     """Four cells, a standby pool and the holder of VM orders, with one wave.
 
     :param lasting: long-running tasks in each cell
     :param peak_s: time for which each queue peaks in turn
+    :ivar holder_lost_at_s: time in the wave at which another process begins to take the
+        duty over, which takes 1.5 s
     """
 
     def __init__(
@@ -217,9 +238,9 @@
         self.configuration = SimpleNamespace(
             current=OperatorConfig(1, pools=pools), services=set(self.cells), waves={}
         )
-        store = Store()
-        store.read_row = self._read_row  # type: ignore[attr-defined]
-        self.own = Own(store, {})
+        store = WaveStore()
+        self.own = Own(store, None)  # type: ignore[arg-type]
+        self.holder_lost_at_s: float | None = None
         self.runner = FleetRunner(
             Mesh(),  # type: ignore[arg-type]
             store,  # type: ignore[arg-type]
@@ -234,10 +255,6 @@
         reports = CellReports(Mesh(), directory, lambda: None)  # type: ignore[arg-type]
         self.runner._reports = self.runner._waves._reports = reports
 
-    @staticmethod
-    async def _read_row(_: object) -> None:
-        return None
-
     def _observe(self, event: Event, fields: Any) -> None:
         if event.name == "MAINTENANCE_LATE":
             self.late.append(dict(fields))
@@ -274,7 +291,14 @@
             if boot_time_s() >= next_round_s:
                 next_round_s = boot_time_s() + ROUND_INTERVAL_S
                 self.own.confirmed_at_s = boot_time_s()
+                lost_at_s = self.holder_lost_at_s
+                if lost_at_s is not None and elapsed_s >= BEFORE_S + lost_at_s:
+                    self.holder_lost_at_s = None
+                    await asyncio.sleep(1.5)
+                    self.own.confirmed_at_s = boot_time_s()
+                    await self.runner._begin(self.own)  # type: ignore[arg-type]
                 await self.runner._run_round(self.own)  # type: ignore[arg-type]
+                await self.runner._waves.store_progress(self.own)  # type: ignore[arg-type]
             await asyncio.sleep(STEP_S)
 
 
