--- a/src/chivetray/cells/configuration.py
+++ b/src/chivetray/cells/configuration.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from chivetray.cells.caps import CapRegister
 from chivetray.cells.tables import PART_QUEUE_CHARS
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event, log_event
@@ -35,6 +36,7 @@
     :param on_change: called after a new configuration or a change of a wave
     :ivar current: configuration in force, ``None`` before the first one
     :ivar waves: maintenance waves by the key of their row
+    :ivar caps: last known caps of organisations
     :ivar services: services of all configurations since the start
     """
 
@@ -43,6 +45,7 @@
         self.applied_at_s = 0.0
         self.waves: dict[str, Wave] = {}
         self.services: set[str] = set()
+        self.caps = CapRegister(lambda: self.current)
         self._store = store
         self._on_change = on_change
         self._version = 0
@@ -148,6 +151,7 @@
         self.current = config
         self.applied_at_s = boot_time_s()
         self._queues = sorted(config.queues, key=lambda queue: -len(queue.path_prefix))
+        self.caps.refresh()
         self.services |= {queue.service for queue in config.queues}
         log_event(
             Event.CONFIG_APPLIED, version=config.version, queues=len(config.queues)
--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -9,6 +9,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from chivetray.cells.caps import CapRegister
 from chivetray.cells.evacuation import await_reservations
 from chivetray.cells.loading import (
     CONCURRENT_READS,
@@ -101,6 +102,7 @@
     :param service_of: returns the service that runs the jobs of a queue now, ``None``
         if it is not known
     :param concurrent_reads: pages of rows to read concurrently while cells are loaded
+    :param caps: caps of organisations that the process knows
     :ivar owned_cells: owners of the cells whose jobs are loaded
     :ivar loading_cells: owners of the cells whose jobs are being loaded
     :ivar capacity: capacity of this process in thousandths of a core
@@ -113,6 +115,8 @@
     # Set while a scan is under way.
     _scan_ended: anyio.Event | None = None
 
+    _caps: CapRegister | None = None
+
     def __init__(
         self,
         mesh: Mesh,
@@ -124,6 +128,7 @@
         advice: AdviceClient | None = None,
         service_of: Callable[[str], str | None] = lambda _queue: None,
         concurrent_reads: int = CONCURRENT_READS,
+        caps: CapRegister | None = None,
     ):
         self.owned_cells: dict[str, CellOwner] = {}
         self.loading_cells: dict[str, CellOwner] = {}
@@ -142,6 +147,7 @@
         self._workers_of = workers_of
         self.capacity = capacity
         self._advice = advice
+        self._caps = caps
         self._created_at_s = boot_time_s()
         self._acquiring: set[str] = set()
         self._unclaimed_since_s: dict[str, float] = {}
@@ -379,6 +385,7 @@
             self._workers,
             self._remove_owner,
             self._advice,
+            self._caps,
         )
         cell_owner.confirmed_at_s = acquired_at_s
         cell_owner.longest_lease_s = self.longest_lease_s
--- a/src/chivetray/cells/gangs.py
+++ b/src/chivetray/cells/gangs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from chivetray.cells.cap_use import may_start_gang
 from chivetray.cells.orders import Placement, StopReason
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import WorkerState
@@ -32,6 +33,8 @@
         chosen = _fit_gang(state, job, step, tasks, group)
         if chosen is None:
             continue
+        if not may_start_gang(state, job, step, len(tasks)):
+            return []
         attempt = max(task.attempt for task in tasks)
         checkpoint = next((t.checkpoint for t in tasks if t.checkpoint), "")
         placements = []
--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -124,6 +124,10 @@
             log_event(Event.JOB_REFUSED, job=job_id, reason=error.message)
             return JobAnswer(error.code, error.message)
         row = job_row(queue.key, job_id)
+        fault = self._configuration.caps.find_fault(spec)
+        if fault and not await self._is_stored(row):
+            log_event(Event.JOB_REFUSED, job=job_id, reason=fault)
+            return JobAnswer(ResultCode.BAD_SUBMISSION, fault)
         answer = await self._create(row, encode_spec(spec), timeout_s)
         if answer.code == ResultCode.OK:
             if not answer.message:
@@ -159,6 +163,13 @@
 
     # State
 
+    async def _is_stored(self, row: RowId) -> bool:
+        """Return whether a row exists or may exist."""
+        try:
+            return await self._store.read_row(row) is not None
+        except StoreUnavailableError:
+            return True
+
     async def read_state(
         self, queue: Queue, job_id: str, timeout_s: float
     ) -> JobAnswer:
--- a/src/chivetray/cells/load.py
+++ b/src/chivetray/cells/load.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from chivetray.cells.cap_use import DemandLimit
 from chivetray.cells.evacuation import has_room
 from chivetray.cells.isolation import count_wanted_workers
 from chivetray.cells.state import CellState
@@ -72,6 +73,7 @@
     :param now_ms: time of day in ms since 1970
     """
     waiting_milli_s = {False: 0, True: 0}
+    limit = DemandLimit(state)
     late_used_milli = 0
     for job in state.active.values():
         if job.state.ended:
@@ -81,7 +83,7 @@
             late_used_milli += sum(
                 job.spec.steps[task.key[1]].cpu_milli for task in job.active_tasks()
             )
-        wait_milli_s = _waiting_milli_s(state, job, now_ms)
+        wait_milli_s = _waiting_milli_s(state, job, limit, now_ms)
         if wait_milli_s:
             left_s = remaining_critical_path_s(job, state.times)
             is_late = now_s + left_s > deadline_s and not job.long_running
@@ -119,13 +121,19 @@
     )
 
 
-def _waiting_milli_s(state: CellState, job: Job, now_ms: int) -> int:
-    """Return the CPU time that the waiting tasks of a job are expected to need."""
+def _waiting_milli_s(
+    state: CellState, job: Job, limit: DemandLimit, now_ms: int
+) -> int:
+    """Return the CPU time that the waiting tasks of a job are expected to need.
+
+    Tasks that no cap leaves room for do not count.
+    """
     total = 0
     for occurrence, step_number in job.ready_steps(now_ms):
         step = job.spec.steps[step_number]
         tasks = job.step_tasks(occurrence, step_number)
         count = sum(task.phase == Phase.WAITING for task in tasks)
+        count = limit.count_tasks(job, step, count)
         if count and not step.best_effort:
             run_time_s = state.times.expected_s(job.spec.queue, step.estimate_ms)
             total += int(count * step.cpu_milli * max(MIN_RUN_TIME_S, run_time_s))
@@ -188,6 +196,8 @@
                 for task in job.step_tasks(occurrence, step_number)
                 if task.phase == Phase.WAITING
             ]
+            if not DemandLimit(state).count_tasks(job, step, len(waiting)):
+                continue
             if step.best_effort or not waiting:
                 continue
             if not has_room(state, job, waiting[0], now_s):
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -18,6 +18,7 @@
 
 from chivetray.cells.advice import record_tickets
 from chivetray.cells.cancellations import CancellationWatch
+from chivetray.cells.caps import CapRegister
 from chivetray.cells.evacuation import evacuate
 from chivetray.cells.gangs import stop_broken_gangs
 from chivetray.cells.lease_ends import LeaseEnds
@@ -25,6 +26,7 @@
 from chivetray.cells.orders import StepRef
 from chivetray.cells.placing import place_tasks
 from chivetray.cells.polling import WorkerPoller
+from chivetray.cells.share_keeper import ShareKeeper
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import (
     Ownership,
@@ -106,6 +108,7 @@
     """Owns one cell from its acquisition until it is lost or released.
 
     :param guard_version: version of the owner row, a precondition of all writes
+    :param caps: caps of organisations that the process knows
     :param on_lost: called with the cell's name once the cell is lost or released
     :ivar confirmed_at_s: send time of the last write that proved the ownership
     :ivar cancellations: age of what is known about cancellations
@@ -129,6 +132,7 @@
         workers: WorkerClient,
         on_lost: Callable[[str], None],
         advice: AdviceClient | None = None,
+        caps: CapRegister | None = None,
     ):
         self.state = state
         state.epoch = ownership.epoch
@@ -150,6 +154,9 @@
         self.get_remaining_leases: Callable[[], dict[str, float]] = lambda: (
             state.remaining_leases(boot_time_s())
         )
+        register = caps or CapRegister()
+        self.shares = ShareKeeper(state, ownership.epoch, store, register, self.wake)
+        state.cap_room = self.shares
         self._store = store
         self._wait_log = WaitLog(state)
         self._storing_job_ids: frozenset[str] = frozenset()
@@ -239,6 +246,7 @@
             placements = (
                 place_tasks(self.state, now_s, wall_time_ms()) if may_place else []
             )
+            self.shares.update(task_group)
             if self.cancellations.needs_scan(now_s, bool(placements)):
                 task_group.start_soon(self._refresh_cancellations)
             decision_time_s = boot_time_s() - now_s
--- a/src/chivetray/cells/placing.py
+++ b/src/chivetray/cells/placing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from chivetray.cells.advice import advised_workers
+from chivetray.cells.cap_use import count_within_cap
 from chivetray.cells.gangs import place_gang
 from chivetray.cells.isolation import isolate_workers, workers_for
 from chivetray.cells.orders import Placement
@@ -156,6 +157,9 @@
             if task.copies or task.suspect:
                 continue
             break
+        left = sum(t.phase == Phase.WAITING for t in tasks)
+        if not count_within_cap(state, job, step, left):
+            break
         worker = state.workers[chosen.worker_id]
         placements.append(state.assign(job, task, step, worker, now_s))
         tasks_per_worker[worker.worker_id] = (
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from chivetray.cells.cap_use import CapRoom, may_use_more
 from chivetray.cells.crashes import (
     Loss,
     find_successor,
@@ -84,6 +85,9 @@
     :ivar isolated_worker_ids: workers that are kept free for suspected tasks
     :ivar shared_crashes: attempts blamed together for crashes that nothing explains
     :ivar losses: what ran on silent workers whose leases have expired, by worker id
+    :ivar changed_worker_ids: workers whose tasks have changed since they were counted
+        towards the caps of organisations
+    :ivar cap_room: room of organisations under their caps, ``None`` without caps
     :ivar cached_order_keys: expiry time, number of done steps and sort key of a job,
         by job id
     """
@@ -113,6 +117,8 @@
         self.shared_crashes: deque[list[LostAttempt]] = deque(maxlen=MAX_SHARED_CRASHES)
         self.losses: dict[str, Loss] = {}
         self.cached_order_keys: dict[str, tuple[float, int, tuple[float, ...]]] = {}
+        self.changed_worker_ids: set[str] = set()
+        self.cap_room: CapRoom | None = None
         self._early_cancellations: dict[str, None] = {}
 
     # Jobs
@@ -145,7 +151,8 @@
             self.mean_job_cpu_milli[spec.queue] = mean + SIZE_LEARNING_RATE * (
                 size - mean
             )
-            if is_new and not job.long_running and not spec.repeats:
+            is_arrival = is_new and not job.long_running and not spec.repeats
+            if is_arrival and may_use_more(self, spec):
                 self.arrivals.record(now_s, work_core_s(spec, self.times))
             if is_new and spec.job_id in self._early_cancellations:
                 self.cancel(spec.job_id)
@@ -310,6 +317,7 @@
             known_since_s=now_s,
             longest_lease_s=self._longest_lease_s(),
             lease_end_held=entry.worker_id in self.held_lease_ends_s,
+            changed_ids=self.changed_worker_ids,
         )
         self.workers[entry.worker_id] = worker
         find_successor(self, worker, now_s)
@@ -365,6 +373,7 @@
                         listed=False,
                         longest_lease_s=self._longest_lease_s(),
                         lease_end_held=task.worker in self.held_lease_ends_s,
+                        changed_ids=self.changed_worker_ids,
                     )
                     self.workers[task.worker] = worker
                 elif worker.incarnation > task.incarnation > 0:
--- a/src/chivetray/cells/tables.py
+++ b/src/chivetray/cells/tables.py
@@ -32,6 +32,9 @@
 # Addresses of the manager processes.
 MEMBER_TABLE = "members"
 
+# Shares of the caps of organisations, with one part for each organisation.
+SHARE_TABLE = "shares"
+
 
 def job_row(queue: str, job_id: str) -> RowId:
     """Return the row of an accepted job."""
@@ -79,6 +82,11 @@
     return RowId(MEMBER_TABLE, "", name)
 
 
+def share_row(organisation: str) -> RowId:
+    """Return the row with the shares of an organisation's cap."""
+    return RowId(SHARE_TABLE, organisation, "shares")
+
+
 @dataclass(frozen=True, slots=True)
 class Ownership:
     """Content of the owner row of a cell.
--- a/src/chivetray/cells/waiting.py
+++ b/src/chivetray/cells/waiting.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from chivetray.cells.advice import MIN_TICKET_VALIDITY_S
+from chivetray.cells.cap_use import waits_for_cap
 from chivetray.cells.orders import StepRef
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import PROBE_INTERVAL_S, TaskRef, WorkerState
@@ -82,6 +83,7 @@
     UNLISTED = "worker that is not listed"
     NO_WORKER = "no suitable worker"
     GANG_ROOM = "room for the gang"
+    CAP = "cap"
     NOT_DECIDED = "decision"
 
 
@@ -446,6 +448,8 @@
     obstacles = {reason.value: count for reason, count in counts.items()}
     if is_free:
         reason = WaitReason.GANG_ROOM if step.gang else WaitReason.NOT_DECIDED
+        if waits_for_cap(state, job, step):
+            reason = WaitReason.CAP
         return Wait(reason, obstacles=obstacles)
     passing = [r for r in counts if r not in (*_WITHOUT_ROOM, WaitReason.NO_WORKER)]
     if passing:
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -69,6 +69,7 @@
         they run on beside the one task of a quarantined worker
     :ivar probed_at_s: time of the last placement while in quarantine
     :ivar tasks: steps of the tasks that hold resources, by task
+    :ivar changed_ids: receives the id of this worker when its tasks change
     """
 
     worker_id: str
@@ -112,6 +113,7 @@
     probed_at_s: float = 0.0
     clock: RemoteClock = field(default_factory=RemoteClock)
     tasks: dict[TaskRef, Step] = field(default_factory=dict)
+    changed_ids: set[str] = field(default_factory=set)
     used_cpu_milli: int = 0
     used_mem_mb: int = 0
     used_gpu: int = 0
@@ -221,6 +223,7 @@
         if held is not None:
             self._change_usage(held, -1)
         self.tasks[ref] = step
+        self.changed_ids.add(self.worker_id)
         self._change_usage(step, 1)
 
     def suspend(self, ref: TaskRef) -> None:
@@ -234,6 +237,7 @@
         """Free the resources of a task."""
         step = self.tasks.pop(ref, None)
         self.exempt_tasks.discard(ref)
+        self.changed_ids.add(self.worker_id)
         if step is not None:
             self._change_usage(step, -1)
             if not self.tasks:
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -224,6 +224,15 @@
         "core.",
     )
 
+    SHARE_TAKEN = (1720, "A cell has taken or claimed a share of a cap.")
+    SHARE_GIVEN_BACK = (
+        1721,
+        "A cell gives back a share of a cap that it does not use.",
+    )
+    SHARE_LACKING = (1722, "Tasks wait for a share of a cap that other cells hold.")
+    SHARE_CALL_FAILED = (1723, "The shares of a cap could not be read or changed.")
+    CAP_CHANGED = (1724, "An owner follows another cap of an organisation.")
+
     INVARIANT_BROKEN = (1900, "An invariant does not hold; this is a defect.")
 
     def __init__(self, number: int, meaning: str):
@@ -251,6 +260,8 @@
         Event.COMMIT_FAILED,
         Event.CONFIG_SILENT,
         Event.MAINTENANCE_WAITS,
+        Event.SHARE_CALL_FAILED,
+        Event.SHARE_LACKING,
         Event.STORE_LOST,
         Event.VM_LIST_MISSING,
     }
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -15,6 +15,7 @@
 from chivetray.cells.configuration import Configuration
 from chivetray.cells.directory import CellDirectory
 from chivetray.cells.job_service import JobService
+from chivetray.cells.share_metrics import read_share_gauges
 from chivetray.cells.store_access import StoreAccess
 from chivetray.cells.tables import MEMBER_TABLE, member_row
 from chivetray.cells.worker_list import WorkerList
@@ -108,6 +109,7 @@
             AdviceClient(self._session, settings.advice) if settings.advice else None,
             self._configuration.service_of,
             self._store.fit_link(settings.link_mbps),
+            self._configuration.caps,
         )
         self._directory.longest_lease_s = settings.longest_lease_ms / 1000
         self._job_service = JobService(
@@ -393,7 +395,8 @@
             confirmed_age_s = now_s - cell_owner.confirmed_at_s
             values["chivetray_cell_jobs", cell] = float(len(cell_owner.state.active))
             values["chivetray_cell_confirmed_age_seconds", cell] = confirmed_age_s
-        return values
+        keepers = [owner.shares for owner in self._directory.owned_cells.values()]
+        return values | read_share_gauges(keepers)
 
     async def _metrics_app(self, scope, receive, send) -> None:  # type: ignore[no-untyped-def]
         await _send_text(send, 200, self._metrics.render())
--- a/src/chivetray/manager_metrics.py
+++ b/src/chivetray/manager_metrics.py
@@ -34,6 +34,14 @@
     "cell; its leases are not extended after 4 s.",
     "chivetray_peers": "Managers with an open stream.",
     "chivetray_relayed_store_calls": "Calls of the store that went through a peer.",
+} | {
+    f"chivetray_organisation_{kind}_{resource}": f"{text} ({resource})."
+    for kind, text in (
+        ("use", "Use of an organisation in the cells of this process"),
+        ("share", "Share of its cap that these cells hold"),
+        ("cap", "Cap of an organisation, in all cells together"),
+    )
+    for resource in ("cores", "mem_mb", "gpus")
 }
 
 
