--- a/src/chivetray/cells/share_keeper.py
+++ b/src/chivetray/cells/share_keeper.py
@@ -266,6 +266,7 @@
             return
         # Counts as given back from now on, whatever becomes of the write.
         holding.share = smallest(before, share)
+        earlier, holding.unknown_version = holding.unknown_version, version
         outcome = await self._store.transact(
             {row_id: version}, {row_id: changed.encode()}
         )
@@ -283,10 +284,12 @@
             self._record_progress(organisation, holding, demands, is_taken=True)
             self._on_change()
         elif isinstance(outcome, Conflict):
+            # The row has another version, so that no earlier write is carried out.
+            holding.unknown_version = -1
             holding.retry_after(CONFLICT_PAUSE_S, LACK_PAUSE_MAX_S)
         else:
-            if isinstance(outcome, OutcomeUnknown):
-                holding.unknown_version = version
+            if not isinstance(outcome, OutcomeUnknown):
+                holding.unknown_version = earlier
             self._fail(organisation, holding, outcome.reason, during="write")
 
     def _adopt(self, holding: Holding, stored: Shares, version: int) -> None:
