--- a/src/chivetray/cells/cap_use.py
+++ b/src/chivetray/cells/cap_use.py
@@ -10,6 +10,7 @@
 from chivetray.organisations.model import Resources
 from chivetray.organisations.shares import (
     NOTHING,
+    Demand,
     add,
     count_units,
     fits,
@@ -126,6 +127,28 @@
     return room is not None and not fits(unit, room)
 
 
+def fit_workers(
+    state: CellState, demands: Iterable[Demand], now_s: float
+) -> list[Demand]:
+    """Return the demands that the free workers could take, at least the first.
+
+    Share for more than that would be idle, while other cells may lack it.
+    """
+    free = NOTHING
+    for worker in state.workers.values() if demands else ():
+        if worker.accepts_tasks(now_s):
+            capacity = Resources(worker.cpu_milli, worker.mem_mb, worker.gpu)
+            used = (worker.used_cpu_milli, worker.used_mem_mb, worker.used_gpu)
+            free = add(free, subtract(capacity, Resources(*used)))
+    fitting: list[Demand] = []
+    for demand in demands:
+        count = count_units(free, demand.unit, demand.count)
+        free = subtract(free, multiply(demand.unit, count))
+        if count or not fitting:
+            fitting.append(Demand(demand.unit, max(1, count)))
+    return fitting
+
+
 class DemandLimit:
     """Limits the demand of a cell to what its organisations may run.
 
--- a/src/chivetray/cells/share_keeper.py
+++ b/src/chivetray/cells/share_keeper.py
@@ -11,7 +11,7 @@
 
 from anyio.abc import TaskGroup
 
-from chivetray.cells.cap_use import UseCounter
+from chivetray.cells.cap_use import UseCounter, fit_workers
 from chivetray.cells.caps import CapRegister
 from chivetray.cells.holdings import Holding
 from chivetray.cells.state import CellState
@@ -28,13 +28,11 @@
     adopt_cap,
     as_limit,
     claim,
-    count_units,
     exceeds,
     fits,
     give_back,
     largest,
     limited,
-    multiply,
     shrink,
     smallest,
     subtract,
@@ -176,7 +174,7 @@
                 continue
             if self._is_due(holding, demands, now_s):
                 holding.is_busy, holding.is_awaited = True, False
-                demands = self._fit_workers(demands, now_s)
+                demands = fit_workers(self._state, demands, now_s)
                 task_group.start_soon(self._attempt, name, holding, demands)
 
     def _is_due(self, holding: Holding, demands: list[Demand], now_s: float) -> bool:
@@ -196,25 +194,6 @@
         is_used = holding.claimed or holding.last_use != NOTHING
         return is_used and holding.exceeds_cap()
 
-    def _fit_workers(self, demands: list[Demand], now_s: float) -> list[Demand]:
-        """Return the demands that the free workers could take, at least the first.
-
-        Share for more than that would be idle, while other cells may lack it.
-        """
-        free = NOTHING
-        for worker in self._state.workers.values() if demands else ():
-            if worker.accepts_tasks(now_s):
-                spare = Resources(worker.cpu_milli, worker.mem_mb, worker.gpu)
-                used = (worker.used_cpu_milli, worker.used_mem_mb, worker.used_gpu)
-                free = add(free, subtract(spare, Resources(*used)))
-        fitting: list[Demand] = []
-        for demand in demands:
-            count = count_units(free, demand.unit, demand.count)
-            free = subtract(free, multiply(demand.unit, count))
-            if count or not fitting:
-                fitting.append(Demand(demand.unit, max(1, count)))
-        return fitting
-
     async def _attempt(
         self, organisation: str, holding: Holding, demands: list[Demand]
     ) -> None:
--- a/tests/cell_helpers.py
+++ b/tests/cell_helpers.py
@@ -9,6 +9,7 @@
 
 import orjson
 
+from chivetray.cells.caps import CapRegister
 from chivetray.cells.owner import CellOwner
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import Ownership, owner_row
@@ -182,7 +183,10 @@
         ]
 
     async def own(
-        self, before: CellOwner | None = None, earlier_lease_s: float = 0.0
+        self,
+        before: CellOwner | None = None,
+        earlier_lease_s: float = 0.0,
+        caps: CapRegister | None = None,
     ) -> CellOwner:
         """Take the cell over with the progress that is stored."""
         self.epoch += 1
@@ -197,7 +201,13 @@
         assert isinstance(outcome, Committed)
         state = CellState(CELL)
         owner = CellOwner(
-            state, ownership, outcome.version, self.store, self.workers, lambda _: None
+            state,
+            ownership,
+            outcome.version,
+            self.store,
+            self.workers,
+            lambda _: None,
+            caps=caps,
         )
         listed = [e for e in self.entries() if e.worker_id not in self.unlisted]
         state.update_workers(listed, boot_time_s())
--- a/tests/share_helpers.py
+++ b/tests/share_helpers.py
@@ -301,11 +301,13 @@
 
         :param in_order: whether no process skips a version
         """
-        began_s = boot_time_s()  # noqa: ASYNC110
+        began_s = boot_time_s()
 
         async def apply(process: Process) -> None:
             await asyncio.sleep(self.rng.uniform(0.0, 2.5))
-            while in_order and process.config.version < config.version - 1:
+            while (  # noqa: ASYNC110
+                in_order and process.config.version < config.version - 1
+            ):
                 await asyncio.sleep(0.001)
             assert boot_time_s() - began_s < CONFIG_APPLY_S, "test too slow"
             process.apply(config)
