--- a/src/chivetray/cells/cap_use.py
+++ b/src/chivetray/cells/cap_use.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from chivetray.jobs.job import Job
-from chivetray.jobs.model import JobSpec, Step
+from chivetray.jobs.model import JobSpec, Phase, Step, Task
 from chivetray.organisations.model import Resources
 from chivetray.organisations.shares import (
     NOTHING,
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from chivetray.cells.state import CellState
+    from chivetray.cells.workers import WorkerState
 
 
 class CapRoom(Protocol):
@@ -34,6 +35,9 @@
     def note_lack(self, organisation: str, unit: Resources, count: int) -> None:
         """Record that tasks could be placed if there was room."""
 
+    def is_lacking(self, organisation: str, unit: Resources) -> bool:
+        """Return whether such a lack was recorded in this round."""
+
     def note_waiting(self, organisation: str) -> None:
         """Record that work waits for the cap, whether or not a worker is free."""
 
@@ -98,6 +102,30 @@
     return startable
 
 
+def is_held_by_cap(
+    state: CellState,
+    job: Job,
+    step: Step,
+    tasks: list[Task],
+    workers: Iterable[WorkerState],
+) -> bool:
+    """Return whether the cap leaves no room for any task of a step.
+
+    This spares the choice of a worker for each step of a long queue. What is lacking is
+    recorded if a worker could take a task.
+    """
+    if state.cap_room is None or step.gang or not waits_for_cap(state, job, step):
+        return False
+    is_lacking = state.cap_room.is_lacking(job.spec.organisation, task_resources(step))
+    waiting = sum(task.phase == Phase.WAITING for task in tasks)
+    if is_lacking or any(
+        worker.fits(step) and (not step.label or step.label in worker.labels)
+        for worker in workers
+    ):
+        count_within_cap(state, job, step, waiting)
+    return True
+
+
 def may_start_gang(state: CellState, job: Job, step: Step, count: int) -> bool:
     """Return whether all tasks of a gang may start together under the cap."""
     if state.cap_room is None or not job.spec.organisation:
--- a/src/chivetray/cells/placing.py
+++ b/src/chivetray/cells/placing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from chivetray.cells.advice import advised_workers
-from chivetray.cells.cap_use import count_within_cap
+from chivetray.cells.cap_use import count_within_cap, is_held_by_cap
 from chivetray.cells.gangs import place_gang
 from chivetray.cells.isolation import isolate_workers, workers_for
 from chivetray.cells.orders import Placement
@@ -121,6 +121,8 @@
     workers: list[WorkerState],
     now_s: float,
 ) -> list[Placement]:
+    if is_held_by_cap(state, job, step, tasks, workers):
+        return []
     tasks_per_worker: dict[str, int] = {}
     tasks_per_rack: dict[str, int] = {}
     for task in tasks:
--- a/src/chivetray/cells/share_keeper.py
+++ b/src/chivetray/cells/share_keeper.py
@@ -115,6 +115,11 @@
         elif len(demands) < MAX_DEMANDS:
             demands.append(Demand(unit, count))
 
+    def is_lacking(self, organisation: str, unit: Resources) -> bool:
+        """Return whether such a lack was recorded in this round."""
+        demands = self.holdings[organisation].demands
+        return any(demand.unit == unit for demand in demands)
+
     def note_waiting(self, organisation: str) -> None:
         """Record that work waits for the cap, whether or not a worker is free."""
         self.holdings[organisation].is_awaited = True
--- a/tests/share_helpers.py
+++ b/tests/share_helpers.py
@@ -104,7 +104,7 @@
     def note_lack(self, *_: object) -> None:
         pass
 
-    note_waiting = note_lack
+    note_waiting = is_lacking = note_lack
 
 
 class Caps:
