--- a/src/chivetray/cells/configuration.py
+++ b/src/chivetray/cells/configuration.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from chivetray.cells.caps import CapRegister
 from chivetray.cells.tables import PART_QUEUE_CHARS
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event, log_event
@@ -52,6 +53,7 @@
     :param on_change: called after a new configuration or a change of a wave
     :ivar current: configuration in force, ``None`` before the first one
     :ivar waves: maintenance waves by the key of their row
+    :ivar caps: last known caps of organisations
     :ivar services: services of all configurations since the start
     :ivar revoked_keys: name of the organisation by the digest of a key that an earlier
         version had and the one in force has not
@@ -63,6 +65,7 @@
         self.waves: dict[str, Wave] = {}
         self.services: set[str] = set()
         self.revoked_keys: dict[bytes, str] = {}
+        self.caps = CapRegister(lambda: self.current)
         self._store = store
         self._on_change = on_change
         self._mesh: Mesh | None = None
@@ -230,6 +233,7 @@
         self._content = redact_config(content)
         self.applied_at_s = boot_time_s()
         self._queues = sorted(config.queues, key=lambda queue: -len(queue.path_prefix))
+        self.caps.refresh()
         self.services |= {queue.service for queue in config.queues}
         log_event(
             Event.CONFIG_APPLIED,
--- a/src/chivetray/cells/placing.py
+++ b/src/chivetray/cells/placing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from chivetray.cells.advice import advised_workers
+from chivetray.cells.cap_use import count_within_cap, is_held_by_cap
 from chivetray.cells.gangs import place_gang
 from chivetray.cells.isolation import isolate_workers, workers_for
 from chivetray.cells.orders import Placement
@@ -120,6 +121,8 @@
     workers: list[WorkerState],
     now_s: float,
 ) -> list[Placement]:
+    if is_held_by_cap(state, job, step, tasks, workers):
+        return []
     tasks_per_worker: dict[str, int] = {}
     tasks_per_rack: dict[str, int] = {}
     for task in tasks:
@@ -166,6 +169,9 @@
             if task.copies or task.suspect:
                 continue
             break
+        left = sum(t.phase == Phase.WAITING for t in tasks)
+        if not count_within_cap(state, job, step, left):
+            break
         worker = state.workers[chosen.worker_id]
         placements.append(state.assign(job, task, step, worker, now_s))
         tasks_per_worker[worker.worker_id] = (
