--- a/tests/test_shares_of_caps.py
+++ b/tests/test_shares_of_caps.py
@@ -79,11 +79,15 @@
             follows.append(asyncio.ensure_future(world.follow(config, in_order)))
 
     await world.run(15.0, disturb, end_chance=0.05)
+    # Owners are at work meanwhile: a frozen one cannot tell what it uses in time.
+    await world.run(3.0, end_chance=0.05)
     await asyncio.gather(*follows)
     newest = world.caps.publish(12_000)
     for cell in world.cells:
         cell.store.fault_chance, cell.store.away = 0.0, False
-    await world.follow(newest, in_order)
+    last = asyncio.ensure_future(world.follow(newest, in_order))
+    await world.run(3.0, end_chance=0.05)
+    await last
     await world.run(60.0, end_chance=0.3, is_over=world.is_idle)
 
 
