--- a/src/chivetray/cells/load.py
+++ b/src/chivetray/cells/load.py
@@ -14,6 +14,7 @@
     full_value_deadline_s,
     remaining_critical_path_s,
 )
+from chivetray.scheduling.run_times import kind_of
 
 # Shortest run time assumed for a waiting task: for less, moving a VM is not worth it.
 MIN_RUN_TIME_S = 0.5
@@ -127,7 +128,8 @@
         tasks = job.step_tasks(occurrence, step_number)
         count = sum(task.phase == Phase.WAITING for task in tasks)
         if count and not step.best_effort:
-            run_time_s = state.times.expected_s(job.spec.queue, step.estimate_ms)
+            kind = kind_of(step, step_number)
+            run_time_s = state.times.mean_s(job.spec.queue, step.estimate_ms, kind)
             total += int(count * step.cpu_milli * max(MIN_RUN_TIME_S, run_time_s))
     return total
 
@@ -156,9 +158,12 @@
         job, task = state.find_task(ref)
         if step.long_running or job is None or task is None:
             return None
-        run_time_s = state.times.expected_s(job.spec.queue, step.estimate_ms)
-        began_s = task.running_at_s or now_s
-        ends_in_s = max(ends_in_s, began_s + run_time_s - now_s)
+        elapsed_s = now_s - (task.running_at_s or now_s)
+        kind = kind_of(step, ref[1][1])
+        left_s = state.times.remaining_s(
+            job.spec.queue, kind, step.estimate_ms, elapsed_s
+        )
+        ends_in_s = max(ends_in_s, left_s)
     return int(ends_in_s * 1000)
 
 
--- a/src/chivetray/scheduling/ordering.py
+++ b/src/chivetray/scheduling/ordering.py
@@ -4,7 +4,7 @@
 
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import JobSpec
-from chivetray.scheduling.run_times import RunTimes
+from chivetray.scheduling.run_times import RunTimes, kind_of
 
 # Time per step of the critical path that goes into scheduling, starting and storing.
 STEP_OVERHEAD_S = 0.06
@@ -18,9 +18,10 @@
 def critical_path_s(spec: JobSpec, times: RunTimes) -> float:
     """Return the expected run time of the longest chain of dependent steps."""
     ends: list[float] = []
-    for step in spec.steps:
-        start_s = max((ends[number] for number in step.depends_on), default=0.0)
-        ends.append(start_s + times.expected_s(spec.queue, step.estimate_ms))
+    for number, step in enumerate(spec.steps):
+        start_s = max((ends[n] for n in step.depends_on), default=0.0)
+        kind = kind_of(step, number)
+        ends.append(start_s + times.expected_s(spec.queue, step.estimate_ms, kind))
     return max(ends, default=0.0)
 
 
@@ -29,8 +30,8 @@
     return sum(
         step.count
         * (step.cpu_milli / 1000)
-        * times.expected_s(spec.queue, step.estimate_ms)
-        for step in spec.steps
+        * times.mean_s(spec.queue, step.estimate_ms, kind_of(step, number))
+        for number, step in enumerate(spec.steps)
         if not step.best_effort
     )
 
@@ -40,7 +41,9 @@
     ends: list[float] = []
     for number, step in enumerate(job.spec.steps):
         start_s = max((ends[n] for n in step.depends_on), default=0.0)
-        step_s = times.expected_s(job.spec.queue, step.estimate_ms) + STEP_OVERHEAD_S
+        kind = kind_of(step, number)
+        step_s = times.expected_s(job.spec.queue, step.estimate_ms, kind)
+        step_s += STEP_OVERHEAD_S
         ends.append(start_s + (0.0 if (0, number) in job.done_steps else step_s))
     return max(ends, default=0.0)
 
