--- a/src/chivetray/cells/copies.py
+++ b/src/chivetray/cells/copies.py
@@ -9,6 +9,8 @@
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import STARTED_PHASES, Phase, Step, Task
 from chivetray.platform.workers import AttemptEnd, EndedTask, TaskName
+from chivetray.scheduling.run_times import kind_of
+from chivetray.scheduling.worker_pace import Condition
 
 # Time without an answer from a worker after which its tasks that may run twice are
 # started elsewhere as well: longer than one lost call, much shorter than a lease.
@@ -23,6 +25,26 @@
 STRAGGLER_RUN_TIME_FACTOR = 3.0
 STRAGGLER_MIN_RUN_TIME_S = 1.0
 
+# The same for a task on a worker that is judged to be slow, hanging or silent.
+JUDGED_RUN_TIME_FACTOR = 1.5
+JUDGED_MIN_RUN_TIME_S = 0.3
+
+CONDITIONS_THAT_DELAY = (Condition.SLOW, Condition.HANGING, Condition.SILENT)
+
+# Rank of an elapsed time from which the known runs do not tell what is left.
+BEYOND_KNOWN_RANK = 0.995
+
+# Gain, as a multiple of the expected time of the copy, from which it pays off, and the
+# time that its placement and its start take.
+COPY_GAIN = 1.2
+COPY_OVERHEAD_S = 0.1
+
+# Part of the started tasks that may have copies since they run for long, and the number
+# of copies that is always allowed. When all tasks of a cell take longer, copies would
+# add to what slows them down.
+COPIED_TASKS_DIVISOR = 10
+MIN_COPIED_TASKS = 2
+
 
 def copy_tasks(state: CellState, now_s: float) -> None:
     """Schedule a second attempt of tasks whose first one is late or may be lost.
@@ -30,6 +52,7 @@
     These are tasks on a silent worker, and tasks that run much longer than others of
     their queue. The older attempt goes on, and the first one to be done counts.
     """
+    spare = _count_spare_copies(state)
     for worker in state.workers.values():
         silent_since_s = worker.silent_since_s
         is_silent = silent_since_s and now_s - silent_since_s >= COPY_AFTER_SILENCE_S
@@ -45,7 +68,11 @@
             if task.suspect:
                 # A copy might crash a second worker before the first is known to.
                 continue
-            if is_silent or _is_straggler(state, job, task, step, now_s):
+            is_straggler = spare > 0 and _is_straggler(
+                state, worker, job, task, step, now_s
+            )
+            if is_silent or is_straggler:
+                spare -= not is_silent
                 task.avoided_workers.add(task.worker)
                 task.retire_newest_attempt()
                 state.mark_changed(ref[0])
@@ -55,17 +82,46 @@
                     attempt=task.attempt,
                     worker=worker.worker_id,
                     silent=bool(is_silent),
+                    elapsed_s=round(now_s - (task.running_at_s or now_s), 3),
                 )
 
 
+def _count_spare_copies(state: CellState) -> int:
+    """Return how many more tasks may be copied since they run for long."""
+    started = copied = 0
+    for worker in state.workers.values():
+        for job_id, key in worker.tasks:
+            started += 1
+            _, task = state.find_task((job_id, key))
+            copied += task is not None and bool(task.copies)
+    return max(MIN_COPIED_TASKS, started // COPIED_TASKS_DIVISOR) - copied
+
+
 def _is_straggler(
-    state: CellState, job: Job, task: Task, step: Step, now_s: float
+    state: CellState,
+    worker: WorkerState,
+    job: Job,
+    task: Task,
+    step: Step,
+    now_s: float,
 ) -> bool:
+    """Return whether a copy is expected to end clearly before a running task."""
     if task.phase != Phase.RUNNING or not task.running_at_s:
         return False
-    expected_s = state.times.expected_s(job.spec.queue, step.estimate_ms)
+    queue, kind = job.spec.queue, kind_of(step, task.key[1])
+    elapsed_s = now_s - task.running_at_s
+    expected_s = state.times.expected_s(queue, step.estimate_ms, kind)
+    if worker.pace.condition in CONDITIONS_THAT_DELAY:
+        limit_s = max(JUDGED_MIN_RUN_TIME_S, JUDGED_RUN_TIME_FACTOR * expected_s)
+        return elapsed_s > limit_s
     limit_s = max(STRAGGLER_MIN_RUN_TIME_S, STRAGGLER_RUN_TIME_FACTOR * expected_s)
-    return now_s - task.running_at_s > limit_s
+    if elapsed_s <= limit_s:
+        return False
+    rank = state.times.rank(queue, kind, step.estimate_ms, elapsed_s)
+    if rank is None or rank >= BEYOND_KNOWN_RANK:
+        return True
+    left_s = state.times.remaining_s(queue, kind, step.estimate_ms, elapsed_s)
+    return left_s > COPY_GAIN * (expected_s + COPY_OVERHEAD_S)
 
 
 def apply_copy_failure(
--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -12,6 +12,7 @@
 from chivetray.cells.copies import copy_tasks, resend_copy_stops
 from chivetray.cells.evacuation import may_send_stop
 from chivetray.cells.orders import Placement, StopOrder, StopReason
+from chivetray.cells.pace import record_start, review
 from chivetray.cells.polling import WorkerPoller
 from chivetray.cells.reports import confirm_start, confirm_stop, reject_start
 from chivetray.cells.timing import RETRY_PAUSE_S, TICK_S
@@ -76,6 +77,7 @@
         if now_s - self._resent_at_s < TICK_S:
             return
         self._resent_at_s = now_s
+        review(self._state, now_s)
         copy_tasks(self._state, now_s)
         uncommitted = self._state.changed_job_ids()
         for worker in list(self._state.workers.values()):
@@ -241,6 +243,7 @@
         now_s = boot_time_s()
         verdict = reply.verdict
         if verdict in (Verdict.OK, Verdict.OLD):
+            record_start(self._state, worker, placement.ref[0], False, now_s)
             # ``OLD``: the attempt has already ended there; the next poll reports how.
             confirm_start(self._state, placement.ref, placement.attempt, now_s)
             self._poller.wake_worker(worker.worker_id)
@@ -260,6 +263,8 @@
         if verdict == Verdict.NOT_SENT and earlier_try_unanswered:
             # The worker may have accepted an earlier try.
             return False
+        if verdict not in (Verdict.BAD_TICKET, Verdict.NOT_SENT):
+            record_start(self._state, worker, placement.ref[0], True, now_s)
         pause_s = UNHEALTHY_PAUSE_S
         if verdict in (Verdict.NO_CAPACITY, Verdict.BAD_TICKET):
             pause_s = NO_ROOM_PAUSE_S
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -25,6 +25,7 @@
 from chivetray.cells.orders import StepRef
 from chivetray.cells.placing import place_tasks
 from chivetray.cells.polling import WorkerPoller
+from chivetray.cells.run_time_row import RunTimeRow
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import (
     Ownership,
@@ -223,6 +224,8 @@
             self._log_loaded()
             task_group.start_soon(self._renew_ownership)
             task_group.start_soon(self.lease_ends.run, self, self._store.clock)
+            run_times = RunTimeRow(self.state)
+            task_group.start_soon(run_times.run, self, self._store)
             task_group.start_soon(self._log_waits)
             await self._main_loop(task_group)
             task_group.cancel_scope.cancel()
--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -9,6 +9,7 @@
 
 from chivetray.cells.crashes import record_crash
 from chivetray.cells.isolation import settling_time_ms
+from chivetray.cells.pace import record_call
 from chivetray.cells.reports import apply_poll_reply
 from chivetray.cells.sharing import (
     confirm_pace,
@@ -162,6 +163,7 @@
         now_s = boot_time_s()
         if reply.verdict == Verdict.OK:
             self._record_reply(worker, reply, sent_at_s, now_s)
+            record_call(self._state, worker, False, now_s)
             if worker.incarnation == incarnation and (
                 not reply.incarnation or reply.incarnation == incarnation
             ):
@@ -258,6 +260,8 @@
             self._state.reschedule_worker_tasks(worker, now_s, seen_by)
             worker.listed = False
             self._cell_owner.wake()
+        if reply.verdict == Verdict.NO_ANSWER:
+            record_call(self._state, worker, True, now_s)
         if not worker.silent_since_s:
             worker.silent_since_s = worker.last_silence_at_s = sent_at_s
             worker.silence_seen_at_s = now_s
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -7,6 +7,7 @@
 from chivetray.cells.copies import apply_copy_failure, settle_missing_copies
 from chivetray.cells.crashes import settle
 from chivetray.cells.orders import Placement, StopOrder, StopReason
+from chivetray.cells.pace import record_failure, record_run
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import PROBE_RUN_TIME_S, TaskRef, WorkerState
 from chivetray.events import Event, log_event
@@ -212,7 +213,7 @@
                 member.failed_attempt = ended.attempt
                 member.failures += 1
         task.avoided_workers.add(worker.worker_id)
-        worker.record_failure(job.spec.job_id)
+        record_failure(state, worker, job, now_s)
         task.not_before_s = now_s + FAILED_RETRY_S
     state.release_attempt(worker, job, task, now_s)
     if ended.how == AttemptEnd.FAILED and not step.long_running:
@@ -265,8 +266,7 @@
         return
     if is_newest and task.active:
         worker.failing_jobs.clear()
-        if task.running_at_s and not task.checkpoint:
-            state.times.record(job.spec.queue, now_s - task.running_at_s)
+        record_run(state, worker, job, task, now_s)
     step = job.spec.steps[task.key[1]]
     for member in _gang_members(job, task, step):
         if member.active and member.attempt > ended.attempt:
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -41,6 +41,7 @@
 from chivetray.scheduling.arrivals import ArrivalMeter
 from chivetray.scheduling.ordering import full_value_deadline_s, work_core_s
 from chivetray.scheduling.run_times import RunTimes
+from chivetray.scheduling.worker_pace import FailureRate, WorkerPace
 
 # Time after which an unlisted worker without tasks is removed.
 UNLISTED_WORKER_TTL_S = 10.0
@@ -68,6 +69,8 @@
     :ivar long_running_job_ids: active jobs with long-running steps, and some that have
         ended
     :ivar times: run times learned from done tasks
+    :ivar failure_rate: share of the tasks that fail, on any worker
+    :ivar reviewed_at_s: time of the last review of running tasks, see ``pace``
     :ivar stop_orders: stop orders that are to be sent
     :ivar tickets: tickets by step and worker id
     :ivar refused_workers: ids of the workers that were denied a ticket, by step
@@ -98,6 +101,8 @@
         self.long_running_job_ids: dict[str, None] = {}
         self.workers: dict[str, WorkerState] = {}
         self.times = RunTimes()
+        self.failure_rate = FailureRate()
+        self.reviewed_at_s = 0.0
         self.stop_orders: list[StopOrder] = []
         self.tickets: dict[StepRef, dict[str, Ticket]] = {}
         self.refused_workers: dict[StepRef, set[str]] = {}
@@ -478,6 +483,7 @@
         worker.deadline_ms = 0
         worker.clock.known = False
         worker.failing_jobs.clear()
+        worker.pace = WorkerPace()
         self._stop_late_starts(worker, now_s)
         for ref in list(worker.tasks):
             found = self.find_newest_attempt(worker, ref)
@@ -746,6 +752,7 @@
         worker.allocate(ref, step)
         if worker.quarantined:
             worker.probed_at_s = now_s
+        worker.pace.end_probe(now_s)
         self.mark_changed(job.spec.job_id)
         return Placement(ref, task.attempt, worker.worker_id, worker.incarnation)
 
--- a/src/chivetray/cells/tables.py
+++ b/src/chivetray/cells/tables.py
@@ -74,6 +74,11 @@
     return RowId(CELL_TABLE, cell, "leases")
 
 
+def run_time_row(cell: str) -> RowId:
+    """Return the row with the learned run times of a cell."""
+    return RowId(CELL_TABLE, cell, "run-times")
+
+
 def member_row(name: str) -> RowId:
     """Return the row with the address of a manager process."""
     return RowId(MEMBER_TABLE, "", name)
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -9,10 +9,11 @@
 from chivetray.cells.timing import MAX_ORDER_DELAY_S, MAX_RELEASED_LEASE_S
 from chivetray.clocks import CLOCK_DRIFT, RemoteClock
 from chivetray.jobs.model import Step, TaskKey
+from chivetray.scheduling.worker_pace import MIN_FAILURES_IN_A_ROW, WorkerPace
 
 # Number of different jobs with consecutive failures on a worker after which it is
-# quarantined: it then runs one task at a time.
-FAILURES_BEFORE_QUARANTINE = 4
+# quarantined, where few tasks fail elsewhere: it then runs one task at a time.
+FAILURES_BEFORE_QUARANTINE = MIN_FAILURES_IN_A_ROW
 
 # Shortest time between two placements on a quarantined worker.
 PROBE_INTERVAL_S = 2.0
@@ -65,6 +66,8 @@
         none
     :ivar isolated_since_s: time at which that last began
     :ivar failing_jobs: jobs whose tasks failed here since the last task was done
+    :ivar failures_before_quarantine: number of such jobs that is no chance
+    :ivar pace: what its runs tell about the worker, see ``worker_pace``
     :ivar exempt_tasks: long-running tasks that ran here when the quarantine began;
         they run on beside the one task of a quarantined worker
     :ivar probed_at_s: time of the last placement while in quarantine
@@ -108,6 +111,8 @@
     isolated_for: str = ""
     isolated_since_s: float = 0.0
     failing_jobs: set[str] = field(default_factory=set)
+    failures_before_quarantine: int = FAILURES_BEFORE_QUARANTINE
+    pace: WorkerPace = field(default_factory=WorkerPace)
     exempt_tasks: set[TaskRef] = field(default_factory=set)
     probed_at_s: float = 0.0
     clock: RemoteClock = field(default_factory=RemoteClock)
@@ -129,7 +134,7 @@
     @property
     def quarantined(self) -> bool:
         """Whether tasks of too many different jobs have failed here in a row."""
-        return len(self.failing_jobs) >= FAILURES_BEFORE_QUARANTINE
+        return len(self.failing_jobs) >= self.failures_before_quarantine
 
     @property
     def is_overcommitted(self) -> bool:
@@ -154,6 +159,11 @@
                 ref for ref, step in self.tasks.items() if step.long_running
             }
 
+    def avoidance(self, step: Step) -> int:
+        """Return how much the worker is avoided in the choice for a task, 0 for not."""
+        is_probe = not (step.long_running or step.best_effort or step.gang)
+        return self.pace.avoidance(is_probe)
+
     def is_reserved(self, now_s: float) -> bool:
         """Return whether the VM is being evacuated for an order to the platform."""
         return now_s < self.reserved_until_s
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -197,6 +197,13 @@
         "A worker is known to have ended; lists what ran there and for how long.",
     )
     WORKER_ANSWERS = (1665, "A worker answers again.")
+    WORKER_AVOIDED = (
+        1667,
+        "A worker is judged by its own runs and gets tasks that no other has room for; "
+        "lists the evidence.",
+    )
+    WORKER_REINSTATED = (1668, "A worker that was avoided gets tasks as before.")
+    RUN_TIMES_LOADED = (1669, "An owner knows the run times of an earlier one.")
 
     VM_MOVED = (1670, "A VM was sent to another pool.")
     VM_MAINTAINED = (1671, "A VM was taken down for maintenance.")
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -165,6 +165,7 @@
     :ivar stop_sent_at_s: time at which that stop was last sent
     :ivar evacuations: number of attempts that were stopped to free a VM for a move or
         for maintenance
+    :ivar overdue_attempt: newest attempt that has run for far longer than others
     :ivar inherited: whether an earlier owner placed the newest attempt, so that it is
         unknown whether its start requests were answered
     :ivar pace_percent: share of full speed at which a best-effort task may run
@@ -208,6 +209,7 @@
     stop_sent: bool = False
     stop_sent_at_s: float = 0.0
     evacuations: int = 0
+    overdue_attempt: int = 0
     inherited: bool = False
     not_before_s: float = 0.0
     away_since_s: float = 0.0
--- a/src/chivetray/jobs/placement.py
+++ b/src/chivetray/jobs/placement.py
@@ -23,6 +23,9 @@
     def fits(self, step: Step) -> bool:
         """Return whether the worker has capacity for one more task of a step."""
 
+    def avoidance(self, step: Step) -> int:
+        """Return how much the worker is avoided, 0 for not, below 0 for a probe."""
+
 
 def choose_worker(
     step: Step,
@@ -35,7 +38,8 @@
 
     Tasks go to the most utilised worker, so that others become idle and can leave the
     pool. Long-running tasks are spread over workers and racks first, so that the loss
-    of one VM or rack stops few of them.
+    of one VM or rack stops few of them. A worker that is slow or fails more than others
+    is used only if no other has capacity, but for probes.
 
     :param avoided_workers: workers on which an earlier attempt failed; used only if
         no other worker has capacity
@@ -52,20 +56,21 @@
             continue
         if not worker.fits(step):
             continue
+        avoidance = (worker.worker_id in avoided_workers) + worker.avoidance(step)
         data_is_near = not step.data_rack or step.data_rack in worker.labels
         utilisation = worker.used_cpu_milli / max(1, worker.cpu_milli)
         key: tuple[float, ...]
         if step.best_effort:
             # Best-effort tasks use idle CPU time, so the least utilised worker is best.
             key = (
-                worker.worker_id in avoided_workers,
+                avoidance,
                 not data_is_near,
                 tasks_on_worker,
                 utilisation,
             )
         elif step.long_running:
             key = (
-                worker.worker_id in avoided_workers,
+                avoidance,
                 not data_is_near,
                 tasks_on_worker // LONG_RUNNING_PER_WORKER,
                 step_racks.get(worker.rack, 0),
@@ -74,7 +79,7 @@
         else:
             tasks_on_rack = step_racks.get(worker.rack, 0) if step.same_rack else 0
             key = (
-                worker.worker_id in avoided_workers,
+                avoidance,
                 not data_is_near,
                 -tasks_on_rack,
                 -utilisation,
