--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -392,6 +392,11 @@
         for cell, cell_owner in self._directory.owned_cells.items():
             confirmed_age_s = now_s - cell_owner.confirmed_at_s
             values["chivetray_cell_jobs", cell] = float(len(cell_owner.state.active))
+            workers = cell_owner.state.workers.values()
+            avoided = sum(worker.pace.condition is not None for worker in workers)
+            values["chivetray_cell_avoided_workers", cell] = float(avoided)
+            distributions = float(len(cell_owner.state.times))
+            values["chivetray_cell_run_time_distributions", cell] = distributions
             values["chivetray_cell_confirmed_age_seconds", cell] = confirmed_age_s
         return values
 
--- a/src/chivetray/manager_metrics.py
+++ b/src/chivetray/manager_metrics.py
@@ -14,7 +14,16 @@
 LATENCY_NAME = "chivetray_manager_latency_seconds"
 
 # Fields of events that have few values and distinguish outcomes.
-OUTCOME_FIELDS = ("verdict", "answer", "how", "state", "code", "released", "order")
+OUTCOME_FIELDS = (
+    "verdict",
+    "answer",
+    "how",
+    "state",
+    "code",
+    "released",
+    "order",
+    "condition",
+)
 
 # Events that carry a latency: name of the latency and field that holds it.
 LATENCY_EVENTS = {
@@ -30,6 +39,9 @@
     "chivetray_configuration_age_seconds": "Time since that version was applied.",
     "chivetray_worker_list_age_seconds": "Time since the workers were last read.",
     "chivetray_cell_jobs": "Jobs of an owned cell that have not ended.",
+    "chivetray_cell_avoided_workers": "Workers of an owned cell that get only tasks "
+    "that no other has room for, judged by their own runs.",
+    "chivetray_cell_run_time_distributions": "Learned distributions of run times.",
     "chivetray_cell_confirmed_age_seconds": "Time since the last write of an owned "
     "cell; its leases are not extended after 4 s.",
     "chivetray_peers": "Managers with an open stream.",
