--- a/src/chivetray/cells/copies.py
+++ b/src/chivetray/cells/copies.py
@@ -93,7 +93,7 @@
         for job_id, key in worker.tasks:
             started += 1
             _, task = state.find_task((job_id, key))
-            copied += task is not None and bool(task.copies)
+            copied += task is not None and worker.worker_id in task.copies.values()
     return max(MIN_COPIED_TASKS, started // COPIED_TASKS_DIVISOR) - copied
 
 
--- a/src/chivetray/cells/pace.py
+++ b/src/chivetray/cells/pace.py
@@ -31,7 +31,7 @@
 ) -> None:
     """Learn from a task that was completed."""
     state.failure_rate.observe(False, 0)
-    if not task.running_at_s or task.checkpoint:
+    if not _is_measured(task):
         return
     step = job.spec.steps[task.key[1]]
     if step.long_running or step.best_effort:
@@ -96,6 +96,15 @@
     state.times.record_running(running, now_s)
 
 
+def _is_measured(task: Task) -> bool:
+    """Return whether the whole run of a task's newest attempt is seen.
+
+    One that an earlier owner placed began before it was first listed here, and one with
+    a checkpoint did a part of its work before.
+    """
+    return bool(task.running_at_s and not task.checkpoint and not task.inherited)
+
+
 def _review_tasks(
     state: CellState, worker: WorkerState, now_s: float
 ) -> list[RunningTask]:
@@ -106,7 +115,7 @@
         if found is None or step.long_running or step.best_effort:
             continue
         job, task = found
-        if task.phase != Phase.RUNNING or not task.running_at_s or task.checkpoint:
+        if task.phase != Phase.RUNNING or not _is_measured(task):
             continue
         queue, kind = job.spec.queue, kind_of(step, ref[1][1])
         elapsed_s, estimate_ms = now_s - task.running_at_s, step.estimate_ms
--- a/tests/test_cell_pace.py
+++ b/tests/test_cell_pace.py
@@ -16,7 +16,7 @@
 from chivetray.cells.placing import place_tasks
 from chivetray.cells.reports import apply_poll_reply, confirm_start
 from chivetray.cells.state import CellState
-from chivetray.jobs.model import JobSpec, Step
+from chivetray.jobs.model import JobSpec, JobState, Step
 from chivetray.platform.stored_records import WorkerRecord
 from chivetray.platform.workers import (
     AttemptEnd,
@@ -140,6 +140,22 @@
         run(state, "w0", 999, 4 * RUN_S, 50.0)
         assert state.times.version == before
 
+    def test_a_run_that_an_earlier_owner_started_is_no_short_run(self) -> None:
+        """It once taught the time since the take-over, which drags the median down."""
+        state, later = cell(), cell()
+        made = state.add_job(spec(1), 0.0)
+        (placed,) = place_tasks(state, 0.0, 0)
+        later.restore_job(made.spec, made.encode(), 1, 5.0)
+        later.attach_restored_tasks(5.0, 0.0, {})
+        confirm_start(later, placed.ref, placed.attempt, 5.1)
+        review(later, 5.2)
+        name = TaskName(made.spec.job_id, placed.ref[1])
+        ended = EndedTask(1, name, placed.attempt, AttemptEnd.DONE, "")
+        reply = Reply(Verdict.OK, 2000, 1, [], [ended])
+        apply_poll_reply(later, later.workers[placed.worker_id], reply, 5.2, 5.3)
+        assert later.jobs[made.spec.job_id].state == JobState.COMPLETED
+        assert later.times.expected_s(made.spec.queue, 800, "work") == 0.8
+
     def test_work_that_became_slower_everywhere_is_no_fault_of_the_workers(
         self,
     ) -> None:
