Order jobs by weight, value per remaining work and fair shares

Late work runs oldest first. Overdue work and groups of jobs that fall behind get a part of the capacity before work on time, so that every wait is bounded. The owner predicts the completion of each job from a digest of its cell's work and logs it with the end.

--- a/src/chivetray/capacity/reports.py
+++ b/src/chivetray/capacity/reports.py
@@ -173,6 +173,7 @@
         reserve_workers(owner.state, reserved_workers, now_s, uncertain_workers)
         if reserved_workers:
             owner.wake()
+        owner.state.arriving_vms = (arriving, now_s)
         if arriving:
             self._on_arrivals()
         load = measure_load(owner.state, now_s, wall_time_ms())
--- a/src/chivetray/cells/configuration.py
+++ b/src/chivetray/cells/configuration.py
@@ -67,6 +67,12 @@
                 return queue
         return None
 
+    def weight_of(self, organisation: str) -> float | None:
+        """Return the weight of an organisation, ``None`` if it is not configured."""
+        organisations = self.current.organisations if self.current else {}
+        found = organisations.get(organisation)
+        return found.weight_per_s if found is not None else None
+
     def service_of(self, queue_key: str) -> str | None:
         """Return the service that runs the jobs of a queue now, if there is one.
 
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -193,6 +193,10 @@
     def add_job(self, spec: JobSpec) -> None:
         """Add an accepted job."""
         age_s, now_s = job_age_s(spec, wall_time_ms()), boot_time_s()
+        if spec.job_id not in self.state.jobs:
+            predicted_s = self.state.backlog_meter.predict(self.state, spec, now_s)
+            if predicted_s is not None:
+                self.state.predicted_s[spec.job_id] = round(age_s + predicted_s, 3)
         self.state.add_job(spec, now_s - age_s, known_since_s=now_s)
         self.wake()
 
--- a/src/chivetray/cells/placing.py
+++ b/src/chivetray/cells/placing.py
@@ -12,10 +12,6 @@
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import Phase, Step, Task
 from chivetray.jobs.placement import choose_worker
-from chivetray.scheduling.ordering import order_key
-
-# Time for which the sort key of a job is reused, unless one of its steps gets done.
-ORDER_KEY_TTL_S = 0.3
 
 
 def place_tasks(state: CellState, now_s: float, now_ms: int) -> list[Placement]:
@@ -91,25 +87,14 @@
 
 def _sort_jobs(state: CellState, now_s: float) -> list[Job]:
     """Return the jobs that may have tasks to place, in scheduling order."""
-    keyed_jobs = []
+    jobs = []
     for job_id in list(state.schedulable_job_ids):
         job = state.active.get(job_id)
         if job is None or job.state.ended:
             state.schedulable_job_ids.discard(job_id)
-            continue
-        done_count = len(job.done_steps)
-        cached = state.cached_order_keys.get(job_id)
-        if cached is None or cached[0] < now_s or cached[1] != done_count:
-            size = state.mean_job_cpu_milli.get(job.spec.queue, 0.0)
-            key = order_key(job, state.times, now_s, size)
-            cached = state.cached_order_keys[job_id] = (
-                now_s + ORDER_KEY_TTL_S,
-                done_count,
-                key,
-            )
-        keyed_jobs.append((cached[2], job_id, job))
-    keyed_jobs.sort(key=lambda item: item[:2])
-    return [job for _, _, job in keyed_jobs]
+        else:
+            jobs.append(job)
+    return state.turns.sort(state, jobs, now_s)
 
 
 def _place_step(
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from chivetray.cells.backlog import BacklogMeter
 from chivetray.cells.crashes import (
     Loss,
     find_successor,
@@ -30,6 +31,7 @@
     MAX_ORDER_DELAY_S,
     MAX_RELEASED_LEASE_S,
 )
+from chivetray.cells.turns import JobTurns
 from chivetray.cells.workers import TaskRef, WorkerState
 from chivetray.clocks import CLOCK_DRIFT
 from chivetray.events import Event, log_event
@@ -86,6 +88,12 @@
     :ivar losses: what ran on silent workers whose leases have expired, by worker id
     :ivar cached_order_keys: expiry time, number of done steps and sort key of a job,
         by job id
+    :ivar turns: what else the order of the jobs depends on
+    :ivar arriving_vms: number of VMs on their way to the cell, as the holder of VM
+        orders has told, and the time at which it did
+    :ivar backlog_meter: digest of the work that waits
+    :ivar predicted_s: time from its acceptance to its completion that was predicted
+        when a job was added, by job id
     """
 
     def __init__(self, name: str):
@@ -113,6 +121,10 @@
         self.shared_crashes: deque[list[LostAttempt]] = deque(maxlen=MAX_SHARED_CRASHES)
         self.losses: dict[str, Loss] = {}
         self.cached_order_keys: dict[str, tuple[float, int, tuple[float, ...]]] = {}
+        self.turns = JobTurns()
+        self.arriving_vms = (0, 0.0)
+        self.backlog_meter = BacklogMeter()
+        self.predicted_s: dict[str, float] = {}
         self._early_cancellations: dict[str, None] = {}
 
     # Jobs
@@ -140,6 +152,7 @@
             if job.long_running:
                 self.long_running_job_ids[spec.job_id] = None
             self.schedulable_job_ids.add(spec.job_id)
+            self.turns.add_job(job, self.times, is_new)
             size = sum(step.count * step.cpu_milli for step in spec.steps)
             mean = self.mean_job_cpu_milli.get(spec.queue, float(size))
             self.mean_job_cpu_milli[spec.queue] = mean + SIZE_LEARNING_RATE * (
@@ -166,8 +179,7 @@
             job.restore(progress)
         except (ValueError, TypeError, LookupError) as error:
             log_event(Event.ROW_DAMAGED, job=spec.job_id, reason=str(error))
-        if job.state.ended and not job.active_tasks():
-            self.active.pop(spec.job_id, None)
+        self.deactivate_if_finished(job)
         if any(task.suspect for task in job.tasks.values()):
             self.suspect_job_ids.add(spec.job_id)
         for task in job.active_tasks():
@@ -214,6 +226,8 @@
         if job.state.ended and not job.active_tasks():
             self.active.pop(job.spec.job_id, None)
             self.cached_order_keys.pop(job.spec.job_id, None)
+            self.turns.forget_job(job.spec.job_id)
+            self.predicted_s.pop(job.spec.job_id, None)
 
     def stop_task(self, job: Job, task: Task, reason: StopReason) -> None:
         """Queue a stop order for a task's newest attempt, unless it is stopping."""
@@ -664,6 +678,7 @@
                 objective_s=round(
                     full_value_deadline_s(job, self.times) - job.first_seen_s, 3
                 ),
+                predicted_s=self.predicted_s.get(job.spec.job_id),
             )
         self.deactivate_if_finished(job)
 
@@ -744,6 +759,7 @@
         task.pace_percent, task.pace_known = 100, True
         task.settled, task.isolated = False, bool(worker.isolated_for)
         worker.allocate(ref, step)
+        self.turns.record_start(self, job, step, now_s)
         if worker.quarantined:
             worker.probed_at_s = now_s
         self.mark_changed(job.spec.job_id)
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -133,13 +133,10 @@
         if len(self.done_steps) >= step_total and not self.state.ended:
             self.state = JobState.COMPLETED
 
-    def remaining_cpu_milli(self) -> int:
-        """Return the CPU of all unfinished tasks, in thousandths of a core."""
-        total = 0
-        for number, step in enumerate(self.spec.steps):
-            done = self._done_counts.get((0, number), 0)
-            total += (step.count - done) * step.cpu_milli
-        return total
+    def unfinished_count(self, number: int) -> int:
+        """Return how many tasks of a step are not done, in the first occurrence."""
+        done = self._done_counts.get((0, number), 0)
+        return self.spec.steps[number].count - done
 
     @property
     def visible_state(self) -> JobState:
--- a/src/chivetray/scheduling/ordering.py
+++ b/src/chivetray/scheduling/ordering.py
@@ -14,6 +14,14 @@
 FIXED_VALUE = 0.3
 MAX_RELATIVE_VALUE = 4.0
 
+# Least work that counts, so that a job without CPU demand has a finite value for it.
+MIN_WORK_CORE_S = 0.001
+
+# Classes of work, the first number of a sort key.
+LONG_RUNNING, ON_TIME, LATE = range(3)
+
+OrderKey = tuple[float, ...]
+
 
 def critical_path_s(spec: JobSpec, times: RunTimes) -> float:
     """Return the expected run time of the longest chain of dependent steps."""
@@ -66,24 +74,36 @@
     return min(MAX_RELATIVE_VALUE, FIXED_VALUE + (1 - FIXED_VALUE) * relative_size)
 
 
+def remaining_core_s(job: Job, times: RunTimes) -> float:
+    """Return the expected core-seconds of the unfinished tasks of a job."""
+    return sum(
+        job.unfinished_count(number)
+        * (step.cpu_milli / 1000)
+        * times.expected_s(job.spec.queue, step.estimate_ms)
+        for number, step in enumerate(job.spec.steps)
+        if not step.best_effort
+    )
+
+
 def order_key(
-    job: Job, times: RunTimes, now_s: float, mean_milli: float
-) -> tuple[float, ...]:
+    job: Job, times: RunTimes, now_s: float, mean_milli: float, is_beyond: bool = False
+) -> OrderKey:
     """Return the sort key of a job; jobs with lower keys get workers first.
 
     Long-running jobs come first, because each of their tasks that does not run costs
-    value immediately. Next come jobs that can still meet their deadline, by value per
-    remaining core, so that a peak makes as few jobs late as possible. Jobs that cannot
-    meet it come last, oldest first, so that none of them starves.
+    value immediately. Next come jobs that can still meet their deadline: by priority,
+    then those within the weight of their organisation, then by value per remaining
+    work, so that a peak makes as few jobs late as possible. Jobs that cannot meet it
+    come last, oldest first. Which of them get a turn earlier is decided in ``turns``.
 
     :param mean_milli: mean size of the queue's jobs, in thousandths of a core
+    :param is_beyond: whether the job is beyond the weight of its organisation
     """
     if job.long_running:
-        return (0, job.spec.priority, job.first_seen_s)
+        return (LONG_RUNNING, job.spec.priority, job.first_seen_s)
     deadline_s = full_value_deadline_s(job, times)
     if now_s + remaining_critical_path_s(job, times) <= deadline_s:
-        value_per_core = relative_value(job.spec, mean_milli) / max(
-            1, job.remaining_cpu_milli()
-        )
-        return (1, job.spec.priority, -value_per_core)
-    return (2, job.spec.priority, job.first_seen_s)
+        work_core_s = max(MIN_WORK_CORE_S, remaining_core_s(job, times))
+        value_per_work = relative_value(job.spec, mean_milli) / work_core_s
+        return (ON_TIME, job.spec.priority, is_beyond, -value_per_work)
+    return (LATE, job.first_seen_s)
--- /dev/null
+++ b/src/chivetray/scheduling/turns.py
@@ -0,0 +1,183 @@
+"""Turns of work that a strict order by deadline and priority would never serve.
+
+While more work arrives that can be on time than a cell can do, a strict order starves
+two kinds: work that is late, and work of a low priority or of large jobs. Both are owed
+a part of the capacity. What they are owed is counted in core-seconds of the work that
+is started, so that it does not depend on how often tasks are placed.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from chivetray.scheduling.ordering import LATE, ON_TIME, OrderKey
+
+# Part of the capacity that overdue work gets before work that can be on time. It earns
+# nothing any more, so the part is small; it only bounds the wait of every job.
+OVERDUE_SHARE = 0.05
+
+# Age from which late work counts as overdue. Peaks last some seconds; late work of most
+# of them is done in the gap behind the peak and takes nothing from work on time.
+OVERDUE_AGE_S = 10.0
+
+# Least part of its submitted work that a group gets, relative to that of all others.
+# The requirement is half of the rate; the rest allows for what is in progress.
+MIN_RELATIVE_RATE = 0.6
+
+# Time after which submitted and started work counts for a part of 1/e.
+RATE_MEMORY_S = 10.0
+
+# A job is large if its work is above this multiple of the cell's mean job.
+LARGE_JOB_RATIO = 1.5
+
+# Weight of the newest job in the mean work of the cell's jobs.
+MEAN_LEARNING_RATE = 0.05
+
+# Priorities from this one on are counted together, which bounds the groups.
+LAST_PRIORITY = 7
+
+# Priority, and whether the job is large.
+Group = tuple[int, bool]
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingJob:
+    """A job that may have tasks to place.
+
+    :ivar first_seen_s: time at which it was accepted
+    :ivar left_core_s: expected core-seconds of its unfinished tasks
+    """
+
+    job_id: str
+    key: OrderKey
+    group: Group
+    first_seen_s: float
+    left_core_s: float
+    organisation: str = ""
+
+
+@dataclass(slots=True)
+class _Rate:
+    submitted_core_s: float = 0.0
+    started_core_s: float = 0.0
+
+
+@dataclass(slots=True)
+class TurnMeter:
+    """Counts the work that is submitted and started, and who is owed a turn.
+
+    :ivar overdue_credit_core_s: work that overdue jobs may start before others
+    """
+
+    overdue_credit_core_s: float = 0.0
+    _rates: dict[Group, _Rate] = field(default_factory=dict)
+    _mean_core_s: float = 0.0
+    _decayed_at_s: float = 0.0
+    _credited_at_s: float | None = None
+
+    def group_of(self, priority: int, work_core_s: float) -> Group:
+        """Return the group of a job."""
+        is_large = work_core_s > LARGE_JOB_RATIO * self._mean_core_s > 0
+        return min(LAST_PRIORITY, priority), is_large
+
+    def record_submitted(
+        self, priority: int, work_core_s: float, now_s: float
+    ) -> Group:
+        """Record a job that has just arrived; return its group."""
+        mean_core_s = self._mean_core_s or work_core_s
+        group = self.group_of(priority, work_core_s)
+        self._mean_core_s = mean_core_s + MEAN_LEARNING_RATE * (
+            work_core_s - mean_core_s
+        )
+        self._decay(now_s)
+        self._rates.setdefault(group, _Rate()).submitted_core_s += work_core_s
+        return group
+
+    def record_started(
+        self, group: Group, work_core_s: float, is_overdue: bool, now_s: float
+    ) -> None:
+        """Record work that was placed on a worker."""
+        self._decay(now_s)
+        if group in self._rates:
+            self._rates[group].started_core_s += work_core_s
+        if is_overdue:
+            self.overdue_credit_core_s -= work_core_s
+
+    def owed_core_s(self, group: Group, now_s: float) -> float:
+        """Return the work that a group may start before all others, if positive."""
+        self._decay(now_s)
+        own = self._rates.get(group)
+        others = [rate for other, rate in self._rates.items() if other != group]
+        submitted = sum(rate.submitted_core_s for rate in others)
+        if own is None or submitted <= 0:
+            return 0.0
+        started = sum(rate.started_core_s for rate in others)
+        rate = min(1.0, started / submitted)
+        return MIN_RELATIVE_RATE * rate * own.submitted_core_s - own.started_core_s
+
+    def credit_overdue(self, capacity_cores: float, now_s: float) -> None:
+        """Let the credit of overdue work grow, while there is some that waits."""
+        since_s = now_s if self._credited_at_s is None else self._credited_at_s
+        self._credited_at_s = now_s
+        most = OVERDUE_SHARE * capacity_cores
+        credit = self.overdue_credit_core_s + most * max(0.0, now_s - since_s)
+        self.overdue_credit_core_s = min(credit, most)
+
+    def clear_overdue(self) -> None:
+        """Drop the credit, since no overdue work waits."""
+        self.overdue_credit_core_s, self._credited_at_s = 0.0, None
+
+    def _decay(self, now_s: float) -> None:
+        factor = math.exp(-max(0.0, now_s - self._decayed_at_s) / RATE_MEMORY_S)
+        self._decayed_at_s = max(self._decayed_at_s, now_s)
+        for rate in self._rates.values():
+            rate.submitted_core_s *= factor
+            rate.started_core_s *= factor
+
+
+def is_overdue(key: OrderKey, first_seen_s: float, now_s: float) -> bool:
+    """Return whether a late job has waited for so long that it is owed a turn."""
+    return key[0] == LATE and now_s - first_seen_s > OVERDUE_AGE_S
+
+
+def take_turns(
+    jobs: Iterable[WaitingJob], meter: TurnMeter, capacity_cores: float, now_s: float
+) -> list[WaitingJob]:
+    """Return jobs in the order in which they get workers.
+
+    Jobs that are owed a turn come behind long-running ones and before all others.
+    """
+    ordered = sorted(jobs, key=lambda job: (job.key, job.job_id))
+    promoted: list[WaitingJob] = []
+    overdue = [job for job in ordered if is_overdue(job.key, job.first_seen_s, now_s)]
+    if overdue:
+        meter.credit_overdue(capacity_cores, now_s)
+        promoted += _within(overdue, meter.overdue_credit_core_s)
+    else:
+        meter.clear_overdue()
+    by_group: dict[Group, list[WaitingJob]] = {}
+    for job in ordered:
+        if job.key[0] == ON_TIME:
+            by_group.setdefault(job.group, []).append(job)
+    if len(by_group) > 1:
+        for group, members in by_group.items():
+            promoted += _within(members, meter.owed_core_s(group, now_s))
+    if not promoted:
+        return ordered
+    first = {job.job_id for job in promoted}
+    rest = [job for job in ordered if job.job_id not in first]
+    begin = sum(job.key[0] < ON_TIME for job in rest)
+    return rest[:begin] + promoted + rest[begin:]
+
+
+def _within(jobs: list[WaitingJob], budget_core_s: float) -> list[WaitingJob]:
+    """Return the first jobs up to and including the one that uses up a budget."""
+    chosen: list[WaitingJob] = []
+    for job in jobs:
+        if budget_core_s <= 0:
+            break
+        chosen.append(job)
+        budget_core_s -= job.left_core_s
+    return chosen
