--- a/src/chivetray/cells/turns.py
+++ b/src/chivetray/cells/turns.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
+from chivetray.cells.workers import WorkerState
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import Step
 from chivetray.organisations.model import Resources
@@ -85,6 +86,7 @@
         """Forget a job that has ended."""
         self._beyond_weight.discard(job_id)
         self._groups.pop(job_id, None)
+        self._meter.granted.pop(job_id, None)
 
     def is_beyond_weight(self, job_id: str) -> bool:
         """Return whether a job is beyond the weight of its organisation."""
@@ -113,6 +115,18 @@
             ordered = self._share_out(state, ordered, capacity)
         return [state.active[job.job_id] for job in ordered]
 
+    def hold_worker(self, job: Job, step: Step, workers: list[WorkerState]) -> None:
+        """Keep a worker free for a job that has a turn and no room.
+
+        Otherwise tasks that need less take each bit of room that becomes free, and the
+        task never fits. The worker with the most free CPU is removed from ``workers``.
+        """
+        if job.spec.job_id not in self._meter.granted:
+            return
+        suitable = [worker for worker in workers if worker.fits_when_empty(step)]
+        if suitable and len(workers) > 1:
+            workers.remove(max(suitable, key=_free_milli))
+
     def _describe(self, state: CellState, job: Job, now_s: float) -> WaitingJob:
         job_id = job.spec.job_id
         return WaitingJob(
@@ -143,7 +157,7 @@
     ) -> list[WaitingJob]:
         """Order the jobs of one class by shares, if they do not all have room.
 
-        Jobs that are owed a turn stay where they are.
+        Jobs with a turn stay where they are.
         """
         used = _used_shares(state, capacity)
         demands = dict(used)
@@ -163,11 +177,11 @@
         begin = 0
         while begin < len(ordered):
             end = begin + 1
-            class_of = ordered[begin].key[:CLASS_FIELDS]
-            while end < len(ordered) and ordered[end].key[:CLASS_FIELDS] == class_of:
+            class_of = self._class_of(ordered[begin])
+            while end < len(ordered) and self._class_of(ordered[end]) == class_of:
                 end += 1
             run = ordered[begin:end]
-            if class_of[0] == ON_TIME and len({job.organisation for job in run}) > 1:
+            if class_of[:2] == (False, ON_TIME):
                 by_name: dict[str, list[tuple[WaitingJob, float]]] = {}
                 for job in run:
                     items = by_name.setdefault(job.organisation, [])
@@ -177,6 +191,13 @@
             begin = end
         return result
 
+    def _class_of(self, job: WaitingJob) -> tuple[float, ...]:
+        return job.job_id in self._meter.granted, *job.key[:CLASS_FIELDS]
+
+
+def _free_milli(worker: WorkerState) -> tuple[int, str]:
+    return worker.cpu_milli - worker.used_cpu_milli, worker.worker_id
+
 
 def _capacity(state: CellState) -> Resources:
     """Return the resources of the listed workers."""
--- a/src/chivetray/manager_metrics.py
+++ b/src/chivetray/manager_metrics.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
-from prometheus_client import CollectorRegistry, Counter, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 from prometheus_client.core import GaugeMetricFamily, SummaryMetricFamily
 
 from chivetray.events import Event
@@ -22,6 +22,10 @@
     Event.JOB_ENDED.name: ("acceptance to completion", "took_s"),
 }
 
+# Bounds of the buckets of actual by predicted time to completion. A prediction that is
+# wrong by a factor of three in either direction lies outside of the outer ones.
+PREDICTION_RATIO_BUCKETS = (1 / 3, 0.5, 0.67, 0.8, 1.0, 1.25, 1.5, 2.0, 3.0)
+
 # Returns the value of each gauge by the name of the gauge and its subject.
 ReadGauges = Callable[[], Mapping[tuple[str, str], float]]
 
@@ -57,6 +61,12 @@
             ("code",),
             registry=self.registry,
         )
+        self._prediction_ratios = Histogram(
+            "chivetray_job_completion_ratio",
+            "Time to the completion of a job by the time predicted when it was added.",
+            buckets=PREDICTION_RATIO_BUCKETS,
+            registry=self.registry,
+        )
         self._latencies: dict[str, LatencyHistogram] = {}
         self._read_gauges = read_gauges
         self.registry.register(self)
@@ -65,6 +75,9 @@
         """Count an event and record the latency that it carries, if any."""
         outcomes = [str(fields[name]) for name in OUTCOME_FIELDS if name in fields]
         self._events.labels(event.name, " ".join(outcomes)).inc()
+        if fields.get("predicted_s") and "took_s" in fields:
+            ratio = fields["took_s"] / fields["predicted_s"]
+            self._prediction_ratios.observe(ratio)
         name, field = LATENCY_EVENTS.get(event.name, ("", ""))
         # Later steps wait for earlier ones, so only the first is measured.
         if field in fields and fields.get("step", 0) == 0:
--- a/src/chivetray/scheduling/ordering.py
+++ b/src/chivetray/scheduling/ordering.py
@@ -9,6 +9,12 @@
 # Time per step of the critical path that goes into scheduling, starting and storing.
 STEP_OVERHEAD_S = 0.06
 
+# Part of a job's slack that is kept for run times above their mean: a step ends with
+# the slowest of its tasks. In trials with one cell (``tests/shortage_cell.py``, without
+# admission) a load of twice the capacity gave a value of 42 in three runs without a
+# reserve, and 48 to 54 with reserves of 0.2 to 0.35 of the remaining path.
+DEADLINE_RESERVE = 0.3
+
 # Part of a job's relative value that does not depend on its size, and the upper bound
 # of the relative value.
 FIXED_VALUE = 0.3
@@ -63,6 +69,16 @@
     )
 
 
+def _can_be_on_time(job: Job, times: RunTimes, now_s: float) -> bool:
+    """Return whether a job is likely to meet its deadline if it starts now."""
+    path_s = critical_path_s(job.spec, times)
+    left_s = remaining_critical_path_s(job, times)
+    slack_s = (job.spec.stretch - 1) * path_s + job.spec.target_ms / 1000
+    part_left = min(1.0, left_s / path_s) if path_s > 0 else 0.0
+    reserve_s = DEADLINE_RESERVE * max(0.0, slack_s) * part_left
+    return now_s + left_s + reserve_s <= full_value_deadline_s(job, times)
+
+
 def relative_value(spec: JobSpec, mean_milli: float) -> float:
     """Return the value of a job relative to the mean job of its queue.
 
@@ -96,14 +112,17 @@
     work, so that a peak makes as few jobs late as possible. Jobs that cannot meet it
     come last, oldest first. Which of them get a turn earlier is decided in ``turns``.
 
+    Of equal jobs on time the newest comes first, since it is the least likely to miss
+    its deadline: the others have used up more of their slack.
+
     :param mean_milli: mean size of the queue's jobs, in thousandths of a core
     :param is_beyond: whether the job is beyond the weight of its organisation
     """
     if job.long_running:
         return (LONG_RUNNING, job.spec.priority, job.first_seen_s)
-    deadline_s = full_value_deadline_s(job, times)
-    if now_s + remaining_critical_path_s(job, times) <= deadline_s:
+    if _can_be_on_time(job, times, now_s):
         work_core_s = max(MIN_WORK_CORE_S, remaining_core_s(job, times))
         value_per_work = relative_value(job.spec, mean_milli) / work_core_s
-        return (ON_TIME, job.spec.priority, is_beyond, -value_per_work)
+        newest_first = -job.first_seen_s
+        return (ON_TIME, job.spec.priority, is_beyond, -value_per_work, newest_first)
     return (LATE, job.first_seen_s)
--- a/src/chivetray/scheduling/turns.py
+++ b/src/chivetray/scheduling/turns.py
@@ -69,9 +69,11 @@
     """Counts the work that is submitted and started, and who is owed a turn.
 
     :ivar overdue_credit_core_s: work that overdue jobs may start before others
+    :ivar granted: ids of the jobs that have a turn, in the order in which they got it
     """
 
     overdue_credit_core_s: float = 0.0
+    granted: dict[str, None] = field(default_factory=dict)
     _rates: dict[Group, _Rate] = field(default_factory=dict)
     _mean_core_s: float = 0.0
     _decayed_at_s: float = 0.0
@@ -145,31 +147,39 @@
 def take_turns(
     jobs: Iterable[WaitingJob], meter: TurnMeter, capacity_cores: float, now_s: float
 ) -> list[WaitingJob]:
-    """Return jobs in the order in which they get workers.
+    """Return jobs in the order in which they get workers, and grant turns.
 
-    Jobs that are owed a turn come behind long-running ones and before all others.
+    Jobs with a turn come behind long-running ones and before all others. A turn lasts
+    until the job ends: many jobs that are started and not finished are of no use.
     """
     ordered = sorted(jobs, key=lambda job: (job.key, job.job_id))
-    promoted: list[WaitingJob] = []
-    overdue = [job for job in ordered if is_overdue(job.key, job.first_seen_s, now_s)]
+    by_id = {job.job_id: job for job in ordered}
+    granted = [by_id[job_id] for job_id in meter.granted if job_id in by_id]
+    waiting = [job for job in ordered if job.job_id not in meter.granted]
+    overdue = [job for job in waiting if is_overdue(job.key, job.first_seen_s, now_s)]
     if overdue:
         meter.credit_overdue(capacity_cores, now_s)
-        promoted += _within(overdue, meter.overdue_credit_core_s)
+        budget_core_s = meter.overdue_credit_core_s - sum(
+            job.left_core_s
+            for job in granted
+            if is_overdue(job.key, job.first_seen_s, now_s)
+        )
+        granted += _within(overdue, budget_core_s)
     else:
         meter.clear_overdue()
     by_group: dict[Group, list[WaitingJob]] = {}
-    for job in ordered:
+    for job in waiting:
         if job.key[0] == ON_TIME:
             by_group.setdefault(job.group, []).append(job)
-    if len(by_group) > 1:
-        for group, members in by_group.items():
-            promoted += _within(members, meter.owed_core_s(group, now_s))
-    if not promoted:
+    for group, members in by_group.items():
+        open_core_s = sum(job.left_core_s for job in granted if job.group == group)
+        granted += _within(members, meter.owed_core_s(group, now_s) - open_core_s)
+    if not granted:
         return ordered
-    first = {job.job_id for job in promoted}
-    rest = [job for job in ordered if job.job_id not in first]
+    meter.granted.update((job.job_id, None) for job in granted)
+    rest = [job for job in ordered if job.job_id not in meter.granted]
     begin = sum(job.key[0] < ON_TIME for job in rest)
-    return rest[:begin] + promoted + rest[begin:]
+    return rest[:begin] + granted + rest[begin:]
 
 
 def _within(jobs: list[WaitingJob], budget_core_s: float) -> list[WaitingJob]:
--- a/src/chivetray/scheduling/weights.py
+++ b/src/chivetray/scheduling/weights.py
@@ -28,7 +28,8 @@
     ) -> bool:
         """Record a job; return whether it is within the weight.
 
-        Jobs may be recorded in any order of time.
+        Jobs may be recorded in any order of time. Out of order, a window can hold up to
+        twice the weight.
 
         :param weight_per_s: weight in jobs per second; ``None`` if it is not known, as
             of an organisation that was removed, so that nothing is beyond it
@@ -39,9 +40,13 @@
             return False
         window_s = max(WINDOW_S, 1 / weight_per_s)
         arrivals = self._arrivals_s.setdefault(organisation, [])
-        begin = bisect.bisect_right(arrivals, at_s - window_s)
-        end = bisect.bisect_right(arrivals, at_s)
-        if end - begin + 1 > weight_per_s * window_s:
+        before = bisect.bisect_right(arrivals, at_s) - bisect.bisect_right(
+            arrivals, at_s - window_s
+        )
+        after = bisect.bisect_left(arrivals, at_s + window_s) - bisect.bisect_left(
+            arrivals, at_s
+        )
+        if max(before, after) + 1 > weight_per_s * window_s:
             return False
         bisect.insort(arrivals, at_s)
         kept_s = max(KEPT_S, window_s)
