--- a/src/chivetray/cells/turns.py
+++ b/src/chivetray/cells/turns.py
@@ -16,7 +16,6 @@
 )
 from chivetray.scheduling.ordering import (
     ON_TIME,
-    OrderKey,
     order_key,
     remaining_core_s,
     work_core_s,
@@ -58,6 +57,7 @@
         self._meter = TurnMeter()
         self._beyond_weight: set[str] = set()
         self._groups: dict[str, Group] = {}
+        self._waiting: dict[str, WaitingJob] = {}
 
     def add_job(self, job: Job, times: RunTimes, is_new: bool) -> None:
         """Record an accepted job.
@@ -86,6 +86,7 @@
         """Forget a job that has ended."""
         self._beyond_weight.discard(job_id)
         self._groups.pop(job_id, None)
+        self._waiting.pop(job_id, None)
         self._meter.granted.pop(job_id, None)
 
     def is_beyond_weight(self, job_id: str) -> bool:
@@ -128,29 +129,32 @@
             workers.remove(max(suitable, key=_free_milli))
 
     def _describe(self, state: CellState, job: Job, now_s: float) -> WaitingJob:
-        job_id = job.spec.job_id
-        return WaitingJob(
+        """Return what the order of a job depends on; it is reused for some time."""
+        job_id, done_count = job.spec.job_id, len(job.done_steps)
+        cached = state.cached_order_keys.get(job_id)
+        known = self._waiting.get(job_id)
+        if (
+            known is not None
+            and cached is not None
+            and cached[0] >= now_s
+            and cached[1] == done_count
+        ):
+            return known
+        size = state.mean_job_cpu_milli.get(job.spec.queue, 0.0)
+        is_beyond = self.is_beyond_weight(job_id)
+        key = order_key(job, state.times, now_s, size, is_beyond)
+        expires_at_s = now_s + ORDER_KEY_TTL_S
+        state.cached_order_keys[job_id] = (expires_at_s, done_count, key)
+        waiting = self._waiting[job_id] = WaitingJob(
             job_id,
-            self._key(state, job, now_s),
+            key,
             self._groups.get(job_id, (0, False)),
             job.first_seen_s,
             remaining_core_s(job, state.times),
             job.spec.organisation,
+            _largest_need(job),
         )
-
-    def _key(self, state: CellState, job: Job, now_s: float) -> OrderKey:
-        job_id, done_count = job.spec.job_id, len(job.done_steps)
-        cached = state.cached_order_keys.get(job_id)
-        if cached is None or cached[0] < now_s or cached[1] != done_count:
-            size = state.mean_job_cpu_milli.get(job.spec.queue, 0.0)
-            is_beyond = self.is_beyond_weight(job_id)
-            key = order_key(job, state.times, now_s, size, is_beyond)
-            cached = state.cached_order_keys[job_id] = (
-                now_s + ORDER_KEY_TTL_S,
-                done_count,
-                key,
-            )
-        return cached[2]
+        return waiting
 
     def _share_out(
         self, state: CellState, ordered: list[WaitingJob], capacity: Resources
@@ -162,7 +166,7 @@
         used = _used_shares(state, capacity)
         demands = dict(used)
         shares = {
-            job.job_id: _job_share(state.active[job.job_id], capacity)
+            job.job_id: dominant_share(job.need, capacity)
             for job in ordered
             if job.key[0] == ON_TIME
         }
@@ -227,16 +231,14 @@
     }
 
 
-def _job_share(job: Job, capacity: Resources) -> float:
-    """Return the dominant share that the largest unfinished step of a job needs."""
-    return max(
-        dominant_share(
-            Resources(
-                step.cpu_milli * job.unfinished_count(number),
-                step.mem_mb * job.unfinished_count(number),
-                step.gpu * job.unfinished_count(number),
-            ),
-            capacity,
-        )
+def _largest_need(job: Job) -> Resources:
+    """Return what the largest unfinished step of a job occupies, by resource."""
+    counts = [
+        (step, job.unfinished_count(number))
         for number, step in enumerate(job.spec.steps)
+    ]
+    return Resources(
+        max(step.cpu_milli * count for step, count in counts),
+        max(step.mem_mb * count for step, count in counts),
+        max(step.gpu * count for step, count in counts),
     )
--- a/src/chivetray/scheduling/turns.py
+++ b/src/chivetray/scheduling/turns.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from chivetray.organisations.model import Resources
 from chivetray.scheduling.ordering import LATE, ON_TIME, OrderKey
 
 # Part of the capacity that overdue work gets before work that can be on time. It earns
@@ -48,6 +49,7 @@
 
     :ivar first_seen_s: time at which it was accepted
     :ivar left_core_s: expected core-seconds of its unfinished tasks
+    :ivar need: what its largest unfinished step occupies
     """
 
     job_id: str
@@ -56,6 +58,7 @@
     first_seen_s: float
     left_core_s: float
     organisation: str = ""
+    need: Resources = Resources()
 
 
 @dataclass(slots=True)
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -162,3 +162,18 @@
     def test_each_ends_after_the_overload(self) -> None:
         cell = ShortCell(LOADS["twice the capacity"], 9).run()
         assert cell.longest_wait_s() < 30
+
+
+class TestOrganisations:
+    @pytest.mark.parametrize("weights", [{"a": 2.0, "b": 4.0}, {"a": 0.0, "b": 0.0}])
+    def test_a_crowd_of_one_does_not_make_the_jobs_of_another_late(
+        self, weights: dict[str, float]
+    ) -> None:
+        """Within its weight an organisation comes first; without one, its share does."""
+        crowd = small((0, 12), organisation="a")
+        other = small((0, 2), organisation="b")
+        load = Load((crowd, other), 12, tail=0.0, weights=weights)
+        cell = ShortCell(load, 4).run()
+        assert cell.part_on_time(other) >= 0.9
+        assert cell.part_on_time(crowd) > 0
+        assert cell.value >= ShortCell(load, 4, naive=True).run().value
