--- a/tests/test_late_jobs.py
+++ b/tests/test_late_jobs.py
@@ -18,6 +18,7 @@
 from virtual_loop import virtual_time
 
 from chivetray.cells.acceptance import SETTLE_S, JobAcceptor
+from chivetray.cells.job_service import JobAnswer, JobService
 from chivetray.cells.late_jobs import LateJobGate, Refusal
 from chivetray.cells.tables import job_row
 from chivetray.clocks import boot_time_s
@@ -27,11 +28,14 @@
 from chivetray.manager_metrics import ManagerMetrics
 from chivetray.peers.codec import MessageDecoder, encode_message
 from chivetray.platform.store import OutcomeUnknown, Row, RowId
+from chivetray.platform.stored_records import Queue
+from chivetray.results import Ran, ResultCode
 from chivetray.scheduling.admission import judge_job, spread_retry_s
 from chivetray.scheduling.prediction import Backlog, decode_backlog
 
 SPEC = job(steps=(Step(8, 1500, estimate_ms=680),), stretch=1.6)
 ROW = job_row(SPEC.queue, SPEC.job_id)
+QUEUE = Queue("host/queue/", "q", "host", "/queue/", CELL)
 HOPELESS = Backlog(90, 0, 200, 100, 9000, 9000, (9000, 0, 0), (100, 0, 0))
 
 COUNTS = st.integers(0, 2**31)
@@ -243,6 +247,24 @@
         assert all(told)
 
 
+class TestAnswer:
+    def test_a_refused_job_is_answered_and_nothing_is_stored(self) -> None:
+        class Gate:
+            async def check(self, spec: JobSpec, row: RowId) -> Refusal:
+                assert row == job_row(QUEUE.key, spec.job_id)
+                return Refusal("too late", 2.5)
+
+        mesh: Any = SimpleNamespace(handlers={})
+        # Without a store, a write fails the test.
+        service = JobService(mesh, None, None, None)  # type: ignore[arg-type]
+        service.late_jobs = Gate()  # type: ignore[assignment]
+        body = b'{"TaskSpec": "", "Steps": [{"Count": 1, "Cpu": 100}]}'
+        answer = asyncio.run(service.submit(QUEUE, SPEC.job_id, body, 1.0))
+        assert answer == JobAnswer(ResultCode.TOO_LATE, "too late", 2.5)
+        assert answer.code.http_status == 503
+        assert answer.code.ran == Ran.NO
+
+
 class TestPredictionMetric:
     def test_a_prediction_wrong_by_more_than_three_is_seen(self) -> None:
         metrics = ManagerMetrics(dict)
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -169,7 +169,7 @@
     def test_a_crowd_of_one_does_not_make_the_jobs_of_another_late(
         self, weights: dict[str, float]
     ) -> None:
-        """Within its weight an organisation comes first; without one, its share does."""
+        """Guards against an order by arrival alone, in which a crowd fills the cell."""
         crowd = small((0, 12), organisation="a")
         other = small((0, 2), organisation="b")
         load = Load((crowd, other), 12, tail=0.0, weights=weights)
