Hold a worker only for waiting tasks, and tell peers once of open calls

A job with a turn held a worker while all its tasks ran. During an outage of the store each failed batch of jobs would have sent a heartbeat to all peers.

--- a/src/chivetray/cells/acceptance.py
+++ b/src/chivetray/cells/acceptance.py
@@ -78,7 +78,7 @@
 class JobAcceptor:
     """Creates rows of jobs, batching the rows of each queue into transactions.
 
-    :ivar on_unsettled: called when a call had no answer
+    :ivar on_unsettled: called when a call had no answer, the first one for some time
     """
 
     def __init__(self, store: Store):
@@ -168,8 +168,10 @@
                 else:
                     pending.finish(Acceptance.REFUSED, outcome.reason)
         else:
+            was_settled = boot_time_s() - self._unknown_at_s >= SETTLE_S
             self._unknown_at_s = boot_time_s()
-            self.on_unsettled()
+            if was_settled:
+                self.on_unsettled()
             for pending in rows.values():
                 pending.unknown, pending.reason = True, outcome.reason
             to_retry += rows.values()
--- a/src/chivetray/cells/placing.py
+++ b/src/chivetray/cells/placing.py
@@ -43,7 +43,8 @@
                 step.cpu_milli > max_free_cpu_milli and not step.best_effort
             ):
                 remains_schedulable = True
-                state.turns.hold_worker(job, step, workers)
+                tasks = job.step_tasks(occurrence, step_number)
+                state.turns.hold_worker(job, step, tasks, workers)
                 continue
             tasks = job.step_tasks(occurrence, step_number)
             if not any(t.phase == Phase.WAITING for t in tasks):
--- a/src/chivetray/cells/turns.py
+++ b/src/chivetray/cells/turns.py
@@ -7,7 +7,7 @@
 
 from chivetray.cells.workers import WorkerState
 from chivetray.jobs.job import Job
-from chivetray.jobs.model import Step
+from chivetray.jobs.model import Phase, Step, Task
 from chivetray.organisations.model import Resources
 from chivetray.scheduling.fair_shares import (
     dominant_share,
@@ -116,7 +116,9 @@
             ordered = self._share_out(state, ordered, capacity)
         return [state.active[job.job_id] for job in ordered]
 
-    def hold_worker(self, job: Job, step: Step, workers: list[WorkerState]) -> None:
+    def hold_worker(
+        self, job: Job, step: Step, tasks: list[Task], workers: list[WorkerState]
+    ) -> None:
         """Keep a worker free for a job that has a turn and no room.
 
         Otherwise tasks that need less take each bit of room that becomes free, and the
@@ -124,6 +126,8 @@
         """
         if job.spec.job_id not in self._meter.granted:
             return
+        if not any(task.phase == Phase.WAITING for task in tasks):
+            return
         suitable = [worker for worker in workers if worker.fits_when_empty(step)]
         if suitable and len(workers) > 1:
             workers.remove(max(suitable, key=_free_milli))
--- a/tests/test_late_jobs.py
+++ b/tests/test_late_jobs.py
@@ -12,7 +12,7 @@
 import anyio
 import msgpack
 import pytest
-from cell_helpers import CELL, job
+from cell_helpers import CELL, World, job, until
 from hypothesis import given
 from hypothesis import strategies as st
 from virtual_loop import virtual_time
@@ -21,10 +21,12 @@
 from chivetray.cells.job_service import JobAnswer, JobService
 from chivetray.cells.late_jobs import LateJobGate, Refusal
 from chivetray.cells.tables import job_row
+from chivetray.cells.turns import JobTurns
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event
 from chivetray.generated.messages import CellClaim, NodeHeartbeat
-from chivetray.jobs.model import JobSpec, Step
+from chivetray.jobs.job import Job
+from chivetray.jobs.model import JobSpec, JobState, Phase, Step
 from chivetray.manager_metrics import ManagerMetrics
 from chivetray.peers.codec import MessageDecoder, encode_message
 from chivetray.platform.store import OutcomeUnknown, Row, RowId
@@ -238,13 +240,13 @@
                 fleet.acceptor.is_unsettled(boot_time_s())
             )
             async with asyncio.timeout(5), anyio.create_task_group() as t:
-                await fleet.acceptor.create(t, ROW, b"x", 0.2)
+                # The call is repeated, and peers are told once.
+                await fleet.acceptor.create(t, ROW, b"x", 0.4)
                 assert not fleet.acceptor.is_storing(ROW)
 
         with virtual_time() as loop:
             loop.run_until_complete(main())
-        assert told
-        assert all(told)
+        assert told == [True]
 
 
 class TestAnswer:
@@ -265,6 +267,53 @@
         assert answer.code.ran == Ran.NO
 
 
+class TestPredictionOfAnOwner:
+    def test_the_end_of_a_job_tells_what_was_predicted(self, logged) -> None:  # type: ignore[no-untyped-def]
+        async def main() -> None:
+            world = World(work_s=0.2, cpu_milli=16_000)
+            owner = await world.own()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(world.work)
+                tasks.start_soon(owner.run)
+                await until(
+                    lambda: owner.state.workers["w0"].accepts_tasks(boot_time_s())
+                )
+                owner.add_job(SPEC)
+                added = owner.state.jobs[SPEC.job_id]
+                await until(lambda: added.state == JobState.COMPLETED)
+                tasks.cancel_scope.cancel()
+            assert not owner.state.predicted_s
+
+        asyncio.run(main())
+        (line,) = logged.of(Event.JOB_ENDED)
+        # The estimate of its step, and the overhead of one.
+        assert line["predicted_s"] == pytest.approx(0.74, abs=0.02)
+
+
+class TestHeldWorker:
+    def test_none_is_held_for_a_step_whose_tasks_all_run(self) -> None:
+        """Guards against room that stays empty for a job that does not need it."""
+        turns = JobTurns()
+        turns._meter.granted[SPEC.job_id] = None
+        step, waiting = SPEC.steps[0], Job(SPEC)
+        workers: list[Any] = [
+            SimpleNamespace(
+                worker_id=name,
+                cpu_milli=4000,
+                used_cpu_milli=used,
+                fits_when_empty=lambda _step: True,
+            )
+            for name, used in (("w0", 3900), ("w1", 3000), ("w2", 3500))
+        ]
+        tasks = waiting.step_tasks(0, 0)
+        turns.hold_worker(waiting, step, tasks, workers)
+        assert [worker.worker_id for worker in workers] == ["w0", "w2"]
+        for task in tasks:
+            task.phase = Phase.RUNNING
+        turns.hold_worker(waiting, step, tasks, workers)
+        assert len(workers) == 2
+
+
 class TestPredictionMetric:
     def test_a_prediction_wrong_by_more_than_three_is_seen(self) -> None:
         metrics = ManagerMetrics(dict)
