Predict with learned run times, and without work beyond weights

Estimates are off by a factor of up to 0.9, and with them the time for which a job is of use. Work of a crowd beyond its weight no longer gets jobs of other organisations refused.

--- a/src/chivetray/cells/backlog.py
+++ b/src/chivetray/cells/backlog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from chivetray.jobs.job import Job
@@ -15,11 +16,13 @@
     remaining_critical_path_s,
 )
 from chivetray.scheduling.prediction import (
+    DIGEST_QUEUES,
     PRIORITY_CLASSES,
     Backlog,
     JobDemand,
     predict_completion_s,
     priority_class,
+    queue_number,
 )
 from chivetray.scheduling.run_times import RunTimes
 
@@ -70,7 +73,7 @@
         if not may_be_refused(spec):
             return None
         backlog = self.measure(state, now_s)
-        return predict_completion_s(JobDemand.from_spec(spec), backlog)
+        return predict_completion_s(JobDemand.from_spec(spec, backlog), backlog)
 
     def _measure(self, state: CellState, now_s: float) -> Backlog:
         late_core_s = 0.0
@@ -82,7 +85,10 @@
             waiting_core_s = _waiting_core_s(job, state.times)
             if waiting_core_s <= 0:
                 continue
-            if _is_late(state, job, now_s):
+            # A manager does not know whether a new job is within the weight of its
+            # organisation, so what others submit beyond theirs is not before it.
+            is_beyond = state.turns.is_beyond_weight(job.spec.job_id)
+            if is_beyond or _is_late(state, job, now_s):
                 late_core_s += waiting_core_s
             else:
                 number = priority_class(job.spec.priority)
@@ -105,6 +111,7 @@
             int(late_core_s),
             tuple(int(core_s) for core_s in on_time_core_s),
             tuple(on_time_jobs),
+            _learned_run_times(state),
         )
 
 
@@ -146,6 +153,27 @@
     return serving_milli / 1000, arriving * mean_milli / 1000
 
 
+def _learned_run_times(state: CellState) -> tuple[tuple[int, int], ...]:
+    """Return the learned run times of the queues with the most active jobs.
+
+    They are learned if twice the estimate changes them by less than half of it.
+    """
+    estimates_ms: dict[str, int] = {}
+    jobs: Counter[str] = Counter()
+    for job in state.active.values():
+        if may_be_refused(job.spec):
+            jobs[job.spec.queue] += 1
+            estimates_ms[job.spec.queue] = job.spec.steps[0].estimate_ms
+    found = []
+    for queue, _ in jobs.most_common(DIGEST_QUEUES):
+        estimate_ms = max(1, estimates_ms[queue])
+        run_s = state.times.expected_s(queue, estimate_ms)
+        doubled_s = state.times.expected_s(queue, 2 * estimate_ms)
+        if 2000 * abs(doubled_s - run_s) < estimate_ms:
+            found.append((queue_number(queue), int(1000 * run_s)))
+    return tuple(found)
+
+
 def _run_time_percent(state: CellState) -> int:
     """Return the learned run times relative to the estimates of callers.
 
--- a/src/chivetray/scheduling/admission.py
+++ b/src/chivetray/scheduling/admission.py
@@ -55,7 +55,7 @@
     """
     if backlog is None or age_s > MAX_DIGEST_AGE_S or not may_be_refused(spec):
         return Verdict(False)
-    demand = JobDemand.from_spec(spec)
+    demand = JobDemand.from_spec(spec, backlog)
     predicted_s = predict_completion_s(demand, backlog)
     latest_s = demand.latest_useful_s(backlog)
     if predicted_s is None or predicted_s <= latest_s:
--- a/src/chivetray/scheduling/prediction.py
+++ b/src/chivetray/scheduling/prediction.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from chivetray.jobs.model import JobSpec
 from chivetray.scheduling.ordering import (
@@ -17,6 +18,9 @@
 # Version of the encoded digest. A digest of another version counts as absent.
 DIGEST_VERSION = 1
 
+# Queues of which a digest tells the learned run time: those with the most jobs.
+DIGEST_QUEUES = 3
+
 # Classes of priority that a digest tells apart; the last one holds all further ones.
 PRIORITY_CLASSES = 3
 
@@ -39,9 +43,12 @@
     :ivar submitted_cores: cores that keep up with the jobs that arrive
     :ivar run_time_percent: learned run times relative to the estimates of callers
     :ivar short_ms: time for which more work has waited than the cell does in a second
-    :ivar late_core_s: work of jobs that cannot be on time
+    :ivar late_core_s: work of jobs that cannot be on time, or that are beyond the
+        weight of their organisation
     :ivar on_time_core_s: work of the other jobs, by class of priority
     :ivar on_time_jobs: number of these jobs, by class of priority
+    :ivar run_times_ms: number of a queue and the learned run time of its tasks, where
+        it is known
     """
 
     serving_cores: int
@@ -52,6 +59,7 @@
     late_core_s: int = 0
     on_time_core_s: tuple[int, ...] = (0,) * PRIORITY_CLASSES
     on_time_jobs: tuple[int, ...] = (0,) * PRIORITY_CLASSES
+    run_times_ms: tuple[tuple[int, int], ...] = ()
 
     def encode(self, age_ms: int) -> list[int]:
         """Return the digest as integers, which msgpack encodes in under 100 bytes.
@@ -66,22 +74,31 @@
             *scalars,
             *self.on_time_core_s,
             *self.on_time_jobs,
+            *(value for pair in self.run_times_ms for value in pair),
         ]
 
 
 def decode_backlog(values: Sequence[int]) -> tuple[Backlog, float] | None:
     """Return a digest and its age in s when it was sent, or ``None`` without one."""
-    if len(values) != 8 + 2 * PRIORITY_CLASSES or values[0] != DIGEST_VERSION:
+    length = 8 + 2 * PRIORITY_CLASSES
+    if len(values) < length or len(values) % 2 or values[0] != DIGEST_VERSION:
         return None
     if min(values) < 0:
         return None
     begin_jobs = 8 + PRIORITY_CLASSES
-    work, jobs = tuple(values[8:begin_jobs]), tuple(values[begin_jobs:])
+    work, jobs = tuple(values[8:begin_jobs]), tuple(values[begin_jobs:length])
+    pairs = zip(values[length::2], values[length + 1 :: 2], strict=True)
     age_ms, serving, arriving, submitted, percent, short_ms, late = values[1:8]
-    backlog = Backlog(serving, arriving, submitted, percent, short_ms, late, work, jobs)
+    scalars = (serving, arriving, submitted, percent, short_ms, late)
+    backlog = Backlog(*scalars, work, jobs, tuple(pairs))
     return backlog, age_ms / 1000
 
 
+def queue_number(queue: str) -> int:
+    """Return a number of two bytes that identifies a queue within its cell."""
+    return zlib.crc32(queue.encode()) & 0xFFFF
+
+
 def priority_class(priority: int) -> int:
     """Return the class of a priority in a digest."""
     return min(max(0, priority), PRIORITY_CLASSES - 1)
@@ -89,8 +106,9 @@
 
 @dataclass(frozen=True, slots=True)
 class JobDemand:
-    """What a job needs, by the estimates of its caller.
+    """What a job needs, by learned run times, or else the estimates of its caller.
 
+    :ivar is_learned: whether the run times are learned
     :ivar path_s: run time of the longest chain of dependent steps
     :ivar steps: number of steps
     :ivar work_core_s: work of all its tasks, in core-seconds
@@ -102,10 +120,15 @@
     work_core_s: float
     stretch: float
     target_s: float
+    is_learned: bool = False
 
     @classmethod
-    def from_spec(cls, spec: JobSpec) -> JobDemand:
+    def from_spec(cls, spec: JobSpec, backlog: Backlog) -> JobDemand:
         """Return the demand of a submitted job."""
+        run_ms = dict(backlog.run_times_ms).get(queue_number(spec.queue))
+        if run_ms is not None:
+            steps = (replace(step, estimate_ms=run_ms) for step in spec.steps)
+            spec = replace(spec, steps=tuple(steps))
         estimates = RunTimes()
         return cls(
             spec.priority,
@@ -114,12 +137,16 @@
             work_core_s(spec, estimates),
             spec.stretch,
             spec.target_ms / 1000,
+            run_ms is not None,
         )
 
+    def factor(self, backlog: Backlog) -> float:
+        """Return what the run times of the job are to be multiplied with."""
+        return 1.0 if self.is_learned else backlog.run_time_percent / 100
+
     def objective_s(self, backlog: Backlog) -> float:
         """Return the time from submission until which the job earns its full value."""
-        factor = backlog.run_time_percent / 100
-        return self.stretch * self.path_s * factor + self.target_s
+        return self.stretch * self.path_s * self.factor(backlog) + self.target_s
 
     def latest_useful_s(self, backlog: Backlog) -> float:
         """Return the time from submission until which the job earns anything."""
@@ -138,7 +165,7 @@
     cores = backlog.serving_cores + backlog.arriving_cores
     if cores <= 0:
         return None
-    factor = backlog.run_time_percent / 100
+    factor = demand.factor(backlog)
     run_s = demand.path_s * factor + demand.steps * STEP_OVERHEAD_S
     run_s = max(run_s, demand.work_core_s * factor / cores)
     on_time_s = _serve_s(_work_ahead(demand, backlog, factor), backlog) + run_s
--- a/tests/test_late_jobs.py
+++ b/tests/test_late_jobs.py
@@ -33,7 +33,7 @@
 from chivetray.platform.stored_records import Queue
 from chivetray.results import Ran, ResultCode
 from chivetray.scheduling.admission import judge_job, spread_retry_s
-from chivetray.scheduling.prediction import Backlog, decode_backlog
+from chivetray.scheduling.prediction import Backlog, decode_backlog, queue_number
 
 SPEC = job(steps=(Step(8, 1500, estimate_ms=680),), stretch=1.6)
 ROW = job_row(SPEC.queue, SPEC.job_id)
@@ -46,6 +46,7 @@
     *[COUNTS] * 6,
     st.tuples(COUNTS, COUNTS, COUNTS),
     st.tuples(COUNTS, COUNTS, COUNTS),
+    st.lists(st.tuples(st.integers(0, 2**16 - 1), COUNTS), max_size=3).map(tuple),
 )
 
 
@@ -79,6 +80,16 @@
         assert judge_job(SPEC, HOPELESS, 0.0, 0.5).refused
         assert not judge_job(SPEC, backlog, 0.0, 0.5).refused
 
+    @pytest.mark.parametrize("estimate_ms", [68, 1292])
+    def test_learned_run_times_replace_wrong_estimates(self, estimate_ms: int) -> None:
+        """A job with a low estimate counted as useful for a fraction of its time."""
+        learned = ((queue_number(SPEC.queue), 680),)
+        backlog = replace(HOPELESS, run_times_ms=learned)
+        wrong = replace(SPEC, steps=(replace(SPEC.steps[0], estimate_ms=estimate_ms),))
+        exact = judge_job(SPEC, HOPELESS, 0.0, 0.5)
+        assert judge_job(wrong, backlog, 0.0, 0.5) == exact
+        assert judge_job(wrong, HOPELESS, 0.0, 0.5) != exact
+
     @given(st.floats(0, 1000))
     def test_a_refused_crowd_does_not_return_at_one_moment(
         self, excess_s: float
