--- a/src/chivetray/scheduling/prediction.py
+++ b/src/chivetray/scheduling/prediction.py
@@ -22,6 +22,9 @@
 # Classes of priority that a digest tells apart; the last one holds all further ones.
 PRIORITY_CLASSES = 3
 
+# Queues of which a digest tells the learned run time: those with the most jobs.
+DIGEST_QUEUES = 3
+
 # Time after which VMs on their way are counted as capacity: that of a move.
 TRANSIT_S = 1.5
 
