--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -111,6 +111,7 @@
     :ivar scanned_at_s: start of the newest scan that was completed
     :ivar longest_lease_s: upper bound of the leases that workers grant
     :ivar longest_list_age_s: age of the list of workers above which no task starts
+    :ivar stores_run_times: whether owners store learned run times for the next owner
     :ivar weight_of: returns the weight of an organisation, as in ``JobTurns``
     :ivar tells_backlog: whether claims carry a digest of the cell's work
     :ivar has_vm_orders: whether a manager moves and maintains the VMs of workers
@@ -144,6 +145,7 @@
         self.scanned_at_s = 0.0
         self.longest_lease_s = LEASE_S
         self.longest_list_age_s = math.inf
+        self.stores_run_times = False
         self.has_vm_orders = False
         self.weight_of: Callable[[str], float | None] = lambda _organisation: None
         self.tells_backlog = False
@@ -409,6 +411,7 @@
         cell_owner.confirmed_at_s = acquired_at_s
         cell_owner.longest_lease_s = self.longest_lease_s
         cell_owner.longest_list_age_s = self.longest_list_age_s
+        cell_owner.stores_run_times = self.stores_run_times
         # A process without cells does not read the list, so it may be of any age.
         cell_owner.workers_listed_at_s = 0.0
         if row is None:
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -119,6 +119,7 @@
     :ivar longest_list_age_s: age of the list of workers above which no start order is
         sent, since a worker may have begun to drain
     :ivar workers_listed_at_s: send time of the read of that list
+    :ivar stores_run_times: whether learned run times are stored for the next owner
     :ivar renewal_latency_s: duration of the last renewal of the ownership
     :ivar get_remaining_leases: returns the remaining leases that the next owner has to
         wait for
@@ -154,6 +155,7 @@
         self.renewal_latency_s = 0.0
         self.longest_lease_s = LEASE_S
         self.longest_list_age_s = math.inf
+        self.stores_run_times = False
         self.workers_listed_at_s = self.confirmed_at_s
         self.lease_ends = LeaseEnds(state)
         self.inherited_leases_s: dict[str, float] | None = None
@@ -251,8 +253,9 @@
             self._log_loaded()
             task_group.start_soon(self._renew_ownership)
             task_group.start_soon(self.lease_ends.run, self, self._store.clock)
-            run_times = RunTimeRow(self.state)
-            task_group.start_soon(run_times.run, self, self._store)
+            if self.stores_run_times:
+                run_times = RunTimeRow(self.state)
+                task_group.start_soon(run_times.run, self, self._store)
             task_group.start_soon(self._log_waits)
             await self._main_loop(task_group)
             task_group.cancel_scope.cancel()
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -120,6 +120,7 @@
             self._configuration.caps,
         )
         self._directory.longest_lease_s = settings.longest_lease_ms / 1000
+        self._directory.stores_run_times = settings.store_run_times
         self._directory.longest_list_age_s = max(
             MIN_LIST_AGE_S, settings.drain_ms / 1000 - START_DELAY_S
         )
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -298,6 +298,7 @@
         directory._workers = directory._advice = None  # type: ignore[assignment]
         directory.longest_lease_s = 7.0
         directory.longest_list_age_s = 60.0
+        directory.stores_run_times = False
         directory.has_vm_orders = False
         directory.weight_of = lambda _: None
         directory._workers_of = lambda _: []  # type: ignore[method-assign]
--- a/tests/test_run_time_row.py
+++ b/tests/test_run_time_row.py
@@ -36,6 +36,7 @@
 async def store_run_times(world: World) -> None:
     """Let an owner learn and store what it has learned."""
     owner = await world.own()
+    owner.stores_run_times = True
     list(play(owner.state.times, LOADS["taxi-small"], 500, 1))
     async with running(world, owner):
         await until(lambda: NAME in world.state.rows)
@@ -47,6 +48,7 @@
             world = World()
             await store_run_times(world)
             later = await world.own()
+            later.stores_run_times = True
             async with running(world, later):
                 await until(lambda: len(later.state.times) > 0)
             assert later.state.times.expected_s(QUEUE, 9000, KIND) < 1.2
@@ -58,6 +60,7 @@
             world = World()
             await MemoryStore(world.state).transact({}, {ROW: b"\xc1 damaged"})
             owner = await world.own()
+            owner.stores_run_times = True
             async with running(world, owner):
                 await asyncio.sleep(0.1)
                 assert len(owner.state.times) == 0
@@ -71,6 +74,7 @@
         async def scenario() -> None:
             world = World()
             owner = await world.own()
+            owner.stores_run_times = True
             lost = []
 
             def lose(_number: int, body: object) -> NoAnswer | None:
@@ -93,6 +97,7 @@
         async def scenario() -> None:
             world = World(work_s=30)
             owner = await world.own()
+            owner.stores_run_times = True
             async with running(world, owner):
                 owner.add_job(job(steps=(Step(1, 1000, long_running=True),)))
                 await asyncio.sleep(0.4)
@@ -121,6 +126,7 @@
         async def scenario() -> None:
             world = World()
             owner = await world.own()
+            owner.stores_run_times = True
             row = RunTimeRow(owner.state)
             list(play(owner.state.times, LOADS["taxi-small"], 2000, 1))
             assert await row.load(world.store, owner.guard_version)
@@ -153,3 +159,18 @@
             assert await row.load(store, outcome.version)
 
         asyncio.run(scenario())
+
+
+class TestSettingThatIsOff:
+    def test_no_row_is_written(self) -> None:
+        """Guards against rows in deployments that do not ask for them."""
+
+        async def scenario() -> None:
+            world = World()
+            owner = await world.own()
+            list(play(owner.state.times, LOADS["taxi-small"], 500, 1))
+            async with running(world, owner):
+                await asyncio.sleep(0.3)
+            assert NAME not in world.state.rows
+
+        asyncio.run(scenario())
