--- a/src/chivetray/scheduling/ordering.py
+++ b/src/chivetray/scheduling/ordering.py
@@ -70,22 +70,24 @@
 
 def full_value_deadline_s(job: Job, times: RunTimes) -> float:
     """Return the time by which a job must end to earn its full value."""
+    return _deadline_s(job, critical_path_s(job.spec, times))
+
+
+def _deadline_s(job: Job, path_s: float) -> float:
     spec = job.spec
-    return (
-        job.first_seen_s
-        + spec.stretch * critical_path_s(spec, times)
-        + spec.target_ms / 1000
-    )
+    return job.first_seen_s + spec.stretch * path_s + spec.target_ms / 1000
 
 
-def _can_be_on_time(job: Job, times: RunTimes, now_s: float) -> bool:
-    """Return whether a job is likely to meet its deadline if it starts now."""
-    path_s = critical_path_s(job.spec, times)
-    left_s = remaining_critical_path_s(job, times)
+def _can_be_on_time(job: Job, path_s: float, left_s: float, now_s: float) -> bool:
+    """Return whether a job is likely to meet its deadline if it starts now.
+
+    :param path_s: expected run time of its critical path
+    :param left_s: the same of its unfinished steps
+    """
     slack_s = (job.spec.stretch - 1) * path_s + job.spec.target_ms / 1000
     part_left = min(1.0, left_s / path_s) if path_s > 0 else 0.0
     reserve_s = DEADLINE_RESERVE * max(0.0, slack_s) * part_left
-    return now_s + left_s + reserve_s <= full_value_deadline_s(job, times)
+    return now_s + left_s + reserve_s <= _deadline_s(job, path_s)
 
 
 def relative_value(spec: JobSpec, mean_milli: float) -> float:
@@ -133,19 +135,20 @@
     """
     if job.long_running:
         return (LONG_RUNNING, job.spec.priority, job.first_seen_s)
-    if _can_be_on_time(job, times, now_s):
-        work_core_s = max(MIN_WORK_CORE_S, remaining_core_s(job, times))
-        value_per_work = relative_value(job.spec, mean_milli) / work_core_s
+    path_s = critical_path_s(job.spec, times)
+    left_s = remaining_critical_path_s(job, times)
+    is_on_time = _can_be_on_time(job, path_s, left_s, now_s)
+    if not is_on_time and now_s + left_s > _latest_useful_s(job, path_s):
+        return (LATE, USELESS, job.first_seen_s)
+    work_core_s = max(MIN_WORK_CORE_S, remaining_core_s(job, times))
+    value_per_work = relative_value(job.spec, mean_milli) / work_core_s
+    if is_on_time:
         newest_first = -job.first_seen_s
         return (ON_TIME, job.spec.priority, is_beyond, -value_per_work, newest_first)
-    if now_s + remaining_critical_path_s(job, times) <= _latest_useful_s(job, times):
-        work_core_s = max(MIN_WORK_CORE_S, remaining_core_s(job, times))
-        value_per_work = relative_value(job.spec, mean_milli) / work_core_s
-        return (LATE, USEFUL, -value_per_work, job.first_seen_s)
-    return (LATE, USELESS, job.first_seen_s)
+    return (LATE, USEFUL, -value_per_work, job.first_seen_s)
 
 
-def _latest_useful_s(job: Job, times: RunTimes) -> float:
+def _latest_useful_s(job: Job, path_s: float) -> float:
     """Return the time by which a job must end to be of any use."""
-    objective_s = full_value_deadline_s(job, times) - job.first_seen_s
+    objective_s = _deadline_s(job, path_s) - job.first_seen_s
     return job.first_seen_s + USEFUL_OBJECTIVES * objective_s
