--- a/src/chivetray/cells/backlog.py
+++ b/src/chivetray/cells/backlog.py
@@ -11,9 +11,9 @@
 from chivetray.scheduling.admission import may_be_refused
 from chivetray.scheduling.ordering import (
     LATE,
-    full_value_deadline_s,
+    deadline_s,
+    estimate_path,
     remaining_core_s,
-    remaining_critical_path_s,
 )
 from chivetray.scheduling.prediction import (
     DIGEST_QUEUES,
@@ -134,8 +134,8 @@
     cached = state.cached_order_keys.get(job.spec.job_id)
     if cached is not None:
         return cached[2][0] == LATE
-    left_s = remaining_critical_path_s(job, state.times)
-    return now_s + left_s > full_value_deadline_s(job, state.times)
+    path_s, left_s = estimate_path(job, state.times, now_s)
+    return now_s + left_s > deadline_s(job, path_s)
 
 
 def _count_cores(state: CellState, now_s: float) -> tuple[float, float]:
--- a/src/chivetray/cells/load.py
+++ b/src/chivetray/cells/load.py
@@ -12,8 +12,8 @@
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import Phase, Step
 from chivetray.scheduling.ordering import (
-    full_value_deadline_s,
-    remaining_critical_path_s,
+    deadline_s,
+    estimate_path,
 )
 from chivetray.scheduling.run_times import kind_of
 
@@ -88,15 +88,15 @@
     for job in state.active.values():
         if job.state.ended:
             continue
-        deadline_s = full_value_deadline_s(job, state.times)
-        if deadline_s < now_s and not job.long_running:
+        path_s, left_s = estimate_path(job, state.times, now_s)
+        job_deadline_s = deadline_s(job, path_s)
+        if job_deadline_s < now_s and not job.long_running:
             late_used_milli += sum(
                 job.spec.steps[task.key[1]].cpu_milli for task in job.active_tasks()
             )
         wait_milli_s = _waiting_milli_s(state, job, limit, now_ms)
         if wait_milli_s:
-            left_s = remaining_critical_path_s(job, state.times)
-            is_late = now_s + left_s > deadline_s and not job.long_running
+            is_late = now_s + left_s > job_deadline_s and not job.long_running
             waiting_milli_s[is_late] += wait_milli_s
     workers = [
         WorkerLoad(
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -33,6 +33,8 @@
     :ivar known_since_s: time at which this owner learned of the job
     :ivar step_done_at_s: time at which this owner learned of the end of a step, by
         occurrence and number
+    :ivar path_estimate: time of the estimate, number of done steps, and expected run
+        times of the critical path and of its unfinished steps, for scheduling
     """
 
     def __init__(self, spec: JobSpec, now_s: float = 0.0):
@@ -45,6 +47,7 @@
         self.tasks: dict[TaskKey, Task] = {}
         self.done_steps: set[tuple[int, int]] = set()
         self.step_done_at_s: dict[tuple[int, int], float] = {}
+        self.path_estimate: tuple[float, int, float, float] | None = None
         self._done_counts: dict[tuple[int, int], int] = {}
         self._opened_steps: set[tuple[int, int]] = set()
 
--- a/src/chivetray/scheduling/ordering.py
+++ b/src/chivetray/scheduling/ordering.py
@@ -26,6 +26,10 @@
 # Least work that counts, so that a job without CPU demand has a finite value for it.
 MIN_WORK_CORE_S = 0.001
 
+# Time for which the expected run time of a job's critical path is reused, unless one of
+# its steps gets done.
+PATH_TTL_S = 0.3
+
 # Classes of work, the first number of a sort key.
 LONG_RUNNING, ON_TIME, LATE = range(3)
 
@@ -68,16 +72,34 @@
     return max(ends, default=0.0)
 
 
-def full_value_deadline_s(job: Job, times: RunTimes) -> float:
-    """Return the time by which a job must end to earn its full value."""
-    return _deadline_s(job, critical_path_s(job.spec, times))
+def estimate_path(job: Job, times: RunTimes, now_s: float) -> tuple[float, float]:
+    """Return the expected run times of the critical path and of what is left of it.
+
+    They are reused for some time, since each round of decisions needs them for each job
+    that waits.
+    """
+    known, done_count = job.path_estimate, len(job.done_steps)
+    if known is None or known[1] != done_count or now_s - known[0] > PATH_TTL_S:
+        path_s = critical_path_s(job.spec, times)
+        left_s = remaining_critical_path_s(job, times)
+        known = job.path_estimate = (now_s, done_count, path_s, left_s)
+    return known[2], known[3]
+
 
+def deadline_s(job: Job, path_s: float) -> float:
+    """Return the time by which a job must end to earn its full value.
 
-def _deadline_s(job: Job, path_s: float) -> float:
+    :param path_s: expected run time of its critical path
+    """
     spec = job.spec
     return job.first_seen_s + spec.stretch * path_s + spec.target_ms / 1000
 
 
+def full_value_deadline_s(job: Job, times: RunTimes) -> float:
+    """Return the time by which a job must end to earn its full value."""
+    return deadline_s(job, critical_path_s(job.spec, times))
+
+
 def _can_be_on_time(job: Job, path_s: float, left_s: float, now_s: float) -> bool:
     """Return whether a job is likely to meet its deadline if it starts now.
 
@@ -87,7 +109,7 @@
     slack_s = (job.spec.stretch - 1) * path_s + job.spec.target_ms / 1000
     part_left = min(1.0, left_s / path_s) if path_s > 0 else 0.0
     reserve_s = DEADLINE_RESERVE * max(0.0, slack_s) * part_left
-    return now_s + left_s + reserve_s <= _deadline_s(job, path_s)
+    return now_s + left_s + reserve_s <= deadline_s(job, path_s)
 
 
 def relative_value(spec: JobSpec, mean_milli: float) -> float:
@@ -135,8 +157,7 @@
     """
     if job.long_running:
         return (LONG_RUNNING, job.spec.priority, job.first_seen_s)
-    path_s = critical_path_s(job.spec, times)
-    left_s = remaining_critical_path_s(job, times)
+    path_s, left_s = estimate_path(job, times, now_s)
     is_on_time = _can_be_on_time(job, path_s, left_s, now_s)
     if not is_on_time and now_s + left_s > _latest_useful_s(job, path_s):
         return (LATE, USELESS, job.first_seen_s)
@@ -150,5 +171,5 @@
 
 def _latest_useful_s(job: Job, path_s: float) -> float:
     """Return the time by which a job must end to be of any use."""
-    objective_s = _deadline_s(job, path_s) - job.first_seen_s
+    objective_s = deadline_s(job, path_s) - job.first_seen_s
     return job.first_seen_s + USEFUL_OBJECTIVES * objective_s
