Keep errors in the calls to one worker from its cell; check addresses of workers

Cause: any text before a colon and digits counted as an address. The lookup of the host worker-3..localhost raises UnicodeError, which CallSession.call did not expect, and an error in the poll of one worker ended the owner of the cell, again on each manager.

An entry with such an address names no worker now, and what fails for one worker, whatever the error, is logged with its traceback, counts as no answer, and makes polls of this worker rare. So an error that no check foresees costs one worker and not the service. An end that could not be applied is not acknowledged.

--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -18,6 +18,7 @@
 from chivetray.cells.timing import RETRY_PAUSE_S, TICK_S
 from chivetray.cells.workers import WorkerState
 from chivetray.clocks import boot_time_s
+from chivetray.defects import log_defect
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import Phase, Task
@@ -44,6 +45,9 @@
 UNHEALTHY_PAUSE_S = 1.0
 NO_ROOM_PAUSE_S = 0.2
 
+# Pause before an order is sent again that failed by an error of this process.
+FAILED_ORDER_PAUSE_S = 2.0
+
 # Unconfirmed stop orders whose first decision is remembered for the log.
 MAX_REMEMBERED_STOPS = 1000
 
@@ -118,6 +122,8 @@
                 if await self._send_start_once(placement):
                     return
                 await anyio.sleep(RETRY_PAUSE_S)
+        except Exception as error:
+            await self._pause_after_defect("start", placement.worker_id, error)
         finally:
             self._starting.discard((placement.ref, placement.attempt))
 
@@ -344,10 +350,26 @@
                     self._poller.wake_worker(order.worker_id)
                     return
                 await anyio.sleep(RETRY_PAUSE_S)
+        except Exception as error:
+            await self._pause_after_defect("stop", order.worker_id, error)
         finally:
             key = (str(order.name), order.worker_id, order.attempt)
             self._stopping.discard(key)
 
+    async def _pause_after_defect(
+        self, order: str, worker_id: str, error: Exception
+    ) -> None:
+        """Log an error that ended one order, and hold up that order alone."""
+        log_defect(
+            Event.WORKER_FAILED,
+            error,
+            worker=worker_id,
+            cell=self._state.name,
+            epoch=self._cell_owner.epoch,
+            order=order,
+        )
+        await anyio.sleep(FAILED_ORDER_PAUSE_S)
+
     def _remember_stop(self, order: StopOrder) -> _StopProgress:
         """Return the first order to stop an attempt, with the number of its tries."""
         key = (str(order.name), order.worker_id, order.attempt)
--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -20,6 +20,7 @@
 from chivetray.cells.timing import LEASE_S, TICK_S
 from chivetray.cells.workers import WorkerState
 from chivetray.clocks import boot_time_s
+from chivetray.defects import describe_error, log_defect
 from chivetray.events import Event, log_event
 from chivetray.jobs.model import Phase
 from chivetray.platform.workers import (
@@ -68,6 +69,11 @@
 # Pause between polls of a worker that does not answer.
 SILENT_WORKER_POLL_PAUSE_S = 0.25
 
+# Pause before the next poll of a worker after one that failed by an error of this
+# process, doubled up to a limit: the same answer leads to the same error.
+FAILED_POLL_PAUSE_S = 0.5
+FAILED_POLL_PAUSE_MAX_S = 8.0
+
 
 class WorkerPoller:
     """Polls the workers of one cell, each in a loop of its own."""
@@ -97,6 +103,7 @@
     async def _run_poll_loop(self, worker: WorkerState) -> None:
         """Poll one worker as needed until it leaves the cell or the cell is lost."""
         worker_id = worker.worker_id
+        failed_pause_s = FAILED_POLL_PAUSE_S
         try:
             while (
                 not self._cell_owner.lost
@@ -104,13 +111,34 @@
             ):
                 event = self._wake_events[worker_id] = anyio.Event()
                 if self._needs_poll(worker):
-                    await self._poll(worker)
+                    try:
+                        await self._poll(worker)
+                        failed_pause_s = FAILED_POLL_PAUSE_S
+                    except Exception as error:
+                        # The other workers of the cell, and its jobs, go on.
+                        self._record_defect(worker, error)
+                        await anyio.sleep(failed_pause_s)
+                        failed_pause_s = min(
+                            FAILED_POLL_PAUSE_MAX_S, 2 * failed_pause_s
+                        )
                 else:
                     with anyio.move_on_after(2.0):
                         await event.wait()
         finally:
             self._polled_worker_ids.discard(worker_id)
 
+    def _record_defect(self, worker: WorkerState, error: Exception) -> None:
+        """Count a poll that failed by an error of this process as unanswered."""
+        log_defect(
+            Event.WORKER_FAILED,
+            error,
+            worker=worker.worker_id,
+            cell=self._state.name,
+            epoch=self._cell_owner.epoch,
+            during="poll",
+        )
+        self._record_silence(worker, boot_time_s(), "error", describe_error(error))
+
     @staticmethod
     def _needs_poll(worker: WorkerState) -> bool:
         if not worker.address:
@@ -262,6 +290,18 @@
             self._cell_owner.wake()
         if reply.verdict == Verdict.NO_ANSWER:
             record_call(self._state, worker, True, now_s)
+        self._record_silence(worker, sent_at_s, reply.verdict.value, reply.detail)
+        await anyio.sleep(SILENT_WORKER_POLL_PAUSE_S)
+
+    def _record_silence(
+        self, worker: WorkerState, sent_at_s: float, verdict: str, detail: str
+    ) -> None:
+        """Record a poll without a usable answer.
+
+        :param sent_at_s: send time of the poll
+        :param verdict: outcome of the poll, for the log
+        """
+        now_s = boot_time_s()
         if not worker.silent_since_s:
             worker.silent_since_s = worker.last_silence_at_s = sent_at_s
             worker.silence_seen_at_s = now_s
@@ -269,14 +309,13 @@
                 Event.WORKER_SILENT,
                 worker=worker.worker_id,
                 cell=self._state.name,
-                verdict=reply.verdict.value,
-                detail=reply.detail,
+                verdict=verdict,
+                detail=detail,
                 epoch=self._cell_owner.epoch,
                 tasks=len(worker.tasks),
                 **worker.describe_lease(now_s),
             )
         self._cell_owner.wake()
-        await anyio.sleep(SILENT_WORKER_POLL_PAUSE_S)
 
     def _record_reply(
         self, worker: WorkerState, reply: Reply, sent_at_s: float, now_s: float
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -41,8 +41,9 @@
     for ended in sorted(reply.ended, key=lambda item: item.number):
         listed.add((ended.name.job_id, ended.name.key, ended.attempt))
         if ended.number > worker.last_applied_end:
-            worker.last_applied_end = ended.number
+            # After an error, the worker may not forget the end.
             _apply_end(state, worker, ended, now_s)
+            worker.last_applied_end = ended.number
     for running in reply.running:
         job = state.jobs.get(running.name.job_id)
         task = job.task(running.name.key) if job else None
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -162,6 +162,10 @@
         1626,
         "A cell is released because another process has more capacity for it.",
     )
+    LOOP_FAILED = (
+        1006,
+        "An unexpected error ended a round of a loop, which goes on; this is a defect.",
+    )
     LINES_DROPPED = (1005, "Log lines were dropped because the reader was too slow.")
     TASK_WAITS = (
         1656,
@@ -226,6 +230,11 @@
         "lists the evidence.",
     )
     WORKER_REINSTATED = (1668, "A worker that was avoided gets tasks as before.")
+    WORKER_FAILED = (
+        1694,
+        "An unexpected error ended a call to one worker, which counts as unanswered; "
+        "this is a defect.",
+    )
     RUN_TIMES_LOADED = (1669, "An owner knows the run times of an earlier one.")
 
     WORKER_LIST_OLD = (
@@ -300,6 +309,7 @@
         Event.COMMIT_FAILED,
         Event.CONFIG_SILENT,
         Event.JOB_HIDDEN,
+        Event.LOOP_FAILED,
         Event.MAINTENANCE_WAITS,
         Event.SHARE_CALL_FAILED,
         Event.SHARE_LACKING,
--- a/src/chivetray/platform/calls.py
+++ b/src/chivetray/platform/calls.py
@@ -137,7 +137,8 @@
                 return Answer(response.status, _decode_object(raw), retry_after_s, raw)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return NotSent(_describe_error(error))
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError, UnicodeError) as error:
+            # A host name that cannot be encoded for its lookup is a UnicodeError.
             return NoAnswer(_describe_error(error))
 
 
--- a/src/chivetray/platform/stored_records.py
+++ b/src/chivetray/platform/stored_records.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from chivetray.addresses import read_address
 from chivetray.organisations.keys import abbreviate_digest, digest_key
 from chivetray.organisations.model import Organisation, Resources
 
@@ -183,7 +184,7 @@
     )
     if state not in (STATE_READY, STATE_DRAINING):
         return None
-    if not isinstance(service, str) or not _is_address(address):
+    if not isinstance(service, str) or read_address(address) is None:
         return None
     if not isinstance(capacity, dict) or not isinstance(labels, list):
         return None
@@ -234,11 +235,6 @@
     return plain if isinstance(plain, dict) else None
 
 
-def _is_address(value: Any) -> bool:
-    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-    return bool(host) and port.isdigit()
-
-
 def _decode_queue(row: dict[str, Any]) -> Queue:
     advice = row.get("Advice") or {}
     host, prefix = str(row["Host"]), str(row["PathPrefix"])
