Check values of other writers in one place; run loops again after an error

Asked by other operators: an entry that is nested deeply, or has a number too large or a port out of range, ended the machines that read the list again and again.

Cause: each decoder checked types in its own way, or converted with str and int, which fail for content that JSON allows: str of a list of depth 1,000 raises RecursionError in the loop that reads the workers. The loops of a manager share a task group, so an error in one ended the process; a port above 65535 of a peer did so by OverflowError.

All decoders use platform/values.py now, whose numbers fit into every order, row and log line. Loops run again after an error with a growing pause and tell it by LOOP_FAILED, so a defect is seen and does not take the other loops with it.

--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -27,6 +27,7 @@
 from chivetray.cells.directory import CellDirectory
 from chivetray.cells.owner import CellOwner
 from chivetray.clocks import boot_time_s
+from chivetray.defects import log_defect
 from chivetray.events import Event, log_event
 from chivetray.peers.mesh import Mesh
 from chivetray.platform.store import Store, StoreUnavailableError
@@ -109,6 +110,8 @@
                     await self._run_round(owner)
                 except StoreUnavailableError as error:
                     log_event(Event.STORE_LOST, reason=str(error), during="VM orders")
+                except Exception as error:
+                    log_defect(Event.LOOP_FAILED, error, loop="VM orders")
 
     async def _store_waves(self) -> None:
         """Store the progress of waves beside the rounds, which a slow store delays."""
@@ -121,6 +124,8 @@
                 await self._waves.store_progress(owner)
             except StoreUnavailableError as error:
                 log_event(Event.STORE_LOST, reason=str(error), during="waves")
+            except Exception as error:
+                log_defect(Event.LOOP_FAILED, error, loop="waves")
 
     async def _begin(self, owner: CellOwner) -> None:
         """Start as the new holder."""
--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -36,6 +36,7 @@
     SLOW_CLOCK_FACTOR,
 )
 from chivetray.clocks import CLOCK_DRIFT, boot_time_s
+from chivetray.defects import contain_errors, log_defect
 from chivetray.events import Event, log_event
 from chivetray.generated.messages import CellClaim
 from chivetray.peers.mesh import Mesh
@@ -81,6 +82,11 @@
 CANDIDATE_STAGGER_S = 0.6
 
 
+# Pause before this process tries again to acquire a cell whose acquisition ended in an
+# error. Others try meanwhile.
+FAILED_ACQUISITION_PAUSE_S = 1.0
+
+
 @dataclass(frozen=True, slots=True)
 class Renewal:
     """One read of a cell's renewal row.
@@ -230,10 +236,11 @@
             self._task_group = task_group
             while True:
                 self._wake = anyio.Event()
-                self._drop_superseded()
-                if not self.leaving:
-                    self._acquire_unowned(task_group)
-                    self._yield_cell()
+                with contain_errors("cells"):
+                    self._drop_superseded()
+                    if not self.leaving:
+                        self._acquire_unowned(task_group)
+                        self._yield_cell()
                 with anyio.move_on_after(TICK_S):
                     await self._wake.wait()
 
@@ -333,6 +340,11 @@
                 task_group.start_soon(self._load_other_parts, cell_owner)
         except StoreUnavailableError as error:
             log_event(Event.CELL_TAKE_FAILED, cell=cell, reason=str(error))
+        except Exception as error:
+            # Other cells go on; the cell stays without an owner and is tried again.
+            log_defect(Event.CELL_FAILED, error, cell=cell, during="acquisition")
+            self.loading_cells.pop(cell, None)
+            await anyio.sleep(FAILED_ACQUISITION_PAUSE_S)
         finally:
             self.loading_cells.pop(cell, None)
             self._acquiring.discard(cell)
@@ -345,11 +357,11 @@
         except Exception as error:
             # Other cells and the callers of this process go on; the cell is acquired
             # again, with a new fencing token.
-            log_event(
+            log_defect(
                 Event.CELL_FAILED,
+                error,
                 cell=cell_owner.state.name,
                 epoch=cell_owner.epoch,
-                reason=repr(error),
             )
             cell_owner.mark_lost("an error")
 
@@ -623,6 +635,11 @@
         except StoreUnavailableError as error:
             # An answer from before the acquisition: the cell is loaded again.
             cell_owner.mark_lost(f"jobs cannot be loaded: {error}")
+        except Exception as error:
+            log_defect(
+                Event.CELL_FAILED, error, cell=cell_owner.state.name, during="load"
+            )
+            cell_owner.mark_lost("an error")
         cell_owner.wake()
 
     async def scan(self) -> None:
--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -275,6 +275,7 @@
         """Store jobs, and notify owners of jobs and cancellations, until cancelled."""
         async with anyio.create_task_group() as task_group:
             self._task_group = task_group
+            self._notifying.clear()
             task_group.start_soon(self._log_waits)
             while True:
                 self._notify_event = anyio.Event()
--- a/src/chivetray/cells/load.py
+++ b/src/chivetray/cells/load.py
@@ -20,6 +20,10 @@
 # Shortest run time assumed for a waiting task: for less, moving a VM is not worth it.
 MIN_RUN_TIME_S = 0.5
 
+# Largest demand that is reported. What callers estimate, times the tasks of all jobs,
+# may exceed the 64 bits of a number in a message.
+LOAD_LIMIT = 2**53
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerLoad:
@@ -130,12 +134,12 @@
         required_workers += _count_unavailable_workers(state)
     return CellLoad(
         used_milli,
-        waiting_milli_s[False],
-        arriving_milli,
+        min(LOAD_LIMIT, waiting_milli_s[False]),
+        min(LOAD_LIMIT, arriving_milli),
         workers,
         required_workers,
         min(used_milli, late_used_milli),
-        waiting_milli_s[True],
+        min(LOAD_LIMIT, waiting_milli_s[True]),
     )
 
 
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -45,6 +45,7 @@
 )
 from chivetray.cells.waiting import WAIT_CHECK_INTERVAL_S, OwnerStatus, WaitLog
 from chivetray.clocks import boot_time_s, wall_time_ms
+from chivetray.defects import contain_errors, keep_running
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job, job_age_s
 from chivetray.jobs.model import JobSpec, JobState
@@ -255,8 +256,10 @@
             task_group.start_soon(self.lease_ends.run, self, self._store.clock)
             if self.stores_run_times:
                 run_times = RunTimeRow(self.state)
-                task_group.start_soon(run_times.run, self, self._store)
-            task_group.start_soon(self._log_waits)
+                task_group.start_soon(
+                    keep_running, "run times", lambda: run_times.run(self, self._store)
+                )
+            task_group.start_soon(keep_running, "waits", self._log_waits)
             await self._main_loop(task_group)
             task_group.cancel_scope.cancel()
 
@@ -563,20 +566,20 @@
     ) -> None:
         requested_at_s = boot_time_s()
         try:
-            reply = await advice.request_tickets(*step_ref, workers)
-            if reply is None:
-                log_event(
-                    Event.ORDER_FAILED,
-                    order="advice",
-                    job=step_ref[0],
-                    step=step_ref[2],
-                )
-                await anyio.sleep(RETRY_PAUSE_S)
-            else:
+            with contain_errors("advice"):
+                reply = await advice.request_tickets(*step_ref, workers)
+                if reply is None:
+                    log_event(
+                        Event.ORDER_FAILED,
+                        order="advice",
+                        job=step_ref[0],
+                        step=step_ref[2],
+                    )
+                    await anyio.sleep(RETRY_PAUSE_S)
+                    return
                 tickets, validity_s = reply
-                record_tickets(
-                    self.state, step_ref, workers, tickets, requested_at_s + validity_s
-                )
+                valid_until_s = requested_at_s + validity_s
+                record_tickets(self.state, step_ref, workers, tickets, valid_until_s)
         finally:
             self._advice_requested = False
-        self.wake()
+            self.wake()
--- a/src/chivetray/cells/worker_list.py
+++ b/src/chivetray/cells/worker_list.py
@@ -7,6 +7,7 @@
 import anyio
 
 from chivetray.clocks import boot_time_s
+from chivetray.defects import contain_errors
 from chivetray.events import Event, log_event
 from chivetray.platform.store import Store, StoreUnavailableError
 from chivetray.platform.stored_records import WORKER_TABLE, WorkerRecord, decode_worker
@@ -70,8 +71,9 @@
                 continue
             is_first_read = False
             self.read_at_s, self.sent_at_s = boot_time_s(), sent_at_s
-            self._apply_rows({row.id.key: (row.version, row.value) for row in rows})
-            on_read()
+            with contain_errors("worker list"):
+                self._apply_rows({row.id.key: (row.version, row.value) for row in rows})
+                on_read()
             await self._wait_until_next_read(self.read_at_s)
 
     async def _wait_until_next_read(self, read_at_s: float) -> None:
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import uuid
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import anyio
@@ -23,6 +24,7 @@
 from chivetray.cells.worker_list import WorkerList
 from chivetray.clocks import boot_time_s
 from chivetray.connection_limits import ConnectionLimits
+from chivetray.defects import contain_errors, keep_running
 from chivetray.events import Event, log_event, observe_events, open_log
 from chivetray.exceptions import FaultsError
 from chivetray.generated.manager_models import ManagerSettings
@@ -192,26 +194,30 @@
                     metrics_server.serve_on, _bind_address(self._settings.metrics)
                 )
             tasks.start_soon(self._receive_signals)
-            tasks.start_soon(self._follow_settings)
-            tasks.start_soon(self._configuration.run)
-            tasks.start_soon(self._mesh.run)
-            tasks.start_soon(self._discover_members)
-            tasks.start_soon(
-                self._worker_list.run,
-                self._needs_worker_list,
-                self._update_worker_lists,
-            )
-            tasks.start_soon(self._directory.run)
-            tasks.start_soon(self._job_service.run)
-            tasks.start_soon(self._scan_jobs)
-            if self._fleet_runner is not None:
-                tasks.start_soon(self._fleet_runner.run)
+            for name, loop in self._loops().items():
+                tasks.start_soon(keep_running, name, loop)
             await self._stopping.wait()
             await self._stop(callers_server)
             tasks.cancel_scope.cancel()
         await self._session.aclose()
         log_event(Event.ENTRY_STOPPED, entry=self._settings.name)
 
+    def _loops(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return the loops of the components, by the name in the log."""
+        loops: dict[str, Callable[[], Awaitable[None]]] = {
+            "settings": self._follow_settings,
+            "configuration": self._configuration.run,
+            "peers": self._mesh.run,
+            "members": self._discover_members,
+            "worker list": self._follow_workers,
+            "cells": self._directory.run,
+            "job service": self._job_service.run,
+            "job scans": self._scan_jobs,
+        }
+        if self._fleet_runner is not None:
+            loops["VM orders"] = self._fleet_runner.run
+        return loops
+
     async def _receive_signals(self) -> None:
         received = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with anyio.open_signal_receiver(*received) as signals:
@@ -344,32 +350,38 @@
                 members, _ = await self._store.read(MEMBER_TABLE, "")
                 version, written = 0, False
                 for row in members:
-                    self._mesh.add_address(row.id.key, row.value.decode())
+                    # A damaged row does not keep this process from the others.
+                    address = row.value.decode(errors="replace")
+                    self._mesh.add_address(row.id.key, address)
                     if row.id.key == own_row.key:
                         version = row.version
-                        written = row.value.decode() == self._settings.peers
+                        written = address == self._settings.peers
                 if not written:
                     value = self._settings.peers.encode()
                     outcome = await self._store.transact(
                         {own_row: version}, {own_row: value}
                     )
                     written = isinstance(outcome, Committed)
-            except (StoreUnavailableError, UnicodeDecodeError) as error:
+            except StoreUnavailableError as error:
                 log_event(Event.STORE_LOST, reason=str(error))
             missing = set(self._mesh.known_addresses()) - set(self._mesh.peers)
             complete = written and not missing
             pause_s = MEMBER_READ_INTERVAL_S if complete else MEMBER_READ_INTERVAL_S / 5
             await anyio.sleep(pause_s)
 
+    async def _follow_workers(self) -> None:
+        await self._worker_list.run(self._needs_worker_list, self._update_worker_lists)
+
     def _needs_worker_list(self) -> bool:
         return bool(self._directory.owned_cells)
 
     def _update_worker_lists(self) -> None:
-        for cell_owner in self._directory.owned_cells.values():
-            cell_owner.update_workers(
-                self._worker_list.workers_of(cell_owner.state.name),
-                self._worker_list.sent_at_s,
-            )
+        for cell_owner in list(self._directory.owned_cells.values()):
+            with contain_errors("workers of a cell"):
+                cell_owner.update_workers(
+                    self._worker_list.workers_of(cell_owner.state.name),
+                    self._worker_list.sent_at_s,
+                )
 
     async def _scan_jobs(self) -> None:
         while True:
--- a/src/chivetray/peers/mesh.py
+++ b/src/chivetray/peers/mesh.py
@@ -12,7 +12,9 @@
 import anyio
 from anyio.abc import SocketStream, TaskGroup
 
+from chivetray.addresses import read_address
 from chivetray.clocks import boot_time_s
+from chivetray.defects import contain_errors, log_defect
 from chivetray.events import Event, log_event
 from chivetray.generated.messages import (
     CellClaim,
@@ -161,6 +163,7 @@
         self._make_heartbeat = make_heartbeat
         self._on_change = on_change
         self._known: dict[str, str] = {}
+        self._unusable: set[str] = set()
         self._dialing: set[str] = set()
         self._call_numbers = itertools.count(1)
         self._tasks: TaskGroup | None = None
@@ -169,8 +172,14 @@
 
     def add_address(self, name: str, address: str) -> None:
         """Record the address at which another manager listens."""
-        if name != self.name and address:
+        if name == self.name or not address:
+            return
+        if read_address(address) is not None:
             self._known[name] = address
+        elif name not in self._unusable:
+            self._unusable.add(name)
+            reason = f"not an address: {address[:100]}"
+            log_event(Event.PEER_PROTOCOL_ERROR, peer=name, reason=reason)
 
     def known_addresses(self) -> dict[str, str]:
         """Return the addresses of the other managers by name."""
@@ -303,6 +312,9 @@
         except (*_STREAM_ERRORS, StopAsyncIteration):
             # _dial_all reopens a closed or corrupted stream.
             return
+        except Exception as error:
+            # The streams of other peers go on.
+            log_defect(Event.LOOP_FAILED, error, loop="stream of a peer")
         finally:
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
@@ -378,19 +390,21 @@
                     await peer.stream.aclose()
 
     async def _send_heartbeats(self) -> None:
-        due_s = 0.0
+        due_s, interval_s = 0.0, HEARTBEAT_INTERVAL_S
         while True:
             now_s = boot_time_s()
             is_for_all = self._all_requested or now_s >= due_s
             self._all_requested = False
             self._heartbeat_requested = anyio.Event()
-            heartbeat = self._build_heartbeat()
-            peers = list(self.peers.values())
+            with contain_errors("heartbeats"):
+                heartbeat = self._build_heartbeat()
+                peers = list(self.peers.values())
+                if not is_for_all:
+                    peers = random.sample(peers, min(ANNOUNCED_PEERS, len(peers)))
+                await _send_to(peers, encode_message(heartbeat))
+                interval_s = heartbeat.interval_ms / 1000
             if is_for_all:
-                due_s = now_s + heartbeat.interval_ms / 1000
-            else:
-                peers = random.sample(peers, min(ANNOUNCED_PEERS, len(peers)))
-            await _send_to(peers, encode_message(heartbeat))
+                due_s = now_s + interval_s
             with anyio.move_on_after(max(0.0, due_s - boot_time_s())):
                 await self._heartbeat_requested.wait()
 
--- a/src/chivetray/platform/advice.py
+++ b/src/chivetray/platform/advice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from chivetray.platform.calls import Answer, CallSession
+from chivetray.platform.values import read_number
 
 # The service needs several ms per worker named in a call and queues concurrent calls.
 CALL_TIMEOUT_S = 3.0
@@ -30,12 +31,13 @@
         if not isinstance(outcome, Answer) or not outcome.ok:
             return None
         rows = outcome.body.get("Good")
-        validity_ms = outcome.body.get("ValidityMs")
-        if not isinstance(rows, list) or not isinstance(validity_ms, int | float):
+        validity_ms = read_number(outcome.body.get("ValidityMs"))
+        if not isinstance(rows, list) or validity_ms is None:
             return None
         tickets = {
-            str(row[0]): str(row[1])
+            row[0]: row[1]
             for row in rows
             if isinstance(row, list) and len(row) >= 2
+            if isinstance(row[0], str) and isinstance(row[1], str)
         }
         return tickets, validity_ms / 1000
--- a/src/chivetray/platform/calls.py
+++ b/src/chivetray/platform/calls.py
@@ -15,6 +15,7 @@
 import aiohttp
 import orjson
 
+from chivetray.platform.values import decode_object
 from chivetray.sockets import socket_options
 
 # Time without an acknowledgement after which the kernel closes a connection. It is
@@ -134,7 +135,9 @@
                 raw = await response.read()
                 retry_after = response.headers.get("Retry-After", "")
                 retry_after_s = _parse_seconds(retry_after)
-                return Answer(response.status, _decode_object(raw), retry_after_s, raw)
+                return Answer(
+                    response.status, decode_object(raw) or {}, retry_after_s, raw
+                )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return NotSent(_describe_error(error))
         except (TimeoutError, aiohttp.ClientError, OSError, UnicodeError) as error:
@@ -156,15 +159,6 @@
     return f"{type(error).__name__}: {error}" if str(error) else type(error).__name__
 
 
-def _decode_object(raw: bytes) -> dict[str, Any]:
-    """Decode a JSON object; return an empty one for any other content."""
-    try:
-        decoded = orjson.loads(raw)
-    except orjson.JSONDecodeError:
-        return {}
-    return decoded if isinstance(decoded, dict) else {}
-
-
 def _parse_seconds(text: str) -> float:
     try:
         return max(0.0, float(text))
--- a/src/chivetray/platform/store.py
+++ b/src/chivetray/platform/store.py
@@ -12,6 +12,7 @@
 
 from chivetray.clocks import RemoteClock, boot_time_s
 from chivetray.platform.calls import Answer, CallSession, NoAnswer, NotSent, Outcome
+from chivetray.platform.values import read_list, read_text, read_whole_number
 
 # A transaction takes 11 ms at the median and about 100 ms when writers queue.
 CALL_TIMEOUT_S = 1.2
@@ -219,11 +220,11 @@
             return Refused(outcome.reason)
         if isinstance(outcome, NoAnswer):
             return OutcomeUnknown(outcome.reason)
-        version = outcome.body.get("Ver")
-        if outcome.ok and isinstance(version, int):
+        version = read_whole_number(outcome.body.get("Ver"))
+        if outcome.ok and version is not None:
             return Committed(version)
         if outcome.status == STATUS_CONFLICT:
-            rows = (_decode_row(plain) for plain in _list_field(outcome.body, "rows"))
+            rows = (_decode_row(plain) for plain in read_list(outcome.body, "rows"))
             return Conflict({row.id: row for row in rows if row and not row.removed})
         if outcome.ok:
             return OutcomeUnknown("the answer cannot be decoded")
@@ -284,9 +285,7 @@
         if not isinstance(body.get("rows"), list) or "Ver" not in body:
             # An answer that cannot be decoded must not pass for an empty table.
             raise StoreUnavailableError("the answer cannot be decoded")
-        rows = [
-            row for plain in _list_field(body, "rows") if (row := _decode_row(plain))
-        ]
+        rows = [row for plain in read_list(body, "rows") if (row := _decode_row(plain))]
         if rows:
             size = sum(len(row.value) * 4 // 3 + ENCODED_ROW_BYTES for row in rows)
             self._row_bytes[table] = size / len(rows)
@@ -313,9 +312,7 @@
                 # The platform calls the last partition already read "DependsOn".
                 query["DependsOn"] = parts[-1]
             body = await self._get("/chivetray/rows-parts", query)
-            page = [
-                part for part in _list_field(body, "parts") if isinstance(part, str)
-            ]
+            page = [part for part in read_list(body, "parts") if isinstance(part, str)]
             parts += page
             if not page or not body.get("HasMore"):
                 return parts
@@ -335,7 +332,7 @@
             if outcome.status == STATUS_HISTORY_GONE:
                 return Changes([], 0, history_gone=True)
             if outcome.ok:
-                plain_rows = _list_field(outcome.body, "rows")
+                plain_rows = read_list(outcome.body, "rows")
                 rows = [row for plain in plain_rows if (row := _decode_row(plain))]
                 newest_version = _version_field(outcome.body)
                 has_more = bool(outcome.body.get("HasMore")) or _is_full_page(rows)
@@ -383,8 +380,8 @@
 
     def _observe_clock(self, outcome: Outcome, sent_at_s: float) -> None:
         if isinstance(outcome, Answer):
-            clock_ms = outcome.body.get("NowMs")
-            if isinstance(clock_ms, int):
+            clock_ms = read_whole_number(outcome.body.get("NowMs"))
+            if clock_ms is not None:
                 self.clock.observe(clock_ms, sent_at_s, boot_time_s())
 
 
@@ -403,14 +400,8 @@
     return {"Table": row.table, "part": row.part, "Key": row.key}
 
 
-def _list_field(body: dict[str, Any], name: str) -> list[Any]:
-    value = body.get(name)
-    return value if isinstance(value, list) else []
-
-
 def _version_field(body: dict[str, Any]) -> int:
-    value = body.get("Ver")
-    return value if isinstance(value, int) else 0
+    return read_whole_number(body.get("Ver")) or 0
 
 
 def _decode_row(plain: Any) -> Row | None:
@@ -420,11 +411,11 @@
     """
     if not isinstance(plain, dict):
         return None
-    names = (plain.get("Table"), plain.get("part", ""), plain.get("Key"))
-    version = plain.get("Ver")
-    if not all(isinstance(text, str) for text in names) or not isinstance(version, int):
+    table, part = read_text(plain.get("Table")), read_text(plain.get("part", ""))
+    key, version = read_text(plain.get("Key")), read_whole_number(plain.get("Ver"))
+    if table is None or part is None or key is None or version is None:
         return None
-    row_id = RowId(*(str(text) for text in names))
+    row_id = RowId(table, part, key)
     if plain.get("Removed"):
         return Row(row_id, b"", version, removed=True)
     try:
--- a/src/chivetray/platform/stored_records.py
+++ b/src/chivetray/platform/stored_records.py
@@ -11,6 +11,14 @@
 from chivetray.addresses import read_address
 from chivetray.organisations.keys import abbreviate_digest, digest_key
 from chivetray.organisations.model import Organisation, Resources
+from chivetray.platform.values import (
+    MAX_CAPACITY,
+    decode_object,
+    read_list,
+    read_number,
+    read_text,
+    read_whole_number,
+)
 
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
@@ -147,8 +155,9 @@
     :param content: content of the row, in which digests may stand for the keys
     """
     has_digests = content.startswith(REDACTED_PREFIX)
-    plain = _decode_object(content.removeprefix(REDACTED_PREFIX))
-    if plain is None or not isinstance(plain.get("Version"), int):
+    plain = decode_object(content.removeprefix(REDACTED_PREFIX))
+    version = read_whole_number(plain.get("Version")) if plain is not None else None
+    if plain is None or version is None:
         return None
     try:
         queues = tuple(_decode_queue(row) for row in plain.get("Routes") or [])
@@ -160,7 +169,7 @@
         return None
     by_name = {pool.name: pool for pool in pools}
     return OperatorConfig(
-        plain["Version"],
+        version,
         queues,
         by_name,
         limits,
@@ -173,53 +182,57 @@
 
 def decode_worker(worker_id: str, content: bytes) -> WorkerRecord | None:
     """Decode a worker's row, or return ``None`` when it is invalid or unusable."""
-    plain = _decode_object(content)
-    if plain is None:
+    plain = decode_object(content)
+    # The identifier is sent in a header, which holds no control characters.
+    if plain is None or not worker_id.isprintable():
         return None
-    state, service, address = (
-        plain.get(key) for key in ("State", "Service", "Address")
-    )
-    capacity, labels, incarnation = (
-        plain.get(key) for key in ("Capacity", "Labels", "born")
-    )
-    if state not in (STATE_READY, STATE_DRAINING):
-        return None
-    if not isinstance(service, str) or read_address(address) is None:
+    state, service = plain.get("State"), read_text(plain.get("Service"))
+    address = read_address(plain.get("Address"))
+    if state not in (STATE_READY, STATE_DRAINING) or service is None or address is None:
         return None
+    capacity, labels = plain.get("Capacity"), plain.get("Labels")
     if not isinstance(capacity, dict) or not isinstance(labels, list):
         return None
-    sizes = [capacity.get(name, 0) for name in ("Cpu", "MemMb", "Gpu")]
-    if not all(isinstance(size, int) and size >= 0 for size in sizes):
+    sizes = [
+        read_whole_number(capacity.get(name, 0), MAX_CAPACITY)
+        for name in ("Cpu", "MemMb", "Gpu")
+    ]
+    incarnation = read_whole_number(plain.get("born", 0))
+    zone = read_text(plain.get("Zone", ""))
+    if incarnation is None or zone is None:
         return None
     if not all(isinstance(label, str) for label in labels):
         return None
+    cpu_milli, mem_mb, gpu = sizes
+    if cpu_milli is None or mem_mb is None or gpu is None:
+        return None
     return WorkerRecord(
         worker_id=worker_id,
         service=service,
-        address=str(address),
-        zone=str(plain.get("Zone") or ""),
+        address=address,
+        zone=zone,
         draining=state == STATE_DRAINING,
-        incarnation=incarnation if isinstance(incarnation, int) else 0,
-        cpu_milli=sizes[0],
-        mem_mb=sizes[1],
-        gpu=sizes[2],
+        incarnation=incarnation,
+        cpu_milli=cpu_milli,
+        mem_mb=mem_mb,
+        gpu=gpu,
         labels=tuple(labels),
     )
 
 
 def decode_wave(content: bytes) -> Wave | None:
     """Decode a wave, or return ``None`` when it is invalid."""
-    plain = _decode_object(content)
-    if plain is None:
+    plain = decode_object(content)
+    if plain is None or not isinstance(plain.get("Machines"), list):
         return None
-    number, machines = plain.get("Wave"), plain.get("Machines")
-    duration, cap = plain.get("DurationS"), plain.get("Cap")
-    if not isinstance(number, int) or not isinstance(machines, list):
-        return None
-    if not isinstance(duration, int | float) or not isinstance(cap, int):
+    number = read_whole_number(plain.get("Wave"))
+    duration_s = read_number(plain.get("DurationS"))
+    cap = read_whole_number(plain.get("Cap"))
+    if number is None or duration_s is None or cap is None:
         return None
+    machines = read_list(plain, "Machines")
     names = tuple(name for name in machines if isinstance(name, str))
-    return Wave(number, names, float(duration), max(1, cap))
+    return Wave(number, names, duration_s, max(1, cap))
 
 
 def encode_wave_status(completed: bool) -> bytes:
@@ -227,23 +240,22 @@
     return orjson.dumps({"State": "completed" if completed else "running"})
 
 
-def _decode_object(content: bytes) -> dict[str, Any] | None:
-    try:
-        plain = orjson.loads(content)
-    except orjson.JSONDecodeError:
-        return None
-    return plain if isinstance(plain, dict) else None
+def _require_text(row: dict[str, Any], name: str) -> str:
+    value = read_text(row.get(name))
+    if value is None:
+        raise ValueError(f"{name} is not a string")
+    return value
 
 
 def _decode_queue(row: dict[str, Any]) -> Queue:
     advice = row.get("Advice") or {}
-    host, prefix = str(row["Host"]), str(row["PathPrefix"])
+    host, prefix = _require_text(row, "Host"), _require_text(row, "PathPrefix")
     return Queue(
         key=f"{host}{prefix}"[:200],
-        name=str(row.get("Name") or ""),
+        name=read_text(row.get("Name")) or "",
         host=host.lower(),
         path_prefix=prefix,
-        service=str(row["Service"]),
+        service=_require_text(row, "Service"),
         priority=int(row.get("Priority") or 0),
         max_attempts=int(row.get("MaxAttempts") or 1),
         stretch=float(row.get("Stretch") or 1.0),
@@ -257,10 +269,10 @@
 
 def _decode_pool(row: dict[str, Any]) -> Pool:
     return Pool(
-        name=str(row["Name"]),
+        name=_require_text(row, "Name"),
         checks_admission=bool(row.get("AdmissionCheck")),
         standby=bool(row.get("Standby")),
-        health_path=str(row.get("HealthPath") or "/health"),
+        health_path=read_text(row.get("HealthPath")) or "/health",
     )
 
 
--- a/src/chivetray/platform/vm_api.py
+++ b/src/chivetray/platform/vm_api.py
@@ -8,6 +8,12 @@
 from typing import Any
 
 from chivetray.platform.calls import Answer, CallSession
+from chivetray.platform.values import (
+    MAX_CAPACITY,
+    read_list,
+    read_text,
+    read_whole_number,
+)
 
 CALL_TIMEOUT_S = 1.5
 
@@ -92,8 +98,7 @@
             outcome = await self._session.call("GET", url, CALL_TIMEOUT_S)
             if not isinstance(outcome, Answer) or not outcome.ok:
                 return None
-            rows = outcome.body.get("Machines")
-            for plain in rows if isinstance(rows, list) else []:
+            for plain in read_list(outcome.body, "Machines"):
                 machine = _decode_machine(plain)
                 if machine is not None:
                     machines.append(machine)
@@ -131,7 +136,7 @@
         if outcome.ok:
             return VmOrderOutcome.DONE
         if outcome.status == 409:
-            reason = str(outcome.body.get("Reason"))
+            reason = read_text(outcome.body.get("Reason")) or ""
             return _ANSWERS_BY_REASON.get(reason, VmOrderOutcome.BUSY)
         if outcome.status == 400:
             return VmOrderOutcome.IMPOSSIBLE
@@ -147,15 +152,14 @@
         return None
     capacity = plain.get("Capacity")
     cpu = capacity.get("Cpu") if isinstance(capacity, dict) else 0
-    labels = plain.get("Labels")
     return PlatformVm(
         name=str(texts[0]),
         pool=str(texts[1]),
         state=_STATES_BY_NAME.get(str(texts[2]), PlatformVmState.DOWN),
-        zone=str(plain.get("Zone") or ""),
-        labels=tuple(str(label) for label in labels)
-        if isinstance(labels, list)
-        else (),
-        cpu_milli=cpu if isinstance(cpu, int) else 0,
-        worker_id=str(plain.get("Id") or ""),
+        zone=read_text(plain.get("Zone")) or "",
+        labels=tuple(
+            label for label in read_list(plain, "Labels") if isinstance(label, str)
+        ),
+        cpu_milli=read_whole_number(cpu, MAX_CAPACITY) or 0,
+        worker_id=read_text(plain.get("Id")) or "",
     )
--- a/src/chivetray/platform/workers.py
+++ b/src/chivetray/platform/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -10,6 +11,15 @@
 
 from chivetray.jobs.model import TaskKey
 from chivetray.platform.calls import Answer, CallSession, NoAnswer, NotSent, Outcome
+from chivetray.platform.values import (
+    read_list,
+    read_number,
+    read_text,
+    read_whole_number,
+)
+
+# Identifier of a task: job, occurrence, step and index.
+_TASK_NAME = re.compile(r"([^.]+)\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})", re.ASCII)
 
 # Timeout of an order: more than 100 times the usual 4 ms.
 ORDER_TIMEOUT_S = 0.6
@@ -39,10 +49,10 @@
     @classmethod
     def parse(cls, text: Any) -> TaskName | None:
         """Parse the identifier that a worker sent, or return ``None`` if malformed."""
-        parts = text.split(".") if isinstance(text, str) else []
-        if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+        match = _TASK_NAME.fullmatch(text) if isinstance(text, str) else None
+        if match is None:
             return None
-        return cls(parts[0], (int(parts[1]), int(parts[2]), int(parts[3])))
+        return cls(match[1], (int(match[2]), int(match[3]), int(match[4])))
 
 
 class AttemptEnd(Enum):
@@ -56,6 +66,9 @@
     ALONE = "alone"
 
 
+_END_NAMES = frozenset(how.value for how in AttemptEnd)
+
+
 class Verdict(Enum):
     """Outcome of a call to a worker."""
 
@@ -242,16 +255,16 @@
     body = outcome.body
     return Reply(
         _decode_verdict(outcome),
-        _as_integer(body.get("ClockMs")),
-        _as_integer(body.get("born")) or 0,
+        read_whole_number(body.get("ClockMs")),
+        read_whole_number(body.get("born")) or 0,
         [
             task
-            for row in _list_field(body, "Running")
+            for row in read_list(body, "Running")
             if (task := _decode_running_task(row))
         ],
         [
             ended
-            for row in _list_field(body, "Finished")
+            for row in read_list(body, "Finished")
             if (ended := _decode_ended_task(row))
         ],
     )
@@ -263,46 +276,30 @@
     if answer.status == STATUS_OTHER_INCARNATION:
         return Verdict.OTHER_INCARNATION
     if answer.status == 409:
-        return _VERDICTS_BY_REASON.get(
-            str(answer.body.get("Reason")), Verdict.MALFORMED
-        )
+        reason = read_text(answer.body.get("Reason")) or ""
+        return _VERDICTS_BY_REASON.get(reason, Verdict.MALFORMED)
     if answer.status in (429, 503):
         return Verdict.UNHEALTHY
     return Verdict.MALFORMED
 
 
-def _list_field(body: dict[str, Any], name: str) -> list[Any]:
-    value = body.get(name)
-    return value if isinstance(value, list) else []
-
-
-def _as_integer(value: Any) -> int | None:
-    return value if isinstance(value, int) and not isinstance(value, bool) else None
-
-
 def _decode_running_task(row: Any) -> RunningTask | None:
     if not isinstance(row, list) or len(row) < 4:
         return None
-    name, attempt = TaskName.parse(row[0]), _as_integer(row[1])
+    name, attempt = TaskName.parse(row[0]), read_whole_number(row[1])
     if name is None or attempt is None:
         return None
-    level = row[4] if len(row) > 4 and isinstance(row[4], int | float) else 0
-    percent = row[3] if isinstance(row[3], int | float) else 0
-    return RunningTask(name, attempt, str(row[2] or ""), int(percent), int(level))
+    percent = read_number(row[3]) or 0
+    level = read_number(row[4]) or 0 if len(row) > 4 else 0
+    checkpoint = read_text(row[2]) or ""
+    return RunningTask(name, attempt, checkpoint, int(percent), int(level))
 
 
 def _decode_ended_task(row: Any) -> EndedTask | None:
     if not isinstance(row, list) or len(row) < 5:
         return None
-    number, name, attempt = (
-        _as_integer(row[0]),
-        TaskName.parse(row[1]),
-        _as_integer(row[2]),
-    )
-    if number is None or name is None or attempt is None:
-        return None
-    try:
-        how = AttemptEnd(row[3])
-    except ValueError:
+    number, name = read_whole_number(row[0]), TaskName.parse(row[1])
+    attempt, how = read_whole_number(row[2]), read_text(row[3])
+    if number is None or name is None or attempt is None or how not in _END_NAMES:
         return None
-    return EndedTask(number, name, attempt, how, str(row[4] or ""))
+    return EndedTask(number, name, attempt, AttemptEnd(how), read_text(row[4]) or "")
--- a/src/chivetray/records/client.py
+++ b/src/chivetray/records/client.py
@@ -32,6 +32,7 @@
     TransactionOutcome,
 )
 from chivetray.platform.store import Row as StoreRow
+from chivetray.platform.values import decode_object
 from chivetray.results import ResultCode
 
 # Part of the store that holds the rows that are written together, since a
@@ -327,11 +328,8 @@
 def _decode_rows(rows: list[StoreRow]) -> Result[list[Row], PlatformError]:
     decoded = []
     for row in rows:
-        try:
-            value = json.loads(row.value)
-        except ValueError:
-            return Failure(_damaged_row_error(row.id.key))
-        if not isinstance(value, dict):
+        value = decode_object(row.value)
+        if value is None:
             return Failure(_damaged_row_error(row.id.key))
         decoded.append(Row(row.id.key, row.version, value))
     return Success(decoded)
--- a/src/chivetray/scheduling/prediction.py
+++ b/src/chivetray/scheduling/prediction.py
@@ -19,6 +19,10 @@
 # Version of the encoded digest. A digest of another version counts as absent.
 DIGEST_VERSION = 1
 
+# Largest value of a digest. What callers estimate, times the tasks of all jobs, may
+# exceed the 64 bits of a number in a message.
+DIGEST_VALUE_LIMIT = 2**53
+
 # Classes of priority that a digest tells apart; the last one holds all further ones.
 PRIORITY_CLASSES = 3
 
@@ -66,7 +70,7 @@
         """
         scalars = [self.serving_cores, self.arriving_cores, self.submitted_cores]
         scalars += [self.run_time_percent, self.short_ms, self.late_core_s]
-        return [
+        values = [
             DIGEST_VERSION,
             age_ms,
             *scalars,
@@ -74,6 +78,7 @@
             *self.on_time_jobs,
             *(value for pair in self.run_times_ms for value in pair),
         ]
+        return [min(value, DIGEST_VALUE_LIMIT) for value in values]
 
 
 def decode_backlog(values: Sequence[int]) -> tuple[Backlog, float] | None:
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -8,7 +8,7 @@
 import pytest
 from returns.result import Failure
 
-from chivetray.platform.calls import Answer, CallSession, _decode_object
+from chivetray.platform.calls import Answer, CallSession
 from chivetray.platform.store import (
     ABSENT,
     PAGE_BYTES,
@@ -23,6 +23,7 @@
     RowId,
     Store,
 )
+from chivetray.platform.values import decode_object
 from chivetray.records import maintenance, revisions
 from chivetray.records.client import RecordClient, RowWrite
 from chivetray.results import ResultCode
@@ -32,7 +33,7 @@
     """Connections on which every call gets one answer."""
 
     def __init__(self, status: int, content: bytes):
-        self._answer = Answer(status, _decode_object(content), 0.0, content)
+        self._answer = Answer(status, decode_object(content) or {}, 0.0, content)
 
     async def call(self, *_args, **_kwargs):
         return self._answer
