Keep an owner for cells of which no route names the service

Cause: the cells that need an owner followed from the services of the configurations since the start of the process, while accepted jobs belong to the service that their queue had.

The names of the cells come from the store as well now, from peers' claims and from the jobs that loads and scans find, so that a cell exists whenever there may be something to run, whatever the configuration says. A cell without route, jobs and workers ends after 60 s with a row that tells up to which version jobs were read; a newer job brings it back.

--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -59,6 +59,8 @@
     :param migrate_s: time that a VM takes to move to another pool
     :param maintenance_s: time that a VM is down for maintenance
     :param on_arrivals: called when VMs are on their way to a cell of this process
+    :param cells: returns the cells that keep and get VMs, by default the services of
+        all configurations since the start
     """
 
     def __init__(
@@ -72,11 +74,13 @@
         migrate_s: float,
         maintenance_s: float,
         on_arrivals: Callable[[], None],
+        cells: Callable[[], Iterable[str]] | None = None,
     ):
         self._mesh = mesh
         self._store = store
         self._directory = directory
         self._configuration = configuration
+        self._cells = cells or (lambda: configuration.services)
         self._client = machines
         self._migrate_s = migrate_s
         self._machines: list[PlatformVm] = []
@@ -145,7 +149,7 @@
             # The workers that open orders of an earlier holder may end are unknown, so
             # its reservations stay.
             return
-        await self._refresh_reports(self._configuration.services)
+        await self._refresh_reports(self._cells())
         if not is_list_current:
             # Orders are decided on the state of VMs; that of an old list may be wrong.
             return
--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -11,6 +11,7 @@
 from anyio.abc import TaskGroup
 
 from chivetray.cells.caps import CapRegister
+from chivetray.cells.cell_register import CellRegister
 from chivetray.cells.evacuation import await_reservations
 from chivetray.cells.loading import (
     CONCURRENT_READS,
@@ -82,6 +83,10 @@
 CANDIDATE_STAGGER_S = 0.6
 
 
+# Time for which a cell without a route has nothing to do before it ends: a manager that
+# is cut off accepts jobs by an earlier configuration, and late writes store them.
+IDLE_CELL_TTL_S = 60.0
+
 # Pause before this process tries again to acquire a cell whose acquisition ended in an
 # error. Others try meanwhile.
 FAILED_ACQUISITION_PAUSE_S = 1.0
@@ -121,8 +126,11 @@
     :ivar weight_of: returns the weight of an organisation, as in ``JobTurns``
     :ivar tells_backlog: whether claims carry a digest of the cell's work
     :ivar has_vm_orders: whether a manager moves and maintains the VMs of workers
+    :ivar register: the cells that exist, ``None`` if none ever ends
     """
 
+    register: CellRegister | None = None
+
     # Set while a scan is under way.
     _scan_ended: anyio.Event | None = None
 
@@ -144,7 +152,11 @@
         self.owned_cells: dict[str, CellOwner] = {}
         self.loading_cells: dict[str, CellOwner] = {}
         self._loader = JobLoader(
-            store, concurrent_reads, service_of, self._is_still_loading
+            store,
+            concurrent_reads,
+            service_of,
+            self._is_still_loading,
+            self._note_job,
         )
         self.leaving = False
         self.scanned_version = 0
@@ -166,6 +178,7 @@
         self._created_at_s = boot_time_s()
         self._acquiring: set[str] = set()
         self._unclaimed_since_s: dict[str, float] = {}
+        self._idle_since_s: dict[str, float] = {}
         self._renewals: dict[str, Renewal] = {}
         self._reading_renewals: set[str] = set()
         self._offered_to: dict[str, str] = {}
@@ -241,6 +254,7 @@
                     if not self.leaving:
                         self._acquire_unowned(task_group)
                         self._yield_cell()
+                        self._end_idle_cells(task_group)
                 with anyio.move_on_after(TICK_S):
                     await self._wake.wait()
 
@@ -328,6 +342,41 @@
         self.owned_cells[cell].leaving = True
         self.owned_cells[cell].wake()
 
+    def _note_job(self, cell: str, version: int) -> None:
+        """Take note of the cell of a job that no owner here has."""
+        if self.register is not None and cell not in self.owned_cells:
+            self.register.note_job(cell, version)
+
+    def _end_idle_cells(self, task_group: TaskGroup) -> None:
+        """End the cells that have had no route and nothing to do for some time."""
+        now_s = boot_time_s()
+        for cell, cell_owner in self.owned_cells.items():
+            if not self._is_idle(cell_owner) or cell_owner.leaving:
+                self._idle_since_s.pop(cell, None)
+            elif now_s - self._idle_since_s.setdefault(cell, now_s) > IDLE_CELL_TTL_S:
+                self._idle_since_s[cell] = now_s
+                task_group.start_soon(self._end_cell, cell_owner)
+
+    def _is_idle(self, cell_owner: CellOwner) -> bool:
+        """Return whether a cell has no route, no worker and no job to run."""
+        state = cell_owner.state
+        if self.register is None or not self.register.may_end(state.name):
+            return False
+        has_work = state.active or state.has_changed_jobs()
+        return not has_work and not any(w.listed for w in state.workers.values())
+
+    async def _end_cell(self, cell_owner: CellOwner) -> None:
+        """Release a cell for good, unless a scan finds a job for it."""
+        try:
+            await self.scan()
+        except StoreUnavailableError as error:
+            log_event(Event.STORE_LOST, reason=str(error), during="scan")
+            return
+        if self._is_idle(cell_owner) and self.scanned_version:
+            cell_owner.ended_version = self.scanned_version
+            cell_owner.leaving = True
+            cell_owner.wake()
+
     async def _acquire_and_run(self, task_group: TaskGroup, cell: str) -> None:
         try:
             cell_owner = await self._acquire(cell)
@@ -367,6 +416,8 @@
 
     async def _acquire(self, cell: str) -> CellOwner | None:
         row = await self._store.read_row(owner_row(cell))
+        if self.register is not None and await self.register.find_end(cell, row):
+            return None
         current = Ownership.decode(row.value) if row else None
         if row is not None and not await self._is_previous_owner_gone(
             cell, current, row.version
@@ -564,6 +615,7 @@
 
     def _remove_owner(self, cell: str) -> None:
         cell_owner = self.owned_cells.pop(cell, None)
+        self._idle_since_s.pop(cell, None)
         if not self.owned_cells:
             # The next cell is loaded anew and needs none of the changes until then.
             self.scanned_version = 0
@@ -571,6 +623,7 @@
         if (
             cell_owner is not None
             and cell_owner.leaving
+            and not cell_owner.ended_version
             and self._task_group is not None
         ):
             self._task_group.start_soon(self._offer_cell, cell)
@@ -688,7 +741,9 @@
                 if row.id.key.endswith(CANCEL_SUFFIX):
                     cell_owner.cancel(row.id.key.removesuffix(CANCEL_SUFFIX))
                 else:
-                    add_job_from_row(cell_owner.state, row, {}, now_s)
+                    cell = add_job_from_row(cell_owner.state, row, {}, now_s)
+                    if cell:
+                        self._note_job(cell, row.version)
             cell_owner.wake()
 
     async def _reload_jobs(self, covered: list[CellOwner], from_version: int) -> None:
--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -138,8 +138,7 @@
                     cell=spec.cell,
                     **organisation_field(organisation),
                 )
-                self._jobs_to_notify[job_id] = spec
-                self._notify_event.set()
+                self._notify_unfinished(spec)
             # A job that was stored before may belong to another cell than the one its
             # queue maps to now. Its owner already knows it or finds its row in a scan.
         else:
@@ -211,6 +210,8 @@
         return await self._states.read_state(queue, job_id, timeout_s, organisation)
 
     def _notify_unfinished(self, spec: JobSpec) -> None:
+        if self._directory.register is not None:
+            self._directory.register.note_job(spec.cell)
         self._jobs_to_notify.setdefault(spec.job_id, spec)
         self._notify_event.set()
 
--- a/src/chivetray/cells/loading.py
+++ b/src/chivetray/cells/loading.py
@@ -54,6 +54,8 @@
     :param service_of: returns the service that runs the jobs of a queue now, ``None``
         if it is not known
     :param is_wanted: returns whether to repeat a failed read for a cell
+    :param note_job: called with the cell and the row's version of each job of another
+        cell
     """
 
     def __init__(
@@ -62,7 +64,9 @@
         concurrent_reads: int = CONCURRENT_READS,
         service_of: Callable[[str], str | None] = lambda _queue: None,
         is_wanted: Callable[[str], bool] = lambda _cell: True,
+        note_job: Callable[[str, int], None] = lambda _cell, _version: None,
     ):
+        self._note_job = note_job
         self._store = store
         self._concurrent_reads = concurrent_reads
         self._limiter: anyio.CapacityLimiter | None = None
@@ -136,7 +140,9 @@
         for rows, version in rows_by_part.values():
             _check_fresh(version, guard_version)
             for row in rows:
-                add_job_from_row(state, row, progress, now_s, is_new=False)
+                cell = add_job_from_row(state, row, progress, now_s, is_new=False)
+                if cell and cell != state.name:
+                    self._note_job(cell, row.version)
             for row in rows:
                 if row.id.key.endswith(CANCEL_SUFFIX):
                     state.cancel(row.id.key.removesuffix(CANCEL_SUFFIX))
@@ -217,23 +223,25 @@
     progress: dict[str, Row],
     now_s: float,
     is_new: bool = True,
-) -> None:
+) -> str:
     """Add the job of a row if it belongs to the cell and is not yet known.
 
     :param is_new: whether the job has just arrived
+    :return: cell of the job, empty if it was known before or the row is none of a job
     """
     if row.id.key.endswith(CANCEL_SUFFIX) or row.id.key in state.jobs:
-        return
+        return ""
     try:
         spec = decode_spec(row.value)
     except (ValueError, TypeError) as error:
         log_event(Event.ROW_DAMAGED, key=row.id.key, reason=str(error))
-        return
+        return ""
     if spec.cell != state.name:
-        return
+        return spec.cell
     accepted_at_s = now_s - job_age_s(spec, wall_time_ms())
     stored = progress.get(spec.job_id)
     if stored is None:
         state.add_job(spec, accepted_at_s, is_new, now_s)
     else:
         state.restore_job(spec, stored.value, stored.version, accepted_at_s, now_s)
+    return spec.cell
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -19,6 +19,7 @@
 from chivetray.cells.advice import record_tickets
 from chivetray.cells.cancellations import CancellationWatch
 from chivetray.cells.caps import CapRegister
+from chivetray.cells.cell_register import encode_end
 from chivetray.cells.evacuation import evacuate
 from chivetray.cells.gangs import stop_broken_gangs
 from chivetray.cells.lease_ends import LeaseEnds
@@ -31,6 +32,7 @@
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import (
     Ownership,
+    ended_row,
     owner_row,
     progress_row,
     renewal_row,
@@ -116,6 +118,8 @@
     :ivar cancellations: age of what is known about cancellations
     :ivar leaving: whether the cell is to be released
     :ivar releasing: whether a write that releases the cell may be carried out
+    :ivar ended_version: version up to which jobs were read when the cell was found to
+        have ended, 0 if it has not; stored with its release
     :ivar longest_lease_s: upper bound of the leases that workers grant
     :ivar longest_list_age_s: age of the list of workers above which no start order is
         sent, since a worker may have begun to drain
@@ -152,6 +156,7 @@
         )
         self.leaving = False
         self.releasing = False
+        self.ended_version = 0
         self.lost = False
         self.renewal_latency_s = 0.0
         self.longest_lease_s = LEASE_S
@@ -526,10 +531,15 @@
             released=True,
             leases_s=self.get_remaining_leases(),
         )
-        outcome = await self._store.transact(
-            {self.guard_row: self.guard_version}, {self.guard_row: released.encode()}
-        )
+        rows = {self.guard_row: released.encode()}
+        # A job may have arrived since the cell was found to have ended.
+        has_ended = self.ended_version > 0 and not self.state.active
+        if has_ended:
+            rows[ended_row(self.state.name)] = encode_end(self.ended_version)
+        outcome = await self._store.transact({self.guard_row: self.guard_version}, rows)
         if isinstance(outcome, Committed | Conflict):
+            if has_ended:
+                log_event(Event.CELL_ENDED, cell=self.state.name, epoch=self.epoch)
             leases_s = {w: round(s, 3) for w, s in released.leases_s.items()}
             is_confirmed = isinstance(outcome, Committed)
             self.mark_lost("released", confirmed=is_confirmed, leases_s=leases_s)
--- a/src/chivetray/cells/tables.py
+++ b/src/chivetray/cells/tables.py
@@ -72,6 +72,14 @@
     return RowId(CELL_TABLE, cell, "renewal")
 
 
+def ended_row(cell: str) -> RowId:
+    """Return the row that tells the end of a cell without a route.
+
+    It holds if it has the version of the owner row, which the same transaction wrote.
+    """
+    return RowId(CELL_TABLE, cell, "ended")
+
+
 def lease_row(cell: str) -> RowId:
     """Return the row with the ends of the leases on workers that do not answer."""
     return RowId(CELL_TABLE, cell, "leases")
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -111,6 +111,14 @@
     CELL_TAKE_FAILED = (1624, "The process could not become the owner of a cell.")
     COMMIT_FAILED = (1625, "A transaction of a cell failed and is retried.")
 
+    CELL_FOUND = (
+        1636,
+        "A cell exists of which the configuration names no route; it gets an owner.",
+    )
+    CELL_ENDED = (
+        1637,
+        "A cell without route, jobs to run and workers gets no owner any more.",
+    )
     CELL_LOAD_DELAYED = (
         1632,
         "A read of a cell's jobs failed and is repeated; the load goes on.",
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 
 import anyio
@@ -14,6 +14,7 @@
 from chivetray.capacity.recent_orders import FLEET_CELL
 from chivetray.capacity.runner import FleetRunner
 from chivetray.cells.cancellations import START_DELAY_S
+from chivetray.cells.cell_register import CellRegister
 from chivetray.cells.configuration import Configuration
 from chivetray.cells.directory import CellDirectory
 from chivetray.cells.job_service import JobService
@@ -109,6 +110,13 @@
         self._store.connect(self._mesh, self._mesh.request_heartbeat)
         self._configuration.connect(self._mesh)
         self._worker_list = WorkerList(self._store)
+        self._register = CellRegister(
+            self._store,
+            self._services,
+            self._claimed_cells,
+            lambda: len(self._mesh.peers),
+            (FLEET_CELL,),
+        )
         self._directory = CellDirectory(
             self._mesh,
             self._store,
@@ -121,6 +129,7 @@
             self._store.fit_link(settings.link_mbps),
             self._configuration.caps,
         )
+        self._directory.register = self._register
         self._directory.longest_lease_s = settings.longest_lease_ms / 1000
         self._directory.stores_run_times = settings.store_run_times
         self._directory.longest_list_age_s = max(
@@ -154,6 +163,7 @@
                 settings.migrate_s,
                 settings.maintenance_s,
                 self._worker_list.expect_arrivals,
+                self._register.names,
             )
         self._jobs_app = JobsApp(self._configuration, self._job_service, self._metrics)
 
@@ -211,6 +221,7 @@
             "members": self._discover_members,
             "worker list": self._follow_workers,
             "cells": self._directory.run,
+            "cell register": self._register.run,
             "job service": self._job_service.run,
             "job scans": self._scan_jobs,
         }
@@ -307,9 +318,18 @@
         )
 
     def _cell_names(self) -> list[str]:
-        names = sorted(self._configuration.services)
+        names = self._register.names()
         return [FLEET_CELL, *names] if names and self._fleet_runner else names
 
+    def _services(self) -> set[str] | None:
+        is_loaded = self._configuration.current is not None
+        return self._configuration.services if is_loaded else None
+
+    def _claimed_cells(self) -> Iterator[str]:
+        for peer in self._mesh.peers.values():
+            for claim in peer.claims():
+                yield claim.cell
+
     def _on_config_change(self) -> None:
         self._mesh.request_announcement()
         self._directory.wake()
