Judge missing attempts only by a list that holds all ends of a worker

Cause: a worker lists 500 ends at a time. An attempt that neither ran nor was among them counted as vanished, and its task was placed again.

A reply tells now whether it lists all ends, and an attempt counts as missing only by one that does. The ends that it lacks come with the next replies, once these are stored.

--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -97,7 +97,9 @@
                     unanswered_tries=task.unanswered_starts,
                 )
             confirm_start(state, (job.spec.job_id, task.key), task.attempt, now_s)
-    _release_missing_attempts(state, worker, listed, sent_at_s, now_s)
+    if reply.lists_all_ends:
+        # Otherwise an attempt that is not listed may have ended, even as done.
+        _release_missing_attempts(state, worker, listed, sent_at_s, now_s)
 
 
 def _proves_sound_worker(
--- a/src/chivetray/platform/workers.py
+++ b/src/chivetray/platform/workers.py
@@ -30,6 +30,10 @@
 # The address belongs to another instance than the one that the call expects.
 STATUS_OTHER_INCARNATION = 421
 
+# Most ends that a worker lists in one reply; the others follow once these are
+# acknowledged.
+ENDS_PER_REPLY = 500
+
 # Calls whose latency is recorded, with the label in the metric. Polls are left out,
 # since the worker holds them until an attempt ends.
 ORDER_CALLS = {"run-start": "start order", "run-stop": "stop order"}
@@ -132,6 +136,7 @@
     :ivar incarnation: start of the worker in ms since 1970, which identifies its
         incarnation
     :ivar detail: cause of a failed call, for the log
+    :ivar lists_all_ends: whether ``ended`` holds every end that is not acknowledged
     """
 
     verdict: Verdict
@@ -140,6 +145,7 @@
     running: list[RunningTask] = field(default_factory=list)
     ended: list[EndedTask] = field(default_factory=list)
     detail: str = ""
+    lists_all_ends: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -253,6 +259,8 @@
     if isinstance(outcome, NoAnswer):
         return Reply(Verdict.NO_ANSWER, detail=outcome.reason)
     body = outcome.body
+    ends = read_list(body, "Finished")
+    ended = [end for row in ends if (end := _decode_ended_task(row))]
     return Reply(
         _decode_verdict(outcome),
         read_whole_number(body.get("ClockMs")),
@@ -262,11 +270,8 @@
             for row in read_list(body, "Running")
             if (task := _decode_running_task(row))
         ],
-        [
-            ended
-            for row in read_list(body, "Finished")
-            if (ended := _decode_ended_task(row))
-        ],
+        ended,
+        lists_all_ends=len(ended) == len(ends) < ENDS_PER_REPLY,
     )
 
 
