End cells only for good, and bound lease rows by their bytes

A notice of a job, once made, kept a process from ever accepting the end of that job's cell, so that it would have acquired the cell again each minute; only undelivered notices count now (test_a_notice_of_a_job_brings_it_back_until_it_is_delivered). A job whose last failed end was stored by an owner that was lost before it wrote the main row is failed by the next one (test_a_task_that_has_failed_too_often_starts_no_more); without it a task could start after its attempts were used up. Lease rows are bounded by bytes, so that small identifiers do not meet the limit early, and the VMs of the fleet duty have room.

A directory that ends by an error claims no cells that nothing runs.

--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -80,7 +80,7 @@
         self._store = store
         self._directory = directory
         self._configuration = configuration
-        self._cells = cells or (lambda: configuration.services)
+        self._cells = cells or (lambda: self._configuration.services)
         self._client = machines
         self._migrate_s = migrate_s
         self._machines: list[PlatformVm] = []
--- a/src/chivetray/cells/cell_register.py
+++ b/src/chivetray/cells/cell_register.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Collection, Iterable
 
 import anyio
@@ -32,6 +31,7 @@
     :param services: returns the services that the configuration names or has named
         since the start, ``None`` before the first configuration
     :param claimed: returns the cells that peers claim to own
+    :param wanted: returns the cells whose owner has to be notified of a job
     :param count_peers: returns the number of peers
     :param ignored: parts of the table of cells that are no cells of workers
     """
@@ -41,18 +41,20 @@
         store: Store,
         services: Callable[[], Collection[str] | None],
         claimed: Callable[[], Iterable[str]],
+        wanted: Callable[[], Iterable[str]],
         count_peers: Callable[[], int],
         ignored: Collection[str] = (),
     ):
         self._store = store
         self._services = services
         self._claimed = claimed
+        self._wanted = wanted
         self._count_peers = count_peers
         self._ignored = frozenset(ignored)
         self._found: set[str] = set()
         self._logged: set[str] = set()
         self._ended_versions: dict[str, int] = {}
-        self._job_versions: dict[str, float] = {}
+        self._job_versions: dict[str, int] = {}
 
     def names(self) -> list[str]:
         """Return the names of the cells that need an owner, in their order.
@@ -68,6 +70,7 @@
             self._ended_versions.pop(cell, None)
             self._add(cell)
         without_route = {cell for cell in self._found if not self._has_ended(cell)}
+        without_route |= set(self._wanted())
         without_route -= set(services)
         for cell in sorted(without_route - self._logged):
             log_event(Event.CELL_FOUND, cell=cell)
@@ -81,13 +84,12 @@
             cell not in self._ignored and services is not None and cell not in services
         )
 
-    def note_job(self, cell: str, version: float = math.inf) -> None:
+    def note_job(self, cell: str, version: int) -> None:
         """Take note of the cell of a stored job.
 
-        :param version: version of the job's row, by default one that is newer than the
-            end of the cell
+        :param version: version of the job's row
         """
-        self._job_versions[cell] = max(self._job_versions.get(cell, 0.0), version)
+        self._job_versions[cell] = max(self._job_versions.get(cell, 0), version)
         self._add(cell)
 
     def _add(self, cell: str) -> None:
@@ -98,7 +100,7 @@
         ended_version = self._ended_versions.get(cell)
         return (
             ended_version is not None
-            and self._job_versions.get(cell, 0.0) <= ended_version
+            and self._job_versions.get(cell, 0) <= ended_version
         )
 
     # Stored ends
@@ -109,7 +111,7 @@
         :param guard: owner row of the cell
         :raises StoreUnavailableError: when the store gives no usable answer
         """
-        if guard is None or not self.may_end(cell):
+        if guard is None or not self.may_end(cell) or cell in self._wanted():
             return False
         row = await self._store.read_row(ended_row(cell))
         if row is None or row.version != guard.version:
--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -247,18 +247,31 @@
     async def run(self) -> None:
         """Acquire cells without an owner until cancelled."""
         await anyio.sleep(DISCOVERY_DELAY_S)
-        async with anyio.create_task_group() as task_group:
-            self._task_group = task_group
-            while True:
-                self._wake = anyio.Event()
-                with contain_errors("cells"):
-                    self._drop_superseded()
-                    if not self.leaving:
-                        self._acquire_unowned(task_group)
-                        self._yield_cell()
-                        self._end_idle_cells(task_group)
-                with anyio.move_on_after(TICK_S):
-                    await self._wake.wait()
+        try:
+            async with anyio.create_task_group() as task_group:
+                self._task_group = task_group
+                await self._follow_cells(task_group)
+        except Exception:
+            # Nothing runs the cells any more, so they must not be claimed either.
+            self._task_group = None
+            owners = {**self.loading_cells, **self.owned_cells}
+            for cell_owner in owners.values():
+                cell_owner.mark_lost("an error in the directory")
+            self.loading_cells.clear()
+            self._acquiring.clear()
+            raise
+
+    async def _follow_cells(self, task_group: TaskGroup) -> None:
+        while True:
+            self._wake = anyio.Event()
+            with contain_errors("cells"):
+                self._drop_superseded()
+                if not self.leaving:
+                    self._acquire_unowned(task_group)
+                    self._yield_cell()
+                    self._end_idle_cells(task_group)
+            with anyio.move_on_after(TICK_S):
+                await self._wake.wait()
 
     def _drop_superseded(self) -> None:
         owners = {**self.loading_cells, **self.owned_cells}
--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -223,8 +223,6 @@
         return await self._states.read_state(queue, job_id, timeout_s, organisation)
 
     def _notify_unfinished(self, spec: JobSpec) -> None:
-        if self._directory.register is not None:
-            self._directory.register.note_job(spec.cell)
         self._jobs_to_notify.setdefault(spec.job_id, spec)
         self._notify_event.set()
 
@@ -285,6 +283,10 @@
 
     # Notifications of owners
 
+    def cells_to_notify(self) -> set[str]:
+        """Return the cells whose owner has to be notified of a job."""
+        return {spec.cell for spec in self._jobs_to_notify.values()}
+
     async def run(self) -> None:
         """Store jobs, and notify owners of jobs and cancellations, until cancelled."""
         async with anyio.create_task_group() as task_group:
--- a/src/chivetray/cells/lease_ends.py
+++ b/src/chivetray/cells/lease_ends.py
@@ -40,9 +40,8 @@
 # this process: a process that is cut off finds all workers silent.
 STORE_AFTER_SILENCE_S = 0.5
 
-# Most workers whose leases a row tells, so that it fits into the limit of the store: an
-# identifier may have 200 bytes.
-MAX_STORED_LEASES = 200
+# Size of an entry of the row, apart from the worker's identifier.
+LEASE_END_BYTES = 12
 
 # Added to an end that is stored, for rounding.
 LEASE_END_MARGIN_S = 0.02
@@ -142,6 +141,7 @@
         """
         now_s = boot_time_s()
         chosen_ms: dict[str, int] = {}
+        size_bytes = LEASE_END_BYTES
         if not store_clock.known:
             return None
         for worker_id, worker in self._state.workers.items():
@@ -151,7 +151,8 @@
             known_ms = self._chosen_ms.get(worker_id)
             held_s = self._state.held_lease_ends_s.get(worker_id, 0.0)
             is_earlier = end_s < held_s - LOWERED_BY_S
-            if known_ms is None and len(chosen_ms) >= MAX_STORED_LEASES:
+            size_bytes += len(worker_id) + LEASE_END_BYTES
+            if size_bytes > self._state.row_limit_bytes:
                 # The next owner waits there for the longest lease.
                 continue
             if known_ms is None or end_s > held_s or is_earlier:
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -22,7 +22,7 @@
 from chivetray.cells.cell_register import encode_end
 from chivetray.cells.evacuation import evacuate
 from chivetray.cells.gangs import stop_broken_gangs
-from chivetray.cells.lease_ends import MAX_STORED_LEASES, LeaseEnds
+from chivetray.cells.lease_ends import LeaseEnds
 from chivetray.cells.order_sender import OrderSender
 from chivetray.cells.orders import StepRef
 from chivetray.cells.placing import place_tasks
@@ -667,12 +667,15 @@
         """
         is_first_try = not self.releasing
         self.releasing = True
-        leases_s = self.get_remaining_leases()
-        if len(leases_s) > MAX_STORED_LEASES:
+        released = replace(
+            self.ownership,
+            released=True,
+            leases_s=self.get_remaining_leases(),
+        )
+        if len(released.encode()) > self.state.row_limit_bytes:
             # The next owner waits for the longest leases, as after a loss of this one.
-            self.mark_lost("released", confirmed=False, leases=len(leases_s))
+            self.mark_lost("released", confirmed=False, leases=len(released.leases_s))
             return True
-        released = replace(self.ownership, released=True, leases_s=leases_s)
         rows = {self.guard_row: released.encode()}
         # A job may have arrived since the cell was found to have ended.
         has_ended = self.ended_version > 0 and not self.state.active
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -216,6 +216,10 @@
             rows.restore({n: content for n, (content, _) in more_rows.items()})
         except (ValueError, TypeError, LookupError) as error:
             log_event(Event.ROW_DAMAGED, job=spec.job_id, reason=str(error))
+        if spec.split_progress:
+            for task in list(job.tasks.values()):
+                if not spec.steps[task.key[1]].long_running:
+                    self.fail_if_attempts_exhausted(job, task)
         if job.state != job.stored_state:
             # The owner before has stored the last end, and not the state after it.
             self.mark_changed(spec.job_id)
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -118,6 +118,7 @@
             self._store,
             self._services,
             self._claimed_cells,
+            lambda: self._job_service.cells_to_notify(),
             lambda: len(self._mesh.peers),
             (FLEET_CELL,),
         )
