End a manager only after its server has closed all connections

A client saw a request on an open connection end without an answer, 0.06 s after it was sent to a manager that had got SIGTERM and was not disturbed otherwise.

Cause: at the end of its grace period the manager told the server to stop and ended once no request was in progress. The server closes idle connections within 0.1 s of that, and a request that came meanwhile ended with the process.

The manager waits for the end of the server now, within the time reserved for it.

--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -310,8 +310,7 @@
                 self._jobs_app.closing = True
         callers_server.stop()
         with anyio.move_on_after(STOP_RESERVE_S / 2):
-            while callers_server.server_state.tasks:  # noqa: ASYNC110
-                await anyio.sleep(0.02)
+            await callers_server.ended.wait()
 
     # Callbacks and background tasks of the components
 
--- a/src/chivetray/servers.py
+++ b/src/chivetray/servers.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+import anyio
 import uvicorn
 
 from chivetray.connection_limits import ConnectionLimits, limit_connections
@@ -21,7 +22,14 @@
 
 
 class HttpServer(uvicorn.Server):
-    """A uvicorn server that installs no signal handlers."""
+    """A uvicorn server that installs no signal handlers.
+
+    :ivar ended: set once the server is stopped and all its requests have ended
+    """
+
+    def __init__(self, config: uvicorn.Config):
+        super().__init__(config)
+        self.ended = anyio.Event()
 
     @classmethod
     def from_app(
@@ -60,10 +68,16 @@
 
     async def serve_on(self, listener: socket.socket) -> None:
         """Serve until :meth:`stop` is called and all requests have ended."""
-        await self.serve(sockets=[listener])
+        try:
+            await self.serve(sockets=[listener])
+        finally:
+            self.ended.set()
 
     def stop(self) -> None:
-        """Stop listening and let the requests in flight finish."""
+        """Stop listening and let the requests in flight finish.
+
+        Open connections are served for a moment after that, until ``ended`` is set.
+        """
         self.should_exit = True
 
 
