Soak managers on loopback with signals, routes, odd entries and faults that overlap

Clients hand jobs in and ask for them over connections that they keep until a process is gone. Managers are killed, also all at once, stopped in order and paused; routes change their service, go and come back; odd entries stand among those of the workers; the store is down, slow, turns a manager away or loses answers; workers are silent or carry starts out late. Checked: every accepted job ends and is never unknown, no task runs twice or after an end that was noted, no request is cut at a planned end, no manager ends by itself.

The stand-ins keep a history of attempts and refuse rows above the limit of the platform's store.

--- a/src/chivetray/platform/standins/store.py
+++ b/src/chivetray/platform/standins/store.py
@@ -15,8 +15,9 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-# Limits: entries of one transaction, and rows of one page.
+# Limits: entries of one transaction, characters of a row's value, and rows of one page.
 ENTRIES_LIMIT = 100
+ROW_BYTES = 65536
 PAGE_ROWS = 500
 
 # Tables that only the operator and the workers may write.
@@ -210,6 +211,8 @@
         or len({item.get("part", "") for item in entries}) > 1
     ):
         return _json_response(state, {}, 400)
+    if any(len(row["Value"]) > ROW_BYTES for row in body.get("Writes", [])):
+        return _json_response(state, {}, 400)
     if not state.admit_rows(len(changed)):
         return _json_response(state, {}, 429)
     state.transactions += 1
--- a/src/chivetray/platform/standins/worker.py
+++ b/src/chivetray/platform/standins/worker.py
@@ -68,6 +68,8 @@
     :ivar ends: ended attempts that are not acknowledged yet
     :ivar number: sequence number of the last ended attempt
     :ivar starts: task and number of every attempt that was started, for tests
+    :ivar history: time, kind, task and attempt of each start, end and acknowledgement,
+        in all incarnations, for tests; the kind of an end is how it came
     :ivar clock_rate: speed of the worker's clock; the platform allows an error of 2%
     :ivar read_time_s: returns the time from which the worker's clock is derived
     """
@@ -84,6 +86,7 @@
     ends: list[list[Any]] = field(default_factory=list)
     number: int = 0
     starts: list[tuple[str, int]] = field(default_factory=list)
+    history: list[tuple[float, str, str, int]] = field(default_factory=list)
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     clock_rate: float = 1.0
     read_time_s: Callable[[], float] = time.monotonic
@@ -116,8 +119,12 @@
             if run.left_s <= 0 and not run.runs_until_stopped:
                 self.end(run, "failed" if self.faults.failing else "done")
 
+    def _record(self, kind: str, task: str, attempt: int) -> None:
+        self.history.append((time.monotonic(), kind, task, attempt))
+
     def end(self, run: RunningAttempt, how: str) -> None:
         """Record the end of an attempt."""
+        self._record(how, run.task, run.attempt)
         self.number += 1
         self.ends.append([self.number, run.task, run.attempt, how, ""])
         self.closed_attempts[run.task] = max(
@@ -146,6 +153,7 @@
         work_s = float(payload) if payload.replace(".", "").isdigit() else self.work_s
         self.running[task] = RunningAttempt(task, attempt, work_s, runs_until_stopped)
         self.starts.append((task, attempt))
+        self._record("start", task, attempt)
         return {}
 
     def stop(self, body: dict[str, Any]) -> dict[str, Any]:
@@ -163,7 +171,10 @@
         """Extend the lease and drop acknowledged ended attempts."""
         if refused := self._check_fencing_token(body):
             return refused
-        self.ends = [end for end in self.ends if end[0] > body.get("Observed", 0)]
+        observed = body.get("Observed", 0)
+        for _, task, attempt, *_ in self.ends[: _count_up_to(self.ends, observed)]:
+            self._record("noted", task, attempt)
+        self.ends = [end for end in self.ends if end[0] > observed]
         self._extend_lease(body.get("DeadlineMs", 0))
         return {}
 
@@ -197,6 +208,10 @@
         self.deadline_ms = max(self.deadline_ms, min(deadline_ms, limit_ms))
 
 
+def _count_up_to(ends: list[list[Any]], number: int) -> int:
+    return sum(end[0] <= number for end in ends)
+
+
 def create_worker_app(model: WorkerModel) -> Starlette:
     """Create the HTTP application of a worker."""
     app = Starlette(
@@ -262,6 +277,7 @@
 async def _ledger(request: Request) -> Response:
     model: WorkerModel = request.app.state.model
     content = {"starts": model.starts, "ends": model.ends, "number": model.number}
+    content["history"] = model.history
     return Response(orjson.dumps(content), media_type="application/json")
 
 
--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -37,7 +37,14 @@
 class JobFleet:
     """A store, workers and managers, each at an address of its own."""
 
-    def __init__(self, folder: Path, managers: int = 2, workers: int = 2):
+    def __init__(
+        self,
+        folder: Path,
+        managers: int = 2,
+        workers: int = 2,
+        services: tuple[str, ...] = (TRY_SERVICE,),
+    ):
+        self.services = services
         self.folder = folder
         self.network, self._lock = claim_network()
         self.managers = [f"m{number}" for number in range(managers)]
@@ -86,7 +93,7 @@
             "--name",
             name,
             "--service",
-            TRY_SERVICE,
+            self.services[int(name[1:]) % len(self.services)],
             "--store",
             self.store,
             "--address",
--- /dev/null
+++ b/tests/job_soak.py
@@ -0,0 +1,386 @@
+"""A soak of managers, workers and a store as processes, with random faults.
+
+Clients hand jobs in and ask for them over connections that they keep until a process
+is gone. Faults come in series and overlap, all from one seed. The checks use what
+clients and workers have seen.
+"""
+
+from __future__ import annotations
+
+import base64
+import http.client
+import json
+import random
+import select
+import signal
+import threading
+import time
+import urllib.request
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import Any
+
+from job_fleet import CALLERS_PORT, WORKER_PORT, JobFleet, job_body, wait_for
+from test_odd_entries import UNUSABLE_ADDRESSES, nested
+
+from chivetray.standins.jobs import TRY_HOST, TRY_SERVICE
+
+SERVICES = (TRY_SERVICE, "other")
+PREFIXES = ("/a/", "/b/")
+CLIENTS = 4
+SETTLE_LIMIT_S = 60.0
+
+# Tasks of a job: its progress has one row, or several.
+SMALL_TASKS, LARGE_TASKS = (1, 6), (260, 1600)
+LARGE_SHARE = 0.04
+
+# Time after its start within which SIGTERM may end a manager before it handles signals.
+SIGNALS_HANDLED_AFTER_S = 5.0
+
+
+@dataclass
+class Outcome:
+    """What a run has shown."""
+
+    seed: int
+    accepted: dict[str, int] = field(default_factory=dict)
+    prefixes: dict[str, str] = field(default_factory=dict)
+    faults: list[str] = field(default_factory=list)
+    problems: list[str] = field(default_factory=list)
+    requests: int = 0
+    cuts: list[tuple[str, float, float]] = field(default_factory=list)
+
+
+def is_closed(connection: http.client.HTTPConnection) -> bool:
+    """Return whether the server has closed an idle connection."""
+    sock = connection.sock
+    return sock is None or bool(select.select([sock], [], [], 0)[0])
+
+
+class JobSoak:
+    """Clients and faults on a fleet, both from one seed."""
+
+    def __init__(self, fleet: JobFleet, seed: int):
+        self.fleet, self.outcome = fleet, Outcome(seed)
+        self._rng = random.Random(seed)
+        self._stop = threading.Event()
+        self._lock = threading.Lock()
+        self._version = 1
+        self._routes = dict(zip(PREFIXES, SERVICES, strict=True))
+        self._stopped_at_s: dict[str, list[float]] = defaultdict(list)
+        self._started_at_s = dict.fromkeys(fleet.managers, time.monotonic())
+        self._ending = {name: threading.Lock() for name in fleet.managers}
+
+    def run(self, duration_s: float) -> Outcome:
+        self._put_config()
+        for prefix in PREFIXES:
+            wait_for(lambda p=prefix: self._get("m0", p)[0] == 200)
+        clients = [
+            threading.Thread(target=self._submit_jobs, args=(n,))
+            for n in range(CLIENTS)
+        ]
+        for client in clients:
+            client.start()
+        self._disturb(duration_s)
+        self._stop.set()
+        for client in clients:
+            client.join()
+        self._check_cuts()
+        self._check_jobs()
+        self._check_runs()
+        return self.outcome
+
+    # Clients
+
+    def _submit_jobs(self, number: int) -> None:
+        rng = random.Random(f"{self.outcome.seed}/{number}")
+        connections: dict[str, http.client.HTTPConnection] = {}
+        mine: list[str] = []
+        while not self._stop.is_set():
+            manager = rng.choice(self.fleet.managers)
+            if mine and rng.random() < 0.4:
+                job_id = rng.choice(mine)
+                path = self.outcome.prefixes[job_id] + job_id
+                status, _ = self._call(connections, manager, "GET", path)
+                if status == 410:
+                    self._report(f"{job_id} was accepted and is answered 410")
+            else:
+                job_id = f"{self.outcome.seed:04x}{number:04x}{len(mine):08x}"
+                prefix = rng.choice(PREFIXES)
+                is_large = rng.random() < LARGE_SHARE
+                count = rng.randint(*(LARGE_TASKS if is_large else SMALL_TASKS))
+                work_s = 0.05 if is_large else rng.choice([0.05, 0.2, 1.0])
+                step = {"Cpu": 100 if is_large else 500}
+                body = job_body(count, work_s, **step)
+                if self._submit(rng, connections, prefix + job_id, body):
+                    mine.append(job_id)
+                    with self._lock:
+                        self.outcome.prefixes[job_id] = prefix
+                        self.outcome.accepted[job_id] = count
+            time.sleep(rng.uniform(0.05, 0.4))
+
+    def _submit(self, rng: Any, connections: Any, path: str, body: Any) -> bool:
+        """Repeat a submission without an answer, anywhere, until one answers it."""
+        while not self._stop.is_set():
+            manager = rng.choice(self.fleet.managers)
+            status, _ = self._call(connections, manager, "POST", path, body)
+            if status in (200, 404):
+                return status == 200
+            time.sleep(0.1)
+        return False
+
+    def _call(
+        self, connections: Any, manager: str, method: str, path: str, body: Any = None
+    ) -> tuple[int, bytes]:
+        """Make a request on the client's connection to a manager; 0 for no answer."""
+        connection = connections.get(manager)
+        if connection is not None and is_closed(connection):
+            connection = connections.pop(manager).close()
+        sent_at_s = time.monotonic()
+        try:
+            if connection is None:
+                address = self.fleet.manager_address(manager)
+                connection = http.client.HTTPConnection(address, CALLERS_PORT, 5)
+                connection.connect()
+                connections[manager] = connection
+            content = None if body is None else json.dumps(body)
+            connection.request(method, path, content, {"Host": TRY_HOST})
+            answer = connection.getresponse()
+            self.outcome.requests += 1
+            return answer.status, answer.read()
+        except (OSError, http.client.HTTPException):
+            if connections.pop(manager, None) is not None:
+                cut = (manager, sent_at_s, time.monotonic())
+                self.outcome.cuts.append(cut)
+            return 0, b""
+
+    def _get(self, manager: str, path: str) -> tuple[int, bytes]:
+        return self._call({}, manager, "GET", path)
+
+    def _report(self, problem: str) -> None:
+        with self._lock:
+            self.outcome.problems.append(problem)
+
+    # Faults
+
+    def _disturb(self, duration_s: float) -> None:
+        faults = [self._kill, self._kill_all, self._terminate, self._pause]
+        faults += [self._change_route, self._change_route]
+        faults += [self._write_odd_entry, self._write_odd_entry]
+        faults += [self._break_store, self._break_store, self._break_worker]
+        ends_at_s = time.monotonic() + duration_s
+        while time.monotonic() < ends_at_s:
+            chosen = self._rng.sample(faults, self._rng.choice([1, 1, 2, 3]))
+            threads = [threading.Thread(target=fault) for fault in chosen]
+            for thread in threads:
+                thread.start()
+                time.sleep(self._rng.uniform(0.0, 0.8))
+            for thread in threads:
+                thread.join()
+            time.sleep(self._rng.uniform(0.1, 1.0))
+        self._set_faults(self.fleet.store, {})
+        for name in self.fleet.workers:
+            self._set_faults(self._worker_address(name), {})
+
+    def _worker_address(self, name: str) -> str:
+        return f"{self.fleet.worker_address(name)}:{WORKER_PORT}"
+
+    def _set_faults(self, address: str, faults: dict[str, Any]) -> None:
+        """Tell a stand-in its faults; one that is paused hears of them later."""
+        while True:
+            try:
+                self.fleet.post(address, "/standin/faults", faults)
+                return
+            except OSError:
+                time.sleep(0.1)
+
+    def _log(self, what: str) -> None:
+        self.outcome.faults.append(f"{time.monotonic():.2f} {what}")
+
+    def _end(self, name: str, how: signal.Signals) -> None:
+        """End a manager and start it again; one that is gone already is left alone."""
+        process = self.fleet.processes[name]
+        if process.poll() is not None:
+            return
+        self._log(f"{how.name} {name}")
+        self._stopped_at_s[f"{name} {how.name}"].append(time.monotonic())
+        process.send_signal(how)
+        if not self._ending[name].acquire(blocking=False):
+            # Another signal is ending it, and it is started again after that.
+            return
+        try:
+            process.wait()
+            age_s = time.monotonic() - self._started_at_s[name]
+            allowed = {0, -signal.SIGKILL}
+            if age_s < SIGNALS_HANDLED_AFTER_S:
+                allowed.add(-signal.SIGTERM)
+            if process.returncode not in allowed:
+                self._report(f"{name} ended with {process.returncode}")
+            time.sleep(self._rng.uniform(0.0, 1.0))
+            self.fleet.start_manager(name)
+            self._started_at_s[name] = time.monotonic()
+        finally:
+            self._ending[name].release()
+
+    def _kill(self) -> None:
+        self._end(self._rng.choice(self.fleet.managers), signal.SIGKILL)
+
+    def _kill_all(self) -> None:
+        threads = [
+            threading.Thread(target=self._end, args=(name, signal.SIGKILL))
+            for name in self.fleet.managers
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def _terminate(self) -> None:
+        self._end(self._rng.choice(self.fleet.managers), signal.SIGTERM)
+
+    def _pause(self) -> None:
+        name = self._rng.choice(self.fleet.managers + self.fleet.workers)
+        process = self.fleet.processes[name]
+        self._log(f"SIGSTOP {name}")
+        self._stopped_at_s[f"{name} SIGSTOP"].append(time.monotonic())
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(self._rng.uniform(0.3, 4.0))
+        process.send_signal(signal.SIGCONT)
+
+    def _change_route(self) -> None:
+        prefix = self._rng.choice(PREFIXES)
+        with self._lock:
+            service = self._rng.choice([*SERVICES, ""])
+            self._routes[prefix] = service
+        self._put_config()
+
+    def _put_config(self) -> None:
+        with self._lock:
+            self._version += 1
+            self._log(f"config {self._version} {self._routes}")
+            routes = [
+                {
+                    "Name": prefix,
+                    "Host": TRY_HOST,
+                    "PathPrefix": prefix,
+                    "Service": service,
+                    "MaxAttempts": 3,
+                    "TimeoutMs": 3000,
+                }
+                for prefix, service in self._routes.items()
+                if service
+            ]
+            config = {"Version": self._version, "Routes": routes, "Limits": {}}
+            value = base64.b64encode(json.dumps(config).encode()).decode()
+            self.fleet.put({"Table": "op", "Key": "config", "Value": value})
+
+    def _write_odd_entry(self) -> None:
+        plain = {
+            "Service": self._rng.choice(SERVICES),
+            "Address": self._rng.choice(UNUSABLE_ADDRESSES),
+            "State": "ready",
+            "Capacity": {"Cpu": 16000, "MemMb": 65536, "Gpu": 0},
+            "Labels": ["a", "r1"],
+        }
+        text = json.dumps(plain)
+        if self._rng.random() < 0.5:
+            text = json.dumps({**plain, "Address": "127.0.0.1:9", "Zone": "MARK"})
+            text = text.replace('"MARK"', nested(self._rng.choice([500, 1000])))
+        key = f"odd-{self._rng.randint(0, 3)}"
+        self._log(f"entry {key} {text[:60]}")
+        value = base64.b64encode(text.encode()).decode()
+        self.fleet.put({"Table": "servers", "Key": key, "Value": value})
+
+    def _break_store(self) -> None:
+        managers = self._rng.sample(self.fleet.managers, 1)
+        fault: dict[str, Any] = self._rng.choice(
+            [
+                {"down": True},
+                {"refused": [self.fleet.manager_address(name) for name in managers]},
+                {"delay_s": 0.25},
+                {"lose_answers": 3, "late_s": self._rng.choice([0.0, 1.5])},
+            ]
+        )
+        self._log(f"store {fault}")
+        self._set_faults(self.fleet.store, fault)
+        time.sleep(self._rng.uniform(0.5, 5.0))
+        self._set_faults(self.fleet.store, {})
+
+    def _break_worker(self) -> None:
+        name = self._rng.choice(self.fleet.workers)
+        late_s = self._rng.uniform(1.0, 6.0)
+        fault: dict[str, Any] = self._rng.choice(
+            [{"silent": True}, {"late_starts": 20, "late_s": late_s}]
+        )
+        self._log(f"{name} {fault}")
+        self._set_faults(self._worker_address(name), fault)
+        time.sleep(self._rng.uniform(0.5, 4.0))
+        self._set_faults(self._worker_address(name), {})
+
+    # Checks
+
+    def _check_cuts(self) -> None:
+        """A manager that was told to stop answers what came before its end."""
+        for manager, sent_at_s, cut_at_s in self.outcome.cuts:
+            others = (
+                self._stopped_at_s[f"{manager} SIGKILL"]
+                + self._stopped_at_s[f"{manager} SIGSTOP"]
+            )
+            is_planned = any(
+                sent_at_s - 6 < s < cut_at_s
+                for s in self._stopped_at_s[f"{manager} SIGTERM"]
+            ) and not any(sent_at_s - 6 < s < cut_at_s for s in others)
+            if is_planned:
+                took_s = cut_at_s - sent_at_s
+                self._report(f"{manager} cut a request after {took_s:.3f} s")
+
+    def _check_jobs(self) -> None:
+        """Each accepted job ends, whatever became of its route."""
+        self._routes = dict(zip(PREFIXES, SERVICES, strict=True))
+        self._put_config()
+        deadline_s = time.monotonic() + SETTLE_LIMIT_S
+        left = dict(self.outcome.prefixes)
+        while left and time.monotonic() < deadline_s:
+            for job_id, prefix in list(left.items()):
+                name = self._rng.choice(self.fleet.managers)
+                status, content = self._get(name, prefix + job_id)
+                if status == 410:
+                    self._report(f"{job_id} was accepted and is answered 410")
+                if status == 410 or b"completed" in content:
+                    del left[job_id]
+            time.sleep(0.3)
+        for job_id in left:
+            count = self.outcome.accepted[job_id]
+            self._report(f"{job_id} with {count} tasks has not ended")
+        for name in self.fleet.managers:
+            if self.fleet.processes[name].poll() is not None:
+                self._report(f"{name} has ended by itself")
+
+    def _check_runs(self) -> None:
+        """No task runs twice at a time, or again after an end that was noted."""
+        events: dict[str, list[tuple[float, str, int]]] = defaultdict(list)
+        for name in self.fleet.workers:
+            url = f"http://{self._worker_address(name)}/standin/ledger"
+            with urllib.request.urlopen(url, timeout=5) as answer:
+                for at_s, kind, task, attempt in json.loads(answer.read())["history"]:
+                    events[task].append((at_s, kind, attempt))
+        done: dict[str, set[str]] = defaultdict(set)
+        for task, found in events.items():
+            running: set[int] = set()
+            done_attempts: set[int] = set()
+            noted = {attempt for _, kind, attempt in found if kind == "noted"}
+            for _, kind, attempt in sorted(found):
+                if kind == "start":
+                    if running:
+                        self._report(f"{task} runs twice: {running} and {attempt}")
+                    if done_attempts & noted:
+                        self._report(f"{task} runs again after its end: {attempt}")
+                    running.add(attempt)
+                elif kind != "noted":
+                    running.discard(attempt)
+                    if kind == "done":
+                        done_attempts.add(attempt)
+                        done[task.split(".")[0]].add(task)
+        for job_id, count in self.outcome.accepted.items():
+            if len(done[job_id]) != count:
+                self._report(f"{job_id}: {len(done[job_id])} of {count} tasks are done")
