Move held jobs and the batches of a commit out of the owner of a cell

Held jobs are a class of their own with their pauses; the batches of rows are functions without state. No behaviour changes: the tests of progress rows, owners, logs and reviews pass as before, with the name of the module that one of them patches.

--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 import math
-from collections.abc import AsyncIterator, Callable, Iterable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -22,11 +22,17 @@
 from chivetray.cells.cell_register import encode_end
 from chivetray.cells.evacuation import evacuate
 from chivetray.cells.gangs import stop_broken_gangs
+from chivetray.cells.held_jobs import HeldJobs
 from chivetray.cells.lease_ends import LeaseEnds
 from chivetray.cells.order_sender import OrderSender
 from chivetray.cells.orders import StepRef
 from chivetray.cells.placing import place_tasks
 from chivetray.cells.polling import WorkerPoller
+from chivetray.cells.progress_batches import (
+    EncodedRow,
+    encode_jobs,
+    split_into_batches,
+)
 from chivetray.cells.run_time_row import RunTimeRow
 from chivetray.cells.share_keeper import ShareKeeper
 from chivetray.cells.state import CellState
@@ -50,12 +56,10 @@
 from chivetray.defects import contain_errors, keep_running
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job, job_age_s
-from chivetray.jobs.model import JobSpec, JobState
+from chivetray.jobs.model import JobSpec
 from chivetray.jobs.progress import MAIN_ROW
 from chivetray.platform.advice import AdviceClient
 from chivetray.platform.store import (
-    ROW_OVERHEAD_BYTES,
-    TRANSACTION_ENTRIES_LIMIT,
     Committed,
     Conflict,
     OutcomeUnknown,
@@ -71,77 +75,9 @@
 # interval for a renewal.
 RENEWAL_INTERVAL_S = 0.5
 
-# Pause before the progress of a job is written again that the store has refused for
-# good, doubled up to a limit.
-HOLD_PAUSE_S = 5.0
-HOLD_PAUSE_MAX_S = 60.0
-
 # A round of decisions that takes longer than this is followed by an equally long pause.
 LONG_DECISION_S = 0.005
 
-# Each progress row counts twice towards the limit of a transaction, as a precondition
-# and as a write; the owner row is a precondition, the renewal row a write.
-ROWS_PER_COMMIT = (TRANSACTION_ENTRIES_LIMIT - 2) // 2
-
-# Most bytes of one commit. A VM with a link of 5 Mbit/s sends them in half of the
-# interval of renewals, which would otherwise overtake the commit each time.
-COMMIT_BYTES_LIMIT = 150_000
-
-
-@dataclass(frozen=True, slots=True)
-class _EncodedRow:
-    """A row with progress of a job as it is to be stored.
-
-    :ivar state: state of the job when the row was encoded
-    """
-
-    job: Job
-    number: int
-    state: JobState
-    content: bytes
-
-    @property
-    def call_bytes(self) -> int:
-        """Size of the row in a call."""
-        return ROW_OVERHEAD_BYTES + len(self.content) * 4 // 3
-
-
-def _encode_jobs(state: CellState, jobs: Iterable[Job]) -> list[list[_EncodedRow]]:
-    """Return the rows to write for each job, the main row last."""
-    return [
-        [
-            _EncodedRow(job, number, job.state, content)
-            for number, content in state.rows_of(job).encode_changed()
-        ]
-        for job in jobs
-    ]
-
-
-def _split_into_batches(
-    rows_by_job: Iterable[list[_EncodedRow]],
-) -> Iterator[list[_EncodedRow]]:
-    """Yield rows in as many batches as transactions are needed.
-
-    The rows of a job are written together if one transaction can hold them.
-    """
-    batch: list[_EncodedRow] = []
-    batch_bytes = 0
-    for rows in rows_by_job:
-        job_bytes = sum(row.call_bytes for row in rows)
-        fits_alone = len(rows) <= ROWS_PER_COMMIT and job_bytes <= COMMIT_BYTES_LIMIT
-        for position, row in enumerate(rows):
-            is_first = position == 0
-            added = len(rows) if is_first and fits_alone else 1
-            added_bytes = job_bytes if is_first and fits_alone else row.call_bytes
-            is_full = len(batch) + added > ROWS_PER_COMMIT
-            if batch and (is_full or batch_bytes + added_bytes > COMMIT_BYTES_LIMIT):
-                yield batch
-                batch, batch_bytes = [], 0
-            batch.append(row)
-            batch_bytes += row.call_bytes
-    if batch:
-        yield batch
-
 
 class CellOwner:
     """Owns one cell from its acquisition until it is lost or released.
@@ -210,7 +146,7 @@
         self._wait_log = WaitLog(state)
         self._storing_job_ids: frozenset[str] = frozenset()
         self._storing_since_s = 0.0
-        self._held_jobs: dict[str, tuple[float, float]] = {}
+        self._held_jobs = HeldJobs(state)
         self._renewals = 0
         self._renewed_at_s = -math.inf
         self._may_release_at_s = 0.0
@@ -324,7 +260,7 @@
                 (worker.worker_id, worker.incarnation): worker.last_applied_end
                 for worker in self.state.workers.values()
             }
-            jobs = self._take_writable_jobs()
+            jobs = self._held_jobs.take_writable_jobs()
             if jobs and not await self._commit_progress(jobs):
                 return
             self._mark_ends_stored(last_ends)
@@ -351,7 +287,7 @@
 
         :param last_ends: number of the last stored end by worker id and incarnation
         """
-        kept = self._workers_of_held_jobs()
+        kept = self._held_jobs.workers()
         for (worker_id, incarnation), number in last_ends.items():
             worker = self.state.workers.get(worker_id)
             if (
@@ -396,12 +332,12 @@
         self._storing_job_ids = frozenset(job.spec.job_id for job in jobs)
         self._storing_since_s = boot_time_s()
         refused_ids: set[str] = set()
-        for batch in _split_into_batches(_encode_jobs(self.state, jobs)):
+        for batch in split_into_batches(encode_jobs(self.state, jobs)):
             refused_ids |= await self._commit_or_hold(batch)
             if self.lost:
                 return False
         for job_id in self._storing_job_ids - refused_ids:
-            self._end_hold(job_id)
+            self._held_jobs.end(job_id)
         self._storing_job_ids, self._storing_since_s = frozenset(), 0.0
         return True
 
@@ -438,7 +374,7 @@
         if self._commit_scope is not None and self._commit_sent_at_s < sent_at_s:
             self._commit_scope.cancel()
 
-    async def _commit_or_hold(self, batch: list[_EncodedRow]) -> set[str]:
+    async def _commit_or_hold(self, batch: list[EncodedRow]) -> set[str]:
         """Store a batch; hold the jobs whose rows the store refuses for good.
 
         :return: ids of these jobs
@@ -447,7 +383,7 @@
         if refusal is None:
             return set()
         refused_ids = set()
-        by_job: dict[str, list[_EncodedRow]] = {}
+        by_job: dict[str, list[EncodedRow]] = {}
         for row in batch:
             by_job.setdefault(row.job.spec.job_id, []).append(row)
         for job_id, rows in by_job.items():
@@ -455,70 +391,10 @@
                 refusal = await self._commit_batch(rows)
             if refusal is not None:
                 refused_ids.add(job_id)
-                self._hold_job(rows, refusal)
+                self._held_jobs.hold(rows, refusal)
         return refused_ids
 
-    def _hold_job(self, rows: list[_EncodedRow], refusal: Refused) -> None:
-        """Start nothing of a job whose progress the store refuses for good.
-
-        What is stored stays; its ends are not acknowledged, so that workers list them
-        again. The write is repeated from time to time, as ends make rows smaller.
-        """
-        largest = max(rows, key=lambda row: len(row.content))
-        job_id = largest.job.spec.job_id
-        held = self._held_jobs.get(job_id)
-        pause_s = HOLD_PAUSE_S if held is None else min(HOLD_PAUSE_MAX_S, 2 * held[1])
-        self._held_jobs[job_id] = (boot_time_s() + pause_s, pause_s)
-        self.state.held_job_ids.add(job_id)
-        log_event(
-            Event.JOB_HELD,
-            job=job_id,
-            cell=self.state.name,
-            epoch=self.epoch,
-            reason=refusal.reason,
-            row=progress_row(self.state.name, job_id, largest.number).key,
-            row_bytes=len(largest.content),
-            rows=len(rows),
-            retry_s=pause_s,
-        )
-
-    def _release_held_jobs(self) -> None:
-        """Let the due ones of the held jobs be written again."""
-        now_s = boot_time_s()
-        for job_id, (due_s, _) in self._held_jobs.items():
-            if now_s >= due_s:
-                self.state.mark_changed(job_id)
-
-    def _take_writable_jobs(self) -> list[Job]:
-        """Return the changed jobs, without held ones that are not due."""
-        self._release_held_jobs()
-        now_s = boot_time_s()
-        return [
-            job
-            for job in self.state.take_changed_jobs()
-            if self._held_jobs.get(job.spec.job_id, (0.0, 0.0))[0] <= now_s
-        ]
-
-    def _end_hold(self, job_id: str) -> None:
-        if self._held_jobs.pop(job_id, None) is not None:
-            self.state.held_job_ids.discard(job_id)
-            self.state.mark_changed(job_id)
-            log_event(
-                Event.JOB_HOLD_ENDED,
-                job=job_id,
-                cell=self.state.name,
-                epoch=self.epoch,
-            )
-
-    def _workers_of_held_jobs(self) -> set[str]:
-        """Return the workers that may list ends which cannot be stored."""
-        found = set()
-        for job_id in self._held_jobs:
-            for task in self.state.jobs[job_id].tasks.values():
-                found |= {task.worker, *task.copies.values()}
-        return found
-
-    async def _commit_batch(self, batch: list[_EncodedRow]) -> Refused | None:
+    async def _commit_batch(self, batch: list[EncodedRow]) -> Refused | None:
         """Store rows of progress in one transaction.
 
         :return: the refusal if repeating the transaction cannot change it
@@ -556,13 +432,13 @@
             pause_s = min(RETRY_PAUSE_MAX_S, 2 * pause_s)
         return None
 
-    def _record_stored(self, row: _EncodedRow, version: int) -> None:
+    def _record_stored(self, row: EncodedRow, version: int) -> None:
         self.state.rows_of(row.job).record_stored(row.number, version, row.content)
         if row.number == MAIN_ROW:
             row.job.stored_state = row.state
 
     def _adopt_versions(
-        self, conflict: Conflict, rows: dict[RowId, _EncodedRow]
+        self, conflict: Conflict, rows: dict[RowId, EncodedRow]
     ) -> bool:
         """Adopt the versions of rows that an unconfirmed write of this owner changed.
 
--- a/tests/test_progress_rows.py
+++ b/tests/test_progress_rows.py
@@ -21,7 +21,7 @@
 from test_cell_owner import running
 from test_job_service import make_queue, make_service
 
-from chivetray.cells import job_service, owner
+from chivetray.cells import held_jobs, job_service
 from chivetray.cells.acceptance import Acceptance, JobAcceptor
 from chivetray.cells.loading import _group_progress
 from chivetray.cells.orders import Placement
@@ -382,7 +382,7 @@
 
     @pytest.fixture(autouse=True)
     def short_pauses(self, monkeypatch) -> None:
-        monkeypatch.setattr(owner, "HOLD_PAUSE_S", 0.2)
+        monkeypatch.setattr(held_jobs, "HOLD_PAUSE_S", 0.2)
 
     @pytest.mark.parametrize("status", [400, 403, 413])
     @pytest.mark.parametrize("from_start", [True, False])
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -24,8 +24,8 @@
 class TestStop:
     """Guards against requests that are cut as a process ends before its server.
 
-    A manager once ended as soon as no request was in progress, with its connections still
-    open, so that a request which came in that moment had no answer.
+    A manager once ended as soon as no request was in progress, with its connections
+    still open, so that a request which came in that moment had no answer.
     """
 
     def test_no_connection_is_open_once_the_server_has_ended(self) -> None:
