Store large jobs in several rows only while all managers read that format

Seen in a trial of a roll with real processes, a manager of the last release beside a new one: the old one took over a cell with a large job and did not know it. It let the workers forget 60 ends of its tasks, which ran again under the next new owner (TWICE).

Cause: an owner acknowledges the ends of jobs that it does not know, and the release before does so too. That cannot be changed there, so the format must not be used beside it.

A manager asks each connected one, once for each of its lives, which format it reads; one of an earlier release does not answer. Until all have answered, and for 5 s after its own start, it stores large jobs as before, with one row of which no more tasks start than it has room for.

--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -4,7 +4,7 @@
 
 import functools
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import anyio
@@ -27,6 +27,7 @@
 )
 from chivetray.cells.job_states import JobStates
 from chivetray.cells.late_jobs import LateJobGate
+from chivetray.cells.peer_formats import PeerFormats
 from chivetray.cells.state import DEFAULT_ROW_BYTES
 from chivetray.cells.store_access import StoreAccess
 from chivetray.cells.tables import cancel_row, job_row
@@ -104,6 +105,7 @@
         self._notifying: set[tuple[str, str]] = set()
         self._notify_event = anyio.Event()
         self.acceptor = JobAcceptor(store)
+        self._formats = PeerFormats(mesh)
         self._task_group: TaskGroup | None = None
         self.late_jobs: LateJobGate | None = None
         mesh.handlers[SUBMIT_CALL] = self._handle_submitted
@@ -129,6 +131,9 @@
         except SubmissionError as error:
             log_event(Event.JOB_REFUSED, job=job_id, reason=error.message)
             return JobAnswer(error.code, error.message)
+        if spec.split_progress and not await self._formats.read_split_progress():
+            # Fewer of its tasks run at a time, see ``CellState.count_storable``.
+            spec = replace(spec, split_progress=False)
         row = job_row(queue.key, job_id)
         size_bytes = len(encode_spec(spec))
         if size_bytes > self.row_limit_bytes:
--- a/tests/test_progress_rows.py
+++ b/tests/test_progress_rows.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any
 
 import anyio
@@ -21,10 +22,12 @@
 from test_cell_owner import running
 from test_job_service import make_queue, make_service
 
-from chivetray.cells import held_jobs, job_service
+from chivetray.cells import held_jobs, job_service, peer_formats
 from chivetray.cells.acceptance import Acceptance, JobAcceptor
+from chivetray.cells.job_answers import JobAnswer
 from chivetray.cells.loading import _group_progress
 from chivetray.cells.orders import Placement
+from chivetray.cells.peer_formats import PeerFormats
 from chivetray.cells.placing import place_tasks
 from chivetray.cells.state import DEFAULT_ROW_BYTES, STORED_TASK_BYTES, CellState
 from chivetray.cells.tables import (
@@ -343,6 +346,79 @@
         assert job_service._choose_batch([large]) == [large]
 
 
+class TestFormatsOfPeers:
+    """Guards against a format that a manager beside this one does not read."""
+
+    @staticmethod
+    def _make(answers: dict[str, Any]) -> tuple[PeerFormats, list[str]]:
+        asked: list[str] = []
+
+        async def call(name: str, _kind: str, _argument: Any, _timeout_s: float) -> Any:
+            asked.append(name)
+            return answers[name]
+
+        peers = {n: SimpleNamespace(name=n, incarnation="1") for n in answers}
+        mesh: Any = SimpleNamespace(peers=peers, handlers={}, call=call)
+        formats = PeerFormats(mesh)
+        formats._started_at_s -= peer_formats.DISCOVERY_S
+        return formats, asked
+
+    @pytest.mark.parametrize(
+        ("answers", "is_split"),
+        [({}, True), ({"a": 2}, True), ({"a": 2, "b": None}, False), ({"a": 1}, False)],
+    )
+    def test_all_of_them_have_to_read_it(self, answers, is_split: bool) -> None:
+        formats, asked = self._make(answers)
+
+        async def scenario() -> None:
+            for _ in range(2):
+                assert await formats.read_split_progress() is is_split
+
+        asyncio.run(scenario())
+        assert sorted(asked) == sorted(answers)
+
+    def test_one_that_has_restarted_is_asked_again(self) -> None:
+        answers: dict[str, Any] = {"a": 2}
+        formats, asked = self._make(answers)
+
+        async def scenario() -> None:
+            assert await formats.read_split_progress()
+            formats._mesh.peers["a"].incarnation = "2"
+            answers["a"] = None
+            assert not await formats.read_split_progress()
+
+        asyncio.run(scenario())
+        assert asked == ["a", "a"]
+
+    def test_none_is_assumed_before_managers_have_discovered_each_other(self) -> None:
+        formats, _ = self._make({})
+        formats._started_at_s = boot_time_s()
+        assert not asyncio.run(formats.read_split_progress())
+
+    def test_a_peer_tells_its_format(self) -> None:
+        formats, _ = self._make({})
+        tell = formats._mesh.handlers[peer_formats.FORMAT_CALL]
+        assert asyncio.run(tell("a", None)) == 2
+
+    @pytest.mark.parametrize("is_split", [True, False])
+    def test_a_large_job_is_stored_by_it(self, is_split: bool) -> None:
+        service = make_service()
+        accepted: list[JobSpec] = []
+
+        async def read_split_progress() -> bool:
+            return is_split
+
+        async def create(_row: Any, spec: JobSpec, _timeout_s: float) -> JobAnswer:
+            accepted.append(spec)
+            return JobAnswer(ResultCode.OK)
+
+        service._formats.read_split_progress = read_split_progress  # type: ignore
+        service._create = create  # type: ignore[method-assign]
+        body = orjson.dumps({"Steps": [{"Count": SPLIT_FROM_TASKS}]})
+        asyncio.run(service.submit(make_plain_queue(), JOB, body, 1.0))
+        assert [spec.split_progress for spec in accepted] == [is_split]
+
+
 class TestLargeJobOfAnEarlierRelease:
     """Guards against rows with all tasks of a job that grow beyond the limit."""
 
