Count a call on a closed session as not sent

Cause: a loop polled the store while the process closed its connections; a call on a closed session raises RuntimeError, which no caller expects.

TestClosedSession fails without the change. The managers' loops run until their session is closed, too, and get the same answer.

--- a/src/chivetray/platform/calls.py
+++ b/src/chivetray/platform/calls.py
@@ -120,6 +120,9 @@
         :param body: content to send as JSON
         :param content: raw content to send when there is no ``body``
         """
+        if self._session.closed:
+            # A loop may still run while its process stops.
+            return NotSent("the session is closed")
         if body is not None:
             content = orjson.dumps(body)
         timeout = aiohttp.ClientTimeout(
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -8,7 +8,7 @@
 import pytest
 from returns.result import Failure
 
-from chivetray.platform.calls import Answer, CallSession
+from chivetray.platform.calls import Answer, CallSession, NotSent
 from chivetray.platform.store import (
     ABSENT,
     PAGE_BYTES,
@@ -70,6 +70,18 @@
             assert result.failure().answered
 
 
+class TestClosedSession:
+    """Guards against a process that stops with an error in a loop that still polls."""
+
+    def test_a_call_on_it_is_not_sent(self):
+        async def scenario():
+            session = CallSession.open()
+            await session.aclose()
+            return await session.call("GET", "http://127.0.0.1:9/", 1.0)
+
+        assert isinstance(anyio.run(scenario), NotSent)
+
+
 class TestDamagedRows:
     """Rows that are not as this version writes them."""
 
