Log each attempt to get a version of the configuration, and since when one is known

Of a version that came late, the log told neither which ways were tried beside each other nor since when the manager knew of it: CONFIG_SILENT is one line a second for all ways, and a peer that brought nothing left no line.

CONFIG_BEHIND says when and from whom a newer version became known, CONFIG_TRANSFER how each attempt by feed, row, table or peer ended, with its time and bytes, and CONFIG_APPLIED how long the manager was behind; a quantile of that time and a gauge go with them. Lines are limited to one a second for each way. No logic is changed.

--- a/src/chivetray/cells/configuration.py
+++ b/src/chivetray/cells/configuration.py
@@ -71,6 +71,8 @@
         self._mesh: Mesh | None = None
         self._content = b""
         self._newer_peers: dict[str, int] = {}
+        self._known_version = 0
+        self._behind_since_s = 0.0
         self._version = 0
         self._queues: list[Queue] = []
         self._refresh_requested = anyio.Event()
@@ -85,16 +87,29 @@
         self._mesh = mesh
         mesh.handlers[CONTENT_CALL] = self._handle_content_request
 
+    @property
+    def behind_s(self) -> float:
+        """Time since a newer version is known than the one in force, 0 if none is."""
+        return boot_time_s() - self._behind_since_s if self._behind_since_s else 0.0
+
     def note_peer_version(self, version: int, peer: str = "") -> None:
         """Read the configuration soon if a peer has a newer version in force.
 
         :param peer: peer to ask for its content if the row cannot be read
         """
         if version > self.version:
+            self._note_known(version, peer)
             if peer:
                 self._newer_peers[peer] = version
             self._refresh_requested.set()
 
+    def _note_known(self, version: int, peer: str) -> None:
+        if version <= self._known_version:
+            return
+        self._known_version = version
+        self._behind_since_s = self._behind_since_s or boot_time_s()
+        log_event(Event.CONFIG_BEHIND, version=self.version, known=version, peer=peer)
+
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host with the longest prefix of a path, if any."""
         host = host.rsplit(":", 1)[0].lower()
@@ -132,10 +147,12 @@
                 if not is_loaded:
                     self._version = await self._load_all()
                     is_loaded = True
+                started_s = boot_time_s()
                 changes = await self._store.changes(
                     CONFIG_TABLE, self._version, FEED_WAIT_MS
                 )
             except StoreUnavailableError as error:
+                _log_transfer("feed", started_s, reason=str(error))
                 log_event(Event.CONFIG_SILENT, reason=str(error), version=self.version)
                 is_loaded = False
                 await anyio.sleep(RETRY_PAUSE_S)
@@ -144,6 +161,8 @@
                 is_loaded = False
                 continue
             self._version = changes.version
+            if changes.rows:
+                _log_transfer("feed", started_s, _size_of(changes.rows))
             for row in changes.rows:
                 self._apply_row(row)
 
@@ -168,14 +187,17 @@
     async def _read_row_again(self) -> bool:
         """Read the row; return whether the store has answered in time."""
         reason = "the row is not read in time"
+        started_s = boot_time_s()
         with anyio.move_on_after(ROW_READ_LIMIT_S):
             try:
                 row = await self._store.read_row(RowId(CONFIG_TABLE, "", CONFIG_KEY))
                 if row is not None:
+                    _log_transfer("row", started_s, _size_of([row]))
                     self._apply_row(row)
                 return True
             except StoreUnavailableError as error:
                 reason = str(error)
+        _log_transfer("row", started_s, reason=reason)
         log_event(Event.CONFIG_SILENT, reason=reason, version=self.version)
         return False
 
@@ -187,9 +209,13 @@
             if self._mesh is None or peer not in self._mesh.peers:
                 self._newer_peers.pop(peer, None)
             elif self._newer_peers.get(peer, 0) > self.version:
+                started_s = boot_time_s()
                 content = await self._mesh.call(peer, CONTENT_CALL, self.version)
                 if isinstance(content, bytes):
+                    _log_transfer("peer", started_s, len(content), peer=peer)
                     self._apply_config(content, peer=peer)
+                else:
+                    _log_transfer("peer", started_s, reason="no content", peer=peer)
         self._newer_peers = {
             peer: version
             for peer, version in self._newer_peers.items()
@@ -204,7 +230,9 @@
         return self._content
 
     async def _load_all(self) -> int:
+        started_s = boot_time_s()
         rows, version = await self._store.read(CONFIG_TABLE, "")
+        _log_transfer("table", started_s, _size_of(rows))
         for row in rows:
             self._apply_row(row)
         return version
@@ -244,6 +272,7 @@
         log_event(
             Event.CONFIG_APPLIED,
             version=config.version,
+            behind_s=round(self.behind_s, 3),
             queues=len(config.queues),
             organisations=len(config.organisations),
             keys=len(config.key_owners),
@@ -256,6 +285,8 @@
                 reason=fault,
                 faults=len(config.faults),
             )
+        if config.version >= self._known_version:
+            self._behind_since_s = 0.0
         self._on_change()
 
     def _remember_revoked(self, config: OperatorConfig) -> None:
@@ -265,3 +296,26 @@
             known |= self.current.key_owners
         revoked = [item for item in known.items() if item[0] not in config.key_owners]
         self.revoked_keys = dict(revoked[-MAX_REVOKED_KEYS:])
+
+
+def _log_transfer(
+    way: str, started_s: float, size_bytes: int = 0, reason: str = "", **fields: str
+) -> None:
+    """Log the end of an attempt to get a version.
+
+    :param way: ``feed``, ``row``, ``table`` or ``peer``
+    :param reason: why the attempt failed, empty if it did not
+    """
+    log_event(
+        Event.CONFIG_TRANSFER,
+        way=way,
+        verdict="failed" if reason else "received",
+        took_s=round(boot_time_s() - started_s, 3),
+        size_bytes=size_bytes,
+        **({"reason": reason} if reason else {}),
+        **fields,
+    )
+
+
+def _size_of(rows: list[Row]) -> int:
+    return sum(len(row.value) for row in rows)
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -101,6 +101,15 @@
         "A peer that cannot read the configuration was sent it, without keys.",
     )
 
+    CONFIG_BEHIND = (
+        1609,
+        "A newer version of the configuration is known than the one in force.",
+    )
+    CONFIG_TRANSFER = (
+        1610,
+        "An attempt to get a version of the configuration has ended.",
+    )
+
     CELL_TAKEN = (1620, "The process has become the owner of a cell.")
     CELL_LEFT = (1621, "The process no longer owns a cell.")
     CELL_SUSPECTED = (
@@ -322,6 +331,7 @@
         Event.CELL_TAKE_FAILED,
         Event.COMMIT_FAILED,
         Event.CONFIG_SILENT,
+        Event.CONFIG_TRANSFER,
         Event.JOB_HIDDEN,
         Event.LOOP_FAILED,
         Event.MAINTENANCE_WAITS,
--- a/src/chivetray/log_repeats.py
+++ b/src/chivetray/log_repeats.py
@@ -11,7 +11,15 @@
 
 # Fields that, with the event, identify the subject of a line. Reasons and numbers
 # differ at each repeat.
-SUBJECT_FIELDS = ("cell", "during", "unknown", "refusal", "organisation", "loop")
+SUBJECT_FIELDS = (
+    "cell",
+    "during",
+    "unknown",
+    "refusal",
+    "organisation",
+    "loop",
+    "way",
+)
 
 
 class RepeatFilter:
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -451,6 +451,8 @@
             version = float(self._configuration.version)
             values["chivetray_configuration_version", ""] = version
             values["chivetray_configuration_age_seconds", ""] = age_s
+            behind_s = self._configuration.behind_s
+            values["chivetray_configuration_behind_seconds", ""] = behind_s
         if self._worker_list.read_at_s:
             list_age_s = now_s - self._worker_list.read_at_s
             values["chivetray_worker_list_age_seconds", ""] = list_age_s
--- a/src/chivetray/manager_metrics.py
+++ b/src/chivetray/manager_metrics.py
@@ -23,12 +23,14 @@
     "released",
     "order",
     "condition",
+    "way",
 )
 
 # Events that carry a latency: name of the latency and field that holds it.
 LATENCY_EVENTS = {
     Event.TASK_PLACED.name: ("acceptance to placement", "waited_s"),
     Event.JOB_ENDED.name: ("acceptance to completion", "took_s"),
+    Event.CONFIG_APPLIED.name: ("configuration known to applied", "behind_s"),
 }
 
 # Limit on the pairs of labels of refusals. Within it, each reason has a pair for the
@@ -46,6 +48,8 @@
 GAUGES = {
     "chivetray_configuration_version": "Configuration version in force.",
     "chivetray_configuration_age_seconds": "Time since that version was applied.",
+    "chivetray_configuration_behind_seconds": "Time since a newer version is known "
+    "than the one in force, 0 while none is.",
     "chivetray_worker_list_age_seconds": "Time since the workers were last read.",
     "chivetray_cell_jobs": "Jobs of an owned cell that have not ended.",
     "chivetray_cell_avoided_workers": "Workers of an owned cell that get only tasks "
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -13,6 +13,7 @@
 from api_helpers import KEY_A, operator_config
 from virtual_loop import virtual_time
 
+from chivetray import events
 from chivetray.cells.configuration import CONTENT_CALL, Configuration
 from chivetray.organisations.keys import digest_key
 from chivetray.peers.codec import encode_content
@@ -159,22 +160,24 @@
 
 def ask(mesh: PeerMesh, store: Feed, announced: dict[str, int]) -> Configuration:
     """Hear of versions while the store does not serve; return what is in force."""
+    with virtual_time() as loop:
+        return loop.run_until_complete(follow_versions(mesh, store, announced))
 
-    async def main() -> Configuration:
-        config = Configuration(store, lambda: None)  # type: ignore[arg-type]
-        config.connect(mesh)  # type: ignore[arg-type]
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(config.run)
-            await anyio.sleep(1.0)
-            for peer, version in announced.items():
-                config.note_peer_version(version, peer)
-            # A heartbeat may take 1.2 s of the 3 s to a manager without cells.
-            await anyio.sleep(1.8)
-            tasks.cancel_scope.cancel()
-        return config
 
-    with virtual_time() as loop:
-        return loop.run_until_complete(main())
+async def follow_versions(
+    mesh: PeerMesh, store: Feed, announced: dict[str, int]
+) -> Configuration:
+    config = Configuration(store, lambda: None)  # type: ignore[arg-type]
+    config.connect(mesh)  # type: ignore[arg-type]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(config.run)
+        await anyio.sleep(1.0)
+        for peer, version in announced.items():
+            config.note_peer_version(version, peer)
+        # A heartbeat may take 1.2 s of the 3 s to a manager without cells.
+        await anyio.sleep(1.8)
+        tasks.cancel_scope.cancel()
+    return config
 
 
 class TestContentOfAPeer:
@@ -217,3 +220,44 @@
         config._apply_config(answer)
         assert config.version == 2 and config.current is not None
         assert config.current.key_owners[digest_key(KEY_A.encode())] == "a"
+
+
+class TestTransfers:
+    """The log told neither which way a version came nor which ways had failed."""
+
+    def test_each_way_leaves_its_end_and_the_time_behind(self) -> None:
+        seen: list[tuple[str, dict[str, Any]]] = []
+
+        def observe(event: events.Event, fields: Any) -> None:
+            seen.append((event.name, dict(fields)))
+
+        mesh = PeerMesh(m2=operator_config(2))
+        store = RejectingStore(config_row(1, operator_config(1)), True)
+        with virtual_time() as loop:
+            events.observe_events(observe)
+            loop.run_until_complete(follow_versions(mesh, store, {"m2": 2}))
+        ends = [fields for name, fields in seen if name == "CONFIG_TRANSFER"]
+        assert {(end["way"], end["verdict"]) for end in ends} >= {
+            ("table", "received"),
+            ("row", "failed"),
+            ("peer", "received"),
+        }
+        (behind,) = [fields for name, fields in seen if name == "CONFIG_BEHIND"]
+        assert behind == {"version": 1, "known": 2, "peer": "m2"}
+        applied = [fields for name, fields in seen if name == "CONFIG_APPLIED"]
+        received = next(end for end in ends if end["way"] == "peer")
+        assert applied[-1]["behind_s"] >= received["took_s"]
+        assert received["size_bytes"] > 0
+
+    def test_it_is_not_behind_once_the_version_is_in_force(self) -> None:
+        mesh = PeerMesh(m2=operator_config(2))
+        store = Feed(config_row(1, operator_config(1)))
+        config = Configuration(store, lambda: None)  # type: ignore[arg-type]
+        config.connect(mesh)  # type: ignore[arg-type]
+        config._apply_config(operator_config(1))
+        assert config.behind_s == 0.0
+        config.note_peer_version(2, "m2")
+        time.sleep(0.01)
+        assert config.behind_s > 0.0
+        config._apply_config(operator_config(2))
+        assert config.behind_s == 0.0
