Do not relay the configuration; read only the waves through a peer

Managers that the store rejects got versions late or never (CONFIG). Their feed was relayed: the peer read the whole row from the store once more for each of them, over its own link, and sent it as one message on the stream that carries heartbeats. In the new harness with a third of the managers rejected, one narrow manager that relayed for three others had 2,850 routes after 2.7 s and 4,250 routes not at all; its heartbeats, and the contents it asked peers for, waited behind the rows of the others.

Now the feed, the table and the row are read from the store directly only (StoreAccess.without_relays), with pauses of up to 1 s while it rejects them; the content comes from peers, compressed. Waves are in the same table and small: they are read through a peer while the feed fails, which also keeps the manager ready as before.

--- a/src/chivetray/cells/configuration.py
+++ b/src/chivetray/cells/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 
 import anyio
 
@@ -40,6 +41,15 @@
 # Pause after which a peer that serves others is asked again.
 BUSY_PAUSE_S = 0.1
 
+# Longest pause after a failure of the feed. It is made on the link of the store, so
+# that peers tell of a new version meanwhile.
+FEED_PAUSE_MAX_S = 1.0
+
+# First key after those of waves, and interval at which they are read while the feed
+# fails. Managers that the store rejects stay ready as long as a peer reads them.
+WAVES_END = "wave0"
+WAVES_INTERVAL_S = 1.0
+
 # Failures of the feed after which the table is read instead. A feed that does not
 # answer is detected within 2 s, so that a change is read within its bound of 3 s.
 FEED_FAILURES_LIMIT = 2
@@ -57,7 +67,9 @@
 class Configuration:
     """The newest configuration that this process has read, and the maintenance waves.
 
+    :param store: client that does not relay its calls
     :param on_change: called after a new configuration or a change of a wave
+    :param wave_store: client for the waves, which may relay; ``store`` by default
     :ivar current: configuration in force, ``None`` before the first one
     :ivar waves: maintenance waves by the key of their row
     :ivar caps: last known caps of organisations
@@ -66,7 +78,12 @@
         version had and the one in force has not
     """
 
-    def __init__(self, store: Store, on_change: Callable[[], None]):
+    def __init__(
+        self,
+        store: Store,
+        on_change: Callable[[], None],
+        wave_store: Store | None = None,
+    ):
         self.current: OperatorConfig | None = None
         self.applied_at_s = 0.0
         self.waves: dict[str, Wave] = {}
@@ -74,6 +91,7 @@
         self.revoked_keys: dict[bytes, str] = {}
         self.caps = CapRegister(lambda: self.current)
         self._store = store
+        self._wave_store = wave_store or store
         self._on_change = on_change
         self._mesh: Mesh | None = None
         self._content = b""
@@ -85,6 +103,7 @@
         self._version = 0
         self._queues: list[Queue] = []
         self._newer_known = anyio.Event()
+        self._feed_failed = anyio.Event()
 
     @property
     def version(self) -> int:
@@ -152,9 +171,15 @@
         """Follow the configuration until cancelled."""
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(self._follow_changes)
+            task_group.start_soon(self._follow_waves)
             task_group.start_soon(self._catch_up)
 
     async def _follow_changes(self) -> None:
+        """Follow the feed, which other managers do not relay.
+
+        They would read the whole content once more for each that asks, while the
+        peers send it compressed. Of the table they read only the waves.
+        """
         is_loaded, failures = False, 0
         while True:
             started_s = boot_time_s()
@@ -174,9 +199,12 @@
                 # The feed goes on where it was; to read the table again would move
                 # the whole content once more.
                 is_loaded = is_loaded and failures < FEED_FAILURES_LIMIT
-                await anyio.sleep(RETRY_PAUSE_S)
+                self._feed_failed.set()
+                await anyio.sleep(min(FEED_PAUSE_MAX_S, failures * RETRY_PAUSE_S))
                 continue
             failures = 0
+            if self._feed_failed.is_set():
+                self._feed_failed = anyio.Event()
             if changes.history_gone:
                 is_loaded = False
                 continue
@@ -186,6 +214,24 @@
             for row in changes.rows:
                 self._apply_row(row)
 
+    async def _follow_waves(self) -> None:
+        """Read the waves while the feed fails, also through a peer."""
+        while True:
+            await self._feed_failed.wait()
+            with suppress(StoreUnavailableError):
+                rows, _ = await self._wave_store.read(
+                    CONFIG_TABLE, "", WAVE_PREFIX, WAVES_END
+                )
+                self._replace_waves(rows)
+            await anyio.sleep(WAVES_INTERVAL_S)
+
+    def _replace_waves(self, rows: list[Row]) -> None:
+        waves = {row.id.key: decode_wave(row.value) for row in rows}
+        known = {key: wave for key, wave in waves.items() if wave is not None}
+        if known != self.waves:
+            self.waves = known
+            self._on_change()
+
     async def _catch_up(self) -> None:
         """Get a version that is known, from peers that have it or else from its row."""
         while True:
--- a/src/chivetray/cells/store_access.py
+++ b/src/chivetray/cells/store_access.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from chivetray.cells.answer_timeout import AnswerTimeout
@@ -29,6 +29,8 @@
 
 RELAY_CALL = "store"
 
+MakeCall = Callable[[str, str, Any, float], Awaitable[Outcome]]
+
 
 class StoreAccess(Store):
     """Client of the store that relays calls through peers when direct calls fail.
@@ -73,20 +75,14 @@
     ) -> Outcome:
         """Make one call, directly or relayed through a peer."""
         started_s = boot_time_s()
-        if path == TRANSACTION_PATH:
-            # A lost answer never comes, and repeating the call shows what was done.
-            timeout_s = self.answer_timeout.timeout_s
-        else:
-            # Reads can be large, and their answers are not lost.
-            timeout_s = max(timeout_s, self.answer_timeout.timeout_s)
+        timeout_s = self._limit_s(path, timeout_s)
         if not self.is_served and started_s - self.failed_at_s < RELAY_FIRST_S:
             outcome = await self._relay(method, path, body, timeout_s)
             if outcome is not None:
                 return outcome
-        outcome = await super().call(method, path, body, timeout_s)
+        outcome = await self._call_directly(method, path, body, timeout_s)
         if self._is_partition_busy(outcome):
             return outcome
-        self._record_outcome(path, outcome, started_s, timeout_s)
         if _was_not_executed(outcome) or (
             method == "GET" and isinstance(outcome, NoAnswer)
         ):
@@ -95,6 +91,27 @@
                 return relayed_outcome
         return outcome
 
+    def _limit_s(self, path: str, timeout_s: float) -> float:
+        """Return the time after which a call without answer is given up."""
+        if path == TRANSACTION_PATH:
+            # A lost answer never comes, and repeating the call shows what was done.
+            return self.answer_timeout.timeout_s
+        # Reads can be large, and their answers are not lost.
+        return max(timeout_s, self.answer_timeout.timeout_s)
+
+    async def _call_directly(
+        self, method: str, path: str, body: Any, timeout_s: float
+    ) -> Outcome:
+        started_s, timeout_s = boot_time_s(), self._limit_s(path, timeout_s)
+        outcome = await super().call(method, path, body, timeout_s)
+        if not self._is_partition_busy(outcome):
+            self._record_outcome(path, outcome, started_s, timeout_s)
+        return outcome
+
+    def without_relays(self) -> Store:
+        """Return a client whose calls are not relayed, but recorded here."""
+        return _DirectStore(self._session, self._url, self._call_directly)
+
     def _is_partition_busy(self, outcome: Outcome) -> bool:
         """Return whether a slow store rejected a call for want of time."""
         is_busy = isinstance(outcome, Answer) and outcome.status == STATUS_BUSY
@@ -162,6 +179,23 @@
         return ["no answer", 0, outcome.reason]
 
 
+class _DirectStore(Store):
+    """Client that makes each call with a function.
+
+    :param make_call: makes a call with a method, a path, a body and a timeout
+    """
+
+    def __init__(self, session: CallSession, address: str, make_call: MakeCall):
+        super().__init__(session, address)
+        self._make_call = make_call
+
+    async def call(
+        self, method: str, path: str, body: Any, timeout_s: float
+    ) -> Outcome:
+        """Make one call and return its outcome unchanged."""
+        return await self._make_call(method, path, body, timeout_s)
+
+
 def _was_not_executed(outcome: Outcome) -> bool:
     if isinstance(outcome, NotSent):
         return True
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -102,7 +102,9 @@
         self._store.on_latency = self._metrics.observe_latency
         self._worker_client.on_latency = self._metrics.observe_latency
         observe_events(self._metrics.observe_event)
-        self._configuration = Configuration(self._store, self._on_config_change)
+        self._configuration = Configuration(
+            self._store.without_relays(), self._on_config_change, self._store
+        )
         self._mesh = Mesh(
             settings.name,
             settings.zone,
--- a/tests/narrow_links.py
+++ b/tests/narrow_links.py
@@ -214,7 +214,9 @@
         self._capacity = CAPACITY_MILLI.get(int(mbps), 100)
         self._claims = [CellClaim(f"c{number}", 1, {}, True)] if owns_cell else []
         self.store = StoreAccess(NarrowSession(self), "store")
-        self.configuration = Configuration(self.store, self._on_config_change)
+        self.configuration = Configuration(
+            self.store.without_relays(), self._on_config_change, self.store
+        )
         self.mesh = Mesh(
             self.name,
             f"z{number % 4}",
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -292,3 +292,35 @@
         assert config.behind_s > 0.0
         config._apply_config(operator_config(2))
         assert config.behind_s == 0.0
+
+
+class TestWavesOfARejectedManager:
+    """Its feed fails, and waves come through a peer."""
+
+    def test_they_are_read_and_removed(self) -> None:
+        class WaveStore(Feed):
+            async def read(self, *_: object) -> tuple[list[Row], int]:
+                return [self.row] if self.row.value else [], 1
+
+        class RejectingFeed(Feed):
+            async def changes(self, *_: object) -> Changes:
+                raise StoreUnavailableError("rejected")
+
+        async def main() -> list[list[str]]:
+            wave = {"Wave": 1, "Machines": ["a"], "DurationS": 5, "Cap": 1}
+            row = Row(RowId("op", "", "wave/1"), json.dumps(wave).encode(), 3)
+            waves = WaveStore(row)
+            store = RejectingFeed(config_row(1))
+            config = Configuration(store, lambda: None, waves)  # type: ignore[arg-type]
+            seen = []
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(config.run)
+                for value in (row.value, b""):
+                    waves.row = Row(row.id, value, 3)
+                    await anyio.sleep(2.5)
+                    seen.append(sorted(config.waves))
+                tasks.cancel_scope.cancel()
+            return seen
+
+        with virtual_time() as loop:
+            assert loop.run_until_complete(main()) == [["wave/1"], []]
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -137,3 +137,24 @@
         found = asyncio.run(store.read_row(RowId("op", "", "config")))
         assert found is not None
         assert decode_config(found.value) == decode_config(content)
+
+
+class TestCallsWithoutRelays:
+    # Guards against CONFIG: the row of the configuration was read again by a peer for
+    # each manager that the store rejected, over the peer's own narrow link.
+    def test_a_read_that_was_turned_away_does_not_go_through_a_peer(self) -> None:
+        store, mesh, session = access(
+            Answer(503, {}), ["answer", 200, {"rows": [], "Ver": 1}]
+        )
+        direct = store.without_relays()
+        for _ in range(2):
+            with pytest.raises(StoreUnavailableError):
+                asyncio.run(direct.changes("op", 0, 700))
+        assert mesh.asked == 0 and not store.is_served
+        assert session.calls == 2
+
+    def test_its_answers_count_as_those_of_the_store(self) -> None:
+        store, _, _ = access(Answer(200, {"rows": [], "Ver": 1}), None)
+        assert not store.is_served
+        asyncio.run(store.without_relays().changes("op", 0, 700))
+        assert store.is_served
