Answer by the newest configuration that is known, or send callers elsewhere

Ways weighed: to pass each call to a manager that has the version costs that one the work of all that are behind, just when it sends them the content; to wait for long holds callers who could be served elsewhere; to answer by the old version costs most where it refuses what is allowed.

Now, while a connected peer has a newer version: a call that the version in force would refuse (404, 401) waits up to 0.5 s within its deadline for the newer one and is then answered with 503, CONFIG_OUTDATED and Retry-After 1; nothing of it has run. So is any call once the newer version has been known for 1 s. After 2 s the manager reports not ready. Each version counts from its own time, so that versions in quick succession make no manager outdated. A peer that turns out not to have the version, and a version that this release cannot read, do not count; neither does a manager that is cut off, which serves by what it knows.

--- a/src/chivetray/api/access.py
+++ b/src/chivetray/api/access.py
@@ -48,6 +48,16 @@
         self._configuration = configuration
         self._metrics = metrics
 
+    def is_allowed(self, queue: Queue, headers: Iterable[tuple[bytes, bytes]]) -> bool:
+        """Return whether a call would be authorised, without recording a refusal."""
+        config = self._configuration.current
+        if config is None or not config.requires_keys or queue.public:
+            return True
+        verdict = authorise(
+            read_key(headers), config.key_owners, self._configuration.revoked_keys
+        )
+        return verdict.refusal is None
+
     def check(
         self, queue: Queue, headers: Iterable[tuple[bytes, bytes]], method: str
     ) -> Access:
--- a/src/chivetray/api/jobs.py
+++ b/src/chivetray/api/jobs.py
@@ -31,6 +31,16 @@
 RESPONSE_MARGIN_S = 0.15
 
 
+# Time for which calls are served by a configuration of which a newer version is known,
+# as long as it does not refuse them.
+OUTDATED_LIMIT_S = 1.0
+
+# Time that a call waits for the newer version, and the delay after which a caller may
+# retry when it has not come into force meanwhile.
+OUTDATED_WAIT_S = 0.5
+OUTDATED_RETRY_AFTER_S = 1.0
+
+
 class BodyTooLargeError(Exception):
     """A request body is larger than the configured limit."""
 
@@ -74,6 +84,13 @@
         headers = dict(scope["headers"])
         host = headers.get(b"host", b"").decode("latin-1")
         path = scope["path"]
+        if not await self._wait_until_current(host, path, scope["headers"]):
+            return JobAnswer(
+                ResultCode.CONFIG_OUTDATED,
+                "a newer configuration is known and not in force here yet",
+                OUTDATED_RETRY_AFTER_S,
+            )
+        config = self._configuration.current or config
         queue = self._configuration.find_queue(host, path)
         method = scope["method"]
         if queue is None:
@@ -116,6 +133,29 @@
             self._metrics.count_refusal(answer.refusal, caller)
         return answer
 
+    async def _wait_until_current(
+        self, host: str, path: str, headers: list[tuple[bytes, bytes]]
+    ) -> bool:
+        """Wait for a newer configuration if the one in force may answer wrongly.
+
+        It does so if it refuses what the newer one may allow, or if it is outdated for
+        long. Other managers have the newer one, so that a caller does better to go
+        there than to wait for long or to be answered by an old one.
+
+        :return: whether the configuration in force may answer
+        """
+        configuration = self._configuration
+        if not configuration.is_outdated:
+            return True
+        if configuration.behind_s < OUTDATED_LIMIT_S:
+            queue = configuration.find_queue(host, path)
+            if queue is not None and self._access.is_allowed(queue, headers):
+                return True
+        limit_s = min(
+            OUTDATED_WAIT_S, _read_timeout_s(dict(headers), queue_timeout_ms=0)
+        )
+        return await configuration.wait_until_current(limit_s)
+
     async def _send(self, answer: JobAnswer, send: Send) -> None:
         status = answer.code.http_status or 200
         self._metrics.count_answer(answer.code.name)
--- a/src/chivetray/cells/configuration.py
+++ b/src/chivetray/cells/configuration.py
@@ -13,6 +13,7 @@
     FetchVerdict,
     rank_peers,
 )
+from chivetray.cells.newer_versions import NewerVersions
 from chivetray.cells.tables import PART_QUEUE_CHARS
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event, log_event
@@ -96,14 +97,13 @@
         self._mesh: Mesh | None = None
         self._content = b""
         self._exchange: ContentExchange | None = None
-        self._newer_peers: dict[str, int] = {}
+        self._newer = NewerVersions()
         self._row_due_at_s = 0.0
-        self._known_version = 0
-        self._behind_since_s = 0.0
         self._version = 0
         self._queues: list[Queue] = []
         self._newer_known = anyio.Event()
         self._feed_failed = anyio.Event()
+        self._applied = anyio.Event()
 
     @property
     def version(self) -> int:
@@ -118,31 +118,44 @@
     @property
     def is_behind(self) -> bool:
         """Whether a newer version is known than the one in force."""
-        return self._known_version > self.version
+        return bool(self._newer.newest)
 
     @property
     def behind_s(self) -> float:
         """Time since a newer version is known than the one in force, 0 if none is."""
-        return boot_time_s() - self._behind_since_s if self._behind_since_s else 0.0
+        return boot_time_s() - self._newer.since_s if self.is_behind else 0.0
+
+    @property
+    def is_outdated(self) -> bool:
+        """Whether a connected peer has a newer version in force.
+
+        A process that is cut off with the version that it has does not count.
+        """
+        connected = self._mesh.peers if self._mesh is not None else {}
+        return any(peer in connected for peer in self._newer.peers)
+
+    async def wait_until_current(self, limit_s: float) -> bool:
+        """Wait until no connected peer has a newer version; return whether that is so.
+
+        :param limit_s: longest time to wait
+        """
+        with anyio.move_on_after(limit_s):
+            while self.is_outdated:
+                await self._applied.wait()
+        return not self.is_outdated
 
     def note_peer_version(self, version: int, peer: str = "") -> None:
         """Get the configuration soon if a peer has a newer version in force.
 
         :param peer: peer to ask for its content; without one the row is read
         """
-        if version > self.version:
-            self._note_known(version, peer)
-            if peer:
-                self._newer_peers[peer] = version
+        if self._newer.note(version, peer):
+            log_event(
+                Event.CONFIG_BEHIND, version=self.version, known=version, peer=peer
+            )
+        if self.is_behind:
             self._newer_known.set()
 
-    def _note_known(self, version: int, peer: str) -> None:
-        if version <= self._known_version:
-            return
-        self._known_version = version
-        self._behind_since_s = self._behind_since_s or boot_time_s()
-        log_event(Event.CONFIG_BEHIND, version=self.version, known=version, peer=peer)
-
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host with the longest prefix of a path, if any."""
         host = host.rsplit(":", 1)[0].lower()
@@ -259,8 +272,10 @@
         """
         verdict = FetchVerdict.CURRENT
         if self._mesh is not None and self._exchange is not None:
-            for peer in rank_peers(self._mesh, self._newer_peers):
-                if self._newer_peers.get(peer, 0) <= self.version:
+            unreadable = 0
+            for peer in rank_peers(self._mesh, self._newer.peers):
+                version = self._newer.peers.get(peer, 0)
+                if version <= self.version:
                     continue
                 started_s = boot_time_s()
                 fetch = await self._exchange.fetch(peer, self.version)
@@ -268,21 +283,18 @@
                 reason = "" if is_received else fetch.verdict.value
                 size_bytes = len(fetch.content)
                 _log_transfer("peer", started_s, size_bytes, reason, peer=peer)
-                if is_received:
-                    self._apply_config(fetch.content, peer=peer)
+                if is_received and not self._apply_config(fetch.content, peer=peer):
+                    unreadable = max(unreadable, version)
                 verdict = fetch.verdict
-        self._forget_peers()
+                if verdict == FetchVerdict.CURRENT:
+                    # It has started again since, or was mistaken.
+                    self._newer.peers.pop(peer, None)
+            self._newer.forget_others(self._mesh.peers)
+            if unreadable > self.version:
+                # To receive it again would not help, nor to refuse calls for it.
+                self._newer.give_up(unreadable)
         return verdict
 
-    def _forget_peers(self) -> None:
-        """Forget peers that are gone or have nothing newer than what is in force."""
-        connected = self._mesh.peers if self._mesh is not None else {}
-        self._newer_peers = {
-            peer: version
-            for peer, version in self._newer_peers.items()
-            if version > self.version and peer in connected
-        }
-
     async def _read_row(self) -> None:
         """Read the row, unless it held nothing newer a short time ago."""
         started_s = boot_time_s()
@@ -300,10 +312,9 @@
             self._apply_row(row)
         if self.version == version:
             self._row_due_at_s = boot_time_s() + ROW_PAUSE_S
-            if not self._newer_peers:
+            if not self._newer.peers:
                 # The peer that had something newer is gone, and the store has not.
-                self._known_version = self.version
-                self._behind_since_s = 0.0
+                self._newer.forget_all()
 
     async def _load_all(self) -> int:
         started_s = boot_time_s()
@@ -326,8 +337,8 @@
                 self.waves[row.id.key] = wave
             self._on_change()
 
-    def _apply_config(self, content: bytes, **source: object) -> None:
-        """Put a configuration in force if it is newer.
+    def _apply_config(self, content: bytes, **source: object) -> bool:
+        """Put a configuration in force if it is newer; return whether it can be read.
 
         :param content: content of the row, in which digests may stand for the keys
         :param source: fields for the log that tell where it comes from
@@ -335,9 +346,9 @@
         config = decode_config(content)
         if config is None:
             log_event(Event.CONFIG_REJECTED, **source)
-            return
+            return False
         if config.version <= self.version:
-            return
+            return True
         self._remember_revoked(config)
         self.current = config
         self._content = redact_config(content)
@@ -361,9 +372,11 @@
                 reason=fault,
                 faults=len(config.faults),
             )
-        if config.version >= self._known_version:
-            self._behind_since_s = 0.0
+        self._newer.put_in_force(config.version)
+        self._applied.set()
+        self._applied = anyio.Event()
         self._on_change()
+        return True
 
     def _remember_revoked(self, config: OperatorConfig) -> None:
         """Remember the keys that a newer version lacks, the newest of them."""
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -51,6 +51,10 @@
 # Time without an answer from the store after which the process reports not ready.
 STORE_OUTAGE_LIMIT_S = 2.0
 
+# Time for which a newer version of the configuration may be known that is not in force
+# here, after which the process reports not ready.
+OUTDATED_LIMIT_S = 2.0
+
 # Largest row where the settings do not tell it. Its text in a call is encoded, which
 # makes four characters of three bytes.
 DEFAULT_ROW_TEXT_BYTES = 65536
@@ -435,6 +439,9 @@
         """Return whether this process should receive new connections."""
         if self._stopping.is_set() or self._configuration.current is None:
             return False
+        configuration = self._configuration
+        if configuration.is_outdated and configuration.behind_s > OUTDATED_LIMIT_S:
+            return False
         return self._store.was_served_within(boot_time_s(), STORE_OUTAGE_LIMIT_S)
 
     async def _readiness_app(self, scope, receive, send) -> None:  # type: ignore[no-untyped-def]
--- a/src/chivetray/results.py
+++ b/src/chivetray/results.py
@@ -73,6 +73,12 @@
         Ran.NO,
         "The job would end too late to be of use; it was not stored.",
     )
+    CONFIG_OUTDATED = (
+        131,
+        503,
+        Ran.NO,
+        "A newer configuration is known that this process does not have yet.",
+    )
     BODY_TOO_LARGE = (104, 413, Ran.NO, "The request body is larger than the limit.")
     BUFFERS_FULL = (105, 503, Ran.NO, "The memory for request bodies is in use.")
     QUEUE_FULL = (106, 503, Ran.NO, "The queue of the service is full.")
