Decode a version once, and look queues up by host and key

Each way that brings a version decoded all of it before its version was compared: 22 ms for 1,440 routes and 43 ms for 4,240 on a whole core, in the loop that polls workers, for the row of the feed after the content of a peer each time. Each call went through all queues (78 us with 2,850), and so did each part that a new owner lists (440 us).

The test of a version that comes twice failed before; the one of the lookups compares them with a search through all queues.

--- a/src/chivetray/cells/configuration.py
+++ b/src/chivetray/cells/configuration.py
@@ -28,6 +28,7 @@
     Queue,
     Wave,
     decode_config,
+    decode_config_version,
     decode_wave,
 )
 
@@ -100,7 +101,8 @@
         self._newer = NewerVersions()
         self._row_due_at_s = 0.0
         self._version = 0
-        self._queues: list[Queue] = []
+        self._queues_by_host: dict[str, list[Queue]] = {}
+        self._services_by_key: dict[str, str] = {}
         self._newer_known = anyio.Event()
         self._feed_failed = anyio.Event()
         self._applied = anyio.Event()
@@ -159,8 +161,8 @@
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host with the longest prefix of a path, if any."""
         host = host.rsplit(":", 1)[0].lower()
-        for queue in self._queues:
-            if queue.host == host and path.startswith(queue.path_prefix):
+        for queue in self._queues_by_host.get(host, ()):
+            if path.startswith(queue.path_prefix):
                 return queue
         return None
 
@@ -175,10 +177,7 @@
 
         :param queue_key: key of the queue, or as much of it as a part's name holds
         """
-        for queue in self._queues:
-            if queue.key[:PART_QUEUE_CHARS] == queue_key[:PART_QUEUE_CHARS]:
-                return queue.service
-        return None
+        return self._services_by_key.get(queue_key[:PART_QUEUE_CHARS])
 
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
@@ -343,17 +342,18 @@
         :param content: content of the row, in which digests may stand for the keys
         :param source: fields for the log that tell where it comes from
         """
+        version = decode_config_version(content)
+        if version is not None and version <= self.version:
+            return True
         config = decode_config(content)
         if config is None:
             log_event(Event.CONFIG_REJECTED, **source)
             return False
-        if config.version <= self.version:
-            return True
         self._remember_revoked(config)
         self.current = config
         self._content = redact_config(content)
         self.applied_at_s = boot_time_s()
-        self._queues = sorted(config.queues, key=lambda queue: -len(queue.path_prefix))
+        self._index_queues(config)
         self.caps.refresh()
         self.services |= {queue.service for queue in config.queues}
         log_event(
@@ -378,6 +378,14 @@
         self._on_change()
         return True
 
+    def _index_queues(self, config: OperatorConfig) -> None:
+        """Index the queues by their hosts, longest path prefixes first, and keys."""
+        self._queues_by_host, self._services_by_key = {}, {}
+        for queue in sorted(config.queues, key=lambda queue: -len(queue.path_prefix)):
+            self._queues_by_host.setdefault(queue.host, []).append(queue)
+            key = queue.key[:PART_QUEUE_CHARS]
+            self._services_by_key.setdefault(key, queue.service)
+
     def _remember_revoked(self, config: OperatorConfig) -> None:
         """Remember the keys that a newer version lacks, the newest of them."""
         known = dict(self.revoked_keys)
--- a/src/chivetray/platform/stored_records.py
+++ b/src/chivetray/platform/stored_records.py
@@ -147,6 +147,17 @@
     cap: int
 
 
+def decode_config_version(content: bytes) -> int | None:
+    """Return the version of a configuration, ``None`` if it has none.
+
+    It takes a tenth of the time of decoding all of it.
+
+    :param content: content of the row, in which digests may stand for the keys
+    """
+    plain = decode_object(content.removeprefix(REDACTED_PREFIX))
+    return read_whole_number(plain.get("Version")) if plain is not None else None
+
+
 def decode_config(content: bytes) -> OperatorConfig | None:
     """Decode the operator's configuration, or return ``None`` when it is invalid.
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -14,12 +14,14 @@
 from virtual_loop import START_S, virtual_time
 
 from chivetray import events
+from chivetray.cells import configuration
 from chivetray.cells.config_exchange import CONTENT_CALL
 from chivetray.cells.configuration import Configuration
 from chivetray.organisations.keys import digest_key
 from chivetray.peers.codec import encode_content
 from chivetray.peers.mesh import CALL_TIMEOUT_S
 from chivetray.platform.store import Changes, Row, RowId, StoreUnavailableError
+from chivetray.platform.stored_records import decode_config
 
 
 def config_row(number: int, content: bytes = b"") -> Row:
@@ -90,6 +92,53 @@
             assert follow(Feed(config_row(1), damaged)).version == 1
 
 
+class TestLookups:
+    # Guards against CONFIG: each call and each part of a cell took a time that grew
+    # with the number of routes.
+    def test_they_find_what_a_search_through_all_queues_finds(self) -> None:
+        routes = [
+            {
+                "Host": f"H{number % 7}.example",
+                "PathPrefix": "/" + "ab/" * (number % 4),
+                "Service": f"pool-{number}",
+            }
+            for number in range(40)
+        ]
+        config = Configuration(None, lambda: None)  # type: ignore[arg-type]
+        config._apply_config(json.dumps({"Version": 1, "Routes": routes}).encode())
+        assert config.current is not None
+        queues = sorted(config.current.queues, key=lambda q: -len(q.path_prefix))
+        for host in ("h3.example", "H3.example:8080", "h6.example", "none"):
+            for path in ("/", "/ab/", "/ab/ab/x", "/ab/ab/ab/y", "/c", ""):
+                name = host.lower().split(":")[0]
+                expected = [
+                    queue
+                    for queue in queues
+                    if queue.host == name and path.startswith(queue.path_prefix)
+                ]
+                found = config.find_queue(host, path)
+                assert found == (expected[0] if expected else None)
+        for queue in queues:
+            first = next(q.service for q in queues if q.key == queue.key)
+            assert config.service_of(queue.key) == first
+        assert config.service_of("none") is None
+
+    def test_a_version_that_is_in_force_is_not_decoded_again(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        config = Configuration(None, lambda: None)  # type: ignore[arg-type]
+        decoded: list[bytes] = []
+
+        def decode(content: bytes) -> Any:
+            decoded.append(content)
+            return decode_config(content)
+
+        monkeypatch.setattr(configuration, "decode_config", decode)
+        for version in (2, 2, 1, 3):
+            config._apply_config(operator_config(version))
+        assert len(decoded) == 2 and config.version == 3
+
+
 class TestSilentFeed:
     def test_a_version_that_a_peer_has_is_read_at_once(self) -> None:
         """Waiting for an unresponsive feed would take its whole timeout."""
