Soak managers with large versions of the configuration

Versions now have up to 2,800 routes more. Once all faults have ended, a further version has to be in force at all managers within 3 s, and the log of no process may show a version that went back.

--- a/tests/job_soak.py
+++ b/tests/job_soak.py
@@ -34,6 +34,11 @@
 SMALL_TASKS, LARGE_TASKS = (1, 6), (260, 1600)
 LARGE_SHARE = 0.04
 
+# Routes of a version beside those of the clients, and the time after which a version
+# has to be in force everywhere once all faults have ended.
+MORE_ROUTES = (0, 0, 40, 1400, 2800)
+CONFIG_LIMIT_S = 3.0
+
 # Time after its start within which SIGTERM may end a manager before it handles signals.
 SIGNALS_HANDLED_AFTER_S = 5.0
 
@@ -51,6 +56,19 @@
     cuts: list[tuple[str, float, float]] = field(default_factory=list)
 
 
+def _more_routes(rng: random.Random, count: int) -> list[dict[str, Any]]:
+    return [
+        {
+            "Name": f"more-{number}",
+            "Host": f"{rng.getrandbits(64):016x}.example",
+            "PathPrefix": f"/{rng.getrandbits(64):016x}/",
+            "Service": rng.choice(SERVICES),
+            "TimeoutMs": 3000,
+        }
+        for number in range(count)
+    ]
+
+
 def is_closed(connection: http.client.HTTPConnection) -> bool:
     """Return whether the server has closed an idle connection."""
     sock = connection.sock
@@ -87,6 +105,7 @@
             client.join()
         self._check_cuts()
         self._check_jobs()
+        self._check_versions()
         self._check_runs()
         return self.outcome
 
@@ -257,7 +276,6 @@
     def _put_config(self) -> None:
         with self._lock:
             self._version += 1
-            self._log(f"config {self._version} {self._routes}")
             routes = [
                 {
                     "Name": prefix,
@@ -270,6 +288,8 @@
                 for prefix, service in self._routes.items()
                 if service
             ]
+            routes += _more_routes(self._rng, self._rng.choice(MORE_ROUTES))
+            self._log(f"config {self._version} {self._routes} {len(routes)}")
             config = {"Version": self._version, "Routes": routes, "Limits": {}}
             value = base64.b64encode(json.dumps(config).encode()).decode()
             self.fleet.put({"Table": "op", "Key": "config", "Value": value})
@@ -334,6 +354,28 @@
                 took_s = cut_at_s - sent_at_s
                 self._report(f"{manager} cut a request after {took_s:.3f} s")
 
+    def _check_versions(self) -> None:
+        """A version is in force in time, and none goes back while a process lives."""
+        self._put_config()
+        deadline_s = time.monotonic() + CONFIG_LIMIT_S
+        gauge = f'chivetray_configuration_version{{about=""}} {self._version:.1f}'
+        processes = self.fleet.processes
+        left = {name for name in self.fleet.managers if processes[name].poll() is None}
+        while left and time.monotonic() < deadline_s:
+            left -= {name for name in left if gauge in self.fleet.metrics(name)}
+            time.sleep(0.05)
+        for name in left:
+            self._report(f"{name} has no version {self._version} in time")
+        for name in self.fleet.managers:
+            version = 0
+            for event in self.fleet.log(name):
+                if event.get("message_type") == "ENTRY_STARTED":
+                    version = 0
+                elif event.get("message_type") == "CONFIG_APPLIED":
+                    if event["version"] <= version:
+                        self._report(f"{name} went back to {event['version']}")
+                    version = event["version"]
+
     def _check_jobs(self) -> None:
         """Each accepted job ends, whatever became of its route."""
         self._routes = dict(zip(PREFIXES, SERVICES, strict=True))
