Relay reads of the store through peers with wide links

All relayed calls of an availability zone went to one peer, the first of its zone: the load it was chosen by counts the calls that the peer makes here, not those it relays.

A peer is now chosen by its calls in progress for this process by its capacity, which counts its link, within the own zone first.

--- a/src/chivetray/cells/store_access.py
+++ b/src/chivetray/cells/store_access.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from chivetray.cells.answer_timeout import AnswerTimeout
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event, log_event
-from chivetray.peers.mesh import Mesh
+from chivetray.peers.mesh import Mesh, Peer
 from chivetray.platform.calls import Answer, CallSession, NoAnswer, NotSent, Outcome
 from chivetray.platform.redaction import redact_answer
 from chivetray.platform.store import TRANSACTION_PATH, Store
@@ -50,6 +51,7 @@
         self.relayed_calls = 0
         self.answer_timeout = AnswerTimeout()
         self._mesh: Mesh | None = None
+        self._relaying: Counter[str] = Counter()
         self._on_served_change: Callable[[], None] = lambda: None
 
     def connect(self, mesh: Mesh, on_served_change: Callable[[], None]) -> None:
@@ -148,12 +150,16 @@
         peers = [p for p in self._mesh.peers.values() if p.store_reached]
         if not peers:
             return None
-        peer = min(peers, key=lambda p: (p.zone != self._mesh_zone(), p.serving))
+        peer = min(peers, key=self._rank_relay)
         self.relayed_calls += 1
         argument = [method, path, body, timeout_s]
-        reply = await self._mesh.call(
-            peer.name, RELAY_CALL, argument, timeout_s + RELAY_SLACK_S
-        )
+        self._relaying[peer.name] += 1
+        try:
+            reply = await self._mesh.call(
+                peer.name, RELAY_CALL, argument, timeout_s + RELAY_SLACK_S
+            )
+        finally:
+            self._relaying[peer.name] -= 1
         if reply is None:
             return NoAnswer("the relaying peer did not answer")
         kind, status, answer = reply
@@ -165,8 +171,13 @@
             return NotSent(answer)
         return NoAnswer(answer)
 
-    def _mesh_zone(self) -> str:
-        return self._mesh.zone if self._mesh is not None else ""
+    def _rank_relay(self, peer: Peer) -> tuple[bool, float]:
+        """Return the key of a peer for relays: its zone, and its load by its capacity.
+
+        An answer crosses the link of the peer twice.
+        """
+        is_far = self._mesh is None or peer.zone != self._mesh.zone
+        return is_far, (self._relaying[peer.name] + 1) / max(1, peer.capacity)
 
     async def _serve_peer(self, _peer: str, argument: Any) -> Any:
         method, path, body, timeout_s = argument
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -158,3 +159,35 @@
         assert not store.is_served
         asyncio.run(store.without_relays().changes("op", 0, 700))
         assert store.is_served
+
+
+class TestChoiceOfRelay:
+    # Guards against late answers: all relayed reads of a zone went through one peer,
+    # however narrow its link.
+    def test_peers_with_wide_links_relay_most(self) -> None:
+        store, mesh, _ = access(Answer(503, {}), None)
+        beat = mesh.peers["m2"].heartbeat
+        assert beat is not None
+        mesh.peers.clear()
+        links = {"narrow": 100, "wide": 2000, "far": 9000}
+        for name, capacity in links.items():
+            zone = "z2" if name == "far" else "z1"
+            heartbeat = replace(beat, capacity=capacity)
+            mesh.peers[name] = Peer(name, zone, "i", "b:1", None, True, 0.0, heartbeat)  # type: ignore[arg-type]
+        chosen: list[str] = []
+
+        async def call(name: str, *_: Any) -> Any:
+            chosen.append(name)
+            await asyncio.sleep(0.01)
+            return ["answer", 200, {"rows": [], "Ver": 1}]
+
+        mesh.call = call  # type: ignore[method-assign]
+
+        async def scenario() -> None:
+            reads = (store.read("jobs", f"p{number}") for number in range(21))
+            await asyncio.gather(*reads)
+
+        asyncio.run(scenario())
+        assert chosen[0] == "wide"
+        assert chosen.count("wide") == 20 and chosen.count("narrow") == 1
+        assert not +store._relaying
