--- a/src/chivetray/cells/configuration.py
+++ b/src/chivetray/cells/configuration.py
@@ -13,8 +13,9 @@
     FetchVerdict,
     rank_peers,
 )
+from chivetray.cells.config_transfers import log_transfer, size_of
 from chivetray.cells.newer_versions import NewerVersions
-from chivetray.cells.tables import PART_QUEUE_CHARS
+from chivetray.cells.queue_index import QueueIndex
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event, log_event
 from chivetray.peers.mesh import Mesh
@@ -52,8 +53,8 @@
 WAVES_END = "wave0"
 WAVES_INTERVAL_S = 1.0
 
-# Failures of the feed after which the table is read instead. A feed that does not
-# answer is detected within 2 s, so that a change is read within its bound of 3 s.
+# Failures of a feed that does not answer after which the table is read instead. It is
+# detected within 2 s, so that a change is read within its bound of 3 s.
 FEED_FAILURES_LIMIT = 2
 
 # Pause after a row that held nothing newer, although a peer has something newer.
@@ -101,8 +102,7 @@
         self._newer = NewerVersions()
         self._row_due_at_s = 0.0
         self._version = 0
-        self._queues_by_host: dict[str, list[Queue]] = {}
-        self._services_by_key: dict[str, str] = {}
+        self._queues = QueueIndex()
         self._newer_known = anyio.Event()
         self._feed_failed = anyio.Event()
         self._applied = anyio.Event()
@@ -160,11 +160,7 @@
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host with the longest prefix of a path, if any."""
-        host = host.rsplit(":", 1)[0].lower()
-        for queue in self._queues_by_host.get(host, ()):
-            if path.startswith(queue.path_prefix):
-                return queue
-        return None
+        return self._queues.find(host, path)
 
     def weight_of(self, organisation: str) -> float | None:
         """Return the weight of an organisation, ``None`` if it is not configured."""
@@ -177,7 +173,7 @@
 
         :param queue_key: key of the queue, or as much of it as a part's name holds
         """
-        return self._services_by_key.get(queue_key[:PART_QUEUE_CHARS])
+        return self._queues.service_of(queue_key)
 
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
@@ -205,7 +201,7 @@
                     CONFIG_TABLE, self._version, wait_ms
                 )
             except StoreUnavailableError as error:
-                _log_transfer("feed", started_s, reason=str(error))
+                log_transfer("feed", started_s, reason=str(error))
                 log_event(Event.CONFIG_SILENT, reason=str(error), version=self.version)
                 failures += 1
                 # The feed goes on where it was; to read the table again would move
@@ -222,7 +218,7 @@
                 continue
             self._version = changes.version
             if changes.rows:
-                _log_transfer("feed", started_s, _size_of(changes.rows))
+                log_transfer("feed", started_s, size_of(changes.rows))
             for row in changes.rows:
                 self._apply_row(row)
 
@@ -281,7 +277,7 @@
                 is_received = fetch.verdict == FetchVerdict.RECEIVED
                 reason = "" if is_received else fetch.verdict.value
                 size_bytes = len(fetch.content)
-                _log_transfer("peer", started_s, size_bytes, reason, peer=peer)
+                log_transfer("peer", started_s, size_bytes, reason, peer=peer)
                 if is_received and not self._apply_config(fetch.content, peer=peer):
                     unreadable = max(unreadable, version)
                 verdict = fetch.verdict
@@ -303,11 +299,11 @@
         try:
             row = await self._store.read_row(RowId(CONFIG_TABLE, "", CONFIG_KEY))
         except StoreUnavailableError as error:
-            _log_transfer("row", started_s, reason=str(error))
+            log_transfer("row", started_s, reason=str(error))
             log_event(Event.CONFIG_SILENT, reason=str(error), version=self.version)
             return
         if row is not None:
-            _log_transfer("row", started_s, _size_of([row]))
+            log_transfer("row", started_s, size_of([row]))
             self._apply_row(row)
         if self.version == version:
             self._row_due_at_s = boot_time_s() + ROW_PAUSE_S
@@ -318,7 +314,7 @@
     async def _load_all(self) -> int:
         started_s = boot_time_s()
         rows, version = await self._store.read(CONFIG_TABLE, "")
-        _log_transfer("table", started_s, _size_of(rows))
+        log_transfer("table", started_s, size_of(rows))
         for row in rows:
             self._apply_row(row)
         return version
@@ -353,7 +349,7 @@
         self.current = config
         self._content = redact_config(content)
         self.applied_at_s = boot_time_s()
-        self._index_queues(config)
+        self._queues = QueueIndex(config.queues)
         self.caps.refresh()
         self.services |= {queue.service for queue in config.queues}
         log_event(
@@ -378,14 +374,6 @@
         self._on_change()
         return True
 
-    def _index_queues(self, config: OperatorConfig) -> None:
-        """Index the queues by their hosts, longest path prefixes first, and keys."""
-        self._queues_by_host, self._services_by_key = {}, {}
-        for queue in sorted(config.queues, key=lambda queue: -len(queue.path_prefix)):
-            self._queues_by_host.setdefault(queue.host, []).append(queue)
-            key = queue.key[:PART_QUEUE_CHARS]
-            self._services_by_key.setdefault(key, queue.service)
-
     def _remember_revoked(self, config: OperatorConfig) -> None:
         """Remember the keys that a newer version lacks, the newest of them."""
         known = dict(self.revoked_keys)
@@ -393,26 +381,3 @@
             known |= self.current.key_owners
         revoked = [item for item in known.items() if item[0] not in config.key_owners]
         self.revoked_keys = dict(revoked[-MAX_REVOKED_KEYS:])
-
-
-def _log_transfer(
-    way: str, started_s: float, size_bytes: int = 0, reason: str = "", **fields: str
-) -> None:
-    """Log the end of an attempt to get a version.
-
-    :param way: ``feed``, ``row``, ``table`` or ``peer``
-    :param reason: why the attempt failed, empty if it did not
-    """
-    log_event(
-        Event.CONFIG_TRANSFER,
-        way=way,
-        verdict="failed" if reason else "received",
-        took_s=round(boot_time_s() - started_s, 3),
-        size_bytes=size_bytes,
-        **({"reason": reason} if reason else {}),
-        **fields,
-    )
-
-
-def _size_of(rows: list[Row]) -> int:
-    return sum(len(row.value) for row in rows)
