Do not read the table after a feed that was rejected

After two failures of the feed the whole table was read, also when the store had rejected the calls.

Now only a feed that does not answer is replaced by the table, in turn with it, since then the table may be readable where the feed is not. The test of a rejected feed failed before.

--- a/src/chivetray/cells/configuration.py
+++ b/src/chivetray/cells/configuration.py
@@ -188,13 +188,13 @@
         They would read the whole content once more for each that asks, while the
         peers send it compressed. Of the table they read only the waves.
         """
-        is_loaded, failures = False, 0
+        reads_table, failures = True, 0
         while True:
             started_s = boot_time_s()
             try:
-                if not is_loaded:
+                if reads_table:
                     self._version = await self._load_all()
-                    is_loaded, failures = True, 0
+                    reads_table, failures = False, 0
                 # After a failure the store is asked for what it has, without waiting.
                 wait_ms = 0 if failures else FEED_WAIT_MS
                 changes = await self._store.changes(
@@ -204,9 +204,10 @@
                 log_transfer("feed", started_s, reason=str(error))
                 log_event(Event.CONFIG_SILENT, reason=str(error), version=self.version)
                 failures += 1
-                # The feed goes on where it was; to read the table again would move
-                # the whole content once more.
-                is_loaded = is_loaded and failures < FEED_FAILURES_LIMIT
+                # The feed goes on where it was, since the table moves the whole content
+                # once more. It is read in turn with a feed that does not answer.
+                is_silent = not error.answered and failures % FEED_FAILURES_LIMIT == 0
+                reads_table = is_silent or not self._version
                 self._feed_failed.set()
                 await anyio.sleep(min(FEED_PAUSE_MAX_S, failures * RETRY_PAUSE_S))
                 continue
@@ -214,7 +215,7 @@
             if self._feed_failed.is_set():
                 self._feed_failed = anyio.Event()
             if changes.history_gone:
-                is_loaded = False
+                reads_table = True
                 continue
             self._version = changes.version
             if changes.rows:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -42,9 +42,13 @@
         self.prepared = list(changes)
         self.readings = 0
         self.row_readings = 0
+        self.wave_readings = 0
 
-    async def read(self, *_: object) -> tuple[list[Row], int]:
+    async def read(self, *where: object) -> tuple[list[Row], int]:
         self.readings += 1
+        if "wave/" in where:
+            self.wave_readings += 1
+            return [], self.row.version
         return [self.row], self.row.version
 
     async def read_row(self, _: RowId) -> Row:
@@ -167,6 +171,47 @@
         assert store.readings == 2
 
 
+class FailingFeed(Feed):
+    """A store whose feed fails while its table can be read."""
+
+    def __init__(self, row: Row, answered: bool):
+        super().__init__(row)
+        self.answered = answered
+
+    async def changes(self, *_: object) -> Changes:
+        await anyio.sleep(0.1)
+        raise StoreUnavailableError("no change", self.answered)
+
+
+class TestFailingFeed:
+    def follow(self, answered: bool) -> tuple[int, int]:
+        """Return how often the table was read in 10 s, and the version in force."""
+        store = FailingFeed(config_row(1), answered)
+
+        async def main() -> int:
+            config = Configuration(store, lambda: None)  # type: ignore[arg-type]
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(config.run)
+                await anyio.sleep(1.0)
+                store.row = config_row(2)
+                await anyio.sleep(9.0)
+                tasks.cancel_scope.cancel()
+            return config.version
+
+        with virtual_time() as loop:
+            version = loop.run_until_complete(main())
+        return store.readings - store.wave_readings, version
+
+    # Guards against CONFIG: after each failure of the feed the whole table was read
+    # again, over links that were full already.
+    def test_a_feed_that_is_rejected_goes_on_where_it_was(self) -> None:
+        assert self.follow(answered=True) == (1, 1)
+
+    def test_the_table_is_read_in_turn_with_a_feed_that_is_silent(self) -> None:
+        readings, version = self.follow(answered=False)
+        assert 2 <= readings <= 20 and version == 2
+
+
 class RejectingStore(Feed):
     """A store that rejects reads, or does not answer them, from some moment on."""
 
