Keep waves that the feed has brought after an older answer was on its way

While its feed fails a manager reads the waves through a peer. An answer that came after the feed had recovered replaced what the feed had brought since, so that a new wave was unknown until the next change of it. Found by reading the change that introduced it.

The answer is used only if the feed has not recovered meanwhile. The test failed before.

--- a/src/chivetray/cells/configuration.py
+++ b/src/chivetray/cells/configuration.py
@@ -226,12 +226,15 @@
     async def _follow_waves(self) -> None:
         """Read the waves while the feed fails, also through a peer."""
         while True:
-            await self._feed_failed.wait()
+            feed_failed = self._feed_failed
+            await feed_failed.wait()
             with suppress(StoreUnavailableError):
                 rows, _ = await self._wave_store.read(
                     CONFIG_TABLE, "", WAVE_PREFIX, WAVES_END
                 )
-                self._replace_waves(rows)
+                # What the feed has brought meanwhile is newer.
+                if self._feed_failed is feed_failed:
+                    self._replace_waves(rows)
             await anyio.sleep(WAVES_INTERVAL_S)
 
     def _replace_waves(self, rows: list[Row]) -> None:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -418,3 +418,37 @@
 
         with virtual_time() as loop:
             assert loop.run_until_complete(main()) == [["wave/1"], []]
+
+    def test_an_answer_that_the_feed_has_overtaken_changes_nothing(self) -> None:
+        wave = {"Wave": 1, "Machines": ["a"], "DurationS": 5, "Cap": 1}
+        row = Row(RowId("op", "", "wave/1"), json.dumps(wave).encode(), 3)
+
+        class SlowWaves(Feed):
+            async def read(self, *_: object) -> tuple[list[Row], int]:
+                await anyio.sleep(1.0)
+                return [], 1
+
+        class RecoveringFeed(Feed):
+            async def changes(self, *_: object) -> Changes:
+                if self.prepared:
+                    self.prepared.pop()
+                    raise StoreUnavailableError("rejected", answered=True)
+                await anyio.sleep(60.0 if self.readings > 1 else 0.2)
+                self.readings = 2
+                return Changes([row], 3)
+
+        async def main() -> list[str]:
+            store = RecoveringFeed(config_row(1), Changes([], 1))
+            waves = SlowWaves(config_row(1))
+            config = Configuration(store, lambda: None, waves)  # type: ignore[arg-type]
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(config.run)
+                await anyio.sleep(0.9)
+                assert sorted(config.waves) == ["wave/1"]
+                await anyio.sleep(0.15)
+                seen = sorted(config.waves)
+                tasks.cancel_scope.cancel()
+            return seen
+
+        with virtual_time() as loop:
+            assert loop.run_until_complete(main()) == ["wave/1"]
