--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any
 
 import anyio
@@ -17,13 +18,18 @@
 from narrow_links import Link, LinkStream
 from virtual_loop import virtual_time
 
+from chivetray.fleet.catalog import Catalog, Change
+from chivetray.fleet.revision import RevisionState
 from chivetray.generated.messages import (
     CellClaim,
+    Hello,
     NodeAnswer,
     NodeCall,
     NodeHeartbeat,
     NodeHello,
+    RevisionPush,
 )
+from chivetray.generated.settings import PeerSettings
 from chivetray.peers.codec import (
     MessageDecoder,
     PeerProtocolError,
@@ -38,6 +44,7 @@
     Mesh,
     Peer,
 )
+from chivetray.peers.node import PeerNode
 from chivetray.peers.stream import PeerStream
 
 LIMIT_S = 5.0
@@ -233,6 +240,36 @@
             assert loop.run_until_complete(main())
 
 
+class TestLargeRevisions:
+    # Guards against late revisions: an entry that sent a large one over a narrow link
+    # counted as silent meanwhile.
+    def test_their_sender_is_not_lost_while_they_are_under_way(self) -> None:
+        async def main() -> tuple[set[str], int]:
+            peers = PeerSettings(heartbeat_interval_s=0.2, heartbeat_timeout_s=1.0)
+            entry = SimpleNamespace(name="e1", zone="z1", address="127.0.0.1")
+            config = SimpleNamespace(entry=entry, peers=peers)
+            revisions = RevisionState()
+            node = PeerNode(config, revisions, "i1", lambda: None, dict, print)  # type: ignore[arg-type]
+            link = Link(2.0)
+            near, far = LinkStream(Link(2.0)), LinkStream(link)
+            near.reach(far, Link(2.0))
+            far.reach(near, link)
+            sender = PeerStream(far)
+            content = Change(put=Catalog().to_object_set()).to_json() + " " * 750_000
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(node._serve_stream, PeerStream(near))
+                tasks.start_soon(node._send_heartbeats)
+                await sender.send(Hello("e2", "z1", "i2", 1))
+                await sender.send(RevisionPush(1, "p", True, content))
+                live = {peer.name for peer in node.membership.live()}
+                await anyio.sleep(0.9)
+                tasks.cancel_scope.cancel()
+            return live, revisions.number
+
+        with virtual_time() as loop:
+            assert loop.run_until_complete(main()) == ({"e2"}, 1)
+
+
 class TestOpening:
     def test_one_slow_peer_is_dialed_once_at_a_time(self) -> None:
         """Each check for missing peers once opened one more stream."""
