Log who else of a step counts on a worker, and why one no longer does

TASK_PLACED names tasks and workers, an attempt that is done has no line, and one that is given up is only in a list of its worker.

LIMITED_START_SENT, at each start of a step with a limit per worker, lists the others that the owner counts there by task, attempt and phase. PLACE_FREED tells why an attempt no longer counts: done, failed, stopped, not listed, rejected, the worker lost or restarted. Only such steps have these lines, one a start and one an end, so that the volume stays bounded. No decision changes.

--- a/src/chivetray/cells/copies.py
+++ b/src/chivetray/cells/copies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from chivetray.cells.orders import StopOrder, StopReason
+from chivetray.cells.places import log_place_freed
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import TaskRef, WorkerState
 from chivetray.events import Event, log_event
@@ -134,6 +135,7 @@
 ) -> None:
     """Apply the end of an older attempt that is not done."""
     task.forget_copy(ended.attempt)
+    log_place_freed(job, task, ended.attempt, worker, ended.how.value)
     if task.worker != worker.worker_id:
         worker.free((job.spec.job_id, task.key), now_s)
     state.mark_changed(job.spec.job_id)
@@ -169,6 +171,7 @@
             worker.pause(now_s + UNANSWERED_STOP_PAUSE_S)
         elif 0 < answered_at_s < sent_at_s:
             task.forget_copy(attempt)
+            log_place_freed(job, task, attempt, worker, "not listed after its stop")
             state.mark_changed(ref[0])
     if worker.worker_id in task.copies.values():
         worker.suspend(ref)
--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -13,6 +13,7 @@
 from chivetray.cells.evacuation import may_send_stop
 from chivetray.cells.orders import Placement, StopOrder, StopReason
 from chivetray.cells.pace import record_start, review
+from chivetray.cells.places import describe_others
 from chivetray.cells.polling import WorkerPoller
 from chivetray.cells.reports import confirm_start, confirm_stop, reject_start
 from chivetray.cells.timing import RETRY_PAUSE_S, TICK_S
@@ -164,6 +165,7 @@
                 age_s=round(list_age_s, 1),
             )
             return True
+        self._log_limited_start(job, task, placement)
         deadline_ms = worker.clock.lower_bound_ms(sent_at_s) + int(lease_s * 1000)
         worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
         worker.lease_sent_at_s = max(worker.lease_sent_at_s, sent_at_s)
@@ -214,6 +216,22 @@
         self._cell_owner.wake()
         return True
 
+    def _log_limited_start(self, job: Job, task: Task, placement: Placement) -> None:
+        """Log who else counts towards the limit of a step on the worker of a start."""
+        step = job.spec.steps[task.key[1]]
+        if step.per_worker:
+            log_event(
+                Event.LIMITED_START_SENT,
+                task=str(TaskName(*placement.ref)),
+                attempt=placement.attempt,
+                worker=placement.worker_id,
+                incarnation=placement.incarnation,
+                epoch=self._cell_owner.epoch,
+                limit=step.per_worker,
+                others=describe_others(job, task, placement.worker_id),
+                unanswered_tries=task.unanswered_starts,
+            )
+
     def _log_start(
         self,
         placement: Placement,
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -8,6 +8,7 @@
 from chivetray.cells.crashes import settle
 from chivetray.cells.orders import Placement, StopOrder, StopReason
 from chivetray.cells.pace import record_failure, record_run
+from chivetray.cells.places import log_place_freed
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import PROBE_RUN_TIME_S, TaskRef, WorkerState
 from chivetray.events import Event, log_event
@@ -144,7 +145,7 @@
                 attempt=task.attempt,
                 worker=worker.worker_id,
             )
-            state.release_attempt(worker, job, task, now_s)
+            state.release_attempt(worker, job, task, now_s, "not listed")
 
 
 def _log_unexpected(
@@ -218,7 +219,7 @@
         task.avoided_workers.add(worker.worker_id)
         record_failure(state, worker, job, now_s)
         task.not_before_s = now_s + FAILED_RETRY_S
-    state.release_attempt(worker, job, task, now_s)
+    state.release_attempt(worker, job, task, now_s, ended.how.value)
     if ended.how == AttemptEnd.FAILED and not step.long_running:
         state.fail_if_attempts_exhausted(job, task)
 
@@ -262,7 +263,10 @@
     is_newest = task.worker == worker.worker_id and task.attempt == ended.attempt
     if task.copies.get(ended.attempt) == worker.worker_id:
         task.forget_copy(ended.attempt)
+        log_place_freed(job, task, ended.attempt, worker, ended.how.value)
         state.mark_changed(job.spec.job_id)
+    if is_newest and task.active:
+        log_place_freed(job, task, ended.attempt, worker, ended.how.value)
     if is_newest or task.worker != worker.worker_id:
         worker.free(ref, now_s)
     if task.phase == Phase.DONE:
@@ -334,4 +338,4 @@
     if job is None or task is None or worker is None:
         return
     if task.attempt == placement.attempt and task.phase == Phase.PLACED:
-        state.release_attempt(worker, job, task, now_s)
+        state.release_attempt(worker, job, task, now_s, "start rejected")
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -27,6 +27,7 @@
     StopReason,
     Ticket,
 )
+from chivetray.cells.places import log_place_freed
 from chivetray.cells.timing import (
     LEASE_EXTENSION_WINDOW_S,
     LEASE_S,
@@ -560,7 +561,7 @@
                     task.away_since_s = _find_end(worker, task, now_s)
                 self._move_to_new_incarnation(worker, *found)
             else:
-                self.release_attempt(worker, *found, now_s)
+                self.release_attempt(worker, *found, now_s, "worker restarted")
         self._stop_suspects(list(worker.tasks))
 
     def _stop_suspects(self, refs: Iterable[TaskRef]) -> None:
@@ -649,9 +650,9 @@
         for ref in list(worker.tasks):
             found = self.find_newest_attempt(worker, ref)
             if found is None:
-                self.free_older_attempts(worker, ref, now_s)
+                self.free_older_attempts(worker, ref, now_s, reason)
             else:
-                self.release_attempt(worker, *found, now_s)
+                self.release_attempt(worker, *found, now_s, reason)
 
     def _describe_attempts(self, worker: WorkerState) -> list[list[Any]]:
         """Return task, attempt and phase of what may run on a worker, for the log."""
@@ -685,20 +686,30 @@
         return job, task
 
     def free_older_attempts(
-        self, worker: WorkerState, ref: TaskRef, now_s: float
+        self, worker: WorkerState, ref: TaskRef, now_s: float, reason: str
     ) -> None:
         """Free the resources of older attempts that no longer run on a worker."""
         worker.free(ref, now_s)
-        _, task = self.find_task(ref)
-        if task is not None:
+        job, task = self.find_task(ref)
+        if job is not None and task is not None:
             for attempt, worker_id in list(task.copies.items()):
                 if worker_id == worker.worker_id:
                     task.forget_copy(attempt)
+                    log_place_freed(job, task, attempt, worker, reason)
 
     def release_attempt(
-        self, worker: WorkerState, job: Job, task: Task, now_s: float
+        self,
+        worker: WorkerState,
+        job: Job,
+        task: Task,
+        now_s: float,
+        reason: str = "released",
     ) -> None:
-        """Free the resources of an ended attempt; its task waits again unless done."""
+        """Free the resources of an ended attempt; its task waits again unless done.
+
+        :param reason: why it has ended, for the log
+        """
+        log_place_freed(job, task, task.attempt, worker, reason)
         worker.free((job.spec.job_id, task.key), now_s)
         if task.phase != Phase.DONE:
             task.away_since_s = _find_end(worker, task, now_s)
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -224,6 +224,14 @@
         1686,
         "A stop is not sent, since too many tasks of the step are unavailable.",
     )
+    LIMITED_START_SENT = (
+        1689,
+        "A start is sent whose step has a limit per worker; lists the others there.",
+    )
+    PLACE_FREED = (
+        1695,
+        "An attempt of a step with a limit per worker no longer counts on its worker.",
+    )
     ATTEMPT_OUTLIVED = (
         1685,
         "A worker has restarted since an earlier owner placed an attempt there.",
