Tests of steps with a limit per worker that fail on the current code

- a later owner finds the copy of a done task as an unknown attempt, stops it, and places another task of the step on its worker 0.3 s later, while the stop is under way for up to 0.9 s; the attempt's room is given away as well, and nothing polls the worker until it has ended
- a start without answer is sent again beside another run of its step
- a start whose attempt has ended for its owner is carried out by the next incarnation of the worker, beside a task that was placed there meanwhile; four ways to the end of the attempt, three of which leave no trace
- the count of a gang begins at zero

--- a/tests/test_limited_steps.py
+++ b/tests/test_limited_steps.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
-from cell_helpers import CELL, job
+import asyncio
+
+import anyio
+from cell_helpers import CELL, World, job, until
 
 from chivetray.cells.places import find_places
 from chivetray.cells.placing import place_tasks
-from chivetray.cells.reports import apply_poll_reply, confirm_start
+from chivetray.cells.polling import WorkerPoller
+from chivetray.cells.reports import apply_poll_reply, confirm_start, confirm_stop
 from chivetray.cells.state import CellState
+from chivetray.cells.timing import MAX_ORDER_DELAY_S
 from chivetray.events import Event
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import Phase, Step
@@ -112,3 +117,199 @@
         cell.poll(placed[0], 0.2, ends=(ended(1, 0),))
         assert cell.tasks()[0].phase == Phase.DONE
         assert not logged.of(Event.PLACE_FREED)
+
+
+class TestAttemptsThatTheOwnerDoesNotKnow:
+    """Guards against a task beside a run of its step that no owner counts.
+
+    A later owner found the copy of a done task as unknown, told it to stop, and placed
+    another task of the step on its worker while the stop was under way.
+    """
+
+    STEP = Step(2, 1000, per_worker=1, copies=True)
+
+    @classmethod
+    def taken_over(cls) -> Cell:
+        """Return a cell whose owner does not know of the copy of task 0 on w0."""
+        before = Cell(cls.STEP, workers=3)
+        assert before.place(0.1) == {0: "w0", 1: "w1"}
+        before.tasks()[0].retire_newest_attempt()
+        before.state.mark_changed(JOB)
+        assert before.place(0.2) == {0: "w2"}
+        before.poll("w2", 0.3, ends=(ended(1, 0, attempt=2),))
+        before.poll("w1", 0.3, ends=(ended(1, 1, AttemptEnd.FAILED),))
+        cell = Cell(cls.STEP, workers=1)
+        cell.state.jobs.clear()
+        cell.state.active.clear()
+        content = before.job.encode()
+        cell.state.restore_job(before.job.spec, content, 1, 1.0)
+        cell.job = cell.state.jobs[JOB]
+        cell.state.attach_restored_tasks(1.0, 5.0, {})
+        return cell
+
+    def test_they_count_until_the_worker_no_longer_lists_them(self) -> None:
+        cell = self.taken_over()
+        cell.poll("w0", 1.1, runs=(running(0),))
+        (order,) = cell.state.stop_orders
+        confirm_stop(cell.state, order, 1, 1.12)
+        for now_s in (1.2, 1.5, 1.9):
+            assert cell.place(now_s) == {}
+        cell.poll("w0", 2.0, runs=(running(0),))
+        assert cell.place(2.5) == {}
+        cell.poll("w0", 2.6, ends=(ended(1, 0, AttemptEnd.STOPPED),))
+        assert cell.place(2.7) == {1: "w0"}
+
+    def test_they_hold_their_room(self) -> None:
+        """A worker that checks no admission was given more than its capacity."""
+        cell = self.taken_over()
+        cell.poll("w0", 1.1, runs=(running(0),))
+        large = cell.state.add_job(job("0" * 15 + "b", (Step(1, 3500),)), 1.1)
+        place_tasks(cell.state, 1.5, 0)
+        assert large.step_tasks(0, 0)[0].phase == Phase.WAITING
+        cell.poll("w0", 1.6, ends=(ended(1, 0, AttemptEnd.STOPPED),))
+        cell.job.step_tasks(0, 0)[1].not_before_s = 9.0
+        place_tasks(cell.state, 1.7, 0)
+        assert large.step_tasks(0, 0)[0].worker == "w0"
+
+    def test_the_worker_is_polled_until_they_have_ended(self) -> None:
+        cell = self.taken_over()
+        cell.poll("w0", 1.1, runs=(running(0),))
+        assert WorkerPoller._needs_poll(cell.state.workers["w0"])
+
+    def test_a_worker_that_runs_an_unknown_job_gets_nothing_until_it_ends(self) -> None:
+        cell = Cell(self.STEP, workers=1)
+        other = TaskName("0" * 15 + "c", (0, 0, 0))
+        cell.poll("w0", 1.1, runs=(RunningTask(other, 1, "", 50, 0),))
+        assert cell.place(1.9) == {}
+        assert WorkerPoller._needs_poll(cell.state.workers["w0"])
+        cell.poll("w0", 2.0)
+        assert cell.place(2.1) == {0: "w0"}
+
+    def test_a_start_is_not_sent_again_beside_one(self) -> None:
+        """A start without answer was sent again while another of its step ran there."""
+
+        async def scenario() -> None:
+            world = World(workers=1, work_s=30)
+            world.workers.lose_starts = 1
+            world.workers.lose_stops = 4
+            model = world.models["w0"]
+            owner = await world.own()
+
+            async def steps() -> None:
+                owner.add_job(job(steps=(Step(2, 1000, per_worker=1),)))
+                await until(lambda: bool(world.workers.late))
+                first = world.workers.late[0][1]["Task"]
+                index = 1 - int(first[-1])
+                other = {"Task": f"{JOB}.0.0.{index}", "Attempt": 1}
+                model.start({**world.workers.late[0][1], **other})
+                await until(lambda: bool(model.running))
+                for _ in range(200):
+                    await asyncio.sleep(0.01)
+                    assert len(model.running) <= 1, list(model.running)
+                assert list(model.running) == [first]
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(world.work)
+                tasks.start_soon(owner.run)
+                await steps()
+                tasks.cancel_scope.cancel()
+
+        asyncio.run(scenario())
+
+
+class TestStartsOfThePast:
+    """Guards against a start that a worker's next incarnation carries out late.
+
+    The attempt had ended for its owner, who placed another task of the step there.
+    """
+
+    STEP = Step(2, 1000, per_worker=1)
+
+    @classmethod
+    def unanswered(cls) -> Cell:
+        """Return a cell with a start without an answer on its only worker."""
+        cell = Cell(cls.STEP, workers=1)
+        assert cell.place(0.1) == {0: "w0"}
+        cell.tasks()[0].start_unanswered = True
+        cell.state.workers["w0"].lease_sent_at_s = 0.1
+        return cell
+
+    @staticmethod
+    def check_after_restart(cell: Cell, now_s: float) -> None:
+        """Check that the step gets no place before the old start is ruled out."""
+        cell.tasks()[0].not_before_s = 99.0
+        cell.state.stop_orders.clear()
+        cell.state.handle_worker_restart(cell.state.workers["w0"], 2, now_s)
+        (order,) = cell.state.stop_orders
+        assert (order.name.key, order.attempt) == ((0, 0, 0), 1)
+        cell.state.update_workers([entry("w0", 2)], now_s + 0.05)
+        cell.answer_all(now_s + 0.05)
+        cell.poll("w0", now_s + 0.1, incarnation=2)
+        assert cell.place(now_s + 0.5) == {}
+        confirm_stop(cell.state, order, 2, now_s + 0.6)
+        assert cell.place(now_s + 0.7) == {}
+        cell.poll("w0", now_s + 0.8, incarnation=2)
+        assert cell.place(now_s + 0.9) == {1: "w0"}
+
+    def test_an_attempt_that_has_failed(self) -> None:
+        cell = self.unanswered()
+        cell.poll("w0", 0.5, ends=(ended(1, 0, AttemptEnd.FAILED),))
+        self.check_after_restart(cell, 1.0)
+
+    def test_an_attempt_that_was_given_up_with_its_lease(self) -> None:
+        cell = self.unanswered()
+        worker = cell.state.workers["w0"]
+        cell.state.reschedule_worker_tasks(worker, 5.0, "own lease expired")
+        self.check_after_restart(cell, 6.0)
+
+    def test_an_attempt_that_is_no_longer_listed(self) -> None:
+        cell = self.unanswered()
+        cell.poll("w0", 0.5)
+        assert cell.tasks()[0].phase == Phase.WAITING
+        self.check_after_restart(cell, 1.0)
+
+    def test_a_copy_that_was_forgotten_after_its_stop(self) -> None:
+        cell = self.unanswered()
+        task = cell.tasks()[0]
+        task.retire_newest_attempt()
+        cell.poll("w0", 0.5)
+        (order,) = cell.state.stop_orders
+        confirm_stop(cell.state, order, 1, 0.6)
+        cell.poll("w0", 0.7)
+        assert not task.copies
+        self.check_after_restart(cell, 1.0)
+
+    def test_after_the_longest_delay_of_an_order_nothing_is_waited_for(self) -> None:
+        cell = self.unanswered()
+        cell.poll("w0", 0.5, ends=(ended(1, 0, AttemptEnd.FAILED),))
+        cell.tasks()[0].not_before_s = 99.0
+        now_s = 0.6 + MAX_ORDER_DELAY_S
+        cell.state.handle_worker_restart(cell.state.workers["w0"], 2, now_s)
+        cell.state.update_workers([entry("w0", 2)], now_s)
+        cell.answer_all(now_s)
+        cell.poll("w0", now_s + 0.1, incarnation=2)
+        assert cell.place(now_s + 0.2) == {1: "w0"}
+
+    def test_a_restart_without_such_a_start_costs_no_wait(self) -> None:
+        cell = Cell(self.STEP, workers=1)
+        assert cell.place(0.1) == {0: "w0"}
+        cell.poll("w0", 0.2, runs=(running(0),))
+        cell.poll("w0", 0.3, ends=(ended(1, 0, AttemptEnd.FAILED),))
+        cell.tasks()[0].not_before_s = 99.0
+        cell.state.handle_worker_restart(cell.state.workers["w0"], 2, 1.0)
+        cell.state.update_workers([entry("w0", 2)], 1.0)
+        cell.answer_all(1.0)
+        cell.poll("w0", 1.1, incarnation=2)
+        assert cell.place(1.2) == {1: "w0"}
+
+
+class TestGangs:
+    """Guards against a gang that begins its count of a worker at zero."""
+
+    def test_an_older_attempt_of_the_step_counts(self) -> None:
+        cell = Cell(Step(2, 1000, per_worker=1, gang=True), workers=2)
+        cell.tasks()[0].copies[1] = "w0"
+        assert cell.place(0.1) == {}
+        cell.tasks()[0].forget_copy(1)
+        cell.state.mark_changed(JOB)
+        assert sorted(cell.place(0.2).values()) == ["w0", "w1"]
