Count attempts on a worker that its owner did not expect

Cause: an owner counts the newest attempts of a step's tasks and their known copies. An attempt that a worker lists and that is neither was told to stop, and the worker got nothing new for 0.3 s. The stop takes up to 0.9 s, and a worker without other tasks was not even polled again. One way there: a task is done while its copy runs, the cell changes its owner, and stored progress keeps no copies of done tasks. The limit was looked at when a task was placed, not when its start was sent, for the first time or again.

Now such an attempt is kept as an older attempt of its task: it has its place and its room on the worker, counts towards the caps, and is polled for, until the worker no longer lists it. If its job is not known, what it uses is not either, and the worker gets nothing until it is gone. A start is checked again when it is sent: one that has certainly not been carried out goes elsewhere, any other waits (START_WITHHELD).

test_a_run_that_it_does_not_know_keeps_its_worker_unused_for_a_while had the fault in it: the worker was to be used again after 0.9 s without a look at it. It asks for more now: unused until a poll no longer lists the run.

Cost: a worker without unexpected attempts is treated as before. With one, other tasks that fit beside it are placed at once (they waited 0.3 s), those that need its place wait for its end, up to the time of a stop.

--- a/src/chivetray/cells/copies.py
+++ b/src/chivetray/cells/copies.py
@@ -125,6 +125,27 @@
     return left_s > COPY_GAIN * (expected_s + COPY_OVERHEAD_S)
 
 
+def adopt_attempt(
+    state: CellState, worker: WorkerState, job: Job, task: Task, attempt: int
+) -> bool:
+    """Keep an attempt that runs without being expected as an older one, and stop it.
+
+    It has a place on its worker until a poll no longer lists it.
+
+    :return: whether the task can keep it, which knows one worker of each attempt
+    """
+    if attempt in task.copies or (task.active and attempt == task.attempt):
+        return False
+    if not task.active:
+        task.worker = ""
+    task.copies[attempt] = worker.worker_id
+    task.copy_incarnations[attempt] = worker.incarnation
+    worker.allocate((job.spec.job_id, task.key), job.spec.steps[task.key[1]])
+    state.stop_copy(job, task, attempt, StopReason.UNKNOWN_ATTEMPT)
+    state.mark_changed(job.spec.job_id)
+    return True
+
+
 def apply_copy_failure(
     state: CellState,
     worker: WorkerState,
--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -13,7 +13,7 @@
 from chivetray.cells.evacuation import may_send_stop
 from chivetray.cells.orders import Placement, StopOrder, StopReason
 from chivetray.cells.pace import record_start, review
-from chivetray.cells.places import describe_others
+from chivetray.cells.places import describe_others, has_place
 from chivetray.cells.polling import WorkerPoller
 from chivetray.cells.reports import confirm_start, confirm_stop, reject_start
 from chivetray.cells.timing import RETRY_PAUSE_S, TICK_S
@@ -149,6 +149,8 @@
             return True
         if worker.listed and worker.is_overcommitted:
             return self._withhold_start(job, task, placement)
+        if not has_place(worker, placement.ref, job.spec.steps[task.key[1]]):
+            return self._withhold_start_beside_others(task, worker, placement)
         sent_at_s = boot_time_s()
         lease_s = self._cell_owner.limit_lease_s(START_LEASE_S, sent_at_s)
         if not lease_s:
@@ -165,7 +167,7 @@
                 age_s=round(list_age_s, 1),
             )
             return True
-        self._log_limited_start(job, task, placement)
+        self._log_limited_start(job, task, worker, placement)
         deadline_ms = worker.clock.lower_bound_ms(sent_at_s) + int(lease_s * 1000)
         worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
         worker.lease_sent_at_s = max(worker.lease_sent_at_s, sent_at_s)
@@ -216,7 +218,33 @@
         self._cell_owner.wake()
         return True
 
-    def _log_limited_start(self, job: Job, task: Task, placement: Placement) -> None:
+    def _withhold_start_beside_others(
+        self, task: Task, worker: WorkerState, placement: Placement
+    ) -> bool:
+        """Do not start a task where its step has no place left; return ``True``.
+
+        What has become known there since the placement is being stopped. A start that
+        may be carried out already waits for that; any other goes elsewhere.
+        """
+        is_out = task.start_unanswered or task.inherited
+        log_event(
+            Event.START_WITHHELD,
+            task=str(TaskName(*placement.ref)),
+            attempt=placement.attempt,
+            worker=placement.worker_id,
+            incarnation=placement.incarnation,
+            epoch=self._cell_owner.epoch,
+            others=describe_others(self._state, worker, placement.ref),
+            waits=is_out,
+        )
+        if not is_out:
+            reject_start(self._state, placement, boot_time_s())
+            self._cell_owner.wake()
+        return True
+
+    def _log_limited_start(
+        self, job: Job, task: Task, worker: WorkerState, placement: Placement
+    ) -> None:
         """Log who else counts towards the limit of a step on the worker of a start."""
         step = job.spec.steps[task.key[1]]
         if step.per_worker:
@@ -228,7 +256,7 @@
                 incarnation=placement.incarnation,
                 epoch=self._cell_owner.epoch,
                 limit=step.per_worker,
-                others=describe_others(job, task, placement.worker_id),
+                others=describe_others(self._state, worker, placement.ref),
                 unanswered_tries=task.unanswered_starts,
             )
 
--- a/src/chivetray/cells/placing.py
+++ b/src/chivetray/cells/placing.py
@@ -7,6 +7,7 @@
 from chivetray.cells.gangs import place_gang
 from chivetray.cells.isolation import isolate_workers, workers_for
 from chivetray.cells.orders import Placement
+from chivetray.cells.places import count_places
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import WorkerState
 from chivetray.events import Event, log_event
@@ -110,14 +111,11 @@
 ) -> list[Placement]:
     if is_held_by_cap(state, job, step, tasks, workers):
         return []
-    tasks_per_worker: dict[str, int] = {}
+    tasks_per_worker = count_places(tasks)
     tasks_per_rack: dict[str, int] = {}
     for task in tasks:
-        for worker_id in task.copies.values():
-            tasks_per_worker[worker_id] = tasks_per_worker.get(worker_id, 0) + 1
         if task.active:
             worker = state.workers.get(task.worker)
-            tasks_per_worker[task.worker] = tasks_per_worker.get(task.worker, 0) + 1
             if worker is not None:
                 tasks_per_rack[worker.rack] = tasks_per_rack.get(worker.rack, 0) + 1
     if job.spec.ticket_validity_ms:
--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -145,9 +145,8 @@
             return False
         if worker.silent_since_s or not (worker.tasks_known and worker.clock.known):
             return worker.listed or bool(worker.tasks)
-        return (
-            bool(worker.tasks) or worker.last_stored_end > worker.last_acknowledged_end
-        )
+        has_open_ends = worker.last_stored_end > worker.last_acknowledged_end
+        return bool(worker.tasks) or has_open_ends or worker.runs_unknown_job
 
     async def _poll(self, worker: WorkerState) -> None:
         """Extend the lease, acknowledge stored ends, and wait for the next end."""
@@ -179,6 +178,8 @@
                 wait_ms = min(wait_ms, settling_time_ms(self._state, worker, sent_at_s))
             if self._awaits_listing(worker):
                 wait_ms = min(wait_ms, UNCERTAIN_ATTEMPT_POLL_WAIT_MS)
+        if worker.runs_unknown_job and not worker.tasks:
+            wait_ms = UNCERTAIN_ATTEMPT_POLL_WAIT_MS
         observed, incarnation = _acknowledgeable_end(worker), worker.incarnation
         reply = await self._workers.poll(
             address, self._cell_owner.epoch, observed, deadline_ms, wait_ms
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -4,7 +4,11 @@
 
 from typing import Any
 
-from chivetray.cells.copies import apply_copy_failure, settle_missing_copies
+from chivetray.cells.copies import (
+    adopt_attempt,
+    apply_copy_failure,
+    settle_missing_copies,
+)
 from chivetray.cells.crashes import settle
 from chivetray.cells.orders import Placement, StopOrder, StopReason
 from chivetray.cells.pace import record_failure, record_run
@@ -15,14 +19,17 @@
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import JobState, Phase, Step, Task
 from chivetray.jobs.suspicion import SETTLED_AFTER_S
-from chivetray.platform.workers import AttemptEnd, EndedTask, Reply, TaskName
+from chivetray.platform.workers import (
+    AttemptEnd,
+    EndedTask,
+    Reply,
+    RunningTask,
+    TaskName,
+)
 
 # Delay before a task is retried after a failed attempt.
 FAILED_RETRY_S = 0.05
 
-# Pause of placements on a worker that runs an attempt unknown to this owner.
-UNKNOWN_ATTEMPT_PAUSE_S = 0.3
-
 
 def apply_poll_reply(
     state: CellState, worker: WorkerState, reply: Reply, sent_at_s: float, now_s: float
@@ -38,6 +45,7 @@
         state.handle_worker_restart(worker, reply.incarnation, now_s)
     worker.tasks_known = True
     worker.answered_poll_sent_at_s = sent_at_s
+    worker.runs_unknown_job = False
     listed: set[tuple[str, object, int]] = set()
     for ended in sorted(reply.ended, key=lambda item: item.number):
         listed.add((ended.name.job_id, ended.name.key, ended.attempt))
@@ -60,20 +68,7 @@
             or task.attempt != running.attempt
             or not task.active
         ):
-            _log_unexpected(
-                Event.ATTEMPT_UNKNOWN, state, worker, running.name, running.attempt
-            )
-            state.stop_orders.append(
-                StopOrder(
-                    running.name,
-                    running.attempt,
-                    worker.worker_id,
-                    StopReason.UNKNOWN_ATTEMPT,
-                )
-            )
-            if (running.name.job_id, running.name.key) not in worker.tasks:
-                # The capacity of this attempt is missing in the worker's used capacity.
-                worker.unhealthy_until_s = now_s + UNKNOWN_ATTEMPT_PAUSE_S
+            _stop_unexpected(state, worker, job, task, running)
             continue
         task.percent, task.listed_at_s = running.percent, sent_at_s
         task.level = running.level
@@ -148,6 +143,28 @@
             state.release_attempt(worker, job, task, now_s, "not listed")
 
 
+def _stop_unexpected(
+    state: CellState,
+    worker: WorkerState,
+    job: Job | None,
+    task: Task | None,
+    running: RunningTask,
+) -> None:
+    """Stop an attempt that this owner does not expect, which counts until it ends."""
+    name, attempt = running.name, running.attempt
+    _log_unexpected(Event.ATTEMPT_UNKNOWN, state, worker, name, attempt)
+    if (name.job_id, name.key) not in worker.tasks:
+        if (
+            job is not None
+            and task is not None
+            and adopt_attempt(state, worker, job, task, attempt)
+        ):
+            return
+        worker.runs_unknown_job = True
+    order = StopOrder(name, attempt, worker.worker_id, StopReason.UNKNOWN_ATTEMPT)
+    state.stop_orders.append(order)
+
+
 def _log_unexpected(
     event: Event,
     state: CellState,
--- a/src/chivetray/cells/waiting.py
+++ b/src/chivetray/cells/waiting.py
@@ -17,6 +17,7 @@
 from chivetray.cells.advice import MIN_TICKET_VALIDITY_S
 from chivetray.cells.cap_use import waits_for_cap
 from chivetray.cells.orders import StepRef
+from chivetray.cells.places import count_places
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import PROBE_INTERVAL_S, TaskRef, WorkerState
 from chivetray.events import Event, log_event
@@ -72,6 +73,7 @@
     SILENT = "silent worker"
     NOT_POLLED = "worker without a reply"
     LEASE_END_HELD = "removal of the stored lease end"
+    UNKNOWN_JOB = "end of an unknown task"
     PAUSED = "paused worker"
     QUARANTINED = "quarantined worker"
     ISOLATION = "worker without other tasks"
@@ -426,9 +428,7 @@
 
     :param excluded: workers that may still run an older attempt of the task
     """
-    tasks_per_worker = Counter(task.worker for task in tasks if task.active)
-    for task in tasks:
-        tasks_per_worker.update(task.copies.values())
+    tasks_per_worker = count_places(tasks)
     step_ref = (job.spec.job_id, tasks[0].key[0], tasks[0].key[1])
     counts: Counter[WaitReason] = Counter()
     until_s: dict[WaitReason, float] = {}
@@ -494,6 +494,8 @@
         return WaitReason.NOT_POLLED, None
     if worker.lease_end_held:
         return WaitReason.LEASE_END_HELD, None
+    if worker.runs_unknown_job:
+        return WaitReason.UNKNOWN_JOB, None
     if worker.draining:
         return WaitReason.DRAINING, None
     if not worker.may_run(step, now_s):
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -228,6 +228,11 @@
         1689,
         "A start is sent whose step has a limit per worker; lists the others there.",
     )
+    START_WITHHELD = (
+        1696,
+        "A start is not sent, since its step has no place left on the worker; lists "
+        "the others there.",
+    )
     PLACE_FREED = (
         1695,
         "An attempt of a step with a limit per worker no longer counts on its worker.",
--- a/tests/test_limited_steps.py
+++ b/tests/test_limited_steps.py
@@ -7,7 +7,7 @@
 import anyio
 from cell_helpers import CELL, World, job, until
 
-from chivetray.cells.places import find_places
+from chivetray.cells.places import count_places, describe_others
 from chivetray.cells.placing import place_tasks
 from chivetray.cells.polling import WorkerPoller
 from chivetray.cells.reports import apply_poll_reply, confirm_start, confirm_stop
@@ -95,10 +95,13 @@
         task.retire_newest_attempt()
         cell.state.mark_changed(JOB)
         again = cell.place(0.2)
-        places = find_places(cell.tasks())
-        assert sorted(places) == ["w0", "w1", "w2"]
-        assert [p.state for p in places[placed[0]]] == ["COPY"]
-        assert [(p.attempt, p.state) for p in places[again[0]]] == [(2, "RUNNING")]
+        assert count_places(cell.tasks()) == {"w0": 1, "w1": 1, "w2": 1}
+        other = (JOB, (0, 0, 1))
+        workers = cell.state.workers
+        described = describe_others(cell.state, workers[placed[0]], other)
+        assert described == [[0, 1, "COPY"]]
+        described = describe_others(cell.state, workers[again[0]], other)
+        assert described == [[0, 2, "RUNNING"]]
 
     def test_each_place_that_is_freed_has_a_line_with_the_reason(self, logged) -> None:
         cell = Cell(Step(2, 1000, per_worker=1))
@@ -190,8 +193,8 @@
 
         async def scenario() -> None:
             world = World(workers=1, work_s=30)
-            world.workers.lose_starts = 1
-            world.workers.lose_stops = 4
+            world.workers.lose_starts = 6
+            world.workers.lose_stops = 15
             model = world.models["w0"]
             owner = await world.own()
 
--- a/tests/test_task_copies.py
+++ b/tests/test_task_copies.py
@@ -333,7 +333,7 @@
         assert later.workers[copied.old].used_cpu_milli == 3000
         assert later.workers[copied.new].used_cpu_milli == 3000
 
-    def test_a_run_that_it_does_not_know_keeps_its_worker_unused_for_a_while(
+    def test_a_run_that_it_does_not_know_keeps_its_worker_unused_until_it_ends(
         self,
     ) -> None:
         copied = Copied()
@@ -347,4 +347,7 @@
         worker = copied.state.workers[copied.new]
         apply_poll_reply(copied.state, worker, reply, 2.0, 2.1)
         assert not worker.accepts_tasks(2.2)
-        assert worker.accepts_tasks(3.0)
+        assert not worker.accepts_tasks(9.0)
+        gone = Reply(Verdict.OK, 100, 1, [], [])
+        apply_poll_reply(copied.state, worker, gone, 9.1, 9.2)
+        assert worker.accepts_tasks(9.3)
