Count older attempts towards the limit of gangs and of moves

What callers could see: more tasks of a gang's step on a worker than the step allows; a long-running task stopped although no worker had a place for it.

Cause: two of the four places that count a step's tasks on a worker left older attempts out: _fit_gang began at zero, has_room counted the newest attempts only. All four use count_places now, which counts each task once.

A gang has older attempts since unexpected ones are kept as such.

--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Iterable
 from typing import Any
 
 from chivetray.cells.orders import StopOrder, StopReason
+from chivetray.cells.places import count_places
 from chivetray.cells.reports import confirm_start
 from chivetray.cells.state import CellState
 from chivetray.cells.timing import MAX_ORDER_DELAY_S
@@ -184,12 +184,8 @@
     """
     occurrence, step_number, _ = task.key
     step = job.spec.steps[step_number]
-    others = [
-        other
-        for other in job.step_tasks(occurrence, step_number)
-        if other.active and other is not task
-    ]
-    tasks_per_worker = Counter(other.worker for other in others)
+    tasks = job.step_tasks(occurrence, step_number)
+    tasks_per_worker = count_places(other for other in tasks if other is not task)
     candidates = [
         worker
         for worker in state.workers.values()
--- a/src/chivetray/cells/gangs.py
+++ b/src/chivetray/cells/gangs.py
@@ -4,6 +4,7 @@
 
 from chivetray.cells.cap_use import may_start_gang
 from chivetray.cells.orders import Placement, StopReason
+from chivetray.cells.places import count_places
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import WorkerState
 from chivetray.jobs.job import Job
@@ -58,11 +59,17 @@
 
     The resources allocated to find that out are freed again.
     """
-    tasks_per_worker: dict[str, int] = {}
+    tasks_per_worker = count_places(tasks)
     chosen: list[WorkerState] = []
     for task in tasks:
+        # A worker rejects a newer attempt beside an older one of the same task.
+        older_here = set(task.copies.values())
         candidate = choose_worker(
-            step, workers, task.avoided_workers, tasks_per_worker, {}
+            step,
+            [worker for worker in workers if worker.worker_id not in older_here],
+            task.avoided_workers,
+            tasks_per_worker,
+            {},
         )
         if candidate is None:
             break
--- a/tests/test_limited_steps.py
+++ b/tests/test_limited_steps.py
@@ -7,6 +7,7 @@
 import anyio
 from cell_helpers import CELL, World, job, until
 
+from chivetray.cells.evacuation import has_room
 from chivetray.cells.places import count_places, describe_others
 from chivetray.cells.placing import place_tasks
 from chivetray.cells.polling import WorkerPoller
@@ -316,3 +317,20 @@
         cell.tasks()[0].forget_copy(1)
         cell.state.mark_changed(JOB)
         assert sorted(cell.place(0.2).values()) == ["w0", "w1"]
+
+
+class TestMoves:
+    """Guards against a stop of a long-running task that has nowhere to go.
+
+    A worker was taken for one with a place left beside an older attempt of its step.
+    """
+
+    def test_a_worker_with_an_older_attempt_of_the_step_is_no_room(self) -> None:
+        step = Step(2, 1000, per_worker=1, long_running=True, max_unavailable=1)
+        cell = Cell(step, workers=3)
+        placed = cell.place(0.1)
+        task, other = cell.tasks()
+        assert has_room(cell.state, cell.job, task, 0.2)
+        (free,) = set(cell.state.workers) - set(placed.values())
+        other.copies[7] = free
+        assert not has_room(cell.state, cell.job, task, 0.2)
