Give old starts a place until a restarted worker has ruled them out

Cause: a start that had no answer may be carried out by the worker's next incarnation, which knows neither fencing tokens nor ended attempts. And only ends that a worker had listed were remembered; attempts that were given up with their lease, no longer listed, or forgotten as copies left no trace.

Now every way on which an attempt leaves remembers a start that may still be carried out, and after a restart each of these has a place on the worker, without room, until its stop is answered by the new incarnation and a later poll does not list it. Stops are repeated until then, as for other older attempts. A worker that is not listed is kept for as long.

Cost: the answer to one stop and one poll after a restart, for steps with a limit on that worker.

--- a/src/chivetray/cells/copies.py
+++ b/src/chivetray/cells/copies.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from chivetray.cells.orders import StopOrder, StopReason
-from chivetray.cells.places import log_place_freed
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import TaskRef, WorkerState
 from chivetray.events import Event, log_event
@@ -125,27 +124,6 @@
     return left_s > COPY_GAIN * (expected_s + COPY_OVERHEAD_S)
 
 
-def adopt_attempt(
-    state: CellState, worker: WorkerState, job: Job, task: Task, attempt: int
-) -> bool:
-    """Keep an attempt that runs without being expected as an older one, and stop it.
-
-    It has a place on its worker until a poll no longer lists it.
-
-    :return: whether the task can keep it, which knows one worker of each attempt
-    """
-    if attempt in task.copies or (task.active and attempt == task.attempt):
-        return False
-    if not task.active:
-        task.worker = ""
-    task.copies[attempt] = worker.worker_id
-    task.copy_incarnations[attempt] = worker.incarnation
-    worker.allocate((job.spec.job_id, task.key), job.spec.steps[task.key[1]])
-    state.stop_copy(job, task, attempt, StopReason.UNKNOWN_ATTEMPT)
-    state.mark_changed(job.spec.job_id)
-    return True
-
-
 def apply_copy_failure(
     state: CellState,
     worker: WorkerState,
@@ -155,8 +133,8 @@
     now_s: float,
 ) -> None:
     """Apply the end of an older attempt that is not done."""
-    task.forget_copy(ended.attempt)
-    log_place_freed(job, task, ended.attempt, worker, ended.how.value)
+    how = ended.how.value
+    state.forget_older_attempt(worker, job, task, ended.attempt, now_s, how)
     if task.worker != worker.worker_id:
         worker.free((job.spec.job_id, task.key), now_s)
     state.mark_changed(job.spec.job_id)
@@ -191,8 +169,8 @@
             state.stop_copy(job, task, attempt, StopReason.VANISHED_COPY)
             worker.pause(now_s + UNANSWERED_STOP_PAUSE_S)
         elif 0 < answered_at_s < sent_at_s:
-            task.forget_copy(attempt)
-            log_place_freed(job, task, attempt, worker, "not listed after its stop")
+            reason = "not listed after its stop"
+            state.forget_older_attempt(worker, job, task, attempt, now_s, reason)
             state.mark_changed(ref[0])
     if worker.worker_id in task.copies.values():
         worker.suspend(ref)
--- a/src/chivetray/cells/crashes.py
+++ b/src/chivetray/cells/crashes.py
@@ -179,7 +179,7 @@
 def _may_run(task: Task) -> bool:
     """Return whether the newest attempt may have begun and not ended."""
     if task.phase == Phase.PLACED:
-        return task.start_unanswered or task.inherited
+        return task.may_start_late
     if task.phase == Phase.STOPPING:
         return not task.stopped_at_s
     return task.phase == Phase.RUNNING
--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -211,7 +211,7 @@
         A worker that checks no admission would start it. A start that may be carried
         out already is stopped there.
         """
-        if task.start_unanswered or task.inherited:
+        if task.may_start_late:
             self._state.stop_attempt(job, task.key, StopReason.WORKER_TOO_SMALL)
         else:
             reject_start(self._state, placement, boot_time_s())
@@ -226,7 +226,7 @@
         What has become known there since the placement is being stopped. A start that
         may be carried out already waits for that; any other goes elsewhere.
         """
-        is_out = task.start_unanswered or task.inherited
+        is_out = task.may_start_late
         log_event(
             Event.START_WITHHELD,
             task=str(TaskName(*placement.ref)),
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -4,11 +4,7 @@
 
 from typing import Any
 
-from chivetray.cells.copies import (
-    adopt_attempt,
-    apply_copy_failure,
-    settle_missing_copies,
-)
+from chivetray.cells.copies import apply_copy_failure, settle_missing_copies
 from chivetray.cells.crashes import settle
 from chivetray.cells.orders import Placement, StopOrder, StopReason
 from chivetray.cells.pace import record_failure, record_run
@@ -153,15 +149,19 @@
     """Stop an attempt that this owner does not expect, which counts until it ends."""
     name, attempt = running.name, running.attempt
     _log_unexpected(Event.ATTEMPT_UNKNOWN, state, worker, name, attempt)
-    if (name.job_id, name.key) not in worker.tasks:
-        if (
-            job is not None
-            and task is not None
-            and adopt_attempt(state, worker, job, task, attempt)
-        ):
-            return
+    reason = StopReason.UNKNOWN_ATTEMPT
+    has_place = (name.job_id, name.key) in worker.tasks
+    is_kept = (
+        job is not None
+        and task is not None
+        and not has_place
+        and state.keep_older_attempt(worker, job, task, attempt, reason)
+    )
+    if is_kept:
+        return
+    if not has_place:
         worker.runs_unknown_job = True
-    order = StopOrder(name, attempt, worker.worker_id, StopReason.UNKNOWN_ATTEMPT)
+    order = StopOrder(name, attempt, worker.worker_id, reason)
     state.stop_orders.append(order)
 
 
@@ -200,7 +200,7 @@
         _log_ignored_end(state, worker, ended, job, task)
         return
     is_newest = task.worker == worker.worker_id and task.attempt == ended.attempt
-    if is_newest and (task.start_unanswered or task.inherited):
+    if is_newest and task.may_start_late:
         worker.expect_late_start((job.spec.job_id, task.key), ended.attempt, now_s)
     if ended.how == AttemptEnd.DONE and 0 < ended.attempt <= task.attempt:
         _apply_done(state, worker, job, task, ended, now_s)
@@ -279,8 +279,8 @@
     ref = (job.spec.job_id, task.key)
     is_newest = task.worker == worker.worker_id and task.attempt == ended.attempt
     if task.copies.get(ended.attempt) == worker.worker_id:
-        task.forget_copy(ended.attempt)
-        log_place_freed(job, task, ended.attempt, worker, ended.how.value)
+        how = ended.how.value
+        state.forget_older_attempt(worker, job, task, ended.attempt, now_s, how)
         state.mark_changed(job.spec.job_id)
     if is_newest and task.active:
         log_place_freed(job, task, ended.attempt, worker, ended.how.value)
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -359,6 +359,7 @@
                 not worker.tasks
                 and not worker.is_reserved(now_s)
                 and now_s - worker.missing_since_s > UNLISTED_WORKER_TTL_S
+                and not worker.expects_late_starts(now_s)
             ):
                 del self.workers[worker_id]
 
@@ -579,12 +580,24 @@
     def _stop_late_starts(self, worker: WorkerState, now_s: float) -> None:
         """Stop ended attempts in a new incarnation, which does not know of their end.
 
-        A worker rejects the start of an attempt that was stopped before.
+        A worker rejects the start of an attempt that was stopped before. Until then the
+        attempt has a place there, though no room, as it may begin at any time.
         """
+        reason = StopReason.ENDED_BEFORE_RESTART
         for (ref, attempt), until_s in worker.late_starts_until_s.items():
-            if until_s >= now_s:
-                name, reason = TaskName(*ref), StopReason.ENDED_BEFORE_RESTART
-                order = StopOrder(name, attempt, worker.worker_id, reason)
+            if until_s < now_s:
+                continue
+            job, task = self.find_task(ref)
+            is_elsewhere = (
+                job is not None
+                and task is not None
+                and ref not in worker.tasks
+                and self.keep_older_attempt(worker, job, task, attempt, reason)
+            )
+            if is_elsewhere:
+                worker.suspend(ref)
+            else:
+                order = StopOrder(TaskName(*ref), attempt, worker.worker_id, reason)
                 self.stop_orders.append(order)
 
     def _is_of_earlier_incarnation(self, worker: WorkerState, ref: TaskRef) -> bool:
@@ -694,8 +707,25 @@
         if job is not None and task is not None:
             for attempt, worker_id in list(task.copies.items()):
                 if worker_id == worker.worker_id:
-                    task.forget_copy(attempt)
-                    log_place_freed(job, task, attempt, worker, reason)
+                    self.forget_older_attempt(worker, job, task, attempt, now_s, reason)
+
+    def forget_older_attempt(
+        self,
+        worker: WorkerState,
+        job: Job,
+        task: Task,
+        attempt: int,
+        now_s: float,
+        reason: str,
+    ) -> None:
+        """Forget an older attempt that has ended, or cannot run here any more.
+
+        :param reason: why, for the log
+        """
+        if attempt in task.unanswered_copies:
+            worker.expect_late_start((job.spec.job_id, task.key), attempt, now_s)
+        task.forget_copy(attempt)
+        log_place_freed(job, task, attempt, worker, reason)
 
     def release_attempt(
         self,
@@ -709,6 +739,8 @@
 
         :param reason: why it has ended, for the log
         """
+        if task.may_start_late:
+            worker.expect_late_start((job.spec.job_id, task.key), task.attempt, now_s)
         log_place_freed(job, task, task.attempt, worker, reason)
         worker.free((job.spec.job_id, task.key), now_s)
         if task.phase != Phase.DONE:
@@ -776,6 +808,33 @@
         order = StopOrder(name, attempt, task.copies[attempt], reason)
         self.stop_orders.append(order)
 
+    def keep_older_attempt(
+        self,
+        worker: WorkerState,
+        job: Job,
+        task: Task,
+        attempt: int,
+        reason: StopReason,
+    ) -> bool:
+        """Keep an attempt that runs, or may begin, as an older one, and stop it.
+
+        It has a place on its worker until a poll after the stop does not list it.
+
+        :return: whether the task can keep it, which knows one worker of each attempt
+        """
+        if attempt in task.copies or (task.active and attempt == task.attempt):
+            return False
+        if not task.active:
+            task.worker = ""
+        ref, step = (job.spec.job_id, task.key), job.spec.steps[task.key[1]]
+        task.copies[attempt] = worker.worker_id
+        task.copy_incarnations[attempt] = worker.incarnation
+        task.unanswered_copies.add(attempt)
+        worker.allocate(ref, step)
+        self.stop_copy(job, task, attempt, reason)
+        self.mark_changed(job.spec.job_id)
+        return True
+
     def _stop_copies_after_restart(self, worker: WorkerState, ref: TaskRef) -> None:
         """Stop the older attempts of a task in the new incarnation of a worker.
 
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -202,6 +202,10 @@
             del remembered[key]
         remembered[ref, attempt] = now_s + MAX_ORDER_DELAY_S
 
+    def expects_late_starts(self, now_s: float) -> bool:
+        """Return whether a start of an ended attempt may still be carried out."""
+        return any(until_s >= now_s for until_s in self.late_starts_until_s.values())
+
     def pause(self, until_s: float) -> None:
         """Place nothing new on the worker until a time."""
         self.unhealthy_until_s = max(self.unhealthy_until_s, until_s)
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -228,6 +228,7 @@
             task.inherited, task.pace_known = True, False
             task.address = row[9]
             task.copies = dict(row[10])
+            task.unanswered_copies = set(task.copies)
             # Rows of earlier releases end here.
             if len(row) > 11:
                 task.copy_incarnations = dict(row[11])
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -183,6 +183,7 @@
     :ivar settled_copies: older attempts that had settled
     :ivar stopping_copies: time at which the worker answered the stop of an older
         attempt, 0 until then, by attempt; only of attempts that are being stopped
+    :ivar unanswered_copies: older attempts of which a start may yet be carried out
     """
 
     key: TaskKey
@@ -221,6 +222,7 @@
     copy_incarnations: dict[int, int] = field(default_factory=dict)
     settled_copies: set[int] = field(default_factory=set)
     stopping_copies: dict[int, float] = field(default_factory=dict)
+    unanswered_copies: set[int] = field(default_factory=set)
 
     @property
     def active(self) -> bool:
@@ -234,7 +236,12 @@
         Answers to orders do not name the incarnation, so that the answered start may
         have reached the later one, unless a poll has listed the attempt before.
         """
-        return self.start_unanswered or self.inherited or not self.listed_at_s
+        return self.may_start_late or not self.listed_at_s
+
+    @property
+    def may_start_late(self) -> bool:
+        """Whether a start of the newest attempt may yet be carried out."""
+        return self.start_unanswered or self.inherited
 
     def retire_newest_attempt(self) -> None:
         """Make the newest attempt an older one, which may run on; the task waits."""
@@ -244,6 +251,8 @@
             self.stopping_copies[self.attempt] = self.stopped_at_s
         if self.settled:
             self.settled_copies.add(self.attempt)
+        if self.may_start_late:
+            self.unanswered_copies.add(self.attempt)
         self.settled = False
         self.phase, self.worker = Phase.WAITING, ""
 
@@ -253,3 +262,4 @@
         self.copy_incarnations.pop(attempt, None)
         self.stopping_copies.pop(attempt, None)
         self.settled_copies.discard(attempt)
+        self.unanswered_copies.discard(attempt)
--- a/src/chivetray/jobs/progress.py
+++ b/src/chivetray/jobs/progress.py
@@ -204,6 +204,7 @@
     task.crashes, task.lone_crashes = optional[3:5]
     task.suspect, task.isolated = bool(optional[5]), bool(optional[6])
     task.copies, task.copy_incarnations = dict(optional[7]), dict(optional[8])
+    task.unanswered_copies = set(task.copies)
 
 
 def _unpack(content: bytes) -> list[Any]:
