Let a task wait for a run of it that its owner did not expect

Cause: an attempt that had left its owner's books and that a worker then listed was stopped, while its task started anew on another worker: the stop takes up to 0.9 s.

Now such a task waits until the run has ended, where its step allows no copies; gangs wait for their members'. A worker that falls silent is not waited for, as before: its leases end in time. TASK_WAITS names the wait ("older attempt").

Evidence: two tests fail before, a place 0.1 s after the listing.

Cost: the time of a stop for such a task; none without one.

--- a/src/chivetray/cells/gangs.py
+++ b/src/chivetray/cells/gangs.py
@@ -26,6 +26,8 @@
     """
     if any(t.phase != Phase.WAITING or t.not_before_s > now_s for t in tasks):
         return []
+    if any(state.awaits_older_attempt(task, step) for task in tasks):
+        return []
     groups = [workers]
     if step.same_rack:
         racks = sorted({candidate.rack for candidate in workers})
--- a/src/chivetray/cells/placing.py
+++ b/src/chivetray/cells/placing.py
@@ -138,6 +138,8 @@
     for task in tasks:
         if task.phase != Phase.WAITING or task.not_before_s > now_s:
             continue
+        if state.awaits_older_attempt(task, step):
+            continue
         candidates = (
             workers_for(state, job_id, True, workers) if task.suspect else open_workers
         )
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -864,6 +864,17 @@
 
     # Placement
 
+    def awaits_older_attempt(self, task: Task, step: Step) -> bool:
+        """Return whether a task may not start yet, beside an older attempt of it.
+
+        Where the step allows no copies, the older attempt has to be ruled out first. A
+        silent worker is not waited for beyond the leases that it may hold.
+        """
+        if step.copies or not task.copies:
+            return False
+        workers = map(self.workers.get, task.copies.values())
+        return any(worker and not worker.silent_since_s for worker in workers)
+
     def count_storable(self, job: Job, worker: WorkerState | None = None) -> float:
         """Return how many more tasks of a job may start with room in its stored row.
 
--- a/src/chivetray/cells/waiting.py
+++ b/src/chivetray/cells/waiting.py
@@ -79,6 +79,7 @@
     ISOLATION = "worker without other tasks"
     ISOLATED = "worker kept for suspected tasks"
     DRAINING = "draining worker"
+    OLDER_RUN = "older attempt"
     OLDER_ATTEMPT = "older attempt there"
     PER_WORKER = "limit per worker"
     FULL = "no room"
@@ -408,6 +409,8 @@
             return Wait(WaitReason.GANG, None, tuple({t.worker for t in others}))
     if task.not_before_s > now_s:
         return Wait(WaitReason.RETRY_PAUSE, task.not_before_s)
+    if state.awaits_older_attempt(task, step):
+        return Wait(WaitReason.OLDER_RUN, None, tuple(task.copies.values()))
     if task.suspect:
         return Wait(WaitReason.ISOLATION)
     return None
--- a/tests/test_limited_steps.py
+++ b/tests/test_limited_steps.py
@@ -334,3 +334,39 @@
         (free,) = set(cell.state.workers) - set(placed.values())
         other.copies[7] = free
         assert not has_room(cell.state, cell.job, task, 0.2)
+
+
+class TestTwoRunsOfOneTask:
+    """Guards against a start beside an unexpected run of the same task (TWICE)."""
+
+    def test_a_task_waits_for_its_own_run_that_is_being_stopped(self) -> None:
+        cell = Cell(Step(1, 1000), workers=2)
+        placed = cell.place(0.1)
+        cell.poll(placed[0], 0.5)
+        assert cell.tasks()[0].phase == Phase.WAITING
+        cell.poll(placed[0], 0.6, runs=(running(0),))
+        assert cell.place(0.7) == {}
+        end = ended(1, 0, AttemptEnd.STOPPED)
+        cell.poll(placed[0], 1.4, ends=(end,))
+        assert list(cell.place(1.5)) == [0]
+
+    def test_a_gang_waits_for_such_a_run_of_a_member(self) -> None:
+        cell = Cell(Step(2, 1000, gang=True), workers=3)
+        placed = cell.place(0.1)
+        for task in cell.tasks():
+            cell.state.release_attempt(
+                cell.state.workers[task.worker], cell.job, task, 0.4
+            )
+        cell.poll(placed[0], 0.6, runs=(running(0),))
+        assert cell.place(0.7) == {}
+        end = ended(1, 0, AttemptEnd.STOPPED)
+        cell.poll(placed[0], 1.4, ends=(end,))
+        assert sorted(cell.place(1.5)) == [0, 1]
+
+    def test_a_worker_that_falls_silent_is_not_waited_for(self) -> None:
+        cell = Cell(Step(1, 1000), workers=2)
+        placed = cell.place(0.1)
+        cell.poll(placed[0], 0.5)
+        cell.poll(placed[0], 0.6, runs=(running(0),))
+        cell.state.workers[placed[0]].silent_since_s = 0.7
+        assert list(cell.place(0.8)) == [0]
