Blame no old start for a crash before it has begun

Cause: an old start that is kept after a restart counted as an attempt that may have run when the worker crashed again.

Now it counts as settled until a poll lists it, and is to blame from then on.

Evidence: the first test of TestCrashesBesideStartsOfThePast counts a crash before and none now; the second, of a start that has begun, counts one in both.

--- a/src/chivetray/cells/copies.py
+++ b/src/chivetray/cells/copies.py
@@ -161,7 +161,11 @@
         return
     attempts = [a for a, w in task.copies.items() if w == worker.worker_id]
     if any((ref[0], ref[1], attempt) in listed for attempt in attempts):
-        worker.allocate(ref, job.spec.steps[ref[1][1]])
+        step = job.spec.steps[ref[1][1]]
+        if worker.tasks.get(ref) != step:
+            # It has begun after all, and may crash its worker.
+            task.settled_copies.difference_update(attempts)
+        worker.allocate(ref, step)
         return
     for attempt in attempts:
         answered_at_s = task.stopping_copies.get(attempt)
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -594,7 +594,9 @@
                 and ref not in worker.tasks
                 and self.keep_older_attempt(worker, job, task, attempt, reason)
             )
-            if is_elsewhere:
+            if task is not None and is_elsewhere:
+                # A crash is not its fault unless it begins.
+                task.settled_copies.add(attempt)
                 worker.suspend(ref)
             else:
                 order = StopOrder(TaskName(*ref), attempt, worker.worker_id, reason)
--- a/tests/test_limited_steps.py
+++ b/tests/test_limited_steps.py
@@ -307,6 +307,32 @@
         assert cell.place(1.2) == {1: "w0"}
 
 
+class TestCrashesBesideStartsOfThePast:
+    """Guards against blaming a start that never began for the crash of its worker."""
+
+    @staticmethod
+    def restarted() -> Cell:
+        cell = TestStartsOfThePast.unanswered()
+        worker = cell.state.workers["w0"]
+        cell.state.reschedule_worker_tasks(worker, 0.5, "own lease expired")
+        cell.tasks()[0].not_before_s = 99.0
+        cell.state.handle_worker_restart(cell.state.workers["w0"], 2, 1.0)
+        cell.answer_all(1.0)
+        cell.poll("w0", 1.1, incarnation=2)
+        return cell
+
+    def test_one_that_has_not_begun_is_not_blamed(self) -> None:
+        cell = self.restarted()
+        cell.state.handle_worker_restart(cell.state.workers["w0"], 3, 1.2)
+        assert cell.tasks()[0].crashes == 0
+
+    def test_one_that_has_begun_is(self) -> None:
+        cell = self.restarted()
+        cell.poll("w0", 1.2, runs=(running(0),), incarnation=2)
+        cell.state.handle_worker_restart(cell.state.workers["w0"], 3, 1.3)
+        assert cell.tasks()[0].crashes == 1
+
+
 class TestGangs:
     """Guards against a gang that begins its count of a worker at zero."""
 
