Wait for the list that describes a restarted worker

What callers could see: a task on a worker without the label that it requires (ROUTE), or beyond a capacity that is smaller since the restart (LIMIT).

Cause: a poll may show that a worker has restarted before the list of workers does. Labels and capacity come with the list, so that those of the earlier incarnation stayed in force, for new placements and for starts that are sent again, and a start was never compared with the label again.

Now nothing is placed or started on a worker whose listed incarnation is older than the one that answers, and a start is given up, or stopped where it may have been carried out, if the label is gone by then, as it was for a capacity that has shrunk. A list that names no incarnation is taken as it is.

Cost: a worker that restarts under its id is used from the next list on, which is read each 0.9 s.

--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -147,9 +147,14 @@
             return True
         if worker.lease_end_held:
             return True
-        if worker.listed and worker.is_overcommitted:
+        if worker.listed and not worker.is_described:
+            # ``resend_unconfirmed`` tries again once the list has come.
+            return True
+        step = job.spec.steps[task.key[1]]
+        is_unsuitable = worker.is_overcommitted or not worker.has_label(step)
+        if worker.listed and is_unsuitable:
             return self._withhold_start(job, task, placement)
-        if not has_place(worker, placement.ref, job.spec.steps[task.key[1]]):
+        if not has_place(worker, placement.ref, step):
             return self._withhold_start_beside_others(task, worker, placement)
         sent_at_s = boot_time_s()
         lease_s = self._cell_owner.limit_lease_s(START_LEASE_S, sent_at_s)
@@ -206,13 +211,13 @@
         )
 
     def _withhold_start(self, job: Job, task: Task, placement: Placement) -> bool:
-        """Give up an attempt whose worker has become too small; return ``True``.
+        """Give up an attempt that its worker no longer suits; return ``True``.
 
         A worker that checks no admission would start it. A start that may be carried
         out already is stopped there.
         """
         if task.may_start_late:
-            self._state.stop_attempt(job, task.key, StopReason.WORKER_TOO_SMALL)
+            self._state.stop_attempt(job, task.key, StopReason.WORKER_UNSUITABLE)
         else:
             reject_start(self._state, placement, boot_time_s())
         self._cell_owner.wake()
--- a/src/chivetray/cells/orders.py
+++ b/src/chivetray/cells/orders.py
@@ -33,7 +33,7 @@
     SUSPECTED = "suspected of a crash"
     UNKNOWN_ATTEMPT = "unknown attempt"
     VANISHED_COPY = "vanished copy"
-    WORKER_TOO_SMALL = "worker too small"
+    WORKER_UNSUITABLE = "worker unsuitable"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -350,6 +350,7 @@
                 log_event(Event.WORKER_DRAINING, worker=entry.worker_id, cell=self.name)
             worker.draining = entry.draining
             worker.listed, worker.missing_since_s = True, 0.0
+            worker.listed_incarnation = entry.incarnation
         for worker_id, worker in list(self.workers.items()):
             if worker_id in seen:
                 continue
--- a/src/chivetray/cells/waiting.py
+++ b/src/chivetray/cells/waiting.py
@@ -72,6 +72,7 @@
     RESERVED = "reserved worker"
     SILENT = "silent worker"
     NOT_POLLED = "worker without a reply"
+    NOT_DESCRIBED = "worker that the list describes as before its restart"
     LEASE_END_HELD = "removal of the stored lease end"
     UNKNOWN_JOB = "end of an unknown task"
     PAUSED = "paused worker"
@@ -495,6 +496,8 @@
         return WaitReason.SILENT, None
     if not (worker.tasks_known and worker.clock.known):
         return WaitReason.NOT_POLLED, None
+    if not worker.is_described:
+        return WaitReason.NOT_DESCRIBED, None
     if worker.lease_end_held:
         return WaitReason.LEASE_END_HELD, None
     if worker.runs_unknown_job:
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -31,6 +31,8 @@
 
     :ivar incarnation: start of the worker in ms since 1970, which identifies its
         incarnation
+    :ivar listed_incarnation: incarnation that labels and capacity are of, 0 if the list
+        does not tell
     :ivar tasks_known: whether a poll has shown which tasks run there
     :ivar last_applied_end: number of the last ended attempt that was applied
     :ivar last_stored_end: number of the last ended attempt that is stored
@@ -89,6 +91,7 @@
     mem_mb: int
     gpu: int
     listed: bool = True
+    listed_incarnation: int = 0
     draining: bool = False
     tasks_known: bool = False
     last_applied_end: int = 0
@@ -139,6 +142,15 @@
         is_unbroken = self.last_silence_at_s > self.answered_poll_sent_at_s
         return self.last_silence_at_s if is_unbroken else 0.0
 
+    @property
+    def is_described(self) -> bool:
+        """Whether labels and capacity are those of the present incarnation.
+
+        A worker may start again as another kind. The list tells it after a poll may.
+        """
+        is_known = self.listed_incarnation > 0
+        return not is_known or self.listed_incarnation >= self.incarnation
+
     @property
     def quarantined(self) -> bool:
         """Whether tasks of too many different jobs have failed here in a row."""
@@ -184,6 +196,8 @@
         """Return whether new tasks may be placed on the worker."""
         if not (self.listed and self.tasks_known and self.clock.known):
             return False
+        if not self.is_described:
+            return False
         if self.draining or self.is_reserved(now_s) or self.silent_since_s:
             return False
         if self.lease_end_held or self.runs_unknown_job:
@@ -232,13 +246,17 @@
             and self.used_gpu + step.gpu <= self.gpu
         )
 
+    def has_label(self, step: Step) -> bool:
+        """Return whether the worker has the label that a step requires."""
+        return not step.label or step.label in self.labels
+
     def fits_when_empty(self, step: Step) -> bool:
         """Return whether a task of a step would fit if the worker were empty."""
         return (
             (step.best_effort or step.cpu_milli <= self.cpu_milli)
             and step.mem_mb <= self.mem_mb
             and step.gpu <= self.gpu
-            and (not step.label or step.label in self.labels)
+            and self.has_label(step)
         )
 
     def allocate(self, ref: TaskRef, step: Step) -> None:
--- a/tests/test_worker_restart.py
+++ b/tests/test_worker_restart.py
@@ -278,6 +278,7 @@
                 worker.tasks_known = False
                 owner.wake()
                 await until(lambda: worker.incarnation == fresh.incarnation_ms)
+                owner.update_workers(world.entries())
                 await until(lambda: worker.accepts_tasks(boot_time_s()))
 
             await run_owner(world, owner, steps)
