Let stops take time in the random runs

Simulated workers ended an attempt at the moment they answered its stop. On the platform, the attempt goes on, is listed and counts on its worker for up to StopTimeoutMs (200 or 900 ms) after the answer, so the random runs could not show what an owner does with a worker meanwhile.

Each simulated worker now has one of the two timeouts, and each stop takes a random part of it. Until then the attempt may be done, lapse or be lost, and no start begins it again; the stop of an attempt that is not there closes it at once, as before. The end is credited to who sent the stop, so that the rule on absent tasks (AVAIL) judges the same orders as before, at the time of the end.

--- a/tests/run_once_helpers.py
+++ b/tests/run_once_helpers.py
@@ -52,7 +52,6 @@
 # Bounds of the platform.
 CONTACT_S = 3.0
 NOTICE_S = 4.5
-STOP_TIMEOUT_S = 0.2
 GANG_TIMEOUT_S = 3.0
 DRAIN_S = 2.0
 NOTED_GRACE_S = 1.0
@@ -60,6 +59,10 @@
 FAULTS_BEGIN_S = 3.0
 FAULTS_END_S = 25.0
 
+# Longest time between the answer to a stop and the end of the attempt, one for each
+# worker.
+STOP_TIMEOUTS_S = (0.2, 0.9)
+
 # Time in which all jobs have to end once the faults have ended.
 SETTLE_S = 60.0
 
@@ -107,7 +110,11 @@
 
 @dataclass
 class Run:
-    """One attempt that a worker ran."""
+    """One attempt that a worker ran.
+
+    :ivar ends_at_s: time at which it ends since it was stopped
+    :ivar stopped_by: who sent the stop
+    """
 
     task: str
     attempt: int
@@ -116,6 +123,12 @@
     work_s: float
     saved: int = 0
     together_since_s: float = 0.0
+    ends_at_s: float = math.inf
+    stopped_by: Sender | None = None
+
+    @property
+    def is_stopping(self) -> bool:
+        return self.stopped_by is not None
 
 
 @dataclass
@@ -236,6 +249,10 @@
                 "TWICE", run.task, f"{text} over {NOTED_GRACE_S} s after a noted end"
             )
 
+    def stopping(self, run: Run, sender: Sender | None) -> None:
+        text = f"{run.task[14:]} attempt {run.attempt} on {run.worker.worker_id}"
+        self.say(f"stops {text} until {run.ends_at_s:.3f} {sender}")
+
     def ended(self, run: Run, how: str, sender: Sender | None) -> None:
         record = self.tasks[run.task]
         record.runs.pop(id(run), None)
@@ -346,6 +363,7 @@
             incarnation_ms=int(world.now_s() * 1000),
         )
         self.world, self.address, self.rack = world, address, rack
+        self.stop_timeout_s = world.rng(f"stops/{worker_id}").choice(STOP_TIMEOUTS_S)
         self.up, self.draining = True, False
         self.runs: dict[str, Run] = {}
         self.sender: Sender | None = None
@@ -359,7 +377,12 @@
         now_s = self.read_time_s()
         for run in list(self.runs.values()):
             record = self.world.ledger.tasks[run.task]
-            if self.runs.get(run.task) is not run or record.step.long_running:
+            if self.runs.get(run.task) is not run:
+                continue
+            if now_s >= run.ends_at_s:
+                self.end(self.running[run.task], "stopped")
+                continue
+            if record.step.long_running:
                 continue
             if record.step.gang and not self._work_together(run, now_s):
                 continue
@@ -418,7 +441,8 @@
         super().end(run, how)
         record = self.runs.pop(run.task)
         self.ends[-1][4] = str(record.saved or "")
-        self.world.ledger.ended(record, how, self.sender)
+        sender = record.stopped_by if how == "stopped" else self.sender
+        self.world.ledger.ended(record, how, sender)
 
     def start(self, body: dict[str, Any]) -> dict[str, Any]:
         known = self.running.get(body["Task"])
@@ -435,6 +459,22 @@
             self.world.ledger.begun(run, self.sender)
         return answer
 
+    def stop(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Answer a stop at once; the attempt is listed until it ends a while later."""
+        run = self.runs.get(body["Task"])
+        if run is None or run.attempt > body["Attempt"]:
+            return super().stop(body)
+        if refused := self._check_fencing_token(body):
+            return refused
+        closed_attempt = max(self.closed_attempts.get(run.task, 0), body["Attempt"])
+        self.closed_attempts[run.task] = closed_attempt
+        if not run.is_stopping:
+            rng = self.world.rng(f"stop/{run.task}/{self.worker_id}")
+            run.ends_at_s = self.read_time_s() + rng.uniform(0.0, self.stop_timeout_s)
+            run.stopped_by = self.sender
+            self.world.ledger.stopping(run, self.sender)
+        return {}
+
     def hold(self, body: dict[str, Any]) -> dict[str, Any]:
         refused = super().hold(body)
         if not refused:
@@ -1479,6 +1519,6 @@
     shown = [
         line
         for line in outcome.trace[: first + 1]
-        if task in line or line.split()[1] not in ("begins", "ends", "noted")
+        if task in line or line.split()[1] not in ("begins", "stops", "ends", "noted")
     ]
     return "\n".join([*outcome.problems[:6], *shown[-TRACE_LINES:]])
