Check the limit of a step's tasks on a worker in the random runs

Rule ROUTE forbids a start beyond the limit of a step's tasks on one worker. No random run checked it: few jobs had such a limit, and the ledger did not look.

The ledger now compares each start with the other tasks of the step that run on the worker, those that are being stopped included; a start that is carried out late counts as well, and the text names it as such. Steps get a limit of 1 or 2 tasks in about half of the cases, and then more tasks than places, so that some wait for one. A quarter of the attempts that may have copies work for 3 to 13 s: copies ended before an owner could change, and their tasks were hardly ever done elsewhere while they ran.

--- a/tests/run_once_helpers.py
+++ b/tests/run_once_helpers.py
@@ -14,7 +14,7 @@
 import urllib.parse
 from collections.abc import Awaitable, Callable
 from contextvars import Context, copy_context
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
 
@@ -63,6 +63,19 @@
 # worker.
 STOP_TIMEOUTS_S = (0.2, 0.9)
 
+# Time for which an attempt works, and the share and further time of those that work
+# for so long that their task is copied and its owner may change meanwhile.
+WORK_MIN_S, WORK_MAX_S = 0.2, 3.0
+LONG_WORK_SHARE = 0.25
+MORE_WORK_MIN_S, MORE_WORK_MAX_S = 3.0, 10.0
+
+# Limits of a step's tasks on one worker, 0 for none. The fewest workers that faults
+# leave up have room for all long-running tasks under each of theirs, and for a gang of
+# two with one task on each.
+LIMITS_PER_WORKER = (0, 0, 1, 2)
+LONG_RUNNING_LIMITS_PER_WORKER = (0, 2)
+LIMITED_GANG_TASKS = 2
+
 # Time in which all jobs have to end once the faults have ended.
 SETTLE_S = 60.0
 
@@ -99,7 +112,23 @@
     for number in range(1, 17):
         name, steps = rng.choice(kinds)
         found.append((rng.uniform(0.5, 23.0), _spec(number, name, steps)))
-    return found
+    return [
+        (at_s, replace(spec, steps=tuple(_limit(rng, step) for step in spec.steps)))
+        for at_s, spec in found
+    ]
+
+
+def _limit(rng: random.Random, step: Step) -> Step:
+    """Return a step that may have a limit of its tasks on one worker.
+
+    It then has more tasks, so that some wait for their places.
+    """
+    limits = LONG_RUNNING_LIMITS_PER_WORKER if step.long_running else LIMITS_PER_WORKER
+    limit = rng.choice(limits)
+    if not limit or step.long_running:
+        return replace(step, per_worker=limit)
+    count = LIMITED_GANG_TASKS if step.gang else 2 * step.count
+    return replace(step, per_worker=limit, count=count)
 
 
 def _spec(number: int, name: str, steps: tuple[Step, ...]) -> JobSpec:
@@ -223,6 +252,7 @@
         if (run.task, run.attempt, worker) not in self.stored:
             self.problem("UNSTORED", run.task, text)
         self._check_done(run, record, sender, text)
+        self._check_limit(run, record, sender, text)
         for needed in self.specs[record.job_id].steps[_step(run.task)].depends_on:
             prefix = f"{record.job_id}.0.{needed}."
             names = [name for name in self.tasks if name.startswith(prefix)]
@@ -249,6 +279,21 @@
                 "TWICE", run.task, f"{text} over {NOTED_GRACE_S} s after a noted end"
             )
 
+    def _check_limit(
+        self, run: Run, record: TaskRecord, sender: Sender, text: str
+    ) -> None:
+        """Check that the worker of a start runs few enough others of its step."""
+        others = [
+            f"{name[14:]} attempt {run.worker.runs[name].attempt}"
+            + (" (being stopped)" if run.worker.runs[name].is_stopping else "")
+            for name in self.members(run.task)
+            if name != run.task and name in run.worker.runs
+        ]
+        if record.step.per_worker and len(others) >= record.step.per_worker:
+            limit = record.step.per_worker
+            text = f"{text} beside {others}, limit {limit}, {sender}"
+            self.problem("ROUTE", run.task, text)
+
     def stopping(self, run: Run, sender: Sender | None) -> None:
         text = f"{run.task[14:]} attempt {run.attempt} on {run.worker.worker_id}"
         self.say(f"stops {text} until {run.ends_at_s:.3f} {sender}")
@@ -793,7 +838,12 @@
         self.loop.call_later(delay_s, action, context=context or self.context)
 
     def work_s(self, task: str) -> float:
-        return self.rng(f"work/{task}").uniform(0.2, 3.0)
+        """Return how long an attempt works; some with copies work for much longer."""
+        rng = self.rng(f"work/{task}")
+        work_s = rng.uniform(WORK_MIN_S, WORK_MAX_S)
+        if self.ledger.tasks[task].step.copies and rng.random() < LONG_WORK_SHARE:
+            work_s += rng.uniform(MORE_WORK_MIN_S, MORE_WORK_MAX_S)
+        return work_s
 
     def calm_since(self, within_s: float) -> bool:
         return self.now_s() - self.fault_s > within_s
