--- a/tests/test_run_once.py
+++ b/tests/test_run_once.py
@@ -1,4 +1,4 @@
-"""Random runs of the owner of a cell in virtual time, one kind of fault at a time.
+"""Random runs of the owner of a cell in virtual time, under up to three faults.
 
 ``CHIVETRAY_SEEDS`` names the seeds of each kind, as in
 ``CHIVETRAY_SEEDS=1-200 pytest -n 2 --dist load tests/test_run_once.py``.
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import itertools
 import os
+import random
 
 import pytest
 from run_once_helpers import FAULTS, explain, run_seed
@@ -54,6 +56,27 @@
     ("capacity_changes", "releases"),
 )
 
+# Kinds of which any three act together, and the number of draws for each seed.
+ANY_THREE_OF = (
+    "late_orders",
+    "network_delays",
+    "silent_workers",
+    "restarts",
+    "kills",
+    "releases",
+    "drains",
+    "freezes",
+    "moves",
+    "lost_writes",
+    "losses",
+)
+TRIPLES = 12
+
+
+def draw_triples(seed: int) -> list[tuple[str, ...]]:
+    every = list(itertools.combinations(ANY_THREE_OF, 3))
+    return random.Random(f"triples/{seed}").sample(every, TRIPLES)
+
 
 def check(kinds: tuple[str, ...], seed: int) -> None:
     outcome = run_seed(seed, kinds)
@@ -82,3 +105,18 @@
     @pytest.mark.parametrize("kinds", TOGETHER, ids="+".join)
     def test_no_rule_is_broken(self, kinds: tuple[str, ...], seed: int) -> None:
         check(kinds, seed)
+
+
+class TestThreeKindsOfFaults:
+    """Guards against the same where an owner changes while orders are lost."""
+
+    @pytest.mark.parametrize(
+        ("kinds", "seed"),
+        [
+            pytest.param(kinds, seed, id=f"{'+'.join(kinds)}-{seed}")
+            for seed in SEEDS
+            for kinds in draw_triples(seed)
+        ],
+    )
+    def test_no_rule_is_broken(self, kinds: tuple[str, ...], seed: int) -> None:
+        check(kinds, seed)
