Do not extend the time of an old start with each restart

What callers could see: steps with a limit that wait for the stop of an old start after each restart of a worker, for longer than any order can be delayed.

Cause: an old start that was kept after a restart was remembered anew, for another 12 s, each time its stop had been answered.

Now its own time stands; only a run whose start nobody here has sent counts from when it was forgotten.

Evidence: test_a_second_restart_does_not_extend_that_time fails before.

--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -161,13 +161,14 @@
     _log_unexpected(Event.ATTEMPT_UNKNOWN, state, worker, name, attempt)
     reason = StopReason.UNKNOWN_ATTEMPT
     has_place = (name.job_id, name.key) in worker.tasks
-    is_kept = (
+    if (
         job is not None
         and task is not None
         and not has_place
         and state.keep_older_attempt(worker, job, task, attempt, reason)
-    )
-    if is_kept:
+    ):
+        # Who sent its start, and when, is not known.
+        task.unanswered_copies.add(attempt)
         return
     if not has_place:
         worker.runs_unknown_job = True
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -832,7 +832,6 @@
         ref, step = (job.spec.job_id, task.key), job.spec.steps[task.key[1]]
         task.copies[attempt] = worker.worker_id
         task.copy_incarnations[attempt] = worker.incarnation
-        task.unanswered_copies.add(attempt)
         worker.allocate(ref, step)
         self.stop_copy(job, task, attempt, reason)
         self.mark_changed(job.spec.job_id)
--- a/tests/test_limited_steps.py
+++ b/tests/test_limited_steps.py
@@ -294,6 +294,14 @@
         cell.poll("w0", now_s + 0.1, incarnation=2)
         assert cell.place(now_s + 0.2) == {1: "w0"}
 
+    def test_a_second_restart_does_not_extend_that_time(self) -> None:
+        cell = self.unanswered()
+        cell.poll("w0", 0.5, ends=(ended(1, 0, AttemptEnd.FAILED),))
+        self.check_after_restart(cell, 1.0)
+        worker = cell.state.workers["w0"]
+        assert worker.expects_late_starts(0.5 + MAX_ORDER_DELAY_S)
+        assert not worker.expects_late_starts(0.6 + MAX_ORDER_DELAY_S)
+
     def test_a_restart_without_such_a_start_costs_no_wait(self) -> None:
         cell = Cell(self.STEP, workers=1)
         assert cell.place(0.1) == {0: "w0"}
