Stop a kept attempt also after a change of owner

What callers could see: a long-running task that is away for good, and a VM that a wave cannot take down.

Cause: an attempt that was not expected is kept as an older one and being stopped, but stored progress does not tell that it is being stopped. The next owner found it listed, where its step allows no copies, and let it run on, while its task waited for its end.

Now a listed older attempt is stopped if its step allows no copies, as well as if its task or job is over.

--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -143,9 +143,14 @@
 
 
 def _check_older_attempt(state: CellState, job: Job, task: Task, attempt: int) -> None:
-    """Stop an older attempt that is listed though its task or job is over."""
+    """Stop a listed older attempt that is not needed, or that its step forbids.
+
+    An earlier owner may have begun to stop it, of which the stored progress tells
+    nothing.
+    """
     is_over = task.phase == Phase.DONE or job.state.ended
-    if is_over and attempt not in task.stopping_copies:
+    is_unwanted = is_over or not job.spec.steps[task.key[1]].copies
+    if is_unwanted and attempt not in task.stopping_copies:
         state.stop_copy(job, task, attempt, StopReason.DONE_ELSEWHERE)
 
 
