Count older attempts on workers that the first list lacks

Cause: a new owner gave older attempts a place only on workers that its first list had. One listed later had neither place nor room there, and nothing polled for it or stopped it; since tasks wait for unexpected runs, theirs waited for one that nobody could rule out.

Now such a worker is added as for newest attempts, as unlisted. The next list that has it tells its address; until then it counts as silent, and its older attempts are forgotten once every lease there must have ended.

--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -421,23 +421,9 @@
                 worker = self.workers.get(task.worker)
                 if worker is None:
                     # Polling the address shows whether another worker runs there now.
-                    address, incarnation = task.address, task.incarnation
-                    worker = WorkerState(
-                        task.worker,
-                        address,
-                        "",
-                        "",
-                        (),
-                        incarnation,
-                        0,
-                        0,
-                        0,
-                        listed=False,
-                        longest_lease_s=self._longest_lease_s(),
-                        lease_end_held=task.worker in self.held_lease_ends_s,
-                        changed_ids=self.changed_worker_ids,
+                    worker = self._add_unlisted_worker(
+                        task.worker, task.address, task.incarnation
                     )
-                    self.workers[task.worker] = worker
                 elif worker.incarnation > task.incarnation > 0:
                     log_event(
                         Event.ATTEMPT_OUTLIVED,
@@ -478,6 +464,28 @@
             if worker.worker_id in restarted:
                 self._expect_late_orders(worker)
 
+    def _add_unlisted_worker(
+        self, worker_id: str, address: str, incarnation: int
+    ) -> WorkerState:
+        """Add a worker that an earlier owner has used and that is not listed now."""
+        worker = WorkerState(
+            worker_id,
+            address,
+            "",
+            "",
+            (),
+            incarnation,
+            0,
+            0,
+            0,
+            listed=False,
+            longest_lease_s=self._longest_lease_s(),
+            lease_end_held=worker_id in self.held_lease_ends_s,
+            changed_ids=self.changed_worker_ids,
+        )
+        self.workers[worker_id] = worker
+        return worker
+
     def hold_lease_end(self, worker_id: str, end_s: float) -> None:
         """Let no lease on a worker last longer than those granted until now."""
         self.held_lease_ends_s[worker_id] = end_s
@@ -858,11 +866,14 @@
 
     def _adopt_copies(self, job: Job, task: Task) -> None:
         """Allocate resources to older attempts that an earlier owner left running."""
-        for worker_id in task.copies.values():
+        step = job.spec.steps[task.key[1]]
+        for attempt, worker_id in task.copies.items():
             worker = self.workers.get(worker_id)
-            if worker is not None:
-                step = job.spec.steps[task.key[1]]
-                worker.allocate((job.spec.job_id, task.key), step)
+            if worker is None:
+                # Without an address, it counts as silent until its leases have ended.
+                incarnation = task.copy_incarnations.get(attempt, 0)
+                worker = self._add_unlisted_worker(worker_id, "", incarnation)
+            worker.allocate((job.spec.job_id, task.key), step)
 
     # Placement
 
