Wait for a listed run on a worker that falls silent, until its lease ends

What callers could see: two runs of one task (TWICE) within a lease.

Cause: a task whose older run was being stopped did not wait for it once its worker was silent, although the run goes on there until its lease ends.

Now it waits, as tasks on silent workers do. A start of the past that has not begun is still not waited for there: the longest delay of an order and the longest lease, 19 s, would keep long-running tasks away for as long.

--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -880,13 +880,18 @@
     def awaits_older_attempt(self, task: Task, step: Step) -> bool:
         """Return whether a task may not start yet, beside an older attempt of it.
 
-        Where the step allows no copies, the older attempt has to be ruled out first. A
-        silent worker is not waited for beyond the leases that it may hold.
+        Where the step allows no copies, the older attempt has to be ruled out first: on
+        a silent worker by the end of its leases. A start of the past that has not begun
+        may take longer than that, so it is waited for only while its worker answers.
         """
-        if step.copies or not task.copies:
+        if step.copies:
             return False
-        workers = map(self.workers.get, task.copies.values())
-        return any(worker and not worker.silent_since_s for worker in workers)
+        for attempt, worker_id in task.copies.items():
+            worker = self.workers.get(worker_id)
+            has_begun = attempt not in task.settled_copies
+            if worker is not None and (has_begun or not worker.silent_since_s):
+                return True
+        return False
 
     def count_storable(self, job: Job, worker: WorkerState | None = None) -> float:
         """Return how many more tasks of a job may start with room in its stored row.
