Keep the highest of a task's old starts after a restart

What callers could see: an old start that a restarted worker carries out beside another task of its step (ROUTE), or beside its own task (TWICE).

Cause: of several attempts of one task whose starts may still be carried out, the lowest was kept and its stop repeated. A worker that has stopped attempt 1 still carries out attempt 2, whose stop had only three tries.

Now the highest is kept: its stop rules the lower ones out.

--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -593,17 +593,22 @@
         attempt has a place there, though no room, as it may begin at any time.
         """
         reason = StopReason.ENDED_BEFORE_RESTART
-        for (ref, attempt), until_s in worker.late_starts_until_s.items():
-            if until_s < now_s:
-                continue
+        pending = [
+            key
+            for key, until_s in worker.late_starts_until_s.items()
+            if until_s >= now_s
+        ]
+        # A worker that has stopped an attempt rejects the lower ones, so that the
+        # highest of a task is the one to keep.
+        for ref, attempt in sorted(pending, key=lambda key: -key[1]):
             job, task = self.find_task(ref)
-            is_elsewhere = (
+            is_kept = (
                 job is not None
                 and task is not None
                 and ref not in worker.tasks
                 and self.keep_older_attempt(worker, job, task, attempt, reason)
             )
-            if task is not None and is_elsewhere:
+            if task is not None and is_kept:
                 # A crash is not its fault unless it begins.
                 task.settled_copies.add(attempt)
                 worker.suspend(ref)
