Poll often until an old start is ruled out

What it cost callers: a step with a limit, or a task of its own, waited for up to two polls of 2 s after a restart, where an answered stop and one more reply would have done.

Cause: a poll waits for an end, and an attempt that has not begun has none.

Now polls wait for 0.2 s while such a start is being ruled out, as they do for other attempts of which the next reply decides.

--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -18,7 +18,7 @@
 )
 from chivetray.cells.slack import is_short_of_room, is_urgent
 from chivetray.cells.timing import LEASE_S, TICK_S
-from chivetray.cells.workers import WorkerState
+from chivetray.cells.workers import TaskRef, WorkerState
 from chivetray.clocks import boot_time_s
 from chivetray.defects import describe_error, log_defect
 from chivetray.events import Event, log_event
@@ -224,13 +224,27 @@
         """Return whether the next reply may show that an attempt does not run."""
         for ref in worker.tasks:
             found = self._state.find_newest_attempt(worker, ref)
-            if found is None or found[1].listed_at_s:
+            if found is None:
+                if self._has_old_start(ref):
+                    return True
                 continue
             _, task = found
+            if task.listed_at_s:
+                continue
             if task.phase == Phase.STOPPING or task.unanswered_starts:
                 return True
         return False
 
+    def _has_old_start(self, ref: TaskRef) -> bool:
+        """Return whether a start of the past is being ruled out on a worker.
+
+        No end is listed for one that has not begun.
+        """
+        _, task = self._state.find_task(ref)
+        return task is not None and any(
+            attempt in task.settled_copies for attempt in task.stopping_copies
+        )
+
     def _log_extension(self, now_s: float, extends: bool) -> None:
         """Log that leases of this cell are no longer extended, or are again."""
         if extends != self._leases_paused:
