Place nothing on a restarted worker before old starts are being stopped

What callers could see: tasks that fill a restarted worker beside a start of the past that it carries out (LIMIT), where workers check no admission.

Cause: such a start has no room until it begins, and placements were paused only from the first repetition of its stop on, a quarter of a second after the first poll of the new incarnation.

Now the pause begins with the restart, for kept starts and for older attempts. It lasts 0.3 s and is renewed until the stop is answered, as before.

--- a/src/chivetray/cells/copies.py
+++ b/src/chivetray/cells/copies.py
@@ -4,6 +4,7 @@
 
 from chivetray.cells.orders import StopOrder, StopReason
 from chivetray.cells.state import CellState
+from chivetray.cells.timing import UNANSWERED_STOP_PAUSE_S
 from chivetray.cells.workers import TaskRef, WorkerState
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job
@@ -16,10 +17,6 @@
 # started elsewhere as well: longer than one lost call, much shorter than a lease.
 COPY_AFTER_SILENCE_S = 0.5
 
-# Pause of placements on a worker where an older attempt may still start, renewed until
-# its stop is answered.
-UNANSWERED_STOP_PAUSE_S = 0.3
-
 # Multiple of the expected run time after which such a task is started elsewhere as
 # well, and the shortest run time for which that is done.
 STRAGGLER_RUN_TIME_FACTOR = 3.0
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -33,6 +33,7 @@
     LEASE_S,
     MAX_ORDER_DELAY_S,
     MAX_RELEASED_LEASE_S,
+    UNANSWERED_STOP_PAUSE_S,
 )
 from chivetray.cells.turns import JobTurns
 from chivetray.cells.workers import TaskRef, WorkerState
@@ -563,6 +564,7 @@
             found = self.find_newest_attempt(worker, ref)
             if found is None:
                 self._stop_copies_after_restart(worker, ref)
+                worker.pause(now_s + UNANSWERED_STOP_PAUSE_S)
             elif found[1].incarnation >= incarnation:
                 continue
             elif found[1].may_run_after_restart:
@@ -612,6 +614,7 @@
                 # A crash is not its fault unless it begins.
                 task.settled_copies.add(attempt)
                 worker.suspend(ref)
+                worker.pause(now_s + UNANSWERED_STOP_PAUSE_S)
             else:
                 order = StopOrder(TaskName(*ref), attempt, worker.worker_id, reason)
                 self.stop_orders.append(order)
--- a/src/chivetray/cells/timing.py
+++ b/src/chivetray/cells/timing.py
@@ -31,6 +31,10 @@
 # attempts, and its clock has started anew, so that no deadline has passed.
 MAX_ORDER_DELAY_S = 12.0
 
+# Pause of placements on a worker where an older attempt may still start, renewed until
+# its stop is answered.
+UNANSWERED_STOP_PAUSE_S = 0.3
+
 # Delay before a failed write is retried, doubled up to a limit.
 RETRY_PAUSE_S = 0.03
 
