Use no worker that runs an attempt beside its task's place

What callers could see: more tasks of a step on a worker than it allows (ROUTE), or than it has room for (LIMIT).

Cause: an unexpected attempt beside another attempt of the same task was covered by that one's place. When the other was rejected or released, the place and the room went with it while the run went on, and a worker without other tasks was not polled any more.

Now a worker that lists such an attempt gets nothing new until it no longer does, as for attempts of unknown jobs; the mark says that now.

--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -146,7 +146,7 @@
         if worker.silent_since_s or not (worker.tasks_known and worker.clock.known):
             return worker.listed or bool(worker.tasks)
         has_open_ends = worker.last_stored_end > worker.last_acknowledged_end
-        return bool(worker.tasks) or has_open_ends or worker.runs_unknown_job
+        return bool(worker.tasks) or has_open_ends or worker.runs_uncounted
 
     async def _poll(self, worker: WorkerState) -> None:
         """Extend the lease, acknowledge stored ends, and wait for the next end."""
@@ -178,7 +178,7 @@
                 wait_ms = min(wait_ms, settling_time_ms(self._state, worker, sent_at_s))
             if self._awaits_listing(worker):
                 wait_ms = min(wait_ms, UNCERTAIN_ATTEMPT_POLL_WAIT_MS)
-        if worker.runs_unknown_job and not worker.tasks:
+        if worker.runs_uncounted and not worker.tasks:
             wait_ms = UNCERTAIN_ATTEMPT_POLL_WAIT_MS
         observed, incarnation = _acknowledgeable_end(worker), worker.incarnation
         reply = await self._workers.poll(
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -41,7 +41,7 @@
         state.handle_worker_restart(worker, reply.incarnation, now_s)
     worker.tasks_known = True
     worker.answered_poll_sent_at_s = sent_at_s
-    worker.runs_unknown_job = False
+    worker.runs_uncounted = False
     listed: set[tuple[str, object, int]] = set()
     for ended in sorted(reply.ended, key=lambda item: item.number):
         listed.add((ended.name.job_id, ended.name.key, ended.attempt))
@@ -175,8 +175,8 @@
         # Who sent its start, and when, is not known.
         task.unanswered_copies.add(attempt)
         return
-    if not has_place:
-        worker.runs_unknown_job = True
+    # The place is another attempt's, which may be released before this one ends.
+    worker.runs_uncounted = True
     order = StopOrder(name, attempt, worker.worker_id, reason)
     state.stop_orders.append(order)
 
--- a/src/chivetray/cells/waiting.py
+++ b/src/chivetray/cells/waiting.py
@@ -74,7 +74,7 @@
     NOT_POLLED = "worker without a reply"
     NOT_DESCRIBED = "worker that the list describes as before its restart"
     LEASE_END_HELD = "removal of the stored lease end"
-    UNKNOWN_JOB = "end of an unknown task"
+    UNCOUNTED = "end of an uncounted attempt"
     PAUSED = "paused worker"
     QUARANTINED = "quarantined worker"
     ISOLATION = "worker without other tasks"
@@ -500,8 +500,8 @@
         return WaitReason.NOT_DESCRIBED, None
     if worker.lease_end_held:
         return WaitReason.LEASE_END_HELD, None
-    if worker.runs_unknown_job:
-        return WaitReason.UNKNOWN_JOB, None
+    if worker.runs_uncounted:
+        return WaitReason.UNCOUNTED, None
     if worker.draining:
         return WaitReason.DRAINING, None
     if not worker.may_run(step, now_s):
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -75,8 +75,8 @@
     :ivar exempt_tasks: long-running tasks that ran here when the quarantine began;
         they run on beside the one task of a quarantined worker
     :ivar probed_at_s: time of the last placement while in quarantine
-    :ivar runs_unknown_job: whether the last reply to a poll listed an attempt that has
-        no place here, so that what it uses is not known
+    :ivar runs_uncounted: whether the last reply to a poll listed an attempt that no
+        place here is for, so that what it uses is not counted
     :ivar tasks: steps of the tasks that hold resources, by task
     :ivar changed_ids: receives the id of this worker when its tasks change
     """
@@ -124,7 +124,7 @@
     pace: WorkerPace = field(default_factory=WorkerPace)
     exempt_tasks: set[TaskRef] = field(default_factory=set)
     probed_at_s: float = 0.0
-    runs_unknown_job: bool = False
+    runs_uncounted: bool = False
     clock: RemoteClock = field(default_factory=RemoteClock)
     tasks: dict[TaskRef, Step] = field(default_factory=dict)
     changed_ids: set[str] = field(default_factory=set)
@@ -200,7 +200,7 @@
             return False
         if self.draining or self.is_reserved(now_s) or self.silent_since_s:
             return False
-        if self.lease_end_held or self.runs_unknown_job:
+        if self.lease_end_held or self.runs_uncounted:
             return False
         if self.unhealthy_until_s > now_s:
             return False
