Stop a start that finds no place left, instead of letting it wait

What callers could see: two placed tasks of a step that wait for each other for good, beyond the limit of their step.

Cause: a start that may be carried out already waited until the others of its step had left its worker.

Now the attempt is stopped and its task goes elsewhere, as where a worker has become too small; that takes as long as the wait for what is being stopped there.

--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -153,9 +153,10 @@
         step = job.spec.steps[task.key[1]]
         is_unsuitable = worker.is_overcommitted or not worker.has_label(step)
         if worker.listed and is_unsuitable:
-            return self._withhold_start(job, task, placement)
+            reason = StopReason.WORKER_UNSUITABLE
+            return self._withhold_start(job, task, placement, reason)
         if not has_place(worker, placement.ref, step):
-            return self._withhold_start_beside_others(task, worker, placement)
+            return self._withhold_start_beside_others(job, task, worker, placement)
         sent_at_s = boot_time_s()
         lease_s = self._cell_owner.limit_lease_s(START_LEASE_S, sent_at_s)
         if not lease_s:
@@ -210,28 +211,28 @@
             placement, worker, reply, earlier_try_unanswered
         )
 
-    def _withhold_start(self, job: Job, task: Task, placement: Placement) -> bool:
+    def _withhold_start(
+        self, job: Job, task: Task, placement: Placement, reason: StopReason
+    ) -> bool:
         """Give up an attempt that its worker no longer suits; return ``True``.
 
         A worker that checks no admission would start it. A start that may be carried
         out already is stopped there.
         """
         if task.may_start_late:
-            self._state.stop_attempt(job, task.key, StopReason.WORKER_UNSUITABLE)
+            self._state.stop_attempt(job, task.key, reason)
         else:
             reject_start(self._state, placement, boot_time_s())
         self._cell_owner.wake()
         return True
 
     def _withhold_start_beside_others(
-        self, task: Task, worker: WorkerState, placement: Placement
+        self, job: Job, task: Task, worker: WorkerState, placement: Placement
     ) -> bool:
-        """Do not start a task where its step has no place left; return ``True``.
+        """Give up an attempt where its step has no place left; return ``True``.
 
-        What has become known there since the placement is being stopped. A start that
-        may be carried out already waits for that; any other goes elsewhere.
+        Others may have become known there since the placement.
         """
-        is_out = task.may_start_late
         log_event(
             Event.START_WITHHELD,
             task=str(TaskName(*placement.ref)),
@@ -240,12 +241,8 @@
             incarnation=placement.incarnation,
             epoch=self._cell_owner.epoch,
             others=describe_others(self._state, worker, placement.ref),
-            waits=is_out,
         )
-        if not is_out:
-            reject_start(self._state, placement, boot_time_s())
-            self._cell_owner.wake()
-        return True
+        return self._withhold_start(job, task, placement, StopReason.NO_PLACE)
 
     def _log_limited_start(
         self, job: Job, task: Task, worker: WorkerState, placement: Placement
--- a/src/chivetray/cells/orders.py
+++ b/src/chivetray/cells/orders.py
@@ -29,6 +29,7 @@
     ENDED_BEFORE_RESTART = "ended before restart"
     EVACUATION = "evacuation"
     JOB_ENDED = "job ended"
+    NO_PLACE = "no place left"
     REFUSED_START = "refused start"
     SUSPECTED = "suspected of a crash"
     UNKNOWN_ATTEMPT = "unknown attempt"
--- a/tests/test_uncounted_attempts.py
+++ b/tests/test_uncounted_attempts.py
@@ -231,7 +231,7 @@
             placement = Placement((JOB, task.key), task.attempt, "w0", 1)
             if not has_place(worker, placement.ref, step):
                 withheld += 1
-                sender._withhold_start_beside_others(task, worker, placement)
+                sender._withhold_start_beside_others(cell.job, task, worker, placement)
         assert withheld < 2 or any(t.phase != Phase.PLACED for t in cell.tasks())
 
 
