Report no worker as empty that runs an uncounted attempt

What callers could see: a run that ends with its VM, as the VM is moved or taken down while its owner is still stopping the run.

Cause: the report of a worker without counted tasks that takes none is that of an empty one, for whose VM orders are given at once.

Now its tasks count as not known until the attempt has ended.

--- a/src/chivetray/cells/load.py
+++ b/src/chivetray/cells/load.py
@@ -33,7 +33,8 @@
     :ivar used_milli: CPU allocated to them, in thousandths of a core
     :ivar idle_ms: time since its last task ended, 0 while it has tasks
     :ivar usable: whether new tasks may be placed on it
-    :ivar tasks_known: whether a poll by the owner has shown which tasks run on it
+    :ivar tasks_known: whether a poll by the owner has shown which tasks run on it, and
+        all of them are counted
     :ivar empties_in_ms: expected time until its tasks have ended, ``None`` if one of
         them does not end
     :ivar long_running: number of its long-running tasks
@@ -109,7 +110,7 @@
             worker.used_cpu_milli,
             int((now_s - worker.idle_since_s) * 1000) if not worker.tasks else 0,
             worker.accepts_tasks(now_s),
-            worker.tasks_known,
+            worker.tasks_known and not worker.runs_uncounted,
             _empties_in_ms(state, worker, now_s),
             sum(step.long_running for step in worker.tasks.values()),
             _is_budget_used(state, worker, now_s),
