Isolate no suspect beside a run of a done task

What callers could see: a job given up for a crash that an older attempt of another task has caused.

Cause: a worker counted as quiet, so that a suspected task started there alone, while an older attempt of a done task was still being stopped.

--- a/src/chivetray/cells/isolation.py
+++ b/src/chivetray/cells/isolation.py
@@ -190,11 +190,13 @@
     count = 0
     for ref in worker.tasks:
         _, task = state.find_task(ref)
-        if task is None or task.phase == Phase.DONE:
+        if task is None:
             continue
+        is_done = task.phase == Phase.DONE
         if task.worker == worker.worker_id:
-            is_settled = task.settled
+            is_settled = task.settled or is_done
         else:
+            # An older attempt of a done task runs on while it is being stopped.
             copies = [a for a, w in task.copies.items() if w == worker.worker_id]
             is_settled = task.settled_copies.issuperset(copies)
         count += not is_settled
