--- a/tests/test_cell_state.py
+++ b/tests/test_cell_state.py
@@ -427,13 +427,14 @@
     """
 
     @staticmethod
-    def taken_over(stop: bool) -> CellState:
+    def taken_over(stop: bool, copies: bool = False) -> CellState:
         state = CellState(CELL)
         state.update_workers([replace(entry("w0"), incarnation=2)], 0.0)
         worker = state.workers["w0"]
         worker.tasks_known = True
         worker.clock.observe(1000, 0.0, 0.0)
-        added = state.add_job(job(steps=(Step(1, 1000),)), 0.0)
+        step = Step(1, 1000, copies=copies)
+        added = state.add_job(job(steps=(step,)), 0.0)
         place_tasks(state, 0.0, 0)
         if stop:
             state.stop_attempt(added, (0, 0, 0), StopReason.EVACUATION)
@@ -471,7 +472,7 @@
         assert later.jobs[JOB].tasks[(0, 0, 0)].incarnation == 3
 
     def test_an_older_attempt_there_is_not_stopped(self) -> None:
-        later = self.taken_over(stop=False)
+        later = self.taken_over(stop=False, copies=True)
         task = later.jobs[JOB].tasks[(0, 0, 0)]
         task.retire_newest_attempt()
         running = [RunningTask(TaskName(JOB, (0, 0, 0)), 1, "", 50, 0)]
