Take an attempt back that was given up and runs all the same

What callers could see: a long-running task that is stopped at work while too many others of its step are unavailable (AVAIL), and work that is lost.

Cause: an attempt that its owner had given up, and that a worker then listed, was stopped without a look at the budget of its step, even where its task still waited and nothing had taken its place.

Now such an attempt is the running one of its task again (ATTEMPT_TAKEN_BACK), unless the limit of the step forbids it there, its failure was counted, the task is suspected, or it belongs to a gang; those are stopped as before.

--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -8,7 +8,7 @@
 from chivetray.cells.crashes import settle
 from chivetray.cells.orders import Placement, StopOrder, StopReason
 from chivetray.cells.pace import record_failure, record_run
-from chivetray.cells.places import log_place_freed
+from chivetray.cells.places import has_place, log_place_freed
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import PROBE_RUN_TIME_S, TaskRef, WorkerState
 from chivetray.events import Event, log_event
@@ -60,6 +60,12 @@
         ):
             _check_older_attempt(state, job, task, running.attempt)
             continue
+        if (
+            job is not None
+            and task is not None
+            and _may_take_back(worker, job, task, running.attempt)
+        ):
+            state.take_back(worker, job, task)
         if (
             job is None
             or task is None
@@ -142,6 +148,21 @@
             state.release_attempt(worker, job, task, now_s, "not listed")
 
 
+def _may_take_back(worker: WorkerState, job: Job, task: Task, attempt: int) -> bool:
+    """Return whether a listed attempt is the newest of a task that waits.
+
+    It was given up and runs all the same. To let it run on costs neither work nor
+    another start, where no limit forbids it.
+    """
+    ref, step = (job.spec.job_id, task.key), job.spec.steps[task.key[1]]
+    is_waiting = task.phase == Phase.WAITING and task.attempt == attempt > 0
+    if not is_waiting or job.state.ended or step.gang:
+        return False
+    if task.copies or task.suspect or task.failed_attempt >= attempt:
+        return False
+    return ref not in worker.tasks and has_place(worker, ref, step)
+
+
 def _check_older_attempt(state: CellState, job: Job, task: Task, attempt: int) -> None:
     """Stop a listed older attempt that is not needed, or that its step forbids.
 
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -827,6 +827,26 @@
         order = StopOrder(name, attempt, task.copies[attempt], reason)
         self.stop_orders.append(order)
 
+    def take_back(self, worker: WorkerState, job: Job, task: Task) -> None:
+        """Make an attempt that was given up the running one of its task again."""
+        task.phase = Phase.PLACED
+        task.worker, task.incarnation = worker.worker_id, worker.incarnation
+        task.address = worker.address
+        task.running_at_s = task.stopped_at_s = 0.0
+        task.start_unanswered = True
+        task.stop_sent, task.stop_sent_at_s = False, 0.0
+        task.settled = task.isolated = False
+        worker.allocate((job.spec.job_id, task.key), job.spec.steps[task.key[1]])
+        self.mark_changed(job.spec.job_id)
+        log_event(
+            Event.ATTEMPT_TAKEN_BACK,
+            task=str(TaskName(job.spec.job_id, task.key)),
+            attempt=task.attempt,
+            worker=worker.worker_id,
+            incarnation=worker.incarnation,
+            epoch=self.epoch,
+        )
+
     def keep_older_attempt(
         self,
         worker: WorkerState,
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -228,6 +228,10 @@
         1689,
         "A start is sent whose step has a limit per worker; lists the others there.",
     )
+    ATTEMPT_TAKEN_BACK = (
+        1697,
+        "An attempt that was given up runs, and its task has not started anew.",
+    )
     START_WITHHELD = (
         1696,
         "A start is not sent, since its step has no place left on the worker; lists "
--- a/tests/test_uncounted_attempts.py
+++ b/tests/test_uncounted_attempts.py
@@ -15,8 +15,9 @@
 from chivetray.cells.polling import WorkerPoller
 from chivetray.cells.reports import confirm_stop, reject_start
 from chivetray.cells.state import CellState
+from chivetray.events import Event
 from chivetray.jobs.model import Phase, Step
-from chivetray.platform.workers import RunningTask, TaskName
+from chivetray.platform.workers import AttemptEnd, RunningTask, TaskName
 
 
 def adopt(before: Cell, names: tuple[str, ...]) -> Cell:
@@ -281,3 +282,36 @@
         (load,) = measure_load(cell.state, 30.1, 0).workers
         # An order is given for a VM whose worker takes no tasks and is empty.
         assert load.usable or load.tasks or not load.tasks_known
+
+
+class TestAttemptsThatAreTakenBack:
+    """Guards against work that is stopped though nothing else has its place."""
+
+    def test_a_waiting_task_whose_attempt_runs_is_running(self, logged) -> None:
+        cell = Cell(Step(1, 1000), workers=2)
+        placed = cell.place(0.1)
+        cell.poll(placed[0], 0.5)
+        cell.poll(placed[0], 0.6, (running(0),))
+        assert cell.tasks()[0].phase == Phase.RUNNING
+        assert not cell.state.stop_orders
+        assert len(logged.of(Event.ATTEMPT_TAKEN_BACK)) == 1
+        cell.poll(placed[0], 0.9, ends=(ended(1, 0),))
+        assert cell.tasks()[0].phase == Phase.DONE
+
+    def test_one_beyond_the_limit_of_its_step_is_stopped(self) -> None:
+        cell = Cell(Step(2, 1000, per_worker=1), workers=1)
+        assert cell.place(0.1) == {0: "w0"}
+        cell.poll("w0", 0.5)
+        cell.tasks()[0].not_before_s = 99.0
+        cell.state.mark_changed(JOB)
+        assert cell.place(0.6) == {1: "w0"}
+        cell.poll("w0", 0.7, (running(0), running(1)))
+        assert [order.name.key for order in cell.state.stop_orders] == [(0, 0, 0)]
+
+    def test_one_whose_failure_was_counted_is_stopped(self) -> None:
+        cell = Cell(Step(1, 1000), workers=1)
+        cell.place(0.1)
+        cell.poll("w0", 0.5, ends=(ended(1, 0, AttemptEnd.FAILED),))
+        cell.poll("w0", 0.52, (running(0),))
+        assert cell.tasks()[0].phase == Phase.WAITING
+        assert len(cell.state.stop_orders) == 1
