Give a test of a restart the list that describes it

TestWorkerThatRestartsAfterItsDrain placed a task on a restarted worker before the list had its new incarnation, which does no longer. It checks that now, gives the list, and then asks what it asked before.

--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -289,6 +289,11 @@
         assert not worker.draining
         worker.clock.observe(5, 2.0, 2.1)
         cell.state.workers["w2"].unhealthy_until_s = 2.2
+        assert place_tasks(cell.state, 2.1, 0) == []
+        others = [cell.entry(name) for name in ("w1", "w2")]
+        listed = [cell.entry("w0", incarnation=2), *others]
+        cell.state.update_workers(listed, 2.1)
+        assert not worker.draining
         (placed,) = place_tasks(cell.state, 2.1, 0)
         assert placed.worker_id == "w0"
         cell.report(restarted, 2.5)
