Let stops take time on the stand-in worker

On the platform an attempt goes on for up to StopTimeoutMs after its stop was answered, and is listed until then. The stand-in ended it at once, so no run of whole processes could show what an owner does with a worker meanwhile. The new fault stop_s is that time; the default is no time, as before.

--- a/src/chivetray/platform/standins/worker.py
+++ b/src/chivetray/platform/standins/worker.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import math
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -30,12 +31,14 @@
 
     :ivar left_s: run time that is left
     :ivar runs_until_stopped: whether the attempt never ends by itself
+    :ivar stop_left_s: time until it ends as stopped, infinite before its stop
     """
 
     task: str
     attempt: int
     left_s: float
     runs_until_stopped: bool
+    stop_left_s: float = math.inf
 
 
 @dataclass(slots=True)
@@ -46,12 +49,14 @@
     :ivar late_s: delay after which an unanswered start is carried out
     :ivar late_starts: number of further starts that are delayed and not answered
     :ivar failing: let every task fail
+    :ivar stop_s: time that an attempt goes on for after its stop was answered
     """
 
     silent: bool = False
     late_s: float = 0.0
     late_starts: int = 0
     failing: bool = False
+    stop_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -116,7 +121,10 @@
             return
         for run in list(self.running.values()):
             run.left_s -= elapsed_s
-            if run.left_s <= 0 and not run.runs_until_stopped:
+            run.stop_left_s -= elapsed_s
+            if run.stop_left_s <= 0:
+                self.end(run, "stopped")
+            elif run.left_s <= 0 and not run.runs_until_stopped:
                 self.end(run, "failed" if self.faults.failing else "done")
 
     def _record(self, kind: str, task: str, attempt: int) -> None:
@@ -162,7 +170,10 @@
             return refused
         run = self.running.get(body["Task"])
         if run is not None and run.attempt <= body["Attempt"]:
-            self.end(run, "stopped")
+            if self.faults.stop_s:
+                run.stop_left_s = min(run.stop_left_s, self.faults.stop_s)
+            else:
+                self.end(run, "stopped")
         closed_attempt = max(self.closed_attempts.get(body["Task"], 0), body["Attempt"])
         self.closed_attempts[body["Task"]] = closed_attempt
         return {}
