Hand in no two jobs of the soak under one identifier

A client of the soak repeats a submission without an answer until one manager answers it. After tries without an answer that were carried out, a try that meets a removed route is answered 404; the client then took the job as not accepted and gave the next one, with other tasks and perhaps for the other service, the same identifier. Both jobs ran, and the checks, which know jobs by their identifiers, saw one.

--- a/tests/job_soak.py
+++ b/tests/job_soak.py
@@ -9,6 +9,7 @@
 
 import base64
 import http.client
+import itertools
 import json
 import random
 import select
@@ -115,6 +116,7 @@
         rng = random.Random(f"{self.outcome.seed}/{number}")
         connections: dict[str, http.client.HTTPConnection] = {}
         mine: list[str] = []
+        numbers = itertools.count()
         while not self._stop.is_set():
             manager = rng.choice(self.fleet.managers)
             if mine and rng.random() < 0.4:
@@ -124,7 +126,8 @@
                 if status == 410:
                     self._report(f"{job_id} was accepted and is answered 410")
             else:
-                job_id = f"{self.outcome.seed:04x}{number:04x}{len(mine):08x}"
+                # A job that was not accepted may have been by a try without an answer.
+                job_id = f"{self.outcome.seed:04x}{number:04x}{next(numbers):08x}"
                 prefix = rng.choice(PREFIXES)
                 is_large = rng.random() < LARGE_SHARE
                 count = rng.randint(*(LARGE_TASKS if is_large else SMALL_TASKS))
