--- a/tests/test_job_soak.py
+++ b/tests/test_job_soak.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
 import os
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 from job_fleet import JobFleet
@@ -29,3 +31,31 @@
         print("\n".join(outcome.faults))
         assert outcome.problems == [], outcome.faults
         assert len(outcome.accepted) > 10
+
+
+class TestLimits:
+    """Guards against a soak that overlooks tasks beyond a limit per worker."""
+
+    START_A = (1.0, "start", "j1.0.0.0", 1)
+    START_B = (2.0, "start", "j1.0.0.1", 1)
+    STOPPED_A = (1.9, "stopped", "j1.0.0.0", 1)
+    OTHER_STEP = (1.5, "start", "j1.0.1.0", 1)
+
+    @pytest.mark.parametrize(
+        ("limit", "history", "count"),
+        [
+            (1, [START_A, START_B], 1),
+            (1, [START_A, STOPPED_A, START_B], 0),
+            (2, [START_A, START_B], 0),
+            (0, [START_A, START_B], 0),
+            (1, [START_A, OTHER_STEP], 0),
+        ],
+    )
+    def test_starts_beyond_the_limit_are_reported(
+        self, limit: int, history: list[Any], count: int
+    ) -> None:
+        fleet: Any = SimpleNamespace(managers=[], workers=[])
+        soak = JobSoak(fleet, 1)
+        soak.outcome.limits["j1"] = limit
+        soak._check_limits("w0", history)
+        assert len(soak.outcome.problems) == count
