Write inherited lease ends before other leases are granted there

Cause: a release tells when the leases on silent workers end, and the next owner keeps that in its own row, for the case that it is lost before it has stored what it knows. It kept it for as long as it owned the cell, and granted new leases on these workers once they answered.

Now an owner treats inherited ends as if they were in its row of lease ends: it writes that row first, and grants no lease on their workers before. A row that is newer than the owner's acquisition tells the next one that the inherited ends are superseded.

Cost: one read at an acquisition after such an owner, one write before the first lease on such a worker.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -26,6 +26,7 @@
     EARLIER_RELEASE_LEASE_LIMIT_S,
     JOB_TABLE,
     Ownership,
+    lease_row,
     owner_row,
     renewal_row,
 )
@@ -442,7 +443,7 @@
             self._mesh.name,
             self._mesh.incarnation,
             lease_limit_s=_inherit_lease_limit_s(row, current),
-            lease_ends_ms=self._inherit_lease_ends_ms(current),
+            lease_ends_ms=await self._inherit_lease_ends_ms(cell, row, current),
         )
         acquired_at_s = boot_time_s()
         version = await self._write_ownership(cell, row, last_renewal, ownership)
@@ -500,8 +501,10 @@
             return None
         # Until here no lease was granted, so the read stays valid for another try.
         self._renewals.pop(cell, None)
-        for worker_id, end_s in self._inherited_ends_s(current).items():
-            lease_ends_s[worker_id] = max(lease_ends_s.get(worker_id, 0.0), end_s)
+        if current is not None and not current.released:
+            for worker_id, end_s in self._inherited_ends_s(ownership).items():
+                lease_ends_s[worker_id] = max(lease_ends_s.get(worker_id, 0.0), end_s)
+        cell_owner.lease_ends.inherit(ownership.lease_ends_ms, self._store.clock)
         lease_ends_s |= {w: written_at_s + left_s for w, left_s in leases_s.items()}
         now_s = boot_time_s()
         state.attach_restored_tasks(
@@ -514,31 +517,40 @@
             await_reservations(state, boot_time_s())
         return cell_owner
 
-    def _inherit_lease_ends_ms(self, current: Ownership | None) -> dict[str, int]:
+    async def _inherit_lease_ends_ms(
+        self, cell: str, row: Row | None, current: Ownership | None
+    ) -> dict[str, int]:
         """Return the lease ends to store with the acquisition of a cell.
 
         A release tells them only once, and a new owner may be lost before it has stored
-        them among its own lease ends.
+        them among its own lease ends. Once it has, it may have granted other leases on
+        the workers that it no longer names.
+
+        :raises StoreUnavailableError: when the store does not answer
         """
-        if current is None or not self._store.clock.known:
+        if row is None or current is None or not self._store.clock.known:
             return {}
         if not current.released:
-            return current.lease_ends_ms
+            if not current.lease_ends_ms:
+                return {}
+            stored = await self._store.read_row(lease_row(cell))
+            is_newer = stored is not None and stored.version > row.version
+            return {} if is_newer else current.lease_ends_ms
         now_s = boot_time_s()
         return {
             worker_id: self._store.clock.upper_bound_ms(now_s + left_s)
             for worker_id, left_s in current.leases_s.items()
         }
 
-    def _inherited_ends_s(self, current: Ownership | None) -> dict[str, float]:
+    def _inherited_ends_s(self, ownership: Ownership) -> dict[str, float]:
         """Return the ends of :meth:`_inherit_lease_ends_ms` on the local clock."""
-        if current is None or current.released or not self._store.clock.known:
+        if not self._store.clock.known:
             return {}
         now_s = boot_time_s()
         now_ms = self._store.clock.lower_bound_ms(now_s)
         return {
             worker_id: now_s + max(0, end_ms - now_ms) / 1000 / (1 - CLOCK_DRIFT)
-            for worker_id, end_ms in current.lease_ends_ms.items()
+            for worker_id, end_ms in ownership.lease_ends_ms.items()
         }
 
     async def _is_previous_owner_gone(
--- a/src/chivetray/cells/lease_ends.py
+++ b/src/chivetray/cells/lease_ends.py
@@ -104,6 +104,24 @@
             self._log(Event.LEASE_ENDS_LOADED, ends_s)
         return ends_s
 
+    def inherit(self, ends_ms: dict[str, int], store_clock: RemoteClock) -> None:
+        """Treat lease ends that the owner row tells as if they were in the row.
+
+        No lease is granted on their workers before this row is written: a later owner
+        goes by the owner row until then.
+
+        :param ends_ms: end by worker id, on the store's clock
+        """
+        now_s = boot_time_s()
+        for worker_id, end_ms in ends_ms.items():
+            if worker_id in self._chosen_ms:
+                continue
+            left_ms = max(0, end_ms - store_clock.lower_bound_ms(now_s))
+            end_s = now_s + left_ms / 1000 / (1 - CLOCK_DRIFT)
+            self._state.hold_lease_end(worker_id, end_s + LEASE_END_MARGIN_S)
+            self._chosen_ms[worker_id] = end_ms
+            self._is_uncertain = True
+
     def _adopt(self, row: Row) -> None:
         """Take over the version and the content of the row."""
         self._version = row.version
