--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -43,8 +43,10 @@
         managers: int = 2,
         workers: int = 2,
         services: tuple[str, ...] = (TRY_SERVICE,),
+        settings: dict[str, Any] | None = None,
     ):
         self.services = services
+        self.settings = settings or {}
         self.folder = folder
         self.network, self._lock = claim_network()
         self.managers = [f"m{number}" for number in range(managers)]
@@ -115,6 +117,7 @@
             "metrics": f"{address}:{METRICS_PORT}",
             "store": self.store,
             "grace_s": 3,
+            **self.settings,
         }
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
