--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -7,6 +7,7 @@
 import random
 import select
 import socket
+import subprocess
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
@@ -247,6 +248,55 @@
             self._open(client)
 
 
+class Trial:
+    """A process whose limits are lowered, and crowds against it.
+
+    :param check_answers: checks that the process answers ordinary requests
+    """
+
+    def __init__(
+        self,
+        process: subprocess.Popen[bytes],
+        address: str,
+        memory_mb: int,
+        max_descriptors: int,
+        check_answers: Callable[[], None],
+    ):
+        self.check_answers = check_answers
+        self._process = process
+        self._address = address
+        self._memory_bytes = memory_mb * MB
+        self._max_descriptors = max_descriptors
+        self._usage = Usage(process.pid, address)
+        self._crowds: list[Crowd] = []
+
+    def play(self, *plans: Clients) -> None:
+        """Let clients play, and leave their connections open."""
+        crowd = Crowd(list(plans), self._address, self._usage, self._memory_bytes)
+        self._crowds.append(crowd)
+        crowd.play()
+        print(f"{self._usage}; {crowd}")
+
+    def check(self) -> None:
+        """Check that the process is within its limits, and answers afterwards."""
+        self.close()
+        assert self._process.poll() is None, "the process has ended"
+        self._check_usage()
+        self.check_answers()
+        self._usage.sample()
+        self._check_usage()
+
+    def close(self) -> None:
+        """Close the connections of all crowds."""
+        for crowd in self._crowds:
+            crowd.close()
+        self._crowds.clear()
+
+    def _check_usage(self) -> None:
+        assert self._usage.memory_bytes < self._memory_bytes, str(self._usage)
+        assert self._usage.descriptors < self._max_descriptors, str(self._usage)
+
+
 @contextmanager
 def one_crowd_at_a_time() -> Iterator[None]:
     """Wait until no other test on the machine plays a crowd."""
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 from collections import Counter
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -10,7 +9,8 @@
 
 import crowds
 import pytest
-from crowds import MB, Clients, Crowd, Usage
+from crowds import MB, Clients, Trial
+from helpers import send
 from job_fleet import (
     CALLERS_PORT,
     METRICS_PORT,
@@ -46,86 +46,31 @@
         yield
 
 
-class Trial:
-    """A manager with lowered limits, and a crowd."""
-
-    def __init__(self, fleet: JobFleet, max_descriptors: int):
-        self.fleet = fleet
-        self.max_descriptors = max_descriptors
-        self.address = fleet.manager_address("m0")
-        self.process = fleet.processes["m0"]
-        self.usage = Usage(self.process.pid, self.address)
-        self._crowds: list[Crowd] = []
-
-    def play(self, *plans: Clients) -> Crowd:
-        """Let clients play, and leave their connections open."""
-        crowd = Crowd(list(plans), self.address, self.usage, MEMORY_MB * MB)
-        self._crowds.append(crowd)
-        crowd.play()
-        print(f"{self.usage}; {crowd}")
-        return crowd
-
-    def check(self) -> None:
-        """Check that the process is within its limits and serves."""
-        self.close()
-        assert self.process.poll() is None, "the process has ended"
-        self._check_usage()
-        self.check_answers()
-        self.usage.sample()
-        self._check_usage()
-
-    def check_answers(self) -> None:
-        """Check that each listener answers an ordinary request."""
-        wait_for(self._accepts_a_job)
-        wait_for(lambda: self._get(READY_PORT, READY_PATH)[0] in (200, 503))
-        wait_for(lambda: b"chivetray_" in self._get(METRICS_PORT, "/metrics")[1])
-
-    def close(self) -> None:
-        for crowd in self._crowds:
-            crowd.close()
-        self._crowds.clear()
-
-    def _check_usage(self) -> None:
-        assert self.usage.memory_bytes < MEMORY_MB * MB, str(self.usage)
-        assert self.usage.descriptors < self.max_descriptors, str(self.usage)
-
-    def _accepts_a_job(self) -> bool:
-        body = job_body(count=1, work_s=0.1)
-        return self.fleet.call("m0", "POST", "00000000000000c1", body)[0] == 200
-
-    def _get(self, port: int, path: str) -> tuple[int, bytes]:
-        connection = http.client.HTTPConnection(self.address, port, timeout=5)
-        try:
-            connection.request("GET", path)
-            answer = connection.getresponse()
-            return answer.status, answer.read()
-        except (OSError, http.client.HTTPException):
-            return 0, b""
-        finally:
-            connection.close()
+@pytest.fixture
+def fleet(tmp_path) -> Iterator[JobFleet]:
+    fleet = JobFleet(tmp_path, managers=1, workers=1)
+    yield fleet
+    fleet.close()
 
 
 @pytest.fixture
-def start_trial(tmp_path) -> Iterator[Callable[..., Trial]]:
+def start_trial(fleet) -> Iterator[Callable[..., Trial]]:
     """Return a function that starts a manager with its limits lowered."""
-    started: list[tuple[JobFleet, Trial]] = []
+    trials: list[Trial] = []
 
     def start(max_descriptors: int = DESCRIPTORS) -> Trial:
-        limits = {"memory_mb": MEMORY_MB, "max_descriptors": max_descriptors}
-        fleet = JobFleet(tmp_path, managers=1, workers=1, settings=limits)
-        try:
-            fleet.start()
-        except BaseException:
-            fleet.close()
-            raise
-        trial = Trial(fleet, max_descriptors)
-        started.append((fleet, trial))
+        fleet.settings = {"memory_mb": MEMORY_MB, "max_descriptors": max_descriptors}
+        fleet.start()
+        process, address = fleet.processes["m0"], fleet.manager_address("m0")
+        trial = Trial(
+            process, address, MEMORY_MB, max_descriptors, lambda: _check_answers(fleet)
+        )
+        trials.append(trial)
         return trial
 
     yield start
-    for fleet, trial in started:
+    for trial in trials:
         trial.close()
-        fleet.close()
 
 
 @pytest.fixture
@@ -133,6 +78,20 @@
     return start_trial()
 
 
+def _check_answers(fleet: JobFleet) -> None:
+    """Check that each listener answers an ordinary request."""
+    address = fleet.manager_address("m0")
+    ready, metrics = f"{address}:{READY_PORT}", f"{address}:{METRICS_PORT}"
+    wait_for(lambda: _accepts_a_job(fleet))
+    wait_for(lambda: send(f"http://{ready}{READY_PATH}").status in (200, 503))
+    wait_for(lambda: b"chivetray_" in send(f"http://{metrics}/metrics").body)
+
+
+def _accepts_a_job(fleet: JobFleet) -> bool:
+    body = job_body(count=1, work_s=0.1)
+    return fleet.call("m0", "POST", "00000000000000c1", body)[0] == 200
+
+
 class TestTrailers:
     """Guards against trailers that are gathered without a limit."""
 
@@ -208,7 +167,7 @@
     ) -> None:
         trial = start_trial(max_descriptors=1000)
         port = {**HTTP_PORTS, "peers": PEERS_PORT}[listener]
-        trial.play(Clients(port, number=1500))
+        trial.play(Clients(port, number=3000))
         trial.check()
 
     def test_bodies_that_stop_are_bounded_together(self, start_trial) -> None:
@@ -277,7 +236,7 @@
 class TestMixture:
     """Guards against accepted jobs that a crowd loses or doubles."""
 
-    def test_jobs_beside_a_crowd_complete_and_run_once(self, trial) -> None:
+    def test_jobs_beside_a_crowd_complete_and_run_once(self, trial, fleet) -> None:
         trailers = crowds.chunked_head(QUEUE_PATH, TRY_HOST) + b"1\r\nx\r\n0\r\n"
         ahead = crowds.requests_without_headers()
         bodies = crowds.requests_with_bodies(QUEUE_PATH, TRY_HOST, 20 * crowds.KB)
@@ -290,14 +249,14 @@
             Clients(PEERS_PORT, lambda _: start, item * 65536, number=3),
         ]
         with ThreadPoolExecutor(1) as executor:
-            posted = executor.submit(_post_jobs, trial.fleet)
+            posted = executor.submit(_post_jobs, fleet)
             trial.play(*plans)
             trial.close()
             accepted = posted.result()
         trial.check()
         for job_id in accepted:
-            wait_for(lambda j=job_id: trial.fleet.state("m0", j) == "completed")
-        starts = Counter(trial.fleet.starts())
+            wait_for(lambda j=job_id: fleet.state("m0", j) == "completed")
+        starts = Counter(fleet.starts())
         assert all(count == 1 for count in starts.values()), starts
         for job_id in accepted:
             tasks = [task for task in starts if task.startswith(job_id)]
