Show heads that are taken apart before their size is compared

A head of headers of two bytes is parsed up to 256 KB at a read, 65,536 headers, before its size is compared with the limit of 16 KB. With 100 connections at once the five listeners of manager and entry take 321 to 342 MB, where the crowd stops; 160 are allowed.

--- a/tests/test_entry_crowds.py
+++ b/tests/test_entry_crowds.py
@@ -85,6 +85,23 @@
     wait_until(lambda: status("/metrics") == 200, "the metrics")
 
 
+class TestHeads:
+    """Guards against heads that are taken apart before their size is looked at."""
+
+    @each_http_port
+    def test_headers_without_end_are_bounded(self, trial, listener) -> None:
+        first = b"GET / HTTP/1.1\r\n"
+        plan = Clients(
+            HTTP_PORTS[listener],
+            lambda _: first,
+            repeated=b"a:\r\n" * 4096,
+            number=100,
+            connections=400,
+        )
+        trial.play(plan)
+        trial.check()
+
+
 class TestTrailers:
     """Guards against trailers that are gathered without a limit."""
 
