Count and log connections that are closed over a limit

Operators could not tell from metrics or log that clients were closed for a head that is too large or too slow, or for silence. Each closed connection now counts in chivetray_clients_closed_total{listener,limit} and has an event CLIENT_CLOSED, at most one line a second for each listener and limit, without bytes of the client.

--- a/src/chivetray/connection_limits.py
+++ b/src/chivetray/connection_limits.py
@@ -29,12 +29,18 @@
     idle_timeout_s: float = 15.0
 
 
+def _ignore(limit: str) -> None:
+    """Report no closed connections."""
+
+
 def limit_connections(
     limits: Callable[[], ConnectionLimits],
+    report: Callable[[str], None] = _ignore,
 ) -> type[asyncio.Protocol]:
     """Return a protocol class that enforces the limits on its connections.
 
     :param limits: returns the current limits
+    :param report: called with the name of the limit when a connection is closed
     """
 
     class LimitedProtocol(HttpToolsProtocol):
@@ -49,7 +55,7 @@
             super().connection_made(transport)
             idle_s = limits().idle_timeout_s
             self.timeout_keep_alive = idle_s  # type: ignore[assignment]
-            self._restart_timer(idle_s)
+            self._restart_timer(idle_s, "idle time")
 
         def connection_lost(self, exc: Exception | None) -> None:
             self._cancel_timer()
@@ -59,15 +65,15 @@
             current = limits()
             if not self._in_head and not self._in_body:
                 self._in_head, self._head_bytes_received = True, 0
-                self._restart_timer(current.head_timeout_s)
+                self._restart_timer(current.head_timeout_s, "head time")
             if self._in_head:
                 self._head_bytes_received += len(data)
             super().data_received(data)
             if self._in_head and self._head_bytes_received > current.head_bytes:
                 self.transport.write(HEAD_TOO_LARGE)
-                self._close()
+                self._close("head size")
             elif self._in_body:
-                self._restart_timer(current.idle_timeout_s)
+                self._restart_timer(current.idle_timeout_s, "idle time")
 
         def on_headers_complete(self) -> None:
             self._in_head, self._in_body = False, True
@@ -78,18 +84,19 @@
             self._cancel_timer()
             super().on_message_complete()
 
-        def _restart_timer(self, timeout_s: float) -> None:
+        def _restart_timer(self, timeout_s: float, limit: str) -> None:
             self._cancel_timer()
-            self._timer = self.loop.call_later(timeout_s, self._close)
+            self._timer = self.loop.call_later(timeout_s, self._close, limit)
 
         def _cancel_timer(self) -> None:
             if self._timer is not None:
                 self._timer.cancel()
                 self._timer = None
 
-        def _close(self) -> None:
+        def _close(self, limit: str) -> None:
             self._cancel_timer()
             if not self.transport.is_closing():
+                report(limit)
                 self.transport.close()
 
     return LimitedProtocol
--- a/src/chivetray/entry.py
+++ b/src/chivetray/entry.py
@@ -4,6 +4,7 @@
 
 import signal
 import uuid
+from functools import partial
 
 import anyio
 from anyio.abc import TaskGroup
@@ -161,10 +162,14 @@
         ):
             log_event(Event.LISTENER_STARTED, listener=name, address=address, port=port)
         callers_server = HttpServer.from_app(
-            self._caller_app, config.listeners.callers_tls
+            self._caller_app,
+            config.listeners.callers_tls,
+            report=partial(self._metrics.closed_clients.record, "callers"),
         )
         operators_server = HttpServer.from_app(
-            create_operators_app(self._operator_views()), config.listeners.operators_tls
+            create_operators_app(self._operator_views()),
+            config.listeners.operators_tls,
+            report=partial(self._metrics.closed_clients.record, "operators"),
         )
         async with anyio.create_task_group() as tasks:
             self._start_tasks(tasks)
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -320,6 +320,11 @@
     SHARE_CALL_FAILED = (1723, "The shares of a cap could not be read or changed.")
     CAP_CHANGED = (1724, "An owner follows another cap of an organisation.")
 
+    CLIENT_CLOSED = (
+        1730,
+        "A connection was closed, since it exceeded a limit; names listener and limit.",
+    )
+
     INVARIANT_BROKEN = (1900, "An invariant does not hold; this is a defect.")
 
     def __init__(self, number: int, meaning: str):
@@ -346,6 +351,7 @@
     {
         Event.CALL_REFUSED,
         Event.CELL_TAKE_FAILED,
+        Event.CLIENT_CLOSED,
         Event.COMMIT_FAILED,
         Event.CONFIG_SILENT,
         Event.CONFIG_TRANSFER,
--- a/src/chivetray/log_repeats.py
+++ b/src/chivetray/log_repeats.py
@@ -19,6 +19,8 @@
     "organisation",
     "loop",
     "way",
+    "listener",
+    "limit",
 )
 
 
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -6,6 +6,7 @@
 import sys
 import uuid
 from collections.abc import Awaitable, Callable, Iterator
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -205,15 +206,22 @@
             zone=self._settings.zone,
             incarnation=self._incarnation,
         )
+        report = self._metrics.closed_clients.record
         callers_server = HttpServer.from_app(
-            self._jobs_app, limits=self._connection_limits
+            self._jobs_app,
+            limits=self._connection_limits,
+            report=partial(report, "callers"),
+        )
+        ready_server = HttpServer.from_app(
+            self._readiness_app, report=partial(report, "ready")
         )
-        ready_server = HttpServer.from_app(self._readiness_app)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(ready_server.serve_on, ready)
             tasks.start_soon(callers_server.serve_on, callers)
             if self._settings.metrics:
-                metrics_server = HttpServer.from_app(self._metrics_app)
+                metrics_server = HttpServer.from_app(
+                    self._metrics_app, report=partial(report, "metrics")
+                )
                 tasks.start_soon(
                     metrics_server.serve_on, _bind_address(self._settings.metrics)
                 )
--- a/src/chivetray/manager_metrics.py
+++ b/src/chivetray/manager_metrics.py
@@ -9,7 +9,7 @@
 from prometheus_client.core import GaugeMetricFamily, SummaryMetricFamily
 
 from chivetray.events import Event
-from chivetray.metrics import QUANTILES, LatencyHistogram
+from chivetray.metrics import QUANTILES, ClosedClients, LatencyHistogram
 
 LATENCY_NAME = "chivetray_manager_latency_seconds"
 
@@ -103,6 +103,7 @@
             buckets=PREDICTION_RATIO_BUCKETS,
             registry=self.registry,
         )
+        self.closed_clients = ClosedClients(self.registry)
         self._latencies: dict[str, LatencyHistogram] = {}
         self._read_gauges = read_gauges
         self.registry.register(self)
--- a/src/chivetray/metrics.py
+++ b/src/chivetray/metrics.py
@@ -70,6 +70,26 @@
         yield family
 
 
+class ClosedClients:
+    """Counts and logs connections that are closed over a limit."""
+
+    def __init__(self, registry: CollectorRegistry):
+        self._counter = Counter(
+            "chivetray_clients_closed",
+            "Connections that were closed over a limit, by listener.",
+            ("listener", "limit"),
+            registry=registry,
+        )
+
+    def record(self, listener: str, limit: str) -> None:
+        """Count one connection.
+
+        :param limit: name of the limit that it exceeded
+        """
+        self._counter.labels(listener, limit).inc()
+        log_event(Event.CLIENT_CLOSED, listener=listener, limit=limit)
+
+
 class Metrics:
     """All metrics of one entry."""
 
@@ -125,6 +145,7 @@
             "Bytes sent to other entries.",
             registry=self.registry,
         )
+        self.closed_clients = ClosedClients(self.registry)
         self._latencies: dict[str, LatencyHistogram] = {}
         self.registry.register(_LatencyCollector(self._latencies))
 
--- a/src/chivetray/servers.py
+++ b/src/chivetray/servers.py
@@ -38,15 +38,17 @@
         tls: TlsSettings | None = None,
         backlog: int = BACKLOG,
         limits: Callable[[], ConnectionLimits] = ConnectionLimits,
+        report: Callable[[str], None] = lambda limit: None,
     ) -> HttpServer:
         """Create a server for one ASGI application.
 
         :param limits: returns the current limits on connections
+        :param report: called with the name of the limit when a connection is closed
         """
         config = uvicorn.Config(
             app,
             loop="asyncio",
-            http=limit_connections(limits),
+            http=limit_connections(limits, report),
             interface="asgi3",
             ws="none",
             lifespan="off",
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -5,12 +5,16 @@
 import asyncio
 import socket
 import time
+from collections.abc import Callable
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import Any
 
 import anyio
+from prometheus_client import CollectorRegistry
 
 from chivetray.connection_limits import ConnectionLimits
+from chivetray.metrics import ClosedClients
 from chivetray.servers import HttpServer, bind_listener
 
 LIMITS = ConnectionLimits(head_bytes=2000, head_timeout_s=0.4, idle_timeout_s=0.8)
@@ -25,9 +29,9 @@
 
 
 @asynccontextmanager
-async def _server():
+async def _server(report: Callable[[str], None] = lambda limit: None):
     listener = bind_listener("127.0.0.1", 0)
-    server = HttpServer.from_app(_app, limits=lambda: LIMITS)
+    server = HttpServer.from_app(_app, limits=lambda: LIMITS, report=report)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.serve_on, listener)
         yield listener.getsockname()[1]
@@ -114,3 +118,26 @@
     listener = bind_listener("127.0.0.1", 0)
     assert isinstance(listener, socket.socket)
     listener.close()
+
+
+class TestReports:
+    def test_each_closed_connection_is_counted_with_its_limit(self) -> None:
+        registry = CollectorRegistry()
+        closed = ClosedClients(registry)
+
+        async def scenario() -> None:
+            async with _server(partial(closed.record, "callers")) as port:
+                for _ in range(2):
+                    await _closed_after_s(port, b"GET / HTTP/1.1\r\nx: " + b"y" * 4000)
+                await _closed_after_s(port, b"GET / HTTP/1.1\r\n")
+                await _closed_after_s(port, b"")
+
+        asyncio.run(scenario())
+        counted = {
+            limit: registry.get_sample_value(
+                "chivetray_clients_closed_total",
+                {"listener": "callers", "limit": limit},
+            )
+            for limit in ("head size", "head time", "idle time")
+        }
+        assert counted == {"head size": 2, "head time": 1, "idle time": 1}
