Drop trailers and bound what follows the last byte of a body

Clients that sent trailers without end behind a chunked body made the process run out of memory, at every HTTP listener.

Cause: the parser reports trailers like headers, and the protocol added them to the list of headers of the request that the application has. The limit on heads counts only up to the end of the head. (Trailers could thus also add headers, such as a key, after the request was routed.)

Trailers are no longer added. Bytes received behind the last byte of a body, which is where they are, have the limit of a head, and so has a trailer whose line does not end, which the parser gathers, and a chunk extension. Trailers within the limit are still accepted, and a body of any number of chunks is.

Without the change, the new tests of trailers and of chunk extensions fail with no answer within 5 s or with trailers among the headers.

--- a/src/chivetray/connection_limits.py
+++ b/src/chivetray/connection_limits.py
@@ -19,7 +19,8 @@
 class ConnectionLimits:
     """Limits of one connection.
 
-    :ivar head_bytes: largest size of the head of a request
+    :ivar head_bytes: largest size of the head of a request, and of what follows the
+        last byte of its body, such as trailers
     :ivar head_timeout_s: time from the first byte of a head to its end
     :ivar idle_timeout_s: time without a received byte, before a head or within a body
     """
@@ -50,6 +51,7 @@
         _in_head = False
         _in_body = False
         _head_bytes_received = 0
+        _framing_bytes_received = 0
 
         def connection_made(self, transport: Any) -> None:
             super().connection_made(transport)
@@ -68,17 +70,31 @@
                 self._restart_timer(current.head_timeout_s, "head time")
             if self._in_head:
                 self._head_bytes_received += len(data)
+            elif self._in_body:
+                self._framing_bytes_received += len(data)
             super().data_received(data)
             if self._in_head and self._head_bytes_received > current.head_bytes:
-                self.transport.write(HEAD_TOO_LARGE)
-                self._close("head size")
+                self._refuse(HEAD_TOO_LARGE, "head size")
             elif self._in_body:
-                self._restart_timer(current.idle_timeout_s, "idle time")
+                if self._framing_bytes_received > current.head_bytes:
+                    self._refuse(HEAD_TOO_LARGE, "trailers")
+                else:
+                    self._restart_timer(current.idle_timeout_s, "idle time")
+
+        def on_header(self, name: bytes, value: bytes) -> None:
+            # Trailers would change the headers that the application has.
+            if not self._in_body:
+                super().on_header(name, value)
 
         def on_headers_complete(self) -> None:
             self._in_head, self._in_body = False, True
+            self._framing_bytes_received = 0
             super().on_headers_complete()
 
+        def on_body(self, body: bytes) -> None:
+            self._framing_bytes_received = 0
+            super().on_body(body)
+
         def on_message_complete(self) -> None:
             self._in_body = False
             self._cancel_timer()
@@ -93,6 +109,13 @@
                 self._timer.cancel()
                 self._timer = None
 
+        def _refuse(self, answer: bytes, limit: str) -> None:
+            """Answer the request under way, unless its answer has begun, and close."""
+            is_answered = self._in_body and self.cycle.response_started
+            if not is_answered and not self.transport.is_closing():
+                self.transport.write(answer)
+            self._close(limit)
+
         def _close(self, limit: str) -> None:
             self._cancel_timer()
             if not self.transport.is_closing():
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import anyio
+import pytest
 from prometheus_client import CollectorRegistry
 
 from chivetray.connection_limits import ConnectionLimits
@@ -29,9 +30,9 @@
 
 
 @asynccontextmanager
-async def _server(report: Callable[[str], None] = lambda limit: None):
+async def _server(report: Callable[[str], None] = lambda limit: None, app: Any = _app):
     listener = bind_listener("127.0.0.1", 0)
-    server = HttpServer.from_app(_app, limits=lambda: LIMITS, report=report)
+    server = HttpServer.from_app(app, limits=lambda: LIMITS, report=report)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.serve_on, listener)
         yield listener.getsockname()[1]
@@ -83,6 +84,70 @@
         assert asyncio.run(scenario()).startswith(b"HTTP/1.1 431 ")
 
 
+class TestTrailers:
+    """Guards against trailers without end, which once took all memory."""
+
+    CHUNKED = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+
+    async def _answer(self, port: int, *parts: bytes) -> bytes:
+        """Send parts until an answer arrives, and return that."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        answer = asyncio.ensure_future(reader.read(65536))
+        for part in parts:
+            writer.write(part)
+            await asyncio.wait([answer], timeout=0.05)
+            if answer.done():
+                break
+        await asyncio.wait_for(answer, 5)
+        writer.close()
+        return answer.result()
+
+    @pytest.mark.parametrize(
+        "trailers", [[b"a: b\r\n" * 100] * 10, [b"a: ", *[b"b" * 500] * 10]]
+    )
+    def test_they_get_431_when_they_are_larger_than_a_head(
+        self, trailers: list[bytes]
+    ) -> None:
+        async def scenario() -> bytes:
+            async with _server() as port:
+                body = self.CHUNKED + b"3\r\nabc\r\n0\r\n"
+                return await self._answer(port, body, *trailers)
+
+        assert asyncio.run(scenario()).startswith(b"HTTP/1.1 431 ")
+
+    def test_chunk_extensions_have_the_same_limit(self) -> None:
+        async def scenario() -> bytes:
+            async with _server() as port:
+                parts = [b"1;" + b"a=b;" * 100] * 10
+                return await self._answer(port, self.CHUNKED, *parts)
+
+        assert asyncio.run(scenario()).startswith(b"HTTP/1.1 431 ")
+
+    def test_they_do_not_change_the_headers_of_the_request(self) -> None:
+        headers: list[bytes] = []
+
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            await _app(scope, receive, send)
+            headers.extend(name for name, _ in scope["headers"])
+
+        async def scenario() -> bytes:
+            async with _server(app=app) as port:
+                body = b"3\r\nabc\r\n0\r\nauthorization: x\r\n\r\n"
+                return await self._answer(port, self.CHUNKED, body)
+
+        assert asyncio.run(scenario()).endswith(b"ok")
+        assert headers == [b"host", b"transfer-encoding"]
+
+    def test_a_long_body_in_small_chunks_is_served(self) -> None:
+        async def scenario() -> bytes:
+            async with _server() as port:
+                body = [b"1\r\na\r\n" * 400] * 5
+                end = b"0\r\na: " + b"b" * 1500 + b"\r\n\r\n"
+                return await self._answer(port, self.CHUNKED, *body, end)
+
+        assert asyncio.run(scenario()).endswith(b"ok")
+
+
 class TestIdleConnections:
     def test_a_connection_without_a_byte_is_closed(self) -> None:
         async def scenario() -> float:
