Parse one request of a connection at a time

Clients that sent many requests ahead and did not read the answers made the process run out of memory, at every HTTP listener: those without headers cost the client 18 bytes and the process some kilobytes each, those with bodies were kept with them.

Cause: the parser handles all it is given, so that each request in a received piece became an object in a queue. Reading was paused while the queue held one, but resumed after each answer and whenever an application asked for its body, however many were left. Answers that the client does not read held up the queue without a time limit.

The parser is now given what belongs to one request: up to the end of a head, the part of a body that is missing, or a slice of 512 bytes of a chunked body. What was received behind it is held back as bytes, and reading stays paused, until the answer is complete and the kernel has taken it. The write buffer's high-water mark is the first byte for this. A client that takes no byte of an answer for 10 s is closed.

Requests sent ahead are answered in order as before, also when split into pieces of 1 to 4,099 bytes. On the code before, the tests that count requests as objects (with bodies) and the test of the unread answer fail.

--- a/src/chivetray/connection_limits.py
+++ b/src/chivetray/connection_limits.py
@@ -7,8 +7,16 @@
 from dataclasses import dataclass
 from typing import Any
 
+from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT, FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+# Largest slice of a head or of a chunked body that the parser is given at once. It
+# handles all requests in a slice, which is why it is small.
+SLICE_BYTES = 512
+
+HEAD_END = b"\r\n\r\n"
+CHUNKED_BODY_END = b"0\r\n\r\n"
+
 HEAD_TOO_LARGE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
@@ -23,11 +31,29 @@
         last byte of its body, such as trailers
     :ivar head_timeout_s: time from the first byte of a head to its end
     :ivar idle_timeout_s: time without a received byte, before a head or within a body
+    :ivar answer_timeout_s: time within which the client takes some bytes of an answer
     """
 
     head_bytes: int = 16384
     head_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
+    answer_timeout_s: float = 10.0
+
+
+class GatedFlow(FlowControl):
+    """Flow control that resumes reading only while no received bytes are held back.
+
+    :ivar gated: whether bytes are held back
+    """
+
+    def __init__(self, transport: asyncio.Transport):
+        super().__init__(transport)
+        self.gated = False
+
+    def resume_reading(self) -> None:
+        """Resume reading unless bytes are held back."""
+        if not self.gated:
+            super().resume_reading()
 
 
 def _ignore(limit: str) -> None:
@@ -45,41 +71,60 @@
     """
 
     class LimitedProtocol(HttpToolsProtocol):
-        """HTTP connection that is closed when it exceeds a limit."""
+        """HTTP connection that is closed when it exceeds a limit.
 
+        It parses one request at a time. What is received behind that is held back
+        until the client has taken the answer.
+        """
+
+        flow: GatedFlow
         _timer: asyncio.TimerHandle | None = None
+        _write_timer: asyncio.TimerHandle | None = None
         _in_head = False
         _in_body = False
         _head_bytes_received = 0
         _framing_bytes_received = 0
+        # Part of a body of known length that was not received yet.
+        _missing_body_bytes = 0
+        # Received bytes, of which those from the offset on are held back.
+        _received = b""
+        _offset = 0
 
         def connection_made(self, transport: Any) -> None:
             super().connection_made(transport)
+            self.flow = GatedFlow(transport)
+            # Writing is paused whenever the kernel has not taken all of an answer. With
+            # TLS, a limit of 0 would pause it when there is nothing to write, too.
+            transport.set_write_buffer_limits(high=1, low=0)
             idle_s = limits().idle_timeout_s
             self.timeout_keep_alive = idle_s  # type: ignore[assignment]
             self._restart_timer(idle_s, "idle time")
 
         def connection_lost(self, exc: Exception | None) -> None:
             self._cancel_timer()
+            self._cancel_write_timer()
+            self._received, self._offset = b"", 0
             super().connection_lost(exc)
 
         def data_received(self, data: bytes) -> None:
-            current = limits()
-            if not self._in_head and not self._in_body:
-                self._in_head, self._head_bytes_received = True, 0
-                self._restart_timer(current.head_timeout_s, "head time")
-            if self._in_head:
-                self._head_bytes_received += len(data)
-            elif self._in_body:
-                self._framing_bytes_received += len(data)
-            super().data_received(data)
-            if self._in_head and self._head_bytes_received > current.head_bytes:
-                self._refuse(HEAD_TOO_LARGE, "head size")
-            elif self._in_body:
-                if self._framing_bytes_received > current.head_bytes:
-                    self._refuse(HEAD_TOO_LARGE, "trailers")
-                else:
-                    self._restart_timer(current.idle_timeout_s, "idle time")
+            if self._offset < len(self._received):
+                data = self._received[self._offset :] + data
+            self._received, self._offset = data, 0
+            self._parse()
+
+        def pause_writing(self) -> None:
+            super().pause_writing()
+            if self._write_timer is None:
+                self._watch_answer(self.transport.get_write_buffer_size())
+
+        def resume_writing(self) -> None:
+            self._cancel_write_timer()
+            super().resume_writing()
+            self._parse()
+
+        def on_response_complete(self) -> None:
+            super().on_response_complete()
+            self._parse()
 
         def on_header(self, name: bytes, value: bytes) -> None:
             # Trailers would change the headers that the application has.
@@ -89,10 +134,12 @@
         def on_headers_complete(self) -> None:
             self._in_head, self._in_body = False, True
             self._framing_bytes_received = 0
+            self._missing_body_bytes = _read_length(self.headers)
             super().on_headers_complete()
 
         def on_body(self, body: bytes) -> None:
             self._framing_bytes_received = 0
+            self._missing_body_bytes -= len(body)
             super().on_body(body)
 
         def on_message_complete(self) -> None:
@@ -100,6 +147,58 @@
             self._cancel_timer()
             super().on_message_complete()
 
+        def _parse(self) -> None:
+            """Parse received bytes until a request is complete."""
+            received = self._received
+            while self._offset < len(received) and not self.transport.is_closing():
+                if not self._in_head and not self._in_body:
+                    if self._is_answering():
+                        break
+                    self._in_head, self._head_bytes_received = True, 0
+                    self._restart_timer(limits().head_timeout_s, "head time")
+                end = self._slice_end()
+                piece = received[self._offset : end]
+                self._offset = end
+                self._parse_piece(piece)
+            if self._in_body:
+                self._restart_timer(limits().idle_timeout_s, "idle time")
+            if self.transport.is_closing() or self._offset == len(received):
+                self._received, self._offset = b"", 0
+                if self.flow.gated:
+                    self.flow.gated = False
+                    if self.cycle is None or len(self.cycle.body) <= HIGH_WATER_LIMIT:
+                        self.flow.resume_reading()
+            else:
+                self.flow.gated = True
+                self.flow.pause_reading()
+
+        def _is_answering(self) -> bool:
+            """Return whether an answer is incomplete or was not taken by the client."""
+            if self.flow.write_paused:
+                return True
+            return self.cycle is not None and not self.cycle.response_complete
+
+        def _slice_end(self) -> int:
+            """Return the end of the next bytes to parse."""
+            if self._missing_body_bytes > 0:
+                return min(len(self._received), self._offset + self._missing_body_bytes)
+            mark = CHUNKED_BODY_END if self._in_body else HEAD_END
+            limit = min(len(self._received), self._offset + SLICE_BYTES)
+            found = self._received.find(mark, self._offset, limit)
+            return limit if found < 0 else found + len(mark)
+
+        def _parse_piece(self, piece: bytes) -> None:
+            if self._in_head:
+                self._head_bytes_received += len(piece)
+            else:
+                self._framing_bytes_received += len(piece)
+            super().data_received(piece)
+            head_bytes = limits().head_bytes
+            if self._in_head and self._head_bytes_received > head_bytes:
+                self._refuse(HEAD_TOO_LARGE, "head size")
+            elif self._in_body and self._framing_bytes_received > head_bytes:
+                self._refuse(HEAD_TOO_LARGE, "trailers")
+
         def _restart_timer(self, timeout_s: float, limit: str) -> None:
             self._cancel_timer()
             self._timer = self.loop.call_later(timeout_s, self._close, limit)
@@ -109,6 +208,25 @@
                 self._timer.cancel()
                 self._timer = None
 
+        def _watch_answer(self, unread_bytes: int) -> None:
+            """Abort the connection unless fewer bytes are unread after a time."""
+            self._write_timer = self.loop.call_later(
+                limits().answer_timeout_s, self._check_answer, unread_bytes
+            )
+
+        def _check_answer(self, previous_bytes: int) -> None:
+            unread_bytes = self.transport.get_write_buffer_size()
+            if unread_bytes < previous_bytes:
+                self._watch_answer(unread_bytes)
+            else:
+                report("answer time")
+                self.transport.abort()
+
+        def _cancel_write_timer(self) -> None:
+            if self._write_timer is not None:
+                self._write_timer.cancel()
+                self._write_timer = None
+
         def _refuse(self, answer: bytes, limit: str) -> None:
             """Answer the request under way, unless its answer has begun, and close."""
             is_answered = self._in_body and self.cycle.response_started
@@ -123,3 +241,11 @@
                 self.transport.close()
 
     return LimitedProtocol
+
+
+def _read_length(headers: list[tuple[bytes, bytes]]) -> int:
+    """Return the length of a body, 0 where the head does not tell it."""
+    for name, value in headers:
+        if name == b"content-length" and value.isdigit():
+            return int(value)
+    return 0
