Bound the connections of a listener and what they hold together

Clients within the limit of each connection could still take all memory or descriptors of a manager: bodies of 256 KB that stop before their end, bytes sent ahead on many connections, or thousands of idle connections, after which no caller got in. Bodies were bounded together in an entry only.

Cause: nothing counted connections or what all of them hold, and no limit was derived from the memory and descriptors of the VM. Bytes that the kernel has received count as memory too, in buffers that grow to megabytes.

Each HTTP listener of a manager and of an entry now has a pool. Its limits are a share of memory_mb and max_descriptors, so that no listener takes those of another, and half is left for the process itself: with 300 MB and 4,100 descriptors, 447 connections of callers and 223 more in the queue of the kernel. Receive buffers are 32 KB, set on the listener, and count for each connection. Beyond the limit on bytes, the connection that holds most is closed, with a 503 if its body is incomplete and no answer has begun. Beyond the limit on connections, the one without a request for longest is closed. If all have a request in progress, or had less than 0.1 s for one, no more are accepted for 0.1 s or until one ends.

Connections are accepted by the process's own code, 32 in a pass, because the event loop accepts as many as the queue holds before a protocol can count any, and because its servers do not tell when a connection is refused.

--- a/src/chivetray/entry.py
+++ b/src/chivetray/entry.py
@@ -17,6 +17,7 @@
     create_operators_app,
 )
 from chivetray.config import Config
+from chivetray.connection_pool import ConnectionPool, share_limits
 from chivetray.duties.drains import DrainFollower
 from chivetray.duties.loads import LoadWriter
 from chivetray.duties.sweeper import Sweeper
@@ -43,6 +44,9 @@
 # Interval at which slots of requests that timed out are released.
 DUE_SLOTS_INTERVAL_S = 0.25
 
+# Shares of the listeners in the memory and the descriptors of clients.
+LISTENER_SHARES = {"callers": 0.8, "operators": 0.1, "peers": 0.1}
+
 
 class Entry:
     """An entry process.
@@ -164,12 +168,12 @@
         callers_server = HttpServer.from_app(
             self._caller_app,
             config.listeners.callers_tls,
-            report=partial(self._metrics.closed_clients.record, "callers"),
+            pool=self._pool("callers"),
         )
         operators_server = HttpServer.from_app(
             create_operators_app(self._operator_views()),
             config.listeners.operators_tls,
-            report=partial(self._metrics.closed_clients.record, "operators"),
+            pool=self._pool("operators"),
         )
         async with anyio.create_task_group() as tasks:
             self._start_tasks(tasks)
@@ -194,6 +198,15 @@
         tasks.start_soon(self._wave_runner.run)
         tasks.start_soon(self._sweeper.run)
 
+    def _pool(self, listener: str) -> ConnectionPool:
+        settings = self._config.entry
+        limits = share_limits(
+            settings.memory_mb, settings.max_descriptors, LISTENER_SHARES[listener]
+        )
+        return ConnectionPool(
+            limits, partial(self._metrics.closed_clients.record, listener)
+        )
+
     def leave(self) -> None:
         """Start a graceful shutdown."""
         self._stop_requested.set()
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -26,6 +26,7 @@
 from chivetray.cells.worker_list import WorkerList
 from chivetray.clocks import boot_time_s
 from chivetray.connection_limits import ConnectionLimits
+from chivetray.connection_pool import ConnectionPool, share_limits
 from chivetray.defects import contain_errors, keep_running
 from chivetray.events import Event, log_event, observe_events, open_log
 from chivetray.exceptions import FaultsError
@@ -82,6 +83,9 @@
 # and a read of a slow store takes a quarter of a second.
 MIN_LIST_AGE_S = 1.4
 
+# Shares of the listeners in the memory and the descriptors of clients.
+LISTENER_SHARES = {"callers": 0.7, "ready": 0.1, "metrics": 0.1, "peers": 0.1}
+
 # Part of the time between SIGTERM and SIGKILL that is reserved for closing connections
 # and exiting.
 STOP_RESERVE_S = 1.2
@@ -206,21 +210,18 @@
             zone=self._settings.zone,
             incarnation=self._incarnation,
         )
-        report = self._metrics.closed_clients.record
         callers_server = HttpServer.from_app(
-            self._jobs_app,
-            limits=self._connection_limits,
-            report=partial(report, "callers"),
+            self._jobs_app, limits=self._connection_limits, pool=self._pool("callers")
         )
         ready_server = HttpServer.from_app(
-            self._readiness_app, report=partial(report, "ready")
+            self._readiness_app, pool=self._pool("ready")
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(ready_server.serve_on, ready)
             tasks.start_soon(callers_server.serve_on, callers)
             if self._settings.metrics:
                 metrics_server = HttpServer.from_app(
-                    self._metrics_app, report=partial(report, "metrics")
+                    self._metrics_app, pool=self._pool("metrics")
                 )
                 tasks.start_soon(
                     metrics_server.serve_on, _bind_address(self._settings.metrics)
@@ -328,6 +329,15 @@
 
     # Callbacks and background tasks of the components
 
+    def _pool(self, listener: str) -> ConnectionPool:
+        settings = self._settings
+        limits = share_limits(
+            settings.memory_mb, settings.max_descriptors, LISTENER_SHARES[listener]
+        )
+        return ConnectionPool(
+            limits, partial(self._metrics.closed_clients.record, listener)
+        )
+
     def _connection_limits(self) -> ConnectionLimits:
         config = self._configuration.current
         if config is None:
--- a/src/chivetray/servers.py
+++ b/src/chivetray/servers.py
@@ -11,7 +11,9 @@
 import anyio
 import uvicorn
 
-from chivetray.connection_limits import ConnectionLimits, limit_connections
+from chivetray.acceptor import Acceptor
+from chivetray.connection_limits import ConnectionLimits, LimitedConnection
+from chivetray.connection_pool import RECEIVE_BUFFER_BYTES, ConnectionPool
 from chivetray.generated.settings import TlsSettings
 
 BACKLOG = 1024
@@ -27,28 +29,34 @@
     :ivar ended: set once the server is stopped and all its requests have ended
     """
 
-    def __init__(self, config: uvicorn.Config):
+    def __init__(
+        self,
+        config: uvicorn.Config,
+        limits: Callable[[], ConnectionLimits],
+        pool: ConnectionPool,
+    ):
         super().__init__(config)
         self.ended = anyio.Event()
+        self._limits = limits
+        self._pool = pool
 
     @classmethod
     def from_app(
         cls,
         app: Any,
         tls: TlsSettings | None = None,
-        backlog: int = BACKLOG,
         limits: Callable[[], ConnectionLimits] = ConnectionLimits,
-        report: Callable[[str], None] = lambda limit: None,
+        pool: ConnectionPool | None = None,
     ) -> HttpServer:
         """Create a server for one ASGI application.
 
         :param limits: returns the current limits on connections
-        :param report: called with the name of the limit when a connection is closed
+        :param pool: holds the connections and the limits on all of them
         """
         config = uvicorn.Config(
             app,
             loop="asyncio",
-            http=limit_connections(limits, report),
+            http="httptools",
             interface="asgi3",
             ws="none",
             lifespan="off",
@@ -57,11 +65,33 @@
             server_header=False,
             date_header=False,
             proxy_headers=False,
-            backlog=backlog,
             ssl_certfile=tls.certificate_file if tls else None,
             ssl_keyfile=tls.key_file if tls else None,
         )
-        return cls(config)
+        return cls(config, limits, pool or ConnectionPool())
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Accept connections of the listeners."""
+        await self.lifespan.startup()
+
+        def create_connection() -> LimitedConnection:
+            return LimitedConnection(
+                self.config,
+                self.server_state,
+                self.lifespan.state,
+                self._limits,
+                self._pool,
+            )
+
+        acceptors = [
+            Acceptor(listener, self._pool, create_connection, self.config.ssl)
+            for listener in sockets or []
+        ]
+        for acceptor in acceptors:
+            acceptor.start()
+        # The base class closes these when it stops.
+        self.servers = acceptors  # type: ignore[assignment]
+        self.started = True
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -91,6 +121,8 @@
     # asyncio sets TCP_NODELAY on accepted connections only when the protocol is given.
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted sockets inherit it. The kernel doubles the value for its own overhead.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES // 2)
     try:
         listener.bind((address, port))
         listener.listen(BACKLOG)
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -22,6 +22,7 @@
 )
 
 from chivetray.connection_limits import ConnectionLimits, GatedFlow
+from chivetray.connection_pool import ConnectionPool, PoolLimits
 from chivetray.metrics import ClosedClients
 from chivetray.servers import HttpServer, bind_listener
 
@@ -39,9 +40,14 @@
 
 
 @asynccontextmanager
-async def _server(report: Callable[[str], None] = lambda limit: None, app: Any = _app):
+async def _server(
+    report: Callable[[str], None] = lambda limit: None,
+    app: Any = _app,
+    pool_limits: PoolLimits | None = None,
+):
     listener = bind_listener("127.0.0.1", 0)
-    server = HttpServer.from_app(app, limits=lambda: LIMITS, report=report)
+    pool = ConnectionPool(pool_limits, report)
+    server = HttpServer.from_app(app, limits=lambda: LIMITS, pool=pool)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.serve_on, listener)
         yield listener.getsockname()[1]
@@ -344,7 +350,7 @@
                 size = 0
                 while size < 20_000_000:
                     size += len(await asyncio.wait_for(reader.read(1 << 20), 5))
-                    await asyncio.sleep(0.05)
+                    await asyncio.sleep(0.02)
                 writer.close()
                 return size
 
