Bound what streams of peers hold, and unknown ones most

One message that does not end, sent to the port for peers by anyone, took 320 to 371 MB of a manager with 24 connections before the test stopped: in the decoder's buffer, up to 16 MB for each stream, and as values of a list, which have no limit at all.

Cause: the limit on the size of a message is one of the buffer for each stream, which does not count values that are decoded already, and it applies before the peer has said who it is. Nothing bounded streams or what all hold; their receive buffers grow to megabytes.

Until its first message is complete, a stream may now send 4 KB. Decoded values count by their size in memory at most, and lists are limited in number and length. Lines PEER_PROTOCOL_ERROR are written once a second.

Whoever sends a valid first message counts as a peer; the protocol has no keys.

--- a/src/chivetray/entry.py
+++ b/src/chivetray/entry.py
@@ -29,6 +29,7 @@
 from chivetray.metrics import Metrics
 from chivetray.peers.membership import PeerAddress
 from chivetray.peers.node import PeerNode
+from chivetray.peers.stream import share_stream_limits
 from chivetray.records.client import RecordClient
 from chivetray.records.group_writer import GroupWriter
 from chivetray.records.leases import LeaseKeeper
@@ -45,7 +46,7 @@
 DUE_SLOTS_INTERVAL_S = 0.25
 
 # Shares of the listeners in the memory and the descriptors of clients.
-LISTENER_SHARES = {"callers": 0.8, "operators": 0.1, "peers": 0.1}
+LISTENER_SHARES = {"callers": 0.8, "operators": 0.1}
 
 
 class Entry:
@@ -68,6 +69,10 @@
             lambda: self._admission.waiting_by_endpoint(),
             self._metrics.report_broken_invariant,
         )
+        self._node.pool = ConnectionPool(
+            share_stream_limits(config.entry.max_descriptors),
+            partial(self._metrics.closed_clients.record, "peers"),
+        )
         self._client = RecordClient.from_config(config.platform)
         self._watcher = PlatformWatcher(
             self._client,
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -358,6 +358,7 @@
         Event.JOB_HIDDEN,
         Event.LOOP_FAILED,
         Event.MAINTENANCE_WAITS,
+        Event.PEER_PROTOCOL_ERROR,
         Event.SHARE_CALL_FAILED,
         Event.SHARE_LACKING,
         Event.STORE_LOST,
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -35,6 +35,7 @@
 from chivetray.manager_metrics import ManagerMetrics
 from chivetray.manager_settings import parse_settings, read_settings_text
 from chivetray.peers.mesh import Mesh
+from chivetray.peers.stream import share_stream_limits
 from chivetray.platform.advice import AdviceClient
 from chivetray.platform.calls import CallSession
 from chivetray.platform.store import Committed, StoreUnavailableError
@@ -84,7 +85,7 @@
 MIN_LIST_AGE_S = 1.4
 
 # Shares of the listeners in the memory and the descriptors of clients.
-LISTENER_SHARES = {"callers": 0.7, "ready": 0.1, "metrics": 0.1, "peers": 0.1}
+LISTENER_SHARES = {"callers": 0.7, "ready": 0.1, "metrics": 0.1}
 
 # Part of the time between SIGTERM and SIGKILL that is reserved for closing connections
 # and exiting.
@@ -122,6 +123,10 @@
             self._build_heartbeat,
             self._on_mesh_change,
         )
+        self._mesh.pool = ConnectionPool(
+            share_stream_limits(settings.max_descriptors),
+            partial(self._metrics.closed_clients.record, "peers"),
+        )
         self._store.connect(self._mesh, self._mesh.request_heartbeat)
         self._configuration.connect(self._mesh)
         self._worker_list = WorkerList(self._store)
--- a/src/chivetray/peers/codec.py
+++ b/src/chivetray/peers/codec.py
@@ -37,6 +37,18 @@
 # A full set of objects at 15,000 VMs fits into one message.
 MESSAGE_LIMIT_BYTES = 16 * 1024 * 1024
 
+# Largest message of a peer that has not said who it is.
+HELLO_LIMIT_BYTES = 4096
+
+# Limits on the items of one list and on the lists in one message, such as claims or
+# grants. An empty list takes a byte in a message and 64 in memory.
+LIST_ITEMS_LIMIT = 32_768
+MESSAGE_LISTS_LIMIT = 100_000
+LIST_BYTES = 64
+
+# Memory of a value by its size in a message, at most, such as of an integer.
+VALUE_EXPANSION = 16
+
 PeerMessage = (
     Hello
     | Heartbeat
@@ -119,12 +131,31 @@
 
 
 class MessageDecoder:
-    """Incrementally decodes a byte stream into messages."""
+    """Incrementally decodes a byte stream into messages.
+
+    :ivar limit_bytes: largest size of a message
+    """
 
     def __init__(self) -> None:
-        self._unpacker = msgpack.Unpacker(max_buffer_size=MESSAGE_LIMIT_BYTES)
+        self.limit_bytes = MESSAGE_LIMIT_BYTES
+        self._unpacker = msgpack.Unpacker(
+            max_buffer_size=MESSAGE_LIMIT_BYTES,
+            max_array_len=LIST_ITEMS_LIMIT,
+            max_map_len=LIST_ITEMS_LIMIT,
+            list_hook=self._count_list,
+        )
+        self._fed_bytes = 0
+        self._complete_bytes = 0
+        self._lists = 0
         self._last_heartbeat: tuple[Any, PeerMessage] | None = None
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the message under way takes, at most."""
+        parsed: int = self._unpacker.tell()
+        values_bytes = VALUE_EXPANSION * (parsed - self._complete_bytes)
+        return self._fed_bytes - parsed + values_bytes + LIST_BYTES * self._lists
+
     def feed(self, content: bytes) -> Iterator[PeerMessage]:
         """Add received bytes and yield the messages that are complete.
 
@@ -132,13 +163,24 @@
         """
         try:
             self._unpacker.feed(content)
+            self._fed_bytes += len(content)
             for unpacked in self._unpacker:
+                self._complete_bytes = self._unpacker.tell()
+                self._lists = 0
                 yield self._decode(unpacked)
+            if self._fed_bytes - self._complete_bytes > self.limit_bytes:
+                raise ValueError("the message is too large")
         except (ValidationError, ValueError, TypeError, KeyError) as error:
             raise _protocol_error(error) from error
         except msgpack.UnpackException as error:
             raise _protocol_error(error) from error
 
+    def _count_list(self, items: list[Any]) -> list[Any]:
+        self._lists += 1
+        if self._lists > MESSAGE_LISTS_LIMIT:
+            raise ValueError("the message has too many lists")
+        return items
+
     def _decode(self, unpacked: Any) -> PeerMessage:
         """Validate a message; most heartbeats repeat the one before unchanged."""
         if self._last_heartbeat is not None and unpacked == self._last_heartbeat[0]:
--- a/src/chivetray/peers/mesh.py
+++ b/src/chivetray/peers/mesh.py
@@ -11,10 +11,12 @@
 from typing import Any
 
 import anyio
+from anyio import aclose_forcefully
 from anyio.abc import SocketStream, TaskGroup
 
 from chivetray.addresses import read_address
 from chivetray.clocks import boot_time_s
+from chivetray.connection_pool import ConnectionPool
 from chivetray.defects import contain_errors, log_defect
 from chivetray.events import Event, log_event
 from chivetray.generated.messages import (
@@ -143,6 +145,7 @@
     :param on_change: called after a peer was added or removed, or after the cells,
         configuration version, leaving flag or store access it reports have changed
     :ivar last_loss_at_s: time at which a peer was last lost
+    :ivar pool: all streams, and the limits on them
     """
 
     def __init__(
@@ -161,6 +164,7 @@
         self.peers: dict[str, Peer] = {}
         self.handlers: dict[str, CallHandler] = {}
         self.last_loss_at_s = -math.inf
+        self.pool = ConnectionPool()
         self._make_heartbeat = make_heartbeat
         self._on_change = on_change
         self._known: dict[str, str] = {}
@@ -258,6 +262,10 @@
     # Streams
 
     async def _accept(self, socket: SocketStream) -> None:
+        if not self.pool.make_room():
+            self.pool.report("connections of the listener")
+            await aclose_forcefully(socket)
+            return
         await self._serve_stream(PeerStream.from_socket(socket), dialed=False)
 
     async def _dial_all(self, tasks: TaskGroup) -> None:
@@ -290,6 +298,7 @@
             self._dialing.discard(name)
 
     async def _serve_stream(self, stream: PeerStream, dialed: bool) -> None:
+        stream.join(self.pool)
         try:
             hello = NodeHello(self.name, self.zone, self.incarnation, self.address)
             await stream.send(hello)
@@ -298,6 +307,7 @@
                 first_message = await anext(messages)
             if not isinstance(first_message, NodeHello):
                 return
+            stream.mark_known()
             peer = self._add_peer(first_message, stream, dialed)
             if peer is None:
                 return
--- a/src/chivetray/peers/node.py
+++ b/src/chivetray/peers/node.py
@@ -11,9 +11,11 @@
 from functools import partial
 
 import anyio
+from anyio import aclose_forcefully
 from anyio.abc import SocketStream, TaskGroup
 
 from chivetray.config import Config
+from chivetray.connection_pool import ConnectionPool
 from chivetray.events import Event, log_event
 from chivetray.fleet.revision import Revision, RevisionState
 from chivetray.generated.messages import (
@@ -64,6 +66,7 @@
     :param on_change: called after grants or membership have changed
     :param count_waiting: returns how many waiting requests could go to each endpoint
     :param report_broken_invariant: called when an invariant does not hold
+    :ivar pool: all streams, and the limits on them
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         self.holder = GrantHolder(config.peers.grant_ttl_s)
         self.ledger = GrantLedger(config.peers.grant_ttl_s)
         self.leaving = False
+        self.pool = ConnectionPool()
         self._config = config
         self._revisions = revisions
         self._incarnation = incarnation
@@ -143,6 +147,10 @@
     # Streams
 
     async def _accept(self, socket: SocketStream) -> None:
+        if not self.pool.make_room():
+            self.pool.report("connections of the listener")
+            await aclose_forcefully(socket)
+            return
         await self._serve_stream(PeerStream.from_socket(socket))
 
     async def _dial_all(self, tasks: TaskGroup) -> None:
@@ -167,9 +175,11 @@
     async def _serve_stream(self, stream: PeerStream) -> None:
         """Exchange ``Hello`` and handle messages until the stream ends."""
         name = ""
+        stream.join(self.pool)
         try:
             await stream.send(self._make_hello())
             hello = await stream.receive_hello(self._config.peers.heartbeat_timeout_s)
+            stream.mark_known()
             name = hello.name
             await self._register_stream(hello, stream)
             async for message in stream.messages():
