Bound the lists in the content of a call between managers

By reading: the content of a call is decoded at once, so that a content of 16 MB of empty lists takes a gigabyte. It now has the limit of a message, 100,000 lists, which are not counted below 100,000 bytes.

--- a/src/chivetray/peers/codec.py
+++ b/src/chivetray/peers/codec.py
@@ -130,6 +130,26 @@
     return values
 
 
+class ListCounter:
+    """Counts the lists of a message as they are decoded.
+
+    :ivar count: lists so far
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def __call__(self, items: list[Any]) -> list[Any]:
+        """Count one list and return it.
+
+        :raises ValueError: when there are too many
+        """
+        self.count += 1
+        if self.count > MESSAGE_LISTS_LIMIT:
+            raise ValueError("too many lists")
+        return items
+
+
 class MessageDecoder:
     """Incrementally decodes a byte stream into messages.
 
@@ -138,15 +158,15 @@
 
     def __init__(self) -> None:
         self.limit_bytes = MESSAGE_LIMIT_BYTES
+        self._lists = ListCounter()
         self._unpacker = msgpack.Unpacker(
             max_buffer_size=MESSAGE_LIMIT_BYTES,
             max_array_len=LIST_ITEMS_LIMIT,
             max_map_len=LIST_ITEMS_LIMIT,
-            list_hook=self._count_list,
+            list_hook=self._lists,
         )
         self._fed_bytes = 0
         self._complete_bytes = 0
-        self._lists = 0
         self._last_heartbeat: tuple[Any, PeerMessage] | None = None
 
     @property
@@ -154,7 +174,7 @@
         """Memory that the message under way takes, at most."""
         parsed: int = self._unpacker.tell()
         values_bytes = VALUE_EXPANSION * (parsed - self._complete_bytes)
-        return self._fed_bytes - parsed + values_bytes + LIST_BYTES * self._lists
+        return self._fed_bytes - parsed + values_bytes + LIST_BYTES * self._lists.count
 
     def feed(self, content: bytes) -> Iterator[PeerMessage]:
         """Add received bytes and yield the messages that are complete.
@@ -166,7 +186,7 @@
             self._fed_bytes += len(content)
             for unpacked in self._unpacker:
                 self._complete_bytes = self._unpacker.tell()
-                self._lists = 0
+                self._lists.count = 0
                 yield self._decode(unpacked)
             if self._fed_bytes - self._complete_bytes > self.limit_bytes:
                 raise ValueError("the message is too large")
@@ -175,12 +195,6 @@
         except msgpack.UnpackException as error:
             raise _protocol_error(error) from error
 
-    def _count_list(self, items: list[Any]) -> list[Any]:
-        self._lists += 1
-        if self._lists > MESSAGE_LISTS_LIMIT:
-            raise ValueError("the message has too many lists")
-        return items
-
     def _decode(self, unpacked: Any) -> PeerMessage:
         """Validate a message; most heartbeats repeat the one before unchanged."""
         if self._last_heartbeat is not None and unpacked == self._last_heartbeat[0]:
@@ -201,8 +215,9 @@
 
     :raises PeerProtocolError: when the bytes are not one valid value
     """
+    counter = ListCounter() if len(content) > MESSAGE_LISTS_LIMIT else None
     try:
-        return msgpack.unpackb(content)
+        return msgpack.unpackb(content, list_hook=counter)
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise _protocol_error(error) from error
 
--- a/tests/test_peer_limits.py
+++ b/tests/test_peer_limits.py
@@ -22,6 +22,8 @@
     MESSAGE_LISTS_LIMIT,
     MessageDecoder,
     PeerProtocolError,
+    decode_content,
+    encode_content,
     encode_message,
 )
 from chivetray.peers.mesh import Mesh
@@ -174,6 +176,12 @@
         with pytest.raises(PeerProtocolError):
             list(MessageDecoder().feed(content))
 
+    def test_too_many_lists_in_a_content_are_refused(self) -> None:
+        with pytest.raises(PeerProtocolError):
+            decode_content(msgpack.packb([[]] * (MESSAGE_LISTS_LIMIT + 1)))
+        content = [[1]] * (MESSAGE_LISTS_LIMIT // 2 - 1)
+        assert decode_content(encode_content(content)) == content
+
     def test_nothing_is_held_after_a_message(self) -> None:
         decoder = MessageDecoder()
         assert len(list(decoder.feed(HELLO))) == 1
