--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -718,9 +718,16 @@
         return job, task
 
     def free_older_attempts(
-        self, worker: WorkerState, ref: TaskRef, now_s: float, reason: str
+        self,
+        worker: WorkerState,
+        ref: TaskRef,
+        now_s: float,
+        reason: str = "released",
     ) -> None:
-        """Free the resources of older attempts that no longer run on a worker."""
+        """Free the resources of older attempts that no longer run on a worker.
+
+        :param reason: why, for the log
+        """
         worker.free(ref, now_s)
         job, task = self.find_task(ref)
         if job is not None and task is not None:
