Compare the size of a head before it is parsed

Cause: the size was compared only while the head was incomplete after parsing. Slices of a head end where it ends, so that its size is known before the last one is parsed. The mark of its end is also found where it arrives in two pieces; without this, the start of the body counted as part of the head (test_a_request_split_at_any_byte_is_served).

--- a/src/chivetray/connection_limits.py
+++ b/src/chivetray/connection_limits.py
@@ -109,6 +109,7 @@
         self._in_head = False
         self._in_body = False
         self._head_bytes_received = 0
+        self._head_tail = b""
         self._framing_bytes_received = 0
         # Part of a body of known length that was not received yet.
         self._missing_body_bytes = 0
@@ -208,6 +209,7 @@
                 if self._is_answering():
                     break
                 self._in_head, self._head_bytes_received = True, 0
+                self._head_tail = b""
                 is_new_head = True
             end = self._slice_end()
             piece = received[self._offset : end]
@@ -238,20 +240,31 @@
         """Return the end of the next bytes to parse."""
         if self._missing_body_bytes > 0:
             return min(len(self._received), self._offset + self._missing_body_bytes)
-        mark = CHUNKED_BODY_END if self._in_body else HEAD_END
         limit = min(len(self._received), self._offset + SLICE_BYTES)
-        found = self._received.find(mark, self._offset, limit)
-        return limit if found < 0 else found + len(mark)
+        start = self._offset
+        if self._in_body:
+            found = self._received.find(CHUNKED_BODY_END, start, limit)
+            return limit if found < 0 else found + len(CHUNKED_BODY_END)
+        # The mark may have begun in the bytes that were parsed before.
+        window = self._head_tail + self._received[start:limit]
+        found = window.find(HEAD_END)
+        if found < 0:
+            self._head_tail = window[1 - len(HEAD_END) :]
+            return limit
+        return start + found + len(HEAD_END) - len(self._head_tail)
 
     def _parse_piece(self, piece: bytes, head_bytes: int) -> None:
         if self._in_head:
+            # Counted before it is parsed, since the piece may complete the head.
             self._head_bytes_received += len(piece)
-        else:
-            self._framing_bytes_received += len(piece)
+            if self._head_bytes_received > head_bytes:
+                self._refuse(HEAD_TOO_LARGE, "head size")
+                return
+            super().data_received(piece)
+            return
+        self._framing_bytes_received += len(piece)
         super().data_received(piece)
-        if self._in_head and self._head_bytes_received > head_bytes:
-            self._refuse(HEAD_TOO_LARGE, "head size")
-        elif self._in_body and self._framing_bytes_received > head_bytes:
+        if self._in_body and self._framing_bytes_received > head_bytes:
             self._refuse(HEAD_TOO_LARGE, "trailers")
 
     def _restart_timer(self, timeout_s: float, limit: str) -> None:
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -99,6 +99,34 @@
         assert asyncio.run(scenario()).startswith(b"HTTP/1.1 431 ")
 
 
+class TestLargestHead:
+    """Guards against heads above the limit that passed when their end came at once."""
+
+    @pytest.mark.parametrize("excess", [0, 1])
+    @pytest.mark.parametrize("size", [1, 499, 65536])
+    def test_its_size_is_exact_however_it_is_split(
+        self, excess: int, size: int
+    ) -> None:
+        head = b"GET / HTTP/1.1\r\nx: %s\r\n\r\n"
+        filler = LIMITS.head_bytes - len(head % b"") + excess
+        content = head % (b"y" * filler)
+        pieces = [content[at : at + size] for at in range(0, len(content), size)]
+
+        async def scenario() -> bytes:
+            async with _server() as port:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                for piece in pieces:
+                    writer.write(piece)
+                    if size > 1:
+                        await asyncio.sleep(0.01)
+                answer = await asyncio.wait_for(reader.readuntil(b"\r\n"), 5)
+                writer.close()
+                return answer
+
+        expected = b"HTTP/1.1 431 " if excess else b"HTTP/1.1 200 "
+        assert asyncio.run(scenario()).startswith(expected)
+
+
 class TestTrailers:
     """Guards against trailers without end, which once took all memory."""
 
