Count a TLS connection by its memory

1,500 TLS handshakes that do not go on took 171 MB of an entry with memory_mb 160, and 600 with a part of the first message 166 MB, though only some 130 connections were open.

Cause: the event loop keeps a buffer of 256 KB for each TLS connection, and the pool counted it like one without TLS. The buffer now has 32 KB, like the kernel's, and a TLS connection counts with 176 KB.

--- a/src/chivetray/acceptor.py
+++ b/src/chivetray/acceptor.py
@@ -5,11 +5,12 @@
 import asyncio
 import socket
 import ssl
+from asyncio import sslproto
 from collections.abc import Callable
 from functools import partial
 
 from chivetray.connection_limits import LimitedConnection
-from chivetray.connection_pool import ConnectionPool
+from chivetray.connection_pool import RECEIVE_BUFFER_BYTES, ConnectionPool
 
 # Connections accepted in one pass of the event loop.
 ACCEPTS_PER_PASS = 32
@@ -21,6 +22,10 @@
 RETRY_DELAY_S = 0.1
 
 
+# The event loop keeps a buffer of this size for each TLS connection, 256 KB by default.
+sslproto.SSLProtocol.max_size = RECEIVE_BUFFER_BYTES
+
+
 class Acceptor:
     """Accepts the connections of one listener.
 
--- a/src/chivetray/connection_pool.py
+++ b/src/chivetray/connection_pool.py
@@ -26,6 +26,9 @@
 RECEIVE_BUFFER_BYTES = 32768
 CONNECTION_BYTES = RECEIVE_BUFFER_BYTES + 16384
 
+# The same for a connection with TLS, with its second buffer and the library's state.
+TLS_CONNECTION_BYTES = CONNECTION_BYTES + RECEIVE_BUFFER_BYTES + 98304
+
 # Time that a connection has for its next request before it may be closed for others.
 MIN_WAIT_S = 0.1
 
@@ -55,17 +58,21 @@
     max_held_bytes: int = 64 * BYTES_PER_MB
 
 
-def share_limits(memory_mb: int, max_descriptors: int, share: float) -> PoolLimits:
+def share_limits(
+    memory_mb: int, max_descriptors: int, share: float, has_tls: bool = False
+) -> PoolLimits:
     """Return the limits of a listener.
 
     :param memory_mb: memory that the process may use, in MB
     :param max_descriptors: descriptors that the process may open
     :param share: share of this listener in what clients may take
+    :param has_tls: whether its connections use TLS
     """
     left_bytes = max(0, memory_mb - PROCESS_MEMORY_MB) * BYTES_PER_MB
     memory_bytes = share * CLIENT_SHARE * left_bytes
     descriptors = share * CLIENT_SHARE * (max_descriptors - FILE_DESCRIPTORS)
-    slots = memory_bytes * CONNECTION_SHARE / CONNECTION_BYTES
+    connection_bytes = TLS_CONNECTION_BYTES if has_tls else CONNECTION_BYTES
+    slots = memory_bytes * CONNECTION_SHARE / connection_bytes
     connections = max(
         MIN_CONNECTIONS, int(min(descriptors, slots / (1 + WAITING_SHARE)))
     )
--- a/src/chivetray/entry.py
+++ b/src/chivetray/entry.py
@@ -26,6 +26,7 @@
 from chivetray.explain import explain_name
 from chivetray.fleet.revision import RevisionState
 from chivetray.fleet.vm_states import ListedVm, VmKind, VmState, VmStates
+from chivetray.generated.settings import TlsSettings
 from chivetray.metrics import Metrics
 from chivetray.peers.membership import PeerAddress
 from chivetray.peers.node import PeerNode
@@ -173,12 +174,12 @@
         callers_server = HttpServer.from_app(
             self._caller_app,
             config.listeners.callers_tls,
-            pool=self._pool("callers"),
+            pool=self._pool("callers", config.listeners.callers_tls),
         )
         operators_server = HttpServer.from_app(
             create_operators_app(self._operator_views()),
             config.listeners.operators_tls,
-            pool=self._pool("operators"),
+            pool=self._pool("operators", config.listeners.operators_tls),
         )
         async with anyio.create_task_group() as tasks:
             self._start_tasks(tasks)
@@ -203,10 +204,13 @@
         tasks.start_soon(self._wave_runner.run)
         tasks.start_soon(self._sweeper.run)
 
-    def _pool(self, listener: str) -> ConnectionPool:
+    def _pool(self, listener: str, tls: TlsSettings | None) -> ConnectionPool:
         settings = self._config.entry
         limits = share_limits(
-            settings.memory_mb, settings.max_descriptors, LISTENER_SHARES[listener]
+            settings.memory_mb,
+            settings.max_descriptors,
+            LISTENER_SHARES[listener],
+            tls is not None,
         )
         return ConnectionPool(
             limits, partial(self._metrics.closed_clients.record, listener)
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import ssl
+from asyncio import sslproto
 from collections.abc import Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -20,6 +21,7 @@
     CONNECTION_BYTES,
     FILE_DESCRIPTORS,
     PROCESS_MEMORY_MB,
+    RECEIVE_BUFFER_BYTES,
     ConnectionPool,
     PoolLimits,
     share_limits,
@@ -412,6 +414,17 @@
 
         asyncio.run(scenario())
 
+    def test_a_connection_has_a_small_receive_buffer(self) -> None:
+        async def scenario() -> int:
+            context = ssl.create_default_context()
+            loop = asyncio.get_running_loop()
+            protocol = sslproto.SSLProtocol(
+                loop, asyncio.Protocol(), context, loop.create_future()
+            )
+            return len(protocol.get_buffer(1 << 20))
+
+        assert asyncio.run(scenario()) == RECEIVE_BUFFER_BYTES
+
     def test_bytes_that_are_no_handshake_leave_no_connection(
         self, tls: TlsSettings
     ) -> None:
