Use a worker on beside a member of a done gang

What it cost callers: after each end of a gang, the workers of its members took nothing new until these had ended too, for up to the time of a stop.

Cause: a member that is done with another is listed until it has ended. Its place is its own, but took it for an attempt beside its place.

--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -196,8 +196,9 @@
         # Who sent its start, and when, is not known.
         task.unanswered_copies.add(attempt)
         return
-    # The place is another attempt's, which may be released before this one ends.
-    worker.runs_uncounted = True
+    if not has_place or task is None or task.attempt != attempt:
+        # The place may be another attempt's, and released before this one ends.
+        worker.runs_uncounted = True
     order = StopOrder(name, attempt, worker.worker_id, reason)
     state.stop_orders.append(order)
 
--- a/tests/test_uncounted_attempts.py
+++ b/tests/test_uncounted_attempts.py
@@ -315,3 +315,14 @@
         cell.poll("w0", 0.52, (running(0),))
         assert cell.tasks()[0].phase == Phase.WAITING
         assert len(cell.state.stop_orders) == 1
+
+
+class TestDoneGangs:
+    def test_a_listed_member_of_one_does_not_bar_its_worker(self) -> None:
+        """Guards against a worker that takes nothing beside a run that it counts."""
+        cell = Cell(Step(2, 1000, per_worker=1, gang=True), workers=2)
+        placed = cell.place(0.1)
+        cell.poll(placed[0], 0.3, ends=(ended(1, 0),))
+        assert cell.tasks()[1].phase == Phase.DONE
+        cell.poll(placed[1], 0.3, (running(1),))
+        assert cell.state.workers[placed[1]].accepts_tasks(0.4)
