Count a lost run for one crash of its worker only

What callers could see: a job given up after crashes that its task had no part in, and a long-running task that waits for up to 19 s for a run that ended with its worker.

Cause: an older attempt that was listed, and that a restart of its worker has ended, still counted as one that has begun: for the next crash, and for its task, which waited for it on a silent worker.

Now it is a start of the past after the restart, as those of ended attempts are, until a poll lists it.

--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -894,6 +894,8 @@
             if task.copy_incarnations.get(attempt, 0) >= worker.incarnation:
                 return
             task.copy_incarnations[attempt] = worker.incarnation
+            # A crash of the new incarnation is not its fault unless it begins there.
+            task.settled_copies.add(attempt)
             task.stopping_copies.pop(attempt, None)
             self.stop_copy(job, task, attempt, StopReason.VANISHED_COPY)
         worker.suspend(ref)
--- a/tests/test_uncounted_attempts.py
+++ b/tests/test_uncounted_attempts.py
@@ -326,3 +326,26 @@
         assert cell.tasks()[1].phase == Phase.DONE
         cell.poll(placed[1], 0.3, (running(1),))
         assert cell.state.workers[placed[1]].accepts_tasks(0.4)
+
+
+class TestSecondRestart:
+    def test_a_run_that_was_lost_is_not_blamed_for_the_next_crash(self) -> None:
+        """Guards against a crash counted for a run that the first crash has ended."""
+        cell = with_older_run(Step(1, 1000))
+        worker = cell.state.workers["w0"]
+        cell.state.handle_worker_restart(worker, 2, 1.0)
+        assert cell.tasks()[0].crashes == 1
+        cell.state.handle_worker_restart(worker, 3, 2.0)
+        assert cell.tasks()[0].crashes == 1
+
+    def test_a_run_that_was_lost_is_not_awaited_on_a_silent_worker(self) -> None:
+        """Guards against a task kept away for the longest delay of an order.
+
+        The run has ended with its incarnation; its start may only be carried out late.
+        """
+        cell = with_older_run(Step(1, 1000))
+        worker = cell.state.workers["w0"]
+        cell.state.handle_worker_restart(worker, 2, 1.0)
+        worker.silent_since_s = worker.last_silence_at_s = 1.1
+        step = cell.job.spec.steps[0]
+        assert not cell.state.awaits_older_attempt(cell.tasks()[0], step)
