Set the pace of an attempt that was taken back anew

Cause: an attempt that was given up, slowed down before, and is taken back in a later incarnation of its worker works at full speed there, while its owner took the old pace for known.

--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -842,7 +842,7 @@
         task.running_at_s = task.stopped_at_s = 0.0
         task.start_unanswered = True
         task.stop_sent, task.stop_sent_at_s = False, 0.0
-        task.settled = task.isolated = False
+        task.pace_known = task.settled = task.isolated = False
         worker.allocate((job.spec.job_id, task.key), job.spec.steps[task.key[1]])
         self.mark_changed(job.spec.job_id)
         log_event(
--- a/tests/test_uncounted_attempts.py
+++ b/tests/test_uncounted_attempts.py
@@ -349,3 +349,17 @@
         worker.silent_since_s = worker.last_silence_at_s = 1.1
         step = cell.job.spec.steps[0]
         assert not cell.state.awaits_older_attempt(cell.tasks()[0], step)
+
+
+class TestAttemptsTakenBack:
+    def test_the_pace_of_one_in_a_later_incarnation_is_not_known(self) -> None:
+        """Guards against a best-effort task at full speed that counts as paced."""
+        cell = Cell(Step(1, 1000, best_effort=True), workers=1)
+        cell.place(0.1)
+        task = cell.tasks()[0]
+        task.pace_percent, task.pace_known = 20, True
+        cell.poll("w0", 0.5)
+        cell.state.handle_worker_restart(cell.state.workers["w0"], 2, 1.0)
+        cell.poll("w0", 1.1, (running(0),), incarnation=2)
+        assert task.phase == Phase.RUNNING
+        assert task.pace_percent == 100 or not task.pace_known
