Start a manager whose template gives no memory or descriptors

What operators would see: a manager that does not start, error 308, where the platform tells no limits for the process: the template then gives null, which the new settings did not take.

Now both settings may be null, as row_bytes, and the defaults apply.

Evidence: the new test fails before.

--- a/src/chivetray/connection_pool.py
+++ b/src/chivetray/connection_pool.py
@@ -7,6 +7,10 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+# Limits of the process where the settings do not tell them.
+DEFAULT_MEMORY_MB = 300
+DEFAULT_DESCRIPTORS = 4100
+
 # Memory that a process takes without its clients, at most.
 PROCESS_MEMORY_MB = 120
 
@@ -59,15 +63,20 @@
 
 
 def share_limits(
-    memory_mb: int, max_descriptors: int, share: float, has_tls: bool = False
+    memory_mb: int | None,
+    max_descriptors: int | None,
+    share: float,
+    has_tls: bool = False,
 ) -> PoolLimits:
     """Return the limits of a listener.
 
-    :param memory_mb: memory that the process may use, in MB
-    :param max_descriptors: descriptors that the process may open
+    :param memory_mb: memory that the process may use, in MB, ``None`` if not known
+    :param max_descriptors: descriptors that the process may open, ``None`` if not known
     :param share: share of this listener in what clients may take
     :param has_tls: whether its connections use TLS
     """
+    memory_mb = memory_mb or DEFAULT_MEMORY_MB
+    max_descriptors = max_descriptors or DEFAULT_DESCRIPTORS
     left_bytes = max(0, memory_mb - PROCESS_MEMORY_MB) * BYTES_PER_MB
     memory_bytes = share * CLIENT_SHARE * left_bytes
     descriptors = share * CLIENT_SHARE * (max_descriptors - FILE_DESCRIPTORS)
--- a/src/chivetray/peers/stream.py
+++ b/src/chivetray/peers/stream.py
@@ -9,7 +9,12 @@
 import anyio
 from anyio.abc import ByteStream, SocketAttribute, SocketStream
 
-from chivetray.connection_pool import FILE_DESCRIPTORS, ConnectionPool, PoolLimits
+from chivetray.connection_pool import (
+    DEFAULT_DESCRIPTORS,
+    FILE_DESCRIPTORS,
+    ConnectionPool,
+    PoolLimits,
+)
 from chivetray.generated.messages import Hello
 from chivetray.peers.codec import (
     HELLO_LIMIT_BYTES,
@@ -41,8 +46,12 @@
 UNACKNOWLEDGED_TIMEOUT_S = 1.5
 
 
-def share_stream_limits(max_descriptors: int) -> PoolLimits:
-    """Return the limits on the streams of a process."""
+def share_stream_limits(max_descriptors: int | None) -> PoolLimits:
+    """Return the limits on the streams of a process.
+
+    :param max_descriptors: descriptors that the process may open, ``None`` if not known
+    """
+    max_descriptors = max_descriptors or DEFAULT_DESCRIPTORS
     descriptors = STREAM_SHARE * (max_descriptors - FILE_DESCRIPTORS)
     return PoolLimits(int(descriptors), max_held_bytes=BUFFER_LIMIT_BYTES)
 
--- a/tests/test_manager_settings.py
+++ b/tests/test_manager_settings.py
@@ -8,8 +8,10 @@
 import yaml
 
 from chivetray import manager as manager_module
+from chivetray.connection_pool import share_limits
 from chivetray.events import Event
 from chivetray.manager import Manager
+from chivetray.peers.stream import share_stream_limits
 
 
 def write(path: Path, grace_s: int) -> None:
@@ -95,3 +97,23 @@
 
         before, after = asyncio.run(main())
         assert after == 250 != before
+
+
+class TestLimitsOfTheProcess:
+    """Guards against a manager that does not start where its limits are not told."""
+
+    def test_limits_that_are_not_told_are_the_default(self, tmp_path: Path) -> None:
+        path = tmp_path / "m0.yaml"
+        write(path, 3)
+        told = yaml.safe_load(path.read_text())
+        path.write_text(
+            yaml.safe_dump({**told, "memory_mb": None, "max_descriptors": None})
+        )
+
+        async def main() -> None:
+            started = Manager.from_file(path)
+            await started._session.aclose()
+
+        asyncio.run(main())
+        assert share_limits(None, None, 1.0) == share_limits(300, 4100, 1.0)
+        assert share_stream_limits(None) == share_stream_limits(4100)
