Name why a listed older attempt is stopped, and read once more

The stop of a listed older attempt said DONE_ELSEWHERE also where its job had ended or its step allows no copies; it says JOB_ENDED or EARLIER_OWNER there now. A local name hid has_place. One word for a start that is carried out late.

--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -225,7 +225,7 @@
         for ref in worker.tasks:
             found = self._state.find_newest_attempt(worker, ref)
             if found is None:
-                if self._has_old_start(ref):
+                if self._has_late_start(ref):
                     return True
                 continue
             _, task = found
@@ -235,8 +235,8 @@
                 return True
         return False
 
-    def _has_old_start(self, ref: TaskRef) -> bool:
-        """Return whether a start of the past is being ruled out on a worker.
+    def _has_late_start(self, ref: TaskRef) -> bool:
+        """Return whether a late start of a task is being ruled out on a worker.
 
         No end is listed for one that has not begun.
         """
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -169,10 +169,14 @@
     An earlier owner may have begun to stop it, of which the stored progress tells
     nothing.
     """
-    is_over = task.phase == Phase.DONE or job.state.ended
-    is_unwanted = is_over or not job.spec.steps[task.key[1]].copies
-    if is_unwanted and attempt not in task.stopping_copies:
+    if attempt in task.stopping_copies:
+        return
+    if task.phase == Phase.DONE:
         state.stop_copy(job, task, attempt, StopReason.DONE_ELSEWHERE)
+    elif job.state.ended:
+        state.stop_copy(job, task, attempt, StopReason.JOB_ENDED)
+    elif not job.spec.steps[task.key[1]].copies:
+        state.stop_copy(job, task, attempt, StopReason.EARLIER_OWNER)
 
 
 def _stop_unexpected(
@@ -186,17 +190,17 @@
     name, attempt = running.name, running.attempt
     _log_unexpected(Event.ATTEMPT_UNKNOWN, state, worker, name, attempt)
     reason = StopReason.UNKNOWN_ATTEMPT
-    has_place = (name.job_id, name.key) in worker.tasks
+    is_covered = (name.job_id, name.key) in worker.tasks
     if (
         job is not None
         and task is not None
-        and not has_place
+        and not is_covered
         and state.keep_older_attempt(worker, job, task, attempt, reason)
     ):
         # Who sent its start, and when, is not known.
         task.unanswered_copies.add(attempt)
         return
-    if not has_place or task is None or task.attempt != attempt:
+    if not is_covered or task is None or task.attempt != attempt:
         # The place may be another attempt's, and released before this one ends.
         worker.runs_uncounted = True
     order = StopOrder(name, attempt, worker.worker_id, reason)
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -918,8 +918,8 @@
         """Return whether a task may not start yet, beside an older attempt of it.
 
         Where the step allows no copies, the older attempt has to be ruled out first: on
-        a silent worker by the end of its leases. A start of the past that has not begun
-        may take longer than that, so it is waited for only while its worker answers.
+        a silent worker by the end of its leases. A late start that has not begun may
+        take longer than that, so it is waited for only while its worker answers.
         """
         if step.copies:
             return False
