--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -314,16 +314,20 @@
         self.starts: list[tuple[str, int]] = []
         self.ended: list[tuple[str, int, str]] = []
         self._store, self._record = store, record
+        self._gone = False
+        self.begin_life()
+        self.server = HttpServer(self._handle)
+        self._task: asyncio.Task[None] | None = None
+
+    def begin_life(self) -> None:
+        """Begin a life that runs and knows nothing."""
         self._born_ms = time.time_ns() // 1_000_000
         self._began_s = time.monotonic()
         self._fence = self._deadline_ms = self._number = self._seq = 0
-        # By work unit: run, time left, whether it lasts.
+        # By work unit: run and time left.
         self.running: dict[str, list[Any]] = {}
         self._closed: dict[str, int] = {}
         self._finished: list[list[Any]] = []
-        self._gone = False
-        self.server = HttpServer(self._handle)
-        self._task: asyncio.Task[None] | None = None
 
     async def start(self, host: str) -> None:
         """Listen, register in the store and run."""
