Name jobs by their queue and identifier in cancellations, states and notices

Callers saw a job end as `cancelled` that nobody had cancelled: a DELETE in one queue also ended the job of another queue that had the same identifier. A GET in a queue where nobody had submitted answered 200 with the state of the other queue's job, and a job was not run for some time if its notice was replaced by that of a job with the same identifier.

Cause: callers of different queues choose identifiers without knowing of each other, and rows of jobs are kept by queue. But marks of cancellations (in a scan, in the load of a cell, in notices, and when they come before their job), questions for states, and the notices that wait for an owner were looked up by the identifier alone, in all cells of a process.

Now one type, JobName, holds queue and identifier, and the look-ups take it. A notice of cancellations lists each job by its identifier, as earlier releases read it, and by both. An earlier release's notice names no queue, so that the owner scans the store for the mark instead of guessing; its question for a state is answered as unknown, and it reads the store. Two jobs of one cell with one identifier are still not both run, since workers know tasks by the identifier: the second is kept apart, logged as JOB_ID_SHARED, and gets neither state, progress nor cancellation of the first.

Tests that gave an identifier where a name is wanted now give the name. The test that an earlier release's question without a queue is answered from memory now wants it unanswered: any answer may be that of another queue.

The whole suite was not run on this commit.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -27,6 +27,7 @@
     JOB_TABLE,
     Ownership,
     lease_row,
+    name_of_row,
     owner_row,
     renewal_row,
 )
@@ -764,7 +765,7 @@
                 if row.removed:
                     continue
                 if row.id.key.endswith(CANCEL_SUFFIX):
-                    cell_owner.cancel(row.id.key.removesuffix(CANCEL_SUFFIX))
+                    cell_owner.cancel(name_of_row(row.id))
                 else:
                     cell = add_job_from_row(cell_owner.state, row, {}, now_s)
                     if cell:
--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -11,6 +11,7 @@
 from anyio.abc import TaskGroup
 
 from chivetray.cells.acceptance import Acceptance, JobAcceptor
+from chivetray.cells.cancel_notices import choose_names, decode_notice, encode_notice
 from chivetray.cells.claims import newest_claims
 from chivetray.cells.configuration import Configuration
 from chivetray.cells.directory import CellDirectory
@@ -35,7 +36,7 @@
 from chivetray.clocks import boot_time_s, wall_time_ms
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import decode_spec, encode_spec
-from chivetray.jobs.model import JobSpec
+from chivetray.jobs.model import JobName, JobSpec
 from chivetray.organisations.task_size import find_oversized
 from chivetray.peers.mesh import Mesh
 from chivetray.platform.store import (
@@ -99,9 +100,9 @@
         self._directory = directory
         self._configuration = configuration
         self.row_limit_bytes = DEFAULT_ROW_BYTES
-        self._jobs_to_notify: dict[str, JobSpec] = {}
-        self._cancellations_to_notify: dict[str, str] = {}
-        self._acknowledged: dict[str, _Acknowledgement] = {}
+        self._jobs_to_notify: dict[JobName, JobSpec] = {}
+        self._cancellations_to_notify: dict[JobName, str] = {}
+        self._acknowledged: dict[JobName, _Acknowledgement] = {}
         self._notifying: set[tuple[str, str]] = set()
         self._notify_event = anyio.Event()
         self.acceptor = JobAcceptor(store)
@@ -154,6 +155,7 @@
                     Event.JOB_ACCEPTED,
                     job=job_id,
                     cell=spec.cell,
+                    queue=spec.queue,
                     **organisation_field(organisation),
                 )
                 self._notify_unfinished(spec)
@@ -228,7 +230,7 @@
         return await self._states.read_state(queue, job_id, timeout_s, organisation)
 
     def _notify_unfinished(self, spec: JobSpec) -> None:
-        self._jobs_to_notify.setdefault(spec.job_id, spec)
+        self._jobs_to_notify.setdefault(spec.name, spec)
         self._notify_event.set()
 
     # Cancellations
@@ -258,8 +260,9 @@
                     {marker_row: ABSENT}, {marker_row: b"1"}
                 )
                 if isinstance(outcome, Committed | Conflict):
-                    log_event(Event.JOB_CANCELLED, job=job_id)
-                    self._cancellations_to_notify[job_id] = _cell_of(found, queue)
+                    log_event(Event.JOB_CANCELLED, job=job_id, queue=queue.key)
+                    name = JobName.of(queue.key, job_id)
+                    self._cancellations_to_notify[name] = _cell_of(found, queue)
                     self._notify_event.set()
                     return JobAnswer(ResultCode.OK)
                 reason = outcome.reason
@@ -332,17 +335,19 @@
             owner = owner_of(spec.cell)
             if owner is not None and (SUBMIT_CALL, owner) not in self._notifying:
                 jobs_by_owner.setdefault(owner, []).append(spec)
-        cancellations_by_owner: dict[str, list[str]] = {}
-        for job_id, cell in self._cancellations_to_notify.items():
+        cancellations_by_owner: dict[str, list[JobName]] = {}
+        for name, cell in self._cancellations_to_notify.items():
             owner = owner_of(cell)
             if owner is not None and (CANCEL_CALL, owner) not in self._notifying:
-                cancellations_by_owner.setdefault(owner, []).append(job_id)
+                cancellations_by_owner.setdefault(owner, []).append(name)
         for owner, specs in jobs_by_owner.items():
             self._notifying.add((SUBMIT_CALL, owner))
             task_group.start_soon(self._notify_jobs, owner, _choose_batch(specs))
-        for owner, job_ids in cancellations_by_owner.items():
+        for owner, names in cancellations_by_owner.items():
             self._notifying.add((CANCEL_CALL, owner))
-            task_group.start_soon(self._notify_cancellations, owner, job_ids)
+            task_group.start_soon(
+                self._notify_cancellations, owner, choose_names(names)
+            )
 
     async def _notify_jobs(self, owner: str, specs: list[JobSpec]) -> None:
         content = [encode_spec(spec) for spec in specs]
@@ -350,22 +355,26 @@
             acknowledged = await self._handle_submitted(owner, content)
         else:
             acknowledged = await self._mesh.call(owner, SUBMIT_CALL, content)
-        for job_id in acknowledged or []:
-            self._jobs_to_notify.pop(job_id, None)
-        is_complete = not any(s.job_id in self._jobs_to_notify for s in specs)
+        for spec in specs:
+            if spec.job_id in (acknowledged or []):
+                self._jobs_to_notify.pop(spec.name, None)
+        is_complete = not any(s.name in self._jobs_to_notify for s in specs)
         await self._end_notification(SUBMIT_CALL, owner, is_complete)
 
-    async def _notify_cancellations(self, owner: str, job_ids: list[str]) -> None:
+    async def _notify_cancellations(self, owner: str, names: list[JobName]) -> None:
+        notice = encode_notice(names)
         if owner == self._mesh.name:
-            acknowledged = await self._handle_cancelled(owner, job_ids)
+            acknowledged = await self._handle_cancelled(owner, notice)
         else:
-            acknowledged = await self._mesh.call(owner, CANCEL_CALL, job_ids)
+            acknowledged = await self._mesh.call(owner, CANCEL_CALL, notice)
         now_s = boot_time_s()
-        for job_id in acknowledged or []:
-            cell = self._cancellations_to_notify.pop(job_id, None)
+        for name in names:
+            if name.job_id not in (acknowledged or []):
+                continue
+            cell = self._cancellations_to_notify.pop(name, None)
             if cell is not None:
-                self._acknowledged[job_id] = _Acknowledgement(cell, owner, now_s)
-        is_complete = not self._cancellations_to_notify.keys() & job_ids
+                self._acknowledged[name] = _Acknowledgement(cell, owner, now_s)
+        is_complete = not self._cancellations_to_notify.keys() & names
         await self._end_notification(CANCEL_CALL, owner, is_complete)
 
     async def _end_notification(self, kind: str, owner: str, is_complete: bool) -> None:
@@ -381,13 +390,13 @@
         The next owner may have loaded the cell before the cancellation was stored.
         """
         now_s = boot_time_s()
-        for job_id, acknowledgement in list(self._acknowledged.items()):
+        for name, acknowledgement in list(self._acknowledged.items()):
             owner = self._directory.serving_owner_of(acknowledgement.cell)
             if owner is not None and owner != acknowledgement.owner:
-                self._cancellations_to_notify[job_id] = acknowledgement.cell
+                self._cancellations_to_notify[name] = acknowledgement.cell
             elif now_s - acknowledgement.received_at_s < OWNER_CHANGE_S:
                 continue
-            del self._acknowledged[job_id]
+            del self._acknowledged[name]
 
     async def _handle_submitted(self, _peer: str, content: Any) -> Any:
         """Add jobs to the cells that this process owns; return their ids."""
@@ -400,36 +409,65 @@
                 acknowledged.append(spec.job_id)
         return acknowledged
 
-    async def _handle_cancelled(self, _peer: str, job_ids: Any) -> Any:
+    async def _handle_cancelled(self, _peer: str, notice: Any) -> Any:
         """Cancel jobs of the cells that this process owns; return the known ids."""
         acknowledged = []
         owners = list(self._directory.owned_cells.values())
-        for job_id in job_ids:
+        names, bare_ids = decode_notice(notice)
+        for name in names:
             for cell_owner in owners:
-                if not cell_owner.leaving and cell_owner.cancel(job_id):
-                    acknowledged.append(job_id)
+                if not cell_owner.leaving and cell_owner.cancel(name):
+                    acknowledged.append(name.job_id)
                     break
             else:
                 for cell_owner in owners:
-                    cell_owner.state.remember_cancellation(job_id)
-        return acknowledged
+                    cell_owner.state.remember_cancellation(name)
+        return acknowledged + self._find_cancelled(bare_ids)
+
+    def _find_cancelled(self, bare_ids: list[str]) -> list[str]:
+        """Return which identifiers are those of jobs that are known as cancelled.
+
+        Earlier releases do not name the queue of a cancelled job, which only the store
+        tells: it is scanned, and they repeat their notice meanwhile.
+        """
+        found = [
+            job_id
+            for job_id in bare_ids
+            if any(
+                job_id in cell_owner.state.jobs
+                and cell_owner.state.jobs[job_id].cancelled
+                for cell_owner in self._directory.owned_cells.values()
+            )
+        ]
+        if len(found) < len(bare_ids) and self._task_group is not None:
+            self._task_group.start_soon(self._scan)
+        return found
+
+    async def _scan(self) -> None:
+        try:
+            await self._directory.scan()
+        except StoreUnavailableError as error:
+            log_event(Event.STORE_LOST, reason=str(error), during="scan")
 
 
 def _choose_batch(specs: list[JobSpec]) -> list[JobSpec]:
     """Return the jobs of which an owner is notified in one call.
 
     Owners of earlier releases cannot decode jobs whose progress has several rows, and
-    reject a call that holds one.
+    reject a call that holds one. The answer lists identifiers, so that no two jobs of
+    one call may have the same.
     """
     of_one_kind = [spec for spec in specs if not spec.split_progress] or specs
-    batch: list[JobSpec] = []
+    batch: dict[str, JobSpec] = {}
     size_bytes = 0
     for spec in of_one_kind[:NOTIFY_BATCH_JOBS]:
+        if spec.job_id in batch:
+            continue
         size_bytes += len(encode_spec(spec))
         if batch and size_bytes > NOTIFY_BATCH_BYTES:
             break
-        batch.append(spec)
-    return batch
+        batch[spec.job_id] = spec
+    return list(batch.values())
 
 
 def _cell_of(row: Row, queue: Queue) -> str:
--- a/src/chivetray/cells/job_states.py
+++ b/src/chivetray/cells/job_states.py
@@ -17,7 +17,7 @@
 from chivetray.cells.tables import cancel_row, job_row, progress_row
 from chivetray.clocks import boot_time_s
 from chivetray.jobs.job import Job, decode_spec
-from chivetray.jobs.model import JobSpec, JobState
+from chivetray.jobs.model import JobName, JobSpec, JobState
 from chivetray.organisations.keys import is_hidden
 from chivetray.peers.mesh import CALL_TIMEOUT_S, Mesh
 from chivetray.platform.store import StoreUnavailableError
@@ -96,8 +96,7 @@
         owner = self._directory.serving_owner_of(queue.service)
         if owner is None:
             return None
-        # Without an organisation the question is as earlier builds ask it.
-        question = [job_id, organisation, queue.key] if organisation else job_id
+        question = [job_id, organisation, queue.key]
         if owner == self._mesh.name:
             reply = await self._handle_state_request(owner, question)
         else:
@@ -109,20 +108,17 @@
     async def _handle_state_request(self, _peer: str, question: Any) -> Any:
         """Return the state of a job of an owned cell.
 
-        :param question: identifier of the job, or a list of that, the organisation of
-            the caller and the queue's key
+        :param question: list of the job's identifier, the organisation of the caller
+            and the queue's key
         """
-        job_id, organisation, queue_key = (
-            question if isinstance(question, list) else (str(question), "", "")
-        )
+        if not isinstance(question, list):
+            # Earlier releases name no queue. They read the store if nothing is known.
+            return None
+        job_id, organisation, queue_key = question
         for cell_owner in self._directory.owned_cells.values():
-            job = cell_owner.state.jobs.get(job_id)
+            job = cell_owner.state.find_job(JobName.of(queue_key, job_id))
             if job is None:
                 continue
-            # Another queue may have a job of the same identifier, which only the store
-            # can tell apart.
-            if organisation and job.spec.queue != queue_key:
-                return None
             if is_hidden(job.spec.organisation, organisation):
                 return HIDDEN_STATE
             return int(job.visible_state)
--- a/src/chivetray/cells/loading.py
+++ b/src/chivetray/cells/loading.py
@@ -18,6 +18,7 @@
     CANCEL_SUFFIX,
     JOB_TABLE,
     PROGRESS_TABLE,
+    name_of_row,
     parse_progress_key,
     queue_of_part,
 )
@@ -144,15 +145,18 @@
         except* LoadAbandonedError as group:
             raise LoadAbandonedError(str(group.exceptions[0])) from group
         now_s = boot_time_s()
-        for rows, version in rows_by_part.values():
+        for _, version in rows_by_part.values():
             _check_fresh(version, guard_version)
-            for row in rows:
-                cell = add_job_from_row(state, row, progress, now_s, is_new=False)
-                if cell and cell != state.name:
-                    self._note_job(cell, row.version)
-            for row in rows:
-                if row.id.key.endswith(CANCEL_SUFFIX):
-                    state.cancel(row.id.key.removesuffix(CANCEL_SUFFIX))
+        rows = [row for found, _ in rows_by_part.values() for row in found]
+        # Of two jobs with one identifier, the one that was stored first runs.
+        rows.sort(key=lambda row: row.version)
+        for row in rows:
+            cell = add_job_from_row(state, row, progress, now_s, is_new=False)
+            if cell and cell != state.name:
+                self._note_job(cell, row.version)
+        for row in rows:
+            if row.id.key.endswith(CANCEL_SUFFIX):
+                state.cancel(name_of_row(row.id))
 
     async def _list_parts(self, cell: str) -> list[str]:
         retry = _Retry(cell, self._is_wanted)
@@ -250,7 +254,7 @@
     :param is_new: whether the job has just arrived
     :return: cell of the job, empty if it was known before or the row is none of a job
     """
-    if row.id.key.endswith(CANCEL_SUFFIX) or row.id.key in state.jobs:
+    if row.id.key.endswith(CANCEL_SUFFIX) or state.find_job(name_of_row(row.id)):
         return ""
     try:
         spec = decode_spec(row.value)
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -56,7 +56,7 @@
 from chivetray.defects import contain_errors, keep_running
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job, job_age_s
-from chivetray.jobs.model import JobSpec
+from chivetray.jobs.model import JobName, JobSpec
 from chivetray.jobs.progress import MAIN_ROW
 from chivetray.platform.advice import AdviceClient
 from chivetray.platform.store import (
@@ -193,9 +193,9 @@
         self.state.add_job(spec, now_s - age_s, known_since_s=now_s)
         self.wake()
 
-    def cancel(self, job_id: str) -> bool:
+    def cancel(self, name: JobName) -> bool:
         """Cancel a job whose cancellation is stored; return whether it is known."""
-        known = self.state.cancel(job_id)
+        known = self.state.cancel(name)
         self.wake()
         return known
 
--- a/src/chivetray/cells/queue_index.py
+++ b/src/chivetray/cells/queue_index.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from chivetray.cells.tables import PART_QUEUE_CHARS
+from chivetray.jobs.model import QUEUE_NAME_CHARS
 from chivetray.platform.stored_records import Queue
 
 
@@ -17,7 +17,7 @@
         # The longest prefix of a path decides.
         for queue in sorted(queues, key=lambda queue: -len(queue.path_prefix)):
             self._by_host.setdefault(queue.host, []).append(queue)
-            key = queue.key[:PART_QUEUE_CHARS]
+            key = queue.key[:QUEUE_NAME_CHARS]
             self._services_by_key.setdefault(key, queue.service)
 
     def find(self, host: str, path: str) -> Queue | None:
@@ -33,4 +33,4 @@
 
         :param queue_key: key of the queue, or as much of it as a part's name holds
         """
-        return self._services_by_key.get(queue_key[:PART_QUEUE_CHARS])
+        return self._services_by_key.get(queue_key[:QUEUE_NAME_CHARS])
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -40,7 +40,15 @@
 from chivetray.clocks import CLOCK_DRIFT
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job
-from chivetray.jobs.model import JobSpec, JobState, Phase, Step, Task, TaskKey
+from chivetray.jobs.model import (
+    JobName,
+    JobSpec,
+    JobState,
+    Phase,
+    Step,
+    Task,
+    TaskKey,
+)
 from chivetray.jobs.progress import ProgressRows
 from chivetray.jobs.suspicion import UNEXPLAINED_CRASHES_LIMIT, LostAttempt
 from chivetray.platform.stored_records import WorkerRecord
@@ -79,6 +87,8 @@
     :ivar vm_requests_at_s: time of the last request of the holder of VM orders, 0
         before the first
     :ivar jobs: all known jobs by job id, ended ones included
+    :ivar namesakes: jobs that do not run, since workers know tasks by the identifier of
+        their job alone, and a job of another queue of the cell has it
     :ivar active: jobs that have not ended or still have active tasks, by job id
     :ivar long_running_job_ids: active jobs with long-running steps, and some that have
         ended
@@ -122,6 +132,7 @@
         self.owned_since_s = 0.0
         self.vm_requests_at_s = 0.0
         self.jobs: dict[str, Job] = {}
+        self.namesakes: dict[JobName, Job] = {}
         self.active: dict[str, Job] = {}
         self.long_running_job_ids: dict[str, None] = {}
         self.workers: dict[str, WorkerState] = {}
@@ -152,7 +163,7 @@
         self._progress_rows: dict[str, ProgressRows] = {}
         self.row_limit_bytes = DEFAULT_ROW_BYTES
         self.held_job_ids: set[str] = set()
-        self._early_cancellations: dict[str, None] = {}
+        self._early_cancellations: dict[JobName, None] = {}
 
     # Jobs
 
@@ -163,7 +174,7 @@
         is_new: bool = True,
         known_since_s: float | None = None,
     ) -> Job:
-        """Add an accepted job, or return the known job with its id.
+        """Add an accepted job, or return the known job with its name.
 
         :param now_s: time at which it was accepted
         :param is_new: whether the job has just arrived, and was not restored
@@ -171,6 +182,8 @@
             default
         """
         job = self.jobs.get(spec.job_id)
+        if job is not None and job.spec.name != spec.name:
+            return self._add_namesake(spec, now_s, job)
         if job is None:
             job = self.jobs[spec.job_id] = Job(spec, now_s)
             if known_since_s is not None:
@@ -188,10 +201,34 @@
             is_arrival = is_new and not job.long_running and not spec.repeats
             if is_arrival and may_use_more(self, spec):
                 self.arrivals.record(now_s, work_core_s(spec, self.times))
-            if is_new and spec.job_id in self._early_cancellations:
-                self.cancel(spec.job_id)
+            if is_new and spec.name in self._early_cancellations:
+                self.cancel(spec.name)
         return job
 
+    def _add_namesake(self, spec: JobSpec, now_s: float, known: Job) -> Job:
+        """Add a job whose identifier a job of another queue has; it does not run."""
+        namesake = self.namesakes.get(spec.name)
+        if namesake is None:
+            namesake = self.namesakes[spec.name] = Job(spec, now_s)
+            log_event(
+                Event.JOB_ID_SHARED,
+                job=spec.job_id,
+                cell=self.name,
+                queue=spec.queue,
+                running_queue=known.spec.queue,
+                epoch=self.epoch,
+            )
+            if spec.name in self._early_cancellations:
+                self.cancel(spec.name)
+        return namesake
+
+    def find_job(self, name: JobName) -> Job | None:
+        """Return a job of the cell, ``None`` if it is not known."""
+        job = self.jobs.get(name.job_id)
+        if job is not None and job.spec.name == name:
+            return job
+        return self.namesakes.get(name)
+
     def restore_job(
         self,
         spec: JobSpec,
@@ -208,6 +245,9 @@
         :param more_rows: content and version of the other rows, by their numbers
         """
         job = self.add_job(spec, now_s, False, known_since_s)
+        if job is not self.jobs[spec.job_id]:
+            # The progress is that of the other job.
+            return
         job.version = version
         rows, more_rows = self.rows_of(job), more_rows or {}
         try:
@@ -244,25 +284,34 @@
             rows = self._progress_rows[job.spec.job_id] = ProgressRows(job)
         return rows
 
-    def cancel(self, job_id: str) -> bool:
+    def cancel(self, name: JobName) -> bool:
         """Cancel a job; return whether it is known."""
-        job = self.jobs.get(job_id)
+        job = self.find_job(name)
         if job is None:
             return False
         job.cancelled = True
         if not job.state.ended:
-            self.end_job(job, JobState.CANCELLED)
-            log_event(Event.JOB_ENDED, job=job_id, state="CANCELLED", cell=self.name)
+            if job is self.jobs[name.job_id]:
+                self.end_job(job, JobState.CANCELLED)
+            else:
+                job.state = JobState.CANCELLED
+            log_event(
+                Event.JOB_ENDED,
+                job=name.job_id,
+                state="CANCELLED",
+                cell=self.name,
+                queue=job.spec.queue,
+            )
         return True
 
-    def remember_cancellation(self, job_id: str) -> None:
+    def remember_cancellation(self, name: JobName) -> None:
         """Remember a stored cancellation of a job that is not known yet.
 
         It is cancelled once it is added, before any of its tasks is placed.
         """
         if len(self._early_cancellations) >= MAX_EARLY_CANCELLATIONS:
             del self._early_cancellations[next(iter(self._early_cancellations))]
-        self._early_cancellations[job_id] = None
+        self._early_cancellations[name] = None
 
     def end_job(self, job: Job, state: JobState) -> None:
         """Set the final state of a job and stop its tasks and their copies."""
--- a/src/chivetray/cells/tables.py
+++ b/src/chivetray/cells/tables.py
@@ -8,6 +8,7 @@
 import msgpack
 
 from chivetray.cells.timing import CONFIRMED_LEASE_S
+from chivetray.jobs.model import QUEUE_NAME_CHARS, JobName
 from chivetray.platform.store import RowId
 
 # Accepted jobs and cancellation marks, with some parts for each queue. The store
@@ -17,9 +18,6 @@
 CANCEL_SUFFIX = ".cancel"
 PARTS_PER_QUEUE = 4
 
-# Characters of a queue's key that the names of its parts hold.
-PART_QUEUE_CHARS = 198
-
 # Owner, renewal and lease rows of the cells, and the progress of their jobs, with one
 # part for each cell.
 CELL_TABLE = "cells"
@@ -49,9 +47,14 @@
     return RowId(JOB_TABLE, _job_part(queue, job_id), job_id + CANCEL_SUFFIX)
 
 
+def name_of_row(row: RowId) -> JobName:
+    """Return the name of the job of a row in the table of jobs."""
+    return JobName(queue_of_part(row.part), row.key.removesuffix(CANCEL_SUFFIX))
+
+
 def _job_part(queue: str, job_id: str) -> str:
     """Return the part of a job's rows, which every process derives from its id."""
-    return f"{queue[:PART_QUEUE_CHARS]}#{zlib.crc32(job_id.encode()) % PARTS_PER_QUEUE}"
+    return f"{queue[:QUEUE_NAME_CHARS]}#{zlib.crc32(job_id.encode()) % PARTS_PER_QUEUE}"
 
 
 def queue_of_part(part: str) -> str:
--- a/src/chivetray/cells/waiting.py
+++ b/src/chivetray/cells/waiting.py
@@ -22,7 +22,7 @@
 from chivetray.cells.workers import PROBE_INTERVAL_S, TaskRef, WorkerState
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job
-from chivetray.jobs.model import JobSpec, Phase, Step, Task
+from chivetray.jobs.model import JobName, JobSpec, Phase, Step, Task
 
 # Time for which a task is away before the log tells what it waits for.
 WAIT_LOGGED_AFTER_S = 1.0
@@ -623,19 +623,19 @@
 
     def check(
         self,
-        jobs: Mapping[str, JobSpec],
-        cancellations: Mapping[str, str],
+        jobs: Mapping[JobName, JobSpec],
+        cancellations: Mapping[JobName, str],
         now_s: float,
     ) -> None:
         """Log what has waited for long, and for which owner, if that has changed.
 
-        :param cancellations: cells of cancelled jobs by job id
+        :param cancellations: cells of cancelled jobs
         """
         pending: dict[tuple[str, str], list[str]] = {}
-        for job_id, spec in islice(jobs.items(), MAX_QUEUED_JOBS_COMPARED):
-            pending.setdefault(("job", spec.cell), []).append(job_id)
-        for job_id, cell in islice(cancellations.items(), MAX_QUEUED_JOBS_COMPARED):
-            pending.setdefault(("cancellation", cell), []).append(job_id)
+        for name, spec in islice(jobs.items(), MAX_QUEUED_JOBS_COMPARED):
+            pending.setdefault(("job", spec.cell), []).append(name.job_id)
+        for name, cell in islice(cancellations.items(), MAX_QUEUED_JOBS_COMPARED):
+            pending.setdefault(("cancellation", cell), []).append(name.job_id)
         for key in [key for key in self._waits if key not in pending]:
             wait = self._waits.pop(key)
             if wait.told_owner is not None:
--- a/src/chivetray/commands.py
+++ b/src/chivetray/commands.py
@@ -25,7 +25,13 @@
 from chivetray.results import ResultCode
 from chivetray.standins import jobs, runner
 from chivetray.standins.relay import Relay
-from chivetray.trace import Subject, read_events, render, select_events
+from chivetray.trace import (
+    Subject,
+    find_queues,
+    read_events,
+    render,
+    select_events,
+)
 
 EXIT_OK = 0
 
@@ -78,7 +84,14 @@
     if not arguments.files:
         lines = sys.stdin.read().splitlines()
     found = False
-    for event in select_events(read_events(lines), subject):
+    events = read_events(lines)
+    queues = find_queues(events, subject)
+    if len(queues) > 1:
+        print(
+            f"jobs of {len(queues)} queues have the identifier {subject.job_id}, and "
+            f"their events are shown together: {', '.join(queues)}"
+        )
+    for event in select_events(events, subject):
         found = True
         print(render(event))
     if not found:
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -173,6 +173,10 @@
         "The store refuses the progress of a job for good; nothing of the job starts "
         "until a later write is accepted.",
     )
+    JOB_ID_SHARED = (
+        1618,
+        "A job does not run, as a job of another queue of its cell has its identifier.",
+    )
     JOB_HOLD_ENDED = (1639, "The progress of a held job is stored; its tasks go on.")
     JOB_CANCELLED = (1643, "The cancellation of a job was stored.")
     CALL_REFUSED = (1648, "A call presents no valid key of an organisation.")
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -5,10 +5,32 @@
 import math
 from dataclasses import dataclass, field
 from enum import IntEnum
+from typing import NamedTuple
 
 # Occurrence, step number and index of a task within its job.
 TaskKey = tuple[int, int, int]
 
+# Characters of a queue's key that the names of jobs and of rows hold.
+QUEUE_NAME_CHARS = 198
+
+
+class JobName(NamedTuple):
+    """Name of a job.
+
+    Callers of different queues choose identifiers without knowing of each other, so an
+    identifier alone names no job.
+
+    :ivar queue: key of the queue, cut to ``QUEUE_NAME_CHARS``
+    """
+
+    queue: str
+    job_id: str
+
+    @classmethod
+    def of(cls, queue_key: str, job_id: str) -> JobName:
+        """Return the name of a job of a queue."""
+        return cls(queue_key[:QUEUE_NAME_CHARS], job_id)
+
 
 @dataclass(frozen=True, slots=True)
 class Step:
@@ -86,6 +108,11 @@
     organisation: str = ""
     split_progress: bool = False
 
+    @property
+    def name(self) -> JobName:
+        """Name of the job, unique in the fleet."""
+        return JobName.of(self.queue, self.job_id)
+
     def occurrences(self) -> int:
         """Return how often the steps of the job run."""
         return max(1, self.repeats)
--- a/src/chivetray/trace.py
+++ b/src/chivetray/trace.py
@@ -107,6 +107,20 @@
             yield event
 
 
+def find_queues(events: Iterable[dict[str, Any]], subject: Subject) -> list[str]:
+    """Return the queues in which a job has the identifier of a subject.
+
+    Lines about tasks name no queue, as workers do not know it.
+    """
+    return sorted(
+        {
+            str(event["queue"])
+            for event in events
+            if event.get("job") == subject.job_id and "queue" in event
+        }
+    )
+
+
 def render(event: dict[str, Any]) -> str:
     """Format an event as one readable line."""
     fields = " ".join(
--- a/tests/api_helpers.py
+++ b/tests/api_helpers.py
@@ -50,6 +50,7 @@
     """
 
     def __init__(self, name: str, state: StoreState, config: bytes):
+        self.name = name
         self.store = MemoryStore(state)
         self.mesh = SimpleNamespace(name=name, handlers={}, peers={}, call=self._call)
         self.messages: list[bytes] = []
--- a/tests/cell_helpers.py
+++ b/tests/cell_helpers.py
@@ -18,7 +18,7 @@
 from chivetray.platform.calls import Answer, NoAnswer, NotSent, Outcome
 from chivetray.platform.standins.store import StoreState
 from chivetray.platform.standins.worker import WorkerModel
-from chivetray.platform.store import Committed, Page, Row, RowId, Store
+from chivetray.platform.store import Changes, Committed, Page, Row, RowId, Store
 from chivetray.platform.stored_records import WorkerRecord
 from chivetray.platform.workers import (
     Reply,
@@ -82,6 +82,20 @@
         """Read all rows as one page."""
         return Page(*await self.read(table, part, start, end), "")
 
+    async def parts(self, table: str) -> list[str]:
+        """Return the parts of a table."""
+        rows = self.state.rows.items()
+        return sorted({n[1] for n, r in rows if n[0] == table and not r.removed})
+
+    async def changes(self, table: str, version: int, _wait_s: float) -> Changes:
+        """Return all rows of a table that have changed since a version."""
+        rows = [
+            Row(RowId(*name), base64.b64decode(row.value), row.version)
+            for name, row in sorted(self.state.rows.items())
+            if name[0] == table and row.version > version and not row.removed
+        ]
+        return Changes(rows, self.state.version)
+
 
 def store_clock_ms() -> int:
     """Return the clock of the store, which is not the local one."""
--- a/tests/shortage_cell.py
+++ b/tests/shortage_cell.py
@@ -205,7 +205,7 @@
             self._submit(self.callers[heapq.heappop(self._submissions)[1]], now_s)
         for caller in self.callers.values():
             if now_s - TICK_S < caller.first_s + caller.queue.gives_up_s <= now_s:
-                self.state.cancel(caller.spec.job_id)
+                self.state.cancel(caller.spec.name)
         if paused:
             return
         for placed in place_tasks(self.state, now_s, 0):
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -27,7 +27,7 @@
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event
 from chivetray.jobs.job import encode_spec
-from chivetray.jobs.model import JobSpec, JobState
+from chivetray.jobs.model import JobName, JobSpec, JobState
 from chivetray.manager import Manager
 from chivetray.platform.calls import Answer
 from chivetray.platform.store import (
@@ -118,14 +118,14 @@
 
     :ivar begun: number of scans
     :ivar fail: whether the store does not answer
-    :ivar cancelled: jobs that a scan shows as cancelled
+    :ivar cancelled: names of jobs that a scan shows as cancelled
     """
 
     def __init__(self, owner: CellOwner, took_s: float):
         self.owner, self.took_s = owner, took_s
         self.begun = 0
         self.fail = False
-        self.cancelled: list[str] = []
+        self.cancelled: list[JobName] = []
         self._ended: anyio.Event | None = None
         owner.cancellations.scan = self.scan
 
@@ -140,8 +140,8 @@
         ended.set()
         if self.fail:
             raise StoreUnavailableError("refused")
-        for job_id in self.cancelled:
-            self.owner.cancel(job_id)
+        for name in self.cancelled:
+            self.owner.cancel(name)
         self.owner.cancellations.record_scan(sent_at_s)
 
 
@@ -180,7 +180,7 @@
         """A scan for each start would use up the limit of reads."""
 
         async def scenario(world: CellWorld, owner: CellOwner, scans: Scans) -> None:
-            scans.cancelled = [SPEC.job_id]
+            scans.cancelled = [SPEC.name]
             owner.add_job(SPEC)
             owner.add_job(OTHER)
             await until(lambda: is_completed(owner, OTHER))
@@ -391,7 +391,7 @@
 
         asyncio.run(scenario())
         assert store.asked == [25, 15]
-        assert loaded.told == [SPEC.job_id]
+        assert loaded.told == [JobName("q", SPEC.job_id)]
         assert loaded.cancellations.scanned_at_s > 0
 
     def test_a_cell_that_was_not_loaded_again_is_loaded_by_the_next_scan(self) -> None:
--- a/tests/test_cell_owner.py
+++ b/tests/test_cell_owner.py
@@ -73,7 +73,7 @@
             async with running(world, owner):
                 owner.add_job(job())
                 await until(lambda: sum(len(m.running) for m in world.models.values()))
-                owner.cancel("00000000000000aa")
+                owner.cancel(job().name)
                 await until(lambda: not any(m.running for m in world.models.values()))
 
         asyncio.run(scenario())
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -172,7 +172,7 @@
     def test_a_cancelled_job_is_stopped_at_once(self) -> None:
         cell, leaving, other, order = self.stopping()
         cell.end(other, 1.5)
-        cell.state.cancel(JOB)
+        cell.state.cancel(cell.state.jobs[JOB].spec.name)
         assert may_send_stop(cell.state, order, 1.6)
 
 
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -14,6 +14,7 @@
 from virtual_loop import virtual_time
 
 from chivetray.cells import job_service
+from chivetray.cells.cancel_notices import decode_notice, encode_notice
 from chivetray.cells.directory import CellDirectory
 from chivetray.cells.job_service import SUBMIT_CALL, JobService
 from chivetray.cells.state import MAX_EARLY_CANCELLATIONS, CellState
@@ -21,7 +22,7 @@
 from chivetray.clocks import boot_time_s
 from chivetray.generated.messages import CellClaim
 from chivetray.jobs.job import decode_spec, encode_spec
-from chivetray.jobs.model import JobSpec, JobState
+from chivetray.jobs.model import JobName, JobSpec, JobState
 from chivetray.peers.mesh import CALL_TIMEOUT_S
 from chivetray.platform.store import Committed, Row, RowId
 from chivetray.platform.stored_records import Queue
@@ -74,7 +75,7 @@
         answer = asyncio.run(service.cancel(make_queue(), JOB, 1.0))
         assert answer.code == ResultCode.OK
         assert [row.key for row in store.written] == [f"{JOB}.cancel"]
-        assert service._cancellations_to_notify == {JOB: CELL}
+        assert service._cancellations_to_notify == {JobName(QUEUE, JOB): CELL}
 
     def test_its_state_is_unreadable_and_not_absent(self) -> None:
         service = make_service(DamagedStore())
@@ -149,7 +150,8 @@
             return None
         if kind == SUBMIT_CALL:
             return [decode_spec(content).job_id for content in argument]
-        return [job_id for job_id in argument if job_id not in self.unknown]
+        names, _ = decode_notice(argument)
+        return [name.job_id for name in names if name.job_id not in self.unknown]
 
     def serving_owner_of(self, cell: str) -> str | None:
         return self.owners.get(cell)
@@ -157,7 +159,10 @@
     def told(self, name: str) -> list[str]:
         """Return the cancellations of which a process was notified, in their order."""
         return [
-            job_id for n, _, job_ids in self.calls if n == name for job_id in job_ids
+            told.job_id
+            for process, _, notice in self.calls
+            if process == name
+            for told in decode_notice(notice)[0]
         ]
 
 
@@ -178,7 +183,7 @@
 
 
 def cancel_in(service: JobService, job_id: str, cell: str) -> None:
-    service._cancellations_to_notify[job_id] = cell
+    service._cancellations_to_notify[JobName(QUEUE, job_id)] = cell
     service._notify_event.set()
 
 
@@ -187,7 +192,7 @@
 
     @staticmethod
     async def tell(service: JobService, spec: JobSpec) -> list[str]:
-        told = await service._handle_cancelled("m2", [spec.job_id])
+        told = await service._handle_cancelled("m2", encode_notice([spec.name]))
         assert isinstance(told, list)
         return told
 
@@ -215,7 +220,7 @@
     def test_the_owner_remembers_a_limited_number(self) -> None:
         state = CellState(CELL)
         for number in range(MAX_EARLY_CANCELLATIONS + 1):
-            state.remember_cancellation(f"{number:016x}")
+            state.remember_cancellation(job(f"{number:016x}").name)
         assert state.add_job(job(f"{0:016x}"), 0.0).state == JobState.QUEUED
         assert state.add_job(job(f"{1:016x}"), 0.0).state == JobState.CANCELLED
 
@@ -250,11 +255,11 @@
             owners.owners = {CELL: "m2"}
             for number in range(5):
                 spec = replace(job(str(number)), cell="without")
-                service._jobs_to_notify[spec.job_id] = spec
-            service._jobs_to_notify["9"] = job("9")
+                service._jobs_to_notify[spec.name] = spec
+            service._jobs_to_notify[job("9").name] = job("9")
             service._notify_event.set()
             await asyncio.sleep(0.05)
-            assert "9" not in service._jobs_to_notify
+            assert job("9").name not in service._jobs_to_notify
 
         notify(scenario)
 
@@ -297,7 +302,8 @@
         async def scenario(service: JobService, owners: NotifiedOwners) -> None:
             owners.owners = {CELL: "m2"}
             for number in range(5):
-                service._jobs_to_notify[str(number)] = job(str(number))
+                spec = job(str(number))
+                service._jobs_to_notify[spec.name] = spec
                 service._notify_event.set()
                 await asyncio.sleep(0.002)
             await asyncio.sleep(0.01)
--- a/tests/test_log_fields.py
+++ b/tests/test_log_fields.py
@@ -330,7 +330,7 @@
             owner.add_job(job(steps=(Step(1, 1000),)))
             await until(lambda: world.starts().total())
             world.workers.silent.add("w0")
-            owner.cancel(JOB)
+            owner.cancel(job().name)
             await until(lambda: len(logged.of(Event.ORDER_FAILED)) >= 2)
             world.workers.silent.clear()
             await until(lambda: logged.of(Event.STOP_CONFIRMED))
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -169,7 +169,7 @@
                 if call == "run-stop":
                     owner.add_job(job("00000000000000bb", (Step(12, 1000),)))
                     await until(lambda: len(world.models["w0"].running) == 4)
-                    owner.cancel("00000000000000bb")
+                    owner.cancel(job("00000000000000bb").name)
                     await until(lambda: logged.of(Event.WORKER_FAILED))
                 owner.add_job(job(steps=(Step(6, 1000),)))
                 done = owner.state.jobs[JOB]
--- a/tests/test_organisation_calls.py
+++ b/tests/test_organisation_calls.py
@@ -171,8 +171,9 @@
             assert (await api.call("GET", KEY_A))[0] == 200
             sent = b"".join(api.messages)
             assert KEY_A.encode() not in sent and KEY_B.encode() not in sent
-            # A manager of an earlier build asks without an organisation.
-            assert await peer.service._states._handle_state_request("m0", JOB) == 0
+            # An earlier build names no queue: it has to read the state in the store.
+            handler = peer.service._states._handle_state_request
+            assert await handler("m0", JOB) is None
 
         serve(scenario)
 
--- a/tests/test_task_copies.py
+++ b/tests/test_task_copies.py
@@ -152,7 +152,7 @@
     def test_a_cancelled_job_stops_both(self) -> None:
         copied = Copied()
         copied.silence()
-        copied.state.cancel(JOB)
+        copied.state.cancel(copied.job.spec.name)
         assert copied.stopped() == {(copied.old, 1), (copied.new, 2)}
 
     def test_an_older_run_that_is_gone_leaves_its_room_and_cannot_come_late(
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -402,7 +402,7 @@
     def test_the_end_of_the_job_ends_the_wait(self, logged) -> None:
         cell = Cell()
         cell.wait(2.0)
-        cell.state.cancel(JOB)
+        cell.state.cancel(cell.state.jobs[JOB].spec.name)
         cell.wait(2.0)
         (end,) = logged.of(Event.TASK_WAIT_ENDED)
         assert end["job"] == JOB
@@ -463,7 +463,7 @@
     def test_jobs_of_a_cell_without_an_owner_are_told(self, logged) -> None:
         owners: dict[str, str] = {}
         log = NoticeLog(owners.get)
-        jobs = {JOB: job()}
+        jobs = {job().name: job()}
         for tenth in range(0, 40, 5):
             log.check(jobs, {}, 10 + tenth / 10)
         owners[CELL] = "m2"
@@ -481,8 +481,8 @@
         self, logged
     ) -> None:
         log = NoticeLog(lambda _: "m2")
-        log.check({}, {JOB: CELL}, 10.0)
-        log.check({}, {JOB: CELL}, 11.0)
+        log.check({}, {job().name: CELL}, 10.0)
+        log.check({}, {job().name: CELL}, 11.0)
         (line,) = logged.of(Event.NOTICE_WAITS)
         assert (line["notice"], line["owner"]) == ("cancellation", "m2")
 
