Reserve the identifier of a job in its cell before the job is stored

Cause: workers know a task by the identifier of its job, without a queue, so that no two jobs of a service can have the same. Nothing kept the second from being accepted.

Now a row that names the queue is created for each cell and identifier before the row of the job, so that the store decides between managers that accept at the same moment. The second job is refused with 409 and leaves no row. A repetition of a stored job stays accepted, also if an earlier release has stored it, or if its queue has changed its service since.

--- a/src/chivetray/cells/acceptance.py
+++ b/src/chivetray/cells/acceptance.py
@@ -51,10 +51,28 @@
     STORED = "stored"
     STORED_BEFORE = "stored before"
     STORED_BY_ANOTHER = "stored by another organisation"
+    IDENTIFIER_TAKEN = "identifier of another queue's job"
     REFUSED = "refused"
     UNKNOWN = "unknown"
 
 
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """A row that has to name the owner of an identifier before a job is stored.
+
+    :ivar holder: content of the row, of all who may use the identifier
+    """
+
+    row: RowId
+    holder: bytes
+
+    def judge(self, value: bytes) -> Acceptance:
+        """Return whether a stored row reserves the identifier for the holder."""
+        if value == self.holder:
+            return Acceptance.STORED_BEFORE
+        return Acceptance.IDENTIFIER_TAKEN
+
+
 @dataclass(slots=True)
 class _PendingRow:
     """A row that waits to be created.
@@ -103,15 +121,31 @@
         value: bytes,
         timeout_s: float,
         judge: Callable[[bytes], Acceptance] = lambda _value: Acceptance.STORED_BEFORE,
+        reservation: Reservation | None = None,
     ) -> tuple[Acceptance, str]:
         """Create a row unless it exists; return the outcome and the reason.
 
-        After ``REFUSED`` the row does not exist and will not be created later.
+        After ``REFUSED`` the row does not exist and will not be created later, and
+        after ``IDENTIFIER_TAKEN`` only an earlier call may have created it.
 
         :param judge: returns the outcome for a row that was stored before, by its value
+        :param reservation: row that is created first, if it does not exist
         """
+        deadline_s = boot_time_s() + timeout_s
         self._pending_rows[row] += 1
         try:
+            if reservation is not None:
+                reserved, reason = await self._create(
+                    task_group,
+                    reservation.row,
+                    reservation.holder,
+                    timeout_s,
+                    reservation.judge,
+                )
+                if reserved not in (Acceptance.STORED, Acceptance.STORED_BEFORE):
+                    # Unless an earlier call has stored it, the job is not stored.
+                    return reserved, reason
+                timeout_s = max(0.0, deadline_s - boot_time_s())
             return await self._create(task_group, row, value, timeout_s, judge)
         finally:
             self._pending_rows[row] -= 1
--- a/src/chivetray/cells/job_answers.py
+++ b/src/chivetray/cells/job_answers.py
@@ -19,6 +19,7 @@
 HIDDEN_REFUSAL = "job of another organisation"
 CAP_REFUSAL = "task above the cap"
 LATE_REFUSAL = "predicted to end too late"
+TAKEN_REFUSAL = "identifier of another queue's job"
 
 UNREADABLE_ROW = "the stored job cannot be read, so its organisation is unknown"
 
@@ -67,6 +68,12 @@
     return JobAnswer(ResultCode.ACCEPTANCE_UNKNOWN, reason or UNREADABLE_ROW)
 
 
+def answer_taken() -> JobAnswer:
+    """Return the answer to a submission whose identifier another queue's job has."""
+    message = "a job of another queue of the service has the identifier; use a new one"
+    return JobAnswer(ResultCode.JOB_ID_TAKEN, message, refusal=TAKEN_REFUSAL)
+
+
 def answer_hidden(job_id: str, organisation: str, during: str) -> JobAnswer:
     """Return the answer about a job of another organisation, as about an absent one."""
     log_event(Event.JOB_HIDDEN, job=job_id, organisation=organisation, during=during)
--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -10,7 +10,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from chivetray.cells.acceptance import Acceptance, JobAcceptor
+from chivetray.cells.acceptance import Acceptance, JobAcceptor, Reservation
 from chivetray.cells.cancel_notices import choose_names, decode_notice, encode_notice
 from chivetray.cells.claims import newest_claims
 from chivetray.cells.configuration import Configuration
@@ -23,6 +23,7 @@
     JobAnswer,
     answer_hidden,
     answer_repeated,
+    answer_taken,
     judge_stored,
     organisation_field,
 )
@@ -31,7 +32,7 @@
 from chivetray.cells.peer_formats import PeerFormats
 from chivetray.cells.state import DEFAULT_ROW_BYTES
 from chivetray.cells.store_access import StoreAccess
-from chivetray.cells.tables import cancel_row, job_row
+from chivetray.cells.tables import cancel_row, identifier_row, job_row
 from chivetray.cells.waiting import WAIT_CHECK_INTERVAL_S, NoticeLog
 from chivetray.clocks import boot_time_s, wall_time_ms
 from chivetray.events import Event, log_event
@@ -183,15 +184,23 @@
         reason = find_oversized(spec, organisation.cap) if organisation else ""
         if not reason:
             return None
+        refusal = JobAnswer(ResultCode.TASK_ABOVE_CAP, reason, refusal=CAP_REFUSAL)
+        return await self._refuse_unless_stored(spec, row, timeout_s, refusal)
+
+    async def _refuse_unless_stored(
+        self, spec: JobSpec, row: RowId, timeout_s: float, refusal: JobAnswer
+    ) -> JobAnswer:
+        """Return a refusal, or the answer to a repetition if the job is stored."""
         try:
             with anyio.fail_after(timeout_s):
                 found = await self._store.read_row(row)
         except (StoreUnavailableError, TimeoutError) as error:
-            message = f"{reason}; whether it was stored before is unknown: {error}"
+            message = refusal.message
+            message += f"; whether it was stored before is unknown: {error}"
             return JobAnswer(ResultCode.ACCEPTANCE_UNKNOWN, message)
         if found is not None:
             return answer_repeated(judge_stored(found.value, spec.organisation))
-        return JobAnswer(ResultCode.TASK_ABOVE_CAP, reason, refusal=CAP_REFUSAL)
+        return refusal
 
     async def _refuse_late(self, spec: JobSpec, row: RowId) -> JobAnswer | None:
         """Refuse a job that would end too late to be of use, unless it is stored."""
@@ -205,13 +214,20 @@
         if self._task_group is None:
             message = "the process has just started"
             return JobAnswer(ResultCode.NOT_READY, message, 1.0)
+        deadline_s = boot_time_s() + timeout_s
         acceptance, reason = await self.acceptor.create(
             self._task_group,
             row,
             encode_spec(spec),
             timeout_s,
             lambda value: judge_stored(value, spec.organisation),
+            Reservation(
+                identifier_row(spec.cell, spec.job_id), spec.name.queue.encode()
+            ),
         )
+        if acceptance == Acceptance.IDENTIFIER_TAKEN:
+            left_s = max(0.0, deadline_s - boot_time_s())
+            return await self._refuse_unless_stored(spec, row, left_s, answer_taken())
         if acceptance == Acceptance.STORED:
             return JobAnswer(ResultCode.OK)
         if acceptance == Acceptance.REFUSED:
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -87,8 +87,9 @@
     :ivar vm_requests_at_s: time of the last request of the holder of VM orders, 0
         before the first
     :ivar jobs: all known jobs by job id, ended ones included
-    :ivar namesakes: jobs that do not run, since workers know tasks by the identifier of
-        their job alone, and a job of another queue of the cell has it
+    :ivar namesakes: jobs that do not run, since a job of another queue of the cell has
+        their identifier; only releases that reserve none accept such, see
+        ``tables.identifier_row``
     :ivar active: jobs that have not ended or still have active tasks, by job id
     :ivar long_running_job_ids: active jobs with long-running steps, and some that have
         ended
--- a/src/chivetray/cells/tables.py
+++ b/src/chivetray/cells/tables.py
@@ -18,6 +18,10 @@
 CANCEL_SUFFIX = ".cancel"
 PARTS_PER_QUEUE = 4
 
+# Which queue's job has an identifier in a cell. Workers know tasks by the identifier of
+# their job alone, so that no two jobs of a cell may have the same.
+IDENTIFIER_TABLE = "identifiers"
+
 # Owner, renewal and lease rows of the cells, and the progress of their jobs, with one
 # part for each cell.
 CELL_TABLE = "cells"
@@ -47,14 +51,23 @@
     return RowId(JOB_TABLE, _job_part(queue, job_id), job_id + CANCEL_SUFFIX)
 
 
+def identifier_row(cell: str, job_id: str) -> RowId:
+    """Return the row that names the queue whose job has an identifier in a cell."""
+    return RowId(IDENTIFIER_TABLE, _job_part(cell, job_id), job_id)
+
+
 def name_of_row(row: RowId) -> JobName:
     """Return the name of the job of a row in the table of jobs."""
     return JobName(queue_of_part(row.part), row.key.removesuffix(CANCEL_SUFFIX))
 
 
-def _job_part(queue: str, job_id: str) -> str:
-    """Return the part of a job's rows, which every process derives from its id."""
-    return f"{queue[:QUEUE_NAME_CHARS]}#{zlib.crc32(job_id.encode()) % PARTS_PER_QUEUE}"
+def _job_part(group: str, job_id: str) -> str:
+    """Return the part of a row about a job, which every process derives from its id.
+
+    :param group: key of the job's queue, or name of its cell
+    """
+    number = zlib.crc32(job_id.encode()) % PARTS_PER_QUEUE
+    return f"{group[:QUEUE_NAME_CHARS]}#{number}"
 
 
 def queue_of_part(part: str) -> str:
--- a/src/chivetray/results.py
+++ b/src/chivetray/results.py
@@ -59,7 +59,7 @@
         128,
         409,
         Ran.NO,
-        "The identifier belongs to a job of another organisation.",
+        "The identifier belongs to another job, of another organisation or queue.",
     )
     TASK_ABOVE_CAP = (
         129,
--- a/tests/test_job_names.py
+++ b/tests/test_job_names.py
@@ -18,12 +18,15 @@
 from chivetray.cells.cancellations import CancellationWatch
 from chivetray.cells.loading import JobLoader
 from chivetray.cells.state import CellState
+from chivetray.cells.tables import job_row
 from chivetray.clocks import boot_time_s
 from chivetray.cmdline import main
 from chivetray.events import Event
 from chivetray.jobs.job import decode_spec, encode_spec
 from chivetray.jobs.model import JobSpec, JobState
+from chivetray.platform.calls import Answer, NoAnswer
 from chivetray.platform.standins.store import StoreState
+from chivetray.platform.store import ABSENT
 
 OTHER_CELL = "pool-b"
 
@@ -336,6 +339,102 @@
         assert len(shown) == 2
 
 
+class TestOneService:
+    """Guards against accepted jobs whose tasks never ran.
+
+    Workers know a task by the identifier of its job. The second of two jobs of one
+    service with one identifier was accepted and shown with the state of the first.
+    """
+
+    def test_the_second_job_is_refused_and_leaves_no_trace(self) -> None:
+        async def scenario(fleet: Fleet, a: ApiManager, b: ApiManager) -> None:
+            assert await submit(a, FIRST) == 200
+            before = a.stored()
+            status, body = await b.call("POST", path=SECOND, body=job_body())
+            assert (status, body["Code"]) == (409, 128)
+            assert a.stored() == before
+            assert await read(a, SECOND) == await read(b, SECOND) == "410"
+            assert (await a.call("DELETE", path=SECOND))[0] == 410
+            await fleet.settle()
+            assert fleet.job(FIRST).state == JobState.QUEUED
+            # The queue of the first may repeat it, and other services are free.
+            assert await submit(b, FIRST) == await submit(b, FAR) == 200
+
+        run(scenario)
+
+    def test_of_two_at_once_one_is_stored(self) -> None:
+        """The managers did not know of each other's job; only the store can tell."""
+
+        async def scenario(fleet: Fleet, a: ApiManager, b: ApiManager) -> None:
+            for number in range(20):
+                paths = [f"{prefix}{number:016x}" for prefix in ("/q/", "/r/")]
+                calls = [submit(a, paths[0]), submit(b, paths[1])]
+                assert sorted(await asyncio.gather(*calls)) == [200, 409]
+
+        run(scenario)
+
+    def test_without_an_answer_of_the_store_nothing_is_called_refused(self) -> None:
+        """An earlier call, at another manager, may have stored the job."""
+
+        async def scenario(fleet: Fleet, a: ApiManager, b: ApiManager) -> None:
+            a.store.fail = lambda _number, _body: NoAnswer("silent")
+            headers = ((b"chivetray-deadline-ms", b"400"),)
+            answer = await a.call("POST", path=FIRST, body=job_body(), headers=headers)
+            assert answer[0] == 504 and not a.stored()
+            a.store.fail = lambda _number, _body: Answer(503, {})
+            answer = await a.call("POST", path=FIRST, body=job_body(), headers=headers)
+            assert answer[0] == 503 and not a.stored()
+
+        run(scenario)
+
+    def test_a_lost_answer_of_the_store_refuses_nothing(self) -> None:
+        async def scenario(fleet: Fleet, a: ApiManager, b: ApiManager) -> None:
+            def lose_first(number: int, body: Any) -> NoAnswer | None:
+                if number > 1:
+                    return None
+                a.store.carry_out(body)
+                return NoAnswer("lost")
+
+            a.store.fail = lose_first
+            assert await submit(a, FIRST) == 200
+            assert await submit(b, SECOND) == 409
+
+        run(scenario)
+
+    def test_a_repetition_is_accepted_though_another_queue_holds_the_identifier(
+        self,
+    ) -> None:
+        """An earlier release, which reserves none, has stored the job."""
+
+        async def scenario(fleet: Fleet, a: ApiManager, b: ApiManager) -> None:
+            assert await submit(a, SECOND) == 200
+            spec = replace(job(), queue="h/q/")
+            row = job_row(spec.queue, JOB)
+            await a.store.transact({row: ABSENT}, {row: encode_spec(spec)})
+            before = a.stored()
+            assert await submit(b, FIRST) == 200
+            assert a.stored() == before
+
+        run(scenario)
+
+    def test_a_queue_that_changes_its_service_keeps_its_job(self) -> None:
+        async def scenario(fleet: Fleet, a: ApiManager, b: ApiManager) -> None:
+            assert await submit(a, FIRST) == await submit(a, FAR) == 200
+            before = a.stored()
+            routes = [
+                {"Host": "h", "PathPrefix": prefix, "Service": OTHER_CELL}
+                for prefix in QUEUES
+            ]
+            for manager in fleet.managers:
+                manager.apply(operator_config(2, Routes=routes, Tenants=[]))
+            assert await submit(b, FIRST) == await submit(b, FAR) == 200
+            assert await submit(b, SECOND) == 409
+            assert a.stored() == before
+            assert await read(b, FIRST) == await read(b, FAR) == "queued"
+
+        run(scenario)
+
+
 # A call or a change of owner: kind, manager, queue or cell, number of the identifier.
 STEPS = st.lists(
     st.tuples(
@@ -361,6 +460,7 @@
     @given(STEPS)
     def test_each_answer_is_about_the_job_of_its_queue(self, steps: Any) -> None:
         accepted: dict[str, bool] = {}
+        holders: dict[tuple[str, int], str] = {}
 
         async def scenario(fleet: Fleet, *managers: ApiManager) -> None:
             for kind, number, prefix, identifier in steps:
@@ -370,7 +470,11 @@
                     await fleet.move(QUEUES[prefix], manager)
                     continue
                 if kind == "POST":
-                    if await submit(manager, path) == 200:
+                    holder = holders.setdefault((QUEUES[prefix], identifier), path)
+                    assert await submit(manager, path) == (
+                        200 if holder == path else 409
+                    )
+                    if holder == path:
                         accepted.setdefault(path, False)
                 elif kind == "DELETE":
                     status, _ = await manager.call("DELETE", path=path)
@@ -385,6 +489,8 @@
                 found = fleet.job(path)
                 assert found is not None, path
                 assert (found.state == JobState.CANCELLED) == is_cancelled
+                active = fleet.state(found.spec.cell).active
+                assert (active.get(path[3:]) is found) != is_cancelled
 
         run(scenario)
 
