Take a VM down for one wave at a time, and count it for no other

Operators saw a wave as `completed` with machines left that had no maintenance for it (MIXED), where machines belonged to two waves and the calls for VMs got no answer.

Cause: the list of VMs tells that a VM is in maintenance, and not for which wave. One round ordered a VM for two waves, and an order for the second one was sent while a list from before the first maintenance still showed the VM as up. When such an order got no answer, the maintenance for the other wave settled it.

Now a VM with an open order for one wave, or whose maintenance may not be over, gets none for another. So what the list shows can have only one cause, and settles only orders of VMs that no other wave has ordered. A maintenance is over when a list shows the VM as up that was requested after the order. Answers that a VM is not of the wave, or does not exist, end an order without answer; so does the withdrawal of the wave, whose open orders would hold up the others (and held up moves of the VM for good).

--- a/src/chivetray/capacity/runner.py
+++ b/src/chivetray/capacity/runner.py
@@ -84,7 +84,7 @@
         self._client = machines
         self._migrate_s = migrate_s
         self._machines: list[PlatformVm] = []
-        self._listed_at_s = 0.0
+        self._listed_at_s = self._list_requested_at_s = 0.0
         self._reports = CellReports(mesh, directory, on_arrivals)
         self._orders = RecentOrders(lease_s)
         self._waves = WaveRunner(
@@ -157,7 +157,9 @@
         standby = self._standby_pools()
         # A VM that empties for a pool that lacks it is maintained after its move. If
         # the wave would be late, it claims the VM, and the request is withdrawn.
-        maintenance = self._waves.plan(by_name, standby, self._moves, self._requests)
+        maintenance = self._waves.plan(
+            by_name, standby, self._moves, self._requests, self._list_requested_at_s
+        )
         moves = await self._plan_moves(sorted(standby))
         await self._send_orders(owner, maintenance, moves)
 
@@ -195,6 +197,7 @@
             return False
         self._machines = machines
         self._listed_at_s = boot_time_s()
+        self._list_requested_at_s = requested_at_s
         by_name = {machine.name: machine for machine in machines}
         self._moves.apply_list(by_name, requested_at_s)
         return True
--- a/src/chivetray/capacity/wave_progress.py
+++ b/src/chivetray/capacity/wave_progress.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from dataclasses import dataclass, field
 
 from chivetray.capacity.reports import OrderBasis
@@ -41,35 +41,56 @@
     completed: bool = False
     announced: bool = False
 
-    def settle_orders(self, by_name: Mapping[str, PlatformVm]) -> None:
+    def has_open_order(self, vm: str) -> bool:
+        """Return whether a VM is or may be down, or may go down, for this wave."""
+        return vm in self.unanswered or vm in self.ordered_at_s
+
+    def settle_orders(
+        self,
+        by_name: Mapping[str, PlatformVm],
+        ordered_for_others: Container[str],
+        wave: int,
+    ) -> None:
         """Count unanswered orders as accepted if a list of VMs shows their effect.
 
         A VM is up in the list that an order for it is decided on, so any list that
-        shows it in maintenance is newer.
+        shows it in maintenance is newer. The list does not tell for which wave that is.
+
+        :param ordered_for_others: VMs that may be in maintenance for another wave
+        :param wave: number of the wave, for the log
         """
         for name in list(self.unanswered):
             vm = by_name.get(name)
             if vm is None:
                 self.unanswered.discard(name)
-            elif vm.state == PlatformVmState.MAINTENANCE:
+            elif (
+                vm.state == PlatformVmState.MAINTENANCE
+                and name not in ordered_for_others
+            ):
                 self.unanswered.discard(name)
                 self.done.add(name)
-                log_event(Event.VM_MAINTAINED, vm=name, answered=False)
+                log_event(Event.VM_MAINTAINED, vm=name, wave=wave, answered=False)
 
     def end_maintenances(
-        self, by_name: Mapping[str, PlatformVm], now_s: float, maintenance_s: float
+        self,
+        by_name: Mapping[str, PlatformVm],
+        listed_at_s: float,
+        now_s: float,
+        maintenance_s: float,
     ) -> None:
         """Forget the orders for VMs that are up again.
 
         A VM that moved after its maintenance once counted as down, and kept a slot of
         the cap from others.
 
+        :param listed_at_s: time at which the list was requested
         :param maintenance_s: duration of a maintenance, including a margin
         """
         for name, at_s in list(self.ordered_at_s.items()):
             vm = by_name.get(name)
             is_over = now_s - at_s >= maintenance_s and name not in self.unanswered
-            if is_over and vm is not None and vm.state == PlatformVmState.UP:
+            is_up = vm is not None and vm.state == PlatformVmState.UP
+            if is_over and is_up and listed_at_s > at_s:
                 del self.ordered_at_s[name]
 
 
--- a/src/chivetray/capacity/wave_runner.py
+++ b/src/chivetray/capacity/wave_runner.py
@@ -104,11 +104,8 @@
         The list of VMs may still show a VM as up after its order was accepted. A move
         that was decided on such a list would be answered ``busy``.
         """
-        down_since_s = boot_time_s() - self._maintenance_s - TIME_MARGIN_S
         return vm in self.emptying or any(
-            vm in progress.unanswered
-            or progress.ordered_at_s.get(vm, -math.inf) > down_since_s
-            for progress in self._progress_by_key.values()
+            progress.has_open_order(vm) for progress in self._progress_by_key.values()
         )
 
     def awaits(self, vm: str) -> bool:
@@ -121,6 +118,7 @@
         standby: set[str],
         moving: Container[str],
         requested: Container[str] = (),
+        listed_at_s: float = math.inf,
     ) -> list[MaintenanceOrder]:
         """Return the maintenance orders of one round.
 
@@ -131,21 +129,20 @@
         :param moving: VMs that are or may be on their way to another pool
         :param requested: VMs that will move to another pool once they are empty; one
             that is due is taken for the wave
+        :param listed_at_s: time at which the list of VMs was requested
         """
         self._by_name, self._standby = by_name, standby
         emptying: dict[str, str] = {}
         awaiting: defaultdict[str, list[str]] = defaultdict(list)
         self._awaiting = set()
         orders = []
+        self._settle_orders(by_name, listed_at_s)
         for key, wave in list(self._configuration.waves.items()):
             progress = self._progress_by_key.setdefault(
                 key, WaveProgress(wall_time_ms())
             )
             if progress.completed:
                 continue
-            progress.settle_orders(by_name)
-            longest_s = self._maintenance_s + TIME_MARGIN_S
-            progress.end_maintenances(by_name, boot_time_s(), longest_s)
             plan = self._plan_wave(wave, progress, moving, requested)
             emptying |= {name: by_name[name].worker_id for name in plan.vms}
             for name in plan.vms:
@@ -164,6 +161,30 @@
         self._reports.awaiting_maintenance = dict(awaiting)
         return orders
 
+    def _settle_orders(
+        self, by_name: dict[str, PlatformVm], listed_at_s: float
+    ) -> None:
+        """Settle the orders of all waves of which the list of VMs shows an effect."""
+        now_s, longest_s = boot_time_s(), self._maintenance_s + TIME_MARGIN_S
+        for key, progress in self._progress_by_key.items():
+            wave = self._configuration.waves.get(key)
+            if wave is None:
+                # The wave was withdrawn: its orders are not repeated.
+                progress.unanswered.clear()
+            else:
+                others = self._ordered_for_others(progress)
+                progress.settle_orders(by_name, others, wave.number)
+            progress.end_maintenances(by_name, listed_at_s, now_s, longest_s)
+
+    def _ordered_for_others(self, progress: WaveProgress) -> set[str]:
+        """Return the VMs with an open order of another wave."""
+        return {
+            vm
+            for other in self._progress_by_key.values()
+            if other is not progress
+            for vm in (*other.unanswered, *other.ordered_at_s)
+        }
+
     def _decide_order(
         self, wave: Wave, progress: WaveProgress, vm: PlatformVm, plan: WavePlan
     ) -> MaintenanceOrder | None:
@@ -219,6 +240,9 @@
     ) -> WavePlan:
         now_s = boot_time_s()
         pending = []
+        # The platform takes a VM down for one wave at a time, and without an answer
+        # nothing tells for which one.
+        ordered_for_others = self._ordered_for_others(progress)
         for name in wave.machines:
             vm = self._by_name.get(name)
             if vm is None or name in progress.done:
@@ -229,6 +253,7 @@
                 obstacle = WaitReason.MOVING
             elif (
                 not self._orders.is_unblocked(name)
+                or name in ordered_for_others
                 or now_s - refused_at_s < REFUSED_ORDER_PAUSE_S
             ):
                 obstacle = WaitReason.ORDER_OPEN
@@ -289,6 +314,9 @@
         answer = await self._client.maintain(name, wave.number, owner.epoch)
         if answer == VmOrderOutcome.UNKNOWN:
             progress.unanswered.add(name)
+        elif answer in (VmOrderOutcome.NOT_IN_WAVE, VmOrderOutcome.IMPOSSIBLE):
+            # No earlier order can have been carried out either.
+            progress.unanswered.discard(name)
         if answer == VmOrderOutcome.DONE or name in progress.unanswered:
             # A refusal tells nothing about an earlier order without an answer.
             progress.ordered_at_s[name] = boot_time_s()
