Give up a move without answer when its VM is in a third pool

By reading, on the same inference as in waves: what the list of VMs shows was taken for the effect of an order, or for its lack, wherever the VM was. A VM that an earlier holder's order has brought to a third pool counted as not moved: the order was sent again and took the VM out of that pool, once it was empty. No caller has seen this.

Now a VM that is up in another pool than the one that the order names ends the order; the plan of the next round starts from where the VM is.

--- a/src/chivetray/capacity/moves.py
+++ b/src/chivetray/capacity/moves.py
@@ -129,7 +129,8 @@
         """Return whether a VM has arrived, or cannot arrive any more."""
         if vm.state == PlatformVmState.MOVING:
             return False
-        if vm.pool == under_way.move.target:
+        if vm.pool != under_way.move.source:
+            # In a third pool, it was moved by an order of another holder.
             return True
         if under_way.phase == _Phase.ACCEPTED:
             return requested_at_s - under_way.settled_at_s > self._migrate_s
--- a/tests/test_unanswered_vm_orders.py
+++ b/tests/test_unanswered_vm_orders.py
@@ -342,6 +342,12 @@
         moves.apply_list(self.listed("a", DOWN), 10.1)
         assert "v1" not in moves
 
+    def test_a_vm_in_a_third_pool_is_not_ordered_away_from_it(self) -> None:
+        """The order was repeated, though the VM had left the pool that it names."""
+        moves = self.moves(VmOrderOutcome.UNKNOWN)
+        moves.apply_list(self.listed("c"), 10.1)
+        assert moves.moves_to_repeat() == [] and "v1" not in moves
+
     def test_an_accepted_move_is_over_when_the_vm_is_up_in_its_pool(self) -> None:
         moves = self.moves(VmOrderOutcome.DONE)
         moves.apply_list(self.listed("b", MOVING), 10.1)
