Explain the waits of a step with work in proportion to its tasks

Callers got no answer from any manager, and nothing that was accepted was run on, after one gang of 20,000 tasks that fits on no worker. The owner of the cell stood still, the next manager took the cell over and stood still in its turn.

Cause: the log of waits looked at all members of a gang for each of its members, in one turn of the loop: 4 * 10^8 looks every 0.5 s. The limit of tasks that a check looks at is compared before a step, whatever its size. The same held for each task with an older attempt, whose places were counted anew.

Now members and places are counted once for a step, and the search for room is done once for tasks that are kept from the same workers.

--- a/src/chivetray/cells/waiting.py
+++ b/src/chivetray/cells/waiting.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from heapq import nsmallest
@@ -22,7 +22,7 @@
 from chivetray.cells.workers import PROBE_INTERVAL_S, TaskRef, WorkerState
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job
-from chivetray.jobs.model import JobName, JobSpec, Phase, Step, Task
+from chivetray.jobs.model import JobName, JobSpec, Phase, Step, Task, TaskKey
 
 # Time for which a task is away before the log tells what it waits for.
 WAIT_LOGGED_AFTER_S = 1.0
@@ -233,7 +233,10 @@
         """Return the tasks of a step that wait for long enough, and for what."""
         state, step = self._state, job.spec.steps[number]
         tasks = job.step_tasks(occurrence, number)
-        room: Wait | None = None
+        # Counted once for all tasks, of which a caller chooses the number.
+        gang_workers = {t.worker for t in tasks if t.active} if step.gang else set()
+        places = count_places(tasks)
+        rooms: dict[frozenset[str], Wait] = {}
         found: _Found = []
         for task in tasks:
             if task.phase == Phase.DONE:
@@ -246,13 +249,14 @@
             if task.active:
                 wait = explain_attempt(state, status, job, task, now_s)
             else:
-                wait = explain_pause(state, status, step, task, tasks, now_s)
-                if wait is None and task.copies:
-                    excluded = task.copies.values()
-                    wait = explain_room(state, job, step, tasks, now_s, excluded)
-                elif wait is None:
-                    room = room or explain_room(state, job, step, tasks, now_s)
-                    wait = room
+                wait = explain_pause(state, status, step, task, gang_workers, now_s)
+                if wait is None:
+                    excluded = frozenset(task.copies.values())
+                    if excluded not in rooms:
+                        rooms[excluded] = explain_room(
+                            state, job, tasks[0].key, places, now_s, excluded
+                        )
+                    wait = rooms[excluded]
             if wait is None:
                 continue
             ref = (job.spec.job_id, task.key)
@@ -391,10 +395,13 @@
     status: OwnerStatus,
     step: Step,
     task: Task,
-    tasks: Iterable[Task],
+    gang_workers: Collection[str],
     now_s: float,
 ) -> Wait | None:
-    """Return what a task without a worker waits for, other than a worker."""
+    """Return what a task without a worker waits for, other than a worker.
+
+    :param gang_workers: workers of the other members of its gang
+    """
     if status.leaving:
         return Wait(WaitReason.OWNER_LEAVES)
     if not status.may_place:
@@ -404,10 +411,8 @@
     ):
         # Nothing is placed before the progress is stored.
         return Wait(WaitReason.STORE)
-    if step.gang:
-        others = [other for other in tasks if other.active]
-        if others:
-            return Wait(WaitReason.GANG, None, tuple({t.worker for t in others}))
+    if gang_workers:
+        return Wait(WaitReason.GANG, None, tuple(gang_workers))
     if task.not_before_s > now_s:
         return Wait(WaitReason.RETRY_PAUSE, task.not_before_s)
     if state.awaits_older_attempt(task, step):
@@ -420,8 +425,8 @@
 def explain_room(
     state: CellState,
     job: Job,
-    step: Step,
-    tasks: list[Task],
+    key: TaskKey,
+    places: Mapping[str, int],
     now_s: float,
     excluded: Collection[str] = (),
 ) -> Wait:
@@ -430,16 +435,18 @@
     Of several obstacles, the one that ends first is the reason. Obstacles other than a
     lack of room are counted for workers with room only.
 
+    :param key: key of any task of the step
+    :param places: number of tasks of the step that have a place on each worker
     :param excluded: workers that may still run an older attempt of the task
     """
-    tasks_per_worker = count_places(tasks)
-    step_ref = (job.spec.job_id, tasks[0].key[0], tasks[0].key[1])
+    step = job.spec.steps[key[1]]
+    step_ref = (job.spec.job_id, key[0], key[1])
     counts: Counter[WaitReason] = Counter()
     until_s: dict[WaitReason, float] = {}
     workers: dict[WaitReason, list[str]] = {}
     is_free = False
     for worker in state.workers.values():
-        obstacle, end_s = _find_obstacle(state, worker, step, tasks_per_worker, now_s)
+        obstacle, end_s = _find_obstacle(state, worker, step, places, now_s)
         if obstacle is None and worker.worker_id in excluded:
             obstacle = WaitReason.OLDER_ATTEMPT
         if obstacle is None and job.spec.ticket_validity_ms:
@@ -456,7 +463,7 @@
         reason = WaitReason.GANG_ROOM if step.gang else WaitReason.NOT_DECIDED
         if waits_for_cap(state, job, step):
             reason = WaitReason.CAP
-        if state.count_storable(job) < (len(tasks) if step.gang else 1):
+        if state.count_storable(job) < (step.count if step.gang else 1):
             reason = WaitReason.STORED_ROW
         if job.spec.job_id in state.held_job_ids:
             reason = WaitReason.HELD
--- /dev/null
+++ b/tests/test_round_work.py
@@ -0,0 +1,108 @@
+"""Work of one turn of an owner's loop, by the size of a job, which callers choose.
+
+A turn during which the loop stands still answers no caller and sends no heartbeat, so
+that another manager takes the cell over and stands still in its turn. Work is counted
+in instructions of the interpreter, not in time.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from types import FrameType
+from typing import Any
+
+import pytest
+from cell_helpers import CELL, job
+
+from chivetray.cells.state import CellState
+from chivetray.cells.waiting import OwnerStatus, WaitLog
+from chivetray.jobs.job import Job
+from chivetray.jobs.model import Step
+from chivetray.platform.stored_records import WorkerRecord
+
+SIZE = 60
+WORKERS = 8
+
+
+def count_instructions(work: Callable[[], Any]) -> int:
+    """Return how many instructions of the interpreter some work takes."""
+    count = 0
+
+    def trace(frame: FrameType, event: str, _argument: Any) -> Any:
+        nonlocal count
+        frame.f_trace_opcodes, frame.f_trace_lines = True, False
+        count += event == "opcode"
+        return trace
+
+    before = sys.gettrace()
+    sys.settrace(trace)
+    try:
+        work()
+    finally:
+        sys.settrace(before)
+    return count
+
+
+def assert_in_proportion(prepare: Callable[[int], Callable[[], Any]]) -> None:
+    """Fail if work grows faster than the size.
+
+    :param prepare: returns the work for a size
+    """
+    counts = [count_instructions(prepare(SIZE * factor)) for factor in (1, 2, 4)]
+    first, second = counts[1] - counts[0], counts[2] - counts[1]
+    # In proportion, the second difference is twice the first; squared, four times.
+    assert second <= 2.4 * max(first, 100), counts
+
+
+def make_state(workers: int = WORKERS, cpu_milli: int = 16000) -> CellState:
+    state = CellState(CELL)
+    entries = [
+        WorkerRecord(
+            f"w{n}", CELL, f"a{n}", "z", False, 1, cpu_milli, 65536, 0, (f"r{n % 4}",)
+        )
+        for n in range(workers)
+    ]
+    state.update_workers(entries, 0.0)
+    for worker in state.workers.values():
+        worker.tasks_known = True
+        worker.clock.observe(0, 0.0, 0.0)
+    return state
+
+
+def add(state: CellState, step: Step, **fields: Any) -> Job:
+    return state.add_job(job(steps=(step,), **fields), 0.0)
+
+
+class TestLogOfWaits:
+    """Guards against review/6: a gang that fits nowhere stopped all managers."""
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"gang": True, "cpu_milli": 500},
+            {"gang": True, "cpu_milli": 500, "label": "none"},
+            {"gang": True, "cpu_milli": 17000},
+            {"cpu_milli": 17000},
+            {"cpu_milli": 17000, "long_running": True},
+        ],
+    )
+    def test_a_check_of_waiting_tasks(self, fields: dict[str, Any]) -> None:
+        def prepare(size: int) -> Callable[[], Any]:
+            state = make_state()
+            add(state, Step(size, **fields))
+            log = WaitLog(state)
+            return lambda: log.check(OwnerStatus(), 5.0, 0)
+
+        assert_in_proportion(prepare)
+
+    def test_a_check_of_tasks_with_older_attempts(self) -> None:
+        def prepare(size: int) -> Callable[[], Any]:
+            state = make_state()
+            found = add(state, Step(size, 17000, copies=True))
+            for task in found.step_tasks(0, 0):
+                task.copies = {1: f"w{task.key[2] % WORKERS}"}
+            log = WaitLog(state)
+            return lambda: log.check(OwnerStatus(), 5.0, 0)
+
+        assert_in_proportion(prepare)
--- a/tests/test_shares_of_caps.py
+++ b/tests/test_shares_of_caps.py
@@ -12,6 +12,7 @@
 from virtual_loop import virtual_time
 
 from chivetray.cells.load import measure_load
+from chivetray.cells.places import count_places
 from chivetray.cells.share_metrics import MAX_LABELS, read_share_gauges
 from chivetray.cells.waiting import WaitReason, explain_room
 from chivetray.clocks import boot_time_s
@@ -290,8 +291,8 @@
                 state, now_s = cell.owner.state, boot_time_s()
                 loads.append(measure_load(state, now_s, 10**13))
                 job = next(iter(state.active.values()))
-                step, tasks = job.spec.steps[0], job.step_tasks(0, 0)
-                wait = explain_room(state, job, step, tasks, now_s)
+                places = count_places(job.step_tasks(0, 0))
+                wait = explain_room(state, job, (0, 0, 0), places, now_s)
                 assert wait.reason == WaitReason.CAP
             assert sum(load.used_milli for load in loads) == 2000
             assert [load.waiting_milli_s for load in loads] == [0, 0]
