Tell that a gang has no room without a look at each of its members

A gang of which all but a few members fit cost members times workers in every round, which callers choose.

Now the room of all workers is counted first, which looks at no member. A gang that just fits is placed as before, and one with a member more is not (test).

--- a/src/chivetray/cells/gangs.py
+++ b/src/chivetray/cells/gangs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from chivetray.cells.cap_use import may_start_gang
 from chivetray.cells.orders import Placement, StopReason
 from chivetray.cells.places import count_places
@@ -28,12 +30,15 @@
         return []
     if any(state.awaits_older_attempt(task, step) for task in tasks):
         return []
+    places = count_places(tasks)
     groups = [workers]
     if step.same_rack:
         racks = sorted({candidate.rack for candidate in workers})
         groups = [[w for w in workers if w.rack == rack] for rack in racks] + groups
     for group in groups:
-        chosen = _fit_gang(state, job, step, tasks, group)
+        if not _may_fit(step, group, places):
+            continue
+        chosen = _fit_gang(state, job, step, tasks, group, places)
         if chosen is None:
             continue
         if not may_start_gang(state, job, step, len(tasks)):
@@ -50,18 +55,37 @@
     return []
 
 
+def _may_fit(step: Step, workers: list[WorkerState], places: Mapping[str, int]) -> bool:
+    """Return whether workers have room for as many tasks as a gang step has.
+
+    It looks at no task, so that a gang without room costs the same whatever its size.
+    """
+    room = 0
+    for worker in workers:
+        limit = step.count
+        if step.per_worker:
+            limit = max(0, step.per_worker - places.get(worker.worker_id, 0))
+        room += worker.count_fitting(step, limit)
+        if room >= step.count:
+            return True
+    return False
+
+
 def _fit_gang(
     state: CellState,
     job: Job,
     step: Step,
     tasks: list[Task],
     workers: list[WorkerState],
+    places: Mapping[str, int],
 ) -> list[WorkerState] | None:
     """Return a worker for each task, or ``None`` when not all of them fit.
 
     The resources allocated to find that out are freed again.
+
+    :param places: number of tasks of the step that have a place on each worker
     """
-    tasks_per_worker = count_places(tasks)
+    tasks_per_worker = dict(places)
     chosen: list[WorkerState] = []
     for task in tasks:
         # A worker rejects a newer attempt beside an older one of the same task.
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -246,6 +246,23 @@
             and self.used_gpu + step.gpu <= self.gpu
         )
 
+    def count_fitting(self, step: Step, limit: int) -> int:
+        """Return how many tasks of a step fit into the free resources at once.
+
+        :param limit: number up to which to count
+        """
+        if not (self.has_label(step) and self.fits(step)):
+            return 0
+        if self.quarantined:
+            return 1
+        cpu = 0 if step.best_effort else step.cpu_milli
+        free = (
+            (self.cpu_milli - self.used_cpu_milli, cpu),
+            (self.mem_mb - self.used_mem_mb, step.mem_mb),
+            (self.gpu - self.used_gpu, step.gpu),
+        )
+        return min([limit, *(left // need for left, need in free if need)])
+
     def has_label(self, step: Step) -> bool:
         """Return whether the worker has the label that a step requires."""
         return not step.label or step.label in self.labels
--- a/tests/test_round_work.py
+++ b/tests/test_round_work.py
@@ -15,6 +15,7 @@
 import pytest
 from cell_helpers import CELL, job
 
+from chivetray.cells.gangs import place_gang
 from chivetray.cells.state import CellState
 from chivetray.cells.waiting import OwnerStatus, WaitLog
 from chivetray.jobs.job import Job
@@ -106,3 +107,42 @@
             return lambda: log.check(OwnerStatus(), 5.0, 0)
 
         assert_in_proportion(prepare)
+
+
+class TestGangs:
+    """Guards against rounds that look at each member of a gang that has no room."""
+
+    @pytest.mark.parametrize("same_rack", [False, True])
+    @pytest.mark.parametrize("per_worker", [False, True])
+    def test_a_round_beside_a_gang_that_does_not_fit(
+        self, same_rack: bool, per_worker: bool
+    ) -> None:
+        def prepare(size: int) -> Callable[[], Any]:
+            state = make_state()
+            # All members but a few fit.
+            cpu_milli = 1 if per_worker else 16000 // (size // WORKERS) + 1
+            per_worker_limit = size // WORKERS - 1 if per_worker else 0
+            step = Step(
+                size,
+                cpu_milli,
+                gang=True,
+                same_rack=same_rack,
+                per_worker=per_worker_limit,
+            )
+            found = add(state, step)
+            tasks, workers = found.step_tasks(0, 0), list(state.workers.values())
+            return lambda: place_gang(state, found, step, tasks, workers, 1.0)
+
+        counts = [count_instructions(prepare(size)) for size in (80, 160, 320)]
+        # A look at each of the workers for each member takes more.
+        assert counts[2] - counts[1] <= 160 * 20 * WORKERS, counts
+        assert_in_proportion(prepare)
+
+    def test_one_that_just_fits_is_placed(self) -> None:
+        for count, fits in ((64, True), (65, False)):
+            state = make_state()
+            step = Step(count, 2000, gang=True)
+            found = add(state, step)
+            tasks, workers = found.step_tasks(0, 0), list(state.workers.values())
+            placed = place_gang(state, found, step, tasks, workers, 1.0)
+            assert len(placed) == (count if fits else 0)
