Apply a reply of a worker with work in proportion to what it lists

A job of 20,000 tasks of no size runs on one worker, so that one reply cost up to 20,000 times its tasks.

--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -6,14 +6,14 @@
 
 from chivetray.cells.copies import apply_copy_failure, settle_missing_copies
 from chivetray.cells.crashes import settle
-from chivetray.cells.orders import Placement, StopOrder, StopReason
+from chivetray.cells.orders import Placement, StepRef, StopOrder, StopReason
 from chivetray.cells.pace import record_failure, record_run
 from chivetray.cells.places import has_place, log_place_freed
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import PROBE_RUN_TIME_S, TaskRef, WorkerState
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job
-from chivetray.jobs.model import JobState, Phase, Step, Task
+from chivetray.jobs.model import JobState, Phase, Step, Task, TaskKey
 from chivetray.jobs.suspicion import SETTLED_AFTER_S
 from chivetray.platform.workers import (
     AttemptEnd,
@@ -26,6 +26,9 @@
 # Delay before a task is retried after a failed attempt.
 FAILED_RETRY_S = 0.05
 
+# Newest checkpoint in a reply by gang: its job, the key of a member, and the value.
+_Checkpoints = dict[StepRef, tuple[Job, TaskKey, str]]
+
 
 def apply_poll_reply(
     state: CellState, worker: WorkerState, reply: Reply, sent_at_s: float, now_s: float
@@ -43,11 +46,12 @@
     worker.answered_poll_sent_at_s = sent_at_s
     worker.runs_uncounted = False
     listed: set[tuple[str, object, int]] = set()
+    checkpoints: _Checkpoints = {}
     for ended in sorted(reply.ended, key=lambda item: item.number):
         listed.add((ended.name.job_id, ended.name.key, ended.attempt))
         if ended.number > worker.last_applied_end:
             # After an error, the worker may not forget the end.
-            _apply_end(state, worker, ended, now_s)
+            _apply_end(state, worker, ended, now_s, checkpoints)
             worker.last_applied_end = ended.number
     for running in reply.running:
         job = state.jobs.get(running.name.job_id)
@@ -84,7 +88,7 @@
         if task.phase == Phase.RUNNING and has_settled and not task.settled:
             settle(state, (job.spec.job_id, task.key), task, "ran on")
         if running.checkpoint:
-            _set_checkpoint(job, task, step, running.checkpoint)
+            _note_checkpoint(checkpoints, job, task, step, running.checkpoint)
         if task.phase == Phase.PLACED:
             if task.unanswered_starts:
                 log_event(
@@ -98,6 +102,9 @@
                     unanswered_tries=task.unanswered_starts,
                 )
             confirm_start(state, (job.spec.job_id, task.key), task.attempt, now_s)
+    for job, key, checkpoint in checkpoints.values():
+        for member in job.step_tasks(key[0], key[1]):
+            member.checkpoint = checkpoint
     if reply.lists_all_ends:
         # Otherwise an attempt that is not listed may have ended, even as done.
         _release_missing_attempts(state, worker, listed, sent_at_s, now_s)
@@ -234,7 +241,11 @@
 
 
 def _apply_end(
-    state: CellState, worker: WorkerState, ended: EndedTask, now_s: float
+    state: CellState,
+    worker: WorkerState,
+    ended: EndedTask,
+    now_s: float,
+    checkpoints: _Checkpoints,
 ) -> None:
     job = state.jobs.get(ended.name.job_id)
     task = job.tasks.get(ended.name.key) if job else None
@@ -260,7 +271,7 @@
         return
     step = job.spec.steps[task.key[1]]
     if ended.checkpoint:
-        _set_checkpoint(job, task, step, ended.checkpoint)
+        _note_checkpoint(checkpoints, job, task, step, ended.checkpoint)
     log_event(
         Event.TASK_ENDED_EARLY,
         task=str(ended.name),
@@ -270,9 +281,10 @@
     )
     if ended.how == AttemptEnd.FAILED:
         settle(state, (job.spec.job_id, task.key), task, "failed by itself")
-        # The failures of several members in one attempt of a gang count once.
-        for member in _gang_members(job, task, step):
-            if member.failed_attempt < ended.attempt:
+        # The failures of several members in one attempt of a gang count once, and all
+        # members have the same.
+        if task.failed_attempt < ended.attempt:
+            for member in _gang_members(job, task, step):
                 member.failed_attempt = ended.attempt
                 member.failures += 1
         task.avoided_workers.add(worker.worker_id)
@@ -349,9 +361,18 @@
     return job.step_tasks(task.key[0], task.key[1])
 
 
-def _set_checkpoint(job: Job, task: Task, step: Step, checkpoint: str) -> None:
-    for member in _gang_members(job, task, step):
-        member.checkpoint = checkpoint
+def _note_checkpoint(
+    checkpoints: _Checkpoints, job: Job, task: Task, step: Step, checkpoint: str
+) -> None:
+    """Set the checkpoint of a task, or note it for all members of its gang.
+
+    That of any member is valid for the whole gang.
+    """
+    if step.gang:
+        step_ref = (job.spec.job_id, task.key[0], task.key[1])
+        checkpoints[step_ref] = (job, task.key, checkpoint)
+    else:
+        task.checkpoint = checkpoint
 
 
 def confirm_start(state: CellState, ref: TaskRef, attempt: int, now_s: float) -> None:
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -326,7 +326,7 @@
 
     def deactivate_if_finished(self, job: Job) -> None:
         """Remove an ended job from the active ones once none of its tasks is active."""
-        if job.state.ended and not job.active_tasks():
+        if job.state.ended and not job.has_active_tasks():
             self.active.pop(job.spec.job_id, None)
             self.cached_order_keys.pop(job.spec.job_id, None)
             self.turns.forget_job(job.spec.job_id)
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -59,6 +59,7 @@
         self.path_estimate: tuple[float, int, float, float] | None = None
         self._done_counts: dict[tuple[int, int], int] = {}
         self._opened_steps: set[tuple[int, int]] = set()
+        self._maybe_active: list[Task] | None = None
 
     # Tasks
 
@@ -105,6 +106,17 @@
         """Return the tasks that may be running on a worker."""
         return [task for task in self.tasks.values() if task.active]
 
+    def has_active_tasks(self) -> bool:
+        """Return whether any task of an ended job may be running on a worker.
+
+        No task of it becomes active any more, so each is looked at until it is not.
+        """
+        if self._maybe_active is None:
+            self._maybe_active = self.active_tasks()
+        while self._maybe_active and not self._maybe_active[-1].active:
+            self._maybe_active.pop()
+        return bool(self._maybe_active)
+
     def away_since_s(self, task: Task, owned_since_s: float, now_s: float) -> float:
         """Return since when a task that does not run has been away or ready.
 
--- a/tests/test_round_work.py
+++ b/tests/test_round_work.py
@@ -16,11 +16,22 @@
 from cell_helpers import CELL, job
 
 from chivetray.cells.gangs import place_gang
+from chivetray.cells.reports import apply_poll_reply, confirm_start
 from chivetray.cells.state import CellState
 from chivetray.cells.waiting import OwnerStatus, WaitLog
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import Step
 from chivetray.platform.stored_records import WorkerRecord
+from chivetray.platform.workers import (
+    AttemptEnd,
+    EndedTask,
+    Reply,
+    RunningTask,
+    TaskName,
+    Verdict,
+)
+
+JOB = job().job_id
 
 SIZE = 60
 WORKERS = 8
@@ -146,3 +157,65 @@
             tasks, workers = found.step_tasks(0, 0), list(state.workers.values())
             placed = place_gang(state, found, step, tasks, workers, 1.0)
             assert len(placed) == (count if fits else 0)
+
+
+class TestReports:
+    """Guards against replies that look at all tasks of a job for each listed one."""
+
+    @staticmethod
+    def run_all(size: int, **fields: Any) -> tuple[CellState, Job]:
+        state = make_state(workers=1, cpu_milli=10**9)
+        found = add(state, Step(size, 0, **fields), max_attempts=5)
+        worker = state.workers["w0"]
+        for task in found.step_tasks(0, 0):
+            state.assign(found, task, found.spec.steps[0], worker, 1.0)
+            confirm_start(state, (JOB, task.key), task.attempt, 1.0)
+        return state, found
+
+    @staticmethod
+    def reply(state: CellState, running: Any = (), ended: Any = ()) -> None:
+        reply = Reply(Verdict.OK, 9, 1, list(running), list(ended))
+        apply_poll_reply(state, state.workers["w0"], reply, 2.0, 2.0)
+
+    @pytest.mark.parametrize("gang", [False, True])
+    def test_checkpoints_of_running_tasks(self, gang: bool) -> None:
+        def prepare(size: int) -> Callable[[], Any]:
+            state, found = self.run_all(size, gang=gang, checkpointing=True)
+            running = [
+                RunningTask(TaskName(JOB, key), 1, f"{key[2]:08x}", 50, 0)
+                for key in found.tasks
+            ]
+            return lambda: self.reply(state, running)
+
+        assert_in_proportion(prepare)
+
+    def test_the_checkpoint_of_a_member_is_that_of_its_gang(self) -> None:
+        state, found = self.run_all(3, gang=True, checkpointing=True)
+        running = [RunningTask(TaskName(JOB, (0, 0, 1)), 1, "01", 50, 0)]
+        self.reply(state, running)
+        assert {task.checkpoint for task in found.tasks.values()} == {"01"}
+
+    @pytest.mark.parametrize("gang", [False, True])
+    @pytest.mark.parametrize("how", [AttemptEnd.FAILED, AttemptEnd.STOPPED])
+    def test_ends(self, how: AttemptEnd, gang: bool) -> None:
+        def prepare(size: int) -> Callable[[], Any]:
+            state, found = self.run_all(size, gang=gang)
+            ended = [
+                EndedTask(number, TaskName(JOB, key), 1, how, f"{number:08x}")
+                for number, key in enumerate(found.tasks, 1)
+            ]
+            return lambda: self.reply(state, (), ended)
+
+        assert_in_proportion(prepare)
+
+    def test_ends_of_a_cancelled_job(self) -> None:
+        def prepare(size: int) -> Callable[[], Any]:
+            state, found = self.run_all(size)
+            state.cancel(found.spec.name)
+            ended = [
+                EndedTask(number, TaskName(JOB, key), 1, AttemptEnd.STOPPED, "")
+                for number, key in enumerate(found.tasks, 1)
+            ]
+            return lambda: self.reply(state, (), ended)
+
+        assert_in_proportion(prepare)
