--- a/src/chivetray/cells/evacuation.py
+++ b/src/chivetray/cells/evacuation.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterable
 from typing import Any
 
-from chivetray.cells.orders import StopOrder, StopReason
-from chivetray.cells.places import count_places
+from chivetray.cells.orders import StepRef, StopOrder, StopReason
 from chivetray.cells.reports import confirm_start
 from chivetray.cells.state import CellState
+from chivetray.cells.steps_at_work import StepsAtWork, step_ref
 from chivetray.cells.timing import MAX_ORDER_DELAY_S
 from chivetray.cells.workers import WorkerState
 from chivetray.events import Event, log_event
@@ -94,6 +94,7 @@
     Long-running tasks also leave workers whose VM awaits maintenance: few may leave at
     a time, and the worker serves others meanwhile.
     """
+    steps = count_at_work(state, now_s)
     for worker in state.workers.values():
         reserved = worker.is_reserved(now_s)
         if not reserved and not worker.draining:
@@ -111,8 +112,8 @@
                 # On another VM that awaits maintenance it would soon be stopped again.
                 stays_up = worker.awaits_maintenance(now_s) and not overdue
                 movable = worker.draining or (
-                    can_interrupt_task(state, job, task, step, now_s)
-                    and has_room(state, job, task, now_s, stays_up)
+                    can_interrupt_task(state, job, task, step, now_s, steps)
+                    and has_room(state, job, task, now_s, stays_up, steps)
                 )
             else:
                 is_spared = task.evacuations >= EVACUATIONS_LIMIT
@@ -120,19 +121,20 @@
                     overdue or (step.checkpointing and not is_spared)
                 )
             if movable:
-                _stop(state, worker, job, task, step, now_s)
-    blocked_steps: set[tuple[str, int, int]] = set()
+                _stop(state, worker, job, task, step, now_s, steps)
+    blocked_steps: set[StepRef] = set()
     for worker in state.workers.values():
         is_serving = not worker.is_reserved(now_s) and not worker.draining
         if is_serving and worker.awaits_maintenance(now_s):
-            _relocate_long_running(state, worker, now_s, blocked_steps)
+            _relocate_long_running(state, worker, now_s, blocked_steps, steps)
 
 
 def _relocate_long_running(
     state: CellState,
     worker: WorkerState,
     now_s: float,
-    blocked_steps: set[tuple[str, int, int]],
+    blocked_steps: set[StepRef],
+    steps: StepsAtWork,
 ) -> None:
     """Stop long-running tasks for which a worker has room that stays up.
 
@@ -142,9 +144,8 @@
     if worker.silent_since_s:
         return
     for ref, step in list(worker.tasks.items()):
-        step_ref = (ref[0], *ref[1][:2])
         is_excluded = not step.long_running or step.best_effort or step.gang
-        if is_excluded or step_ref in blocked_steps:
+        if is_excluded or (ref[0], *ref[1][:2]) in blocked_steps:
             continue
         found = state.find_newest_attempt(worker, ref)
         if found is None or found[1].phase != Phase.RUNNING:
@@ -152,12 +153,12 @@
         job, task = found
         if now_s - task.running_at_s < RELOCATION_INTERVAL_S:
             continue
-        if has_room(state, job, task, now_s, stays_up=True) and can_interrupt_task(
-            state, job, task, step, now_s
-        ):
-            _stop(state, worker, job, task, step, now_s)
+        if has_room(
+            state, job, task, now_s, stays_up=True, steps=steps
+        ) and can_interrupt_task(state, job, task, step, now_s, steps):
+            _stop(state, worker, job, task, step, now_s, steps)
         else:
-            blocked_steps.add(step_ref)
+            blocked_steps.add(step_ref(job, task))
 
 
 def _stop(
@@ -167,25 +168,32 @@
     task: Task,
     step: Step,
     now_s: float,
+    steps: StepsAtWork,
 ) -> None:
     task.evacuations += 1
     if step.long_running:
-        fields = _describe_step(state, worker, job, task, step, now_s)
+        fields = _describe_step(state, worker, job, task, step, now_s, steps)
         log_event(Event.TASK_EVACUATED, **fields)
+        steps.note_stopped(job, task)
     state.stop_task(job, task, StopReason.EVACUATION)
 
 
 def has_room(
-    state: CellState, job: Job, task: Task, now_s: float, stays_up: bool = False
+    state: CellState,
+    job: Job,
+    task: Task,
+    now_s: float,
+    stays_up: bool = False,
+    steps: StepsAtWork | None = None,
 ) -> bool:
     """Return whether a worker other than a task's own could take the task now.
 
     :param stays_up: whether only workers count whose VM awaits no maintenance
+    :param steps: counts of the present round, if it looks at several tasks
     """
-    occurrence, step_number, _ = task.key
-    step = job.spec.steps[step_number]
-    tasks = job.step_tasks(occurrence, step_number)
-    tasks_per_worker = count_places(other for other in tasks if other is not task)
+    step = job.spec.steps[task.key[1]]
+    steps = steps or count_at_work(state, now_s)
+    tasks_per_worker = steps.count_places_of_others(job, task)
     candidates = [
         worker
         for worker in state.workers.values()
@@ -198,35 +206,43 @@
     return choose_worker(step, candidates, set(), tasks_per_worker, {}) is not None
 
 
-def is_budget_left(
-    state: CellState, job: Job, task: Task, step: Step, now_s: float
-) -> bool:
+def count_at_work(state: CellState, now_s: float) -> StepsAtWork:
+    """Return counts for one round of decisions."""
+    return StepsAtWork(
+        lambda task: _is_at_work(state, task),
+        lambda task: now_s - task.listed_at_s < MAX_REPORT_AGE_S,
+    )
+
+
+def is_budget_left(job: Job, task: Task, step: Step, steps: StepsAtWork) -> bool:
     """Return whether recent reports allow that a long-running task is stopped."""
-    occurrence, step_number, _ = task.key
-    others = [t for t in job.step_tasks(occurrence, step_number) if t is not task]
-    recent = [
-        other
-        for other in others
-        if _is_at_work(state, other) and now_s - other.listed_at_s < MAX_REPORT_AGE_S
-    ]
-    return len(others) - len(recent) < max(1, step.max_unavailable)
+    away = steps.count_others_away(job, task, is_proof_wanted=True)
+    return away < max(1, step.max_unavailable)
 
 
 def can_interrupt_task(
-    state: CellState, job: Job, task: Task, step: Step, now_s: float
+    state: CellState,
+    job: Job,
+    task: Task,
+    step: Step,
+    now_s: float,
+    steps: StepsAtWork | None = None,
 ) -> bool:
     """Return whether a long-running task may be stopped now.
 
     One task of its step may always be unavailable, and up to
     ``max_unavailable`` at once. If old reports prevent that, newer ones are requested.
+
+    :param steps: counts of the present round, if it looks at several tasks
     """
-    if is_budget_left(state, job, task, step, now_s):
+    steps = steps or count_at_work(state, now_s)
+    if is_budget_left(job, task, step, steps):
         return True
-    occurrence, step_number, _ = task.key
-    others = [t for t in job.step_tasks(occurrence, step_number) if t is not task]
-    at_work = [other for other in others if _is_at_work(state, other)]
-    if len(others) - len(at_work) < max(1, step.max_unavailable):
-        for other in at_work:
+    away = steps.count_others_away(job, task, is_proof_wanted=False)
+    ref = step_ref(job, task)
+    if away < max(1, step.max_unavailable) and ref not in steps.reported:
+        steps.reported.add(ref)
+        for other in steps.find_others_at_work(job, task):
             worker = state.workers[other.worker]
             worker.reports_wanted_until_s = now_s + REPORTS_WANTED_S
     return False
@@ -282,17 +298,14 @@
     task: Task,
     step: Step,
     now_s: float,
+    steps: StepsAtWork | None = None,
 ) -> dict[str, Any]:
-    """Return a task and which others of its step are unavailable, for the log."""
-    occurrence, step_number, _ = task.key
-    others = [t for t in job.step_tasks(occurrence, step_number) if t is not task]
-    unavailable: list[list[Any]] = []
-    reply_ages_s = []
-    for other in others:
-        if not _is_at_work(state, other):
-            unavailable.append([other.key[2], _unavailable_because(state, other)])
-            continue
-        reply_ages_s.append(now_s - other.listed_at_s)
+    """Return a task and which others of its step are unavailable, for the log.
+
+    :param steps: counts of the present round, if it looks at several tasks
+    """
+    steps = steps or count_at_work(state, now_s)
+    oldest_s = steps.find_oldest_report_s(job, task)
     return {
         "task": str(TaskName(job.spec.job_id, task.key)),
         "attempt": task.attempt,
@@ -301,11 +314,14 @@
         "epoch": state.epoch,
         "draining": worker.draining,
         "reserved": worker.is_reserved(now_s),
-        "unavailable": unavailable[:MAX_LISTED_TASKS],
-        "unavailable_count": len(unavailable),
+        "unavailable": [
+            [other.key[2], _unavailable_because(state, other)]
+            for other in steps.find_others_away(job, task, MAX_LISTED_TASKS)
+        ],
+        "unavailable_count": steps.count_others_away(job, task, is_proof_wanted=False),
         "limit": step.max_unavailable,
-        "tasks": len(others) + 1,
-        "oldest_reply_s": round(max(reply_ages_s, default=0.0), 3),
+        "tasks": step.count,
+        "oldest_reply_s": 0.0 if oldest_s is None else round(now_s - oldest_s, 3),
     }
 
 
--- a/src/chivetray/cells/load.py
+++ b/src/chivetray/cells/load.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass
 
 from chivetray.cells.cap_use import DemandLimit
-from chivetray.cells.evacuation import has_room, is_budget_left
+from chivetray.cells.evacuation import count_at_work, has_room, is_budget_left
 from chivetray.cells.isolation import count_wanted_workers
 from chivetray.cells.state import CellState
+from chivetray.cells.steps_at_work import StepsAtWork
 from chivetray.cells.workers import WorkerState
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import Phase, Step
@@ -103,6 +104,7 @@
         if wait_milli_s:
             is_late = now_s + left_s > job_deadline_s and not job.long_running
             waiting_milli_s[is_late] += wait_milli_s
+    steps = count_at_work(state, now_s)
     workers = [
         WorkerLoad(
             worker.worker_id,
@@ -113,7 +115,7 @@
             worker.tasks_known and not worker.runs_uncounted,
             _empties_in_ms(state, worker, now_s),
             sum(step.long_running for step in worker.tasks.values()),
-            _is_budget_used(state, worker, now_s),
+            _is_budget_used(state, worker, steps),
             bool(worker.silent_since_s),
             worker.listed,
         )
@@ -197,14 +199,14 @@
     return int(ends_in_s * 1000)
 
 
-def _is_budget_used(state: CellState, worker: WorkerState, now_s: float) -> bool:
+def _is_budget_used(state: CellState, worker: WorkerState, steps: StepsAtWork) -> bool:
     """Return whether no long-running task of a worker may be stopped now."""
     is_lasting = False
     for ref, step in worker.tasks.items():
         job, task = state.find_task(ref)
         if not step.long_running or job is None or task is None:
             continue
-        if is_budget_left(state, job, task, step, now_s):
+        if is_budget_left(job, task, step, steps):
             return False
         is_lasting = True
     return is_lasting
--- a/tests/test_round_work.py
+++ b/tests/test_round_work.py
@@ -15,7 +15,9 @@
 import pytest
 from cell_helpers import CELL, job
 
+from chivetray.cells.evacuation import evacuate, reserve_workers
 from chivetray.cells.gangs import place_gang
+from chivetray.cells.load import measure_load
 from chivetray.cells.reports import apply_poll_reply, confirm_start
 from chivetray.cells.state import CellState
 from chivetray.cells.waiting import OwnerStatus, WaitLog
@@ -219,3 +221,48 @@
             return lambda: self.reply(state, (), ended)
 
         assert_in_proportion(prepare)
+
+
+class TestLongRunningSteps:
+    """Guards against rounds that count a step anew for each of its tasks."""
+
+    @staticmethod
+    def at_work(size: int, max_unavailable: int) -> CellState:
+        state = make_state(workers=2, cpu_milli=10**9)
+        step = Step(size, 0, long_running=True, max_unavailable=max_unavailable)
+        found = add(state, step)
+        worker = state.workers["w0"]
+        for task in found.step_tasks(0, 0):
+            state.assign(found, task, step, worker, 1.0)
+            confirm_start(state, (JOB, task.key), task.attempt, 1.0)
+            task.percent, task.listed_at_s = 100, 9.5
+        # One task is away, so that no other may leave with a budget of one.
+        found.tasks[(0, 0, size - 1)].percent = 0
+        return state
+
+    @pytest.mark.parametrize("max_unavailable", [1, 10**6])
+    @pytest.mark.parametrize("how", ["reserved", "draining", "relocated"])
+    def test_an_evacuation(self, how: str, max_unavailable: int) -> None:
+        def prepare(size: int) -> Callable[[], Any]:
+            state = self.at_work(size, max_unavailable)
+            reserved = ["w0"] if how == "reserved" else []
+            reserve_workers(state, reserved, 10.0, (), ["w0"])
+            state.workers["w0"].draining = how == "draining"
+            return lambda: evacuate(state, 10.0)
+
+        assert_in_proportion(prepare)
+
+    def test_a_report_of_the_load(self) -> None:
+        def prepare(size: int) -> Callable[[], Any]:
+            state = self.at_work(size, 1)
+            return lambda: measure_load(state, 10.0, 0)
+
+        assert_in_proportion(prepare)
+
+    def test_no_more_tasks_are_stopped_than_may_be_away(self) -> None:
+        # The task that is away already is moved, too.
+        for budget, stopped in ((1, 1), (2, 2), (5, 5), (100, 20)):
+            state = self.at_work(20, budget)
+            reserve_workers(state, ["w0"], 10.0)
+            evacuate(state, 10.0)
+            assert len(state.stop_orders) == stopped, budget
