Leave lasting tasks out when an older attempt of one fails

Cause: apply_copy_failure counts such an end towards the limit of attempts, and fails the job, where _apply_end leaves out long-running steps, whose tasks may fail at any time.

Evidence: the new test failed before with "FAILED == RUNNING". Now both leave them out; the failure is still counted, as that of a newest attempt is.

--- a/src/chivetray/cells/copies.py
+++ b/src/chivetray/cells/copies.py
@@ -137,7 +137,8 @@
     state.mark_changed(job.spec.job_id)
     if ended.how == AttemptEnd.FAILED:
         task.failures += 1
-        state.fail_if_attempts_exhausted(job, task)
+        if not job.spec.steps[task.key[1]].long_running:
+            state.fail_if_attempts_exhausted(job, task)
 
 
 def settle_missing_copies(
--- a/tests/test_task_copies.py
+++ b/tests/test_task_copies.py
@@ -6,6 +6,7 @@
 from cell_helpers import CELL, job
 
 from chivetray.cells.copies import copy_tasks, resend_copy_stops
+from chivetray.cells.orders import StopReason
 from chivetray.cells.placing import place_tasks
 from chivetray.cells.reports import (
     apply_poll_reply,
@@ -40,13 +41,14 @@
 class Copied:
     """A cell with one task at work, whose worker has fallen silent."""
 
-    def __init__(self, copies: bool = True, **fields: int):
+    def __init__(self, copies: bool = True, long_running: bool = False, **fields: int):
         self.state = CellState(CELL)
         self.state.update_workers([entry("w0"), entry("w1")], 0.0)
         for worker in self.state.workers.values():
             worker.tasks_known = True
             worker.clock.observe(1000, 0.0, 0.0)
-        spec = job(steps=(Step(1, 3000, estimate_ms=200, copies=copies),), **fields)
+        step = Step(1, 3000, estimate_ms=200, copies=copies, long_running=long_running)
+        spec = job(steps=(step,), **fields)
         self.job: Job = self.state.add_job(spec, 0.0)
         (placed,) = place_tasks(self.state, 0.0, 0)
         self.old = placed.worker_id
@@ -149,6 +151,25 @@
         copied.end(copied.new, 2, AttemptEnd.FAILED)
         assert copied.job.state == JobState.FAILED
 
+    def test_an_older_run_of_a_lasting_task_that_fails_does_not_end_the_job(
+        self,
+    ) -> None:
+        """Guards against the stop of healthy runs, as such tasks may fail at any time.
+
+        A start without answer was carried out late, and failed at once.
+        """
+        copied = Copied(max_attempts=1, long_running=True)
+        copied.state.keep_older_attempt(
+            copied.state.workers[copied.new],
+            copied.job,
+            copied.task,
+            7,
+            StopReason.UNKNOWN_ATTEMPT,
+        )
+        copied.end(copied.new, 7, AttemptEnd.FAILED)
+        assert copied.job.state == JobState.RUNNING
+        assert copied.task.failures == 1 and not copied.task.copies
+
     def test_a_cancelled_job_stops_both(self) -> None:
         copied = Copied()
         copied.silence()
