--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -371,8 +371,9 @@
             acknowledged = await self._handle_submitted(owner, content)
         else:
             acknowledged = await self._mesh.call(owner, SUBMIT_CALL, content)
+        known_ids = set(acknowledged or ())
         for spec in specs:
-            if spec.job_id in (acknowledged or []):
+            if spec.job_id in known_ids:
                 self._jobs_to_notify.pop(spec.name, None)
         is_complete = not any(s.name in self._jobs_to_notify for s in specs)
         await self._end_notification(SUBMIT_CALL, owner, is_complete)
@@ -383,9 +384,9 @@
             acknowledged = await self._handle_cancelled(owner, notice)
         else:
             acknowledged = await self._mesh.call(owner, CANCEL_CALL, notice)
-        now_s = boot_time_s()
+        now_s, known_ids = boot_time_s(), set(acknowledged or ())
         for name in names:
-            if name.job_id not in (acknowledged or []):
+            if name.job_id not in known_ids:
                 continue
             cell = self._cancellations_to_notify.pop(name, None)
             if cell is not None:
