--- a/src/chivetray/capacity/moves.py
+++ b/src/chivetray/capacity/moves.py
@@ -130,7 +130,7 @@
         if vm.state == PlatformVmState.MOVING:
             return False
         if vm.pool != under_way.move.source:
-            # In a third pool, it was moved by an order of another holder.
+            # It has arrived, or another holder's order took it to a third pool.
             return True
         if under_way.phase == _Phase.ACCEPTED:
             return requested_at_s - under_way.settled_at_s > self._migrate_s
