Name the step of a task, and the start of a test, in one place each

Read once more: reports.py built the reference of a step that step_ref returns, and three tests of waves began with the same four lines. Behaviour and assertions are unchanged.

--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -10,6 +10,7 @@
 from chivetray.cells.pace import record_failure, record_run
 from chivetray.cells.places import has_place, log_place_freed
 from chivetray.cells.state import CellState
+from chivetray.cells.steps_at_work import step_ref
 from chivetray.cells.workers import PROBE_RUN_TIME_S, TaskRef, WorkerState
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job
@@ -369,8 +370,7 @@
     That of any member is valid for the whole gang.
     """
     if step.gang:
-        step_ref = (job.spec.job_id, task.key[0], task.key[1])
-        checkpoints[step_ref] = (job, task.key, checkpoint)
+        checkpoints[step_ref(job, task)] = (job, task.key, checkpoint)
     else:
         task.checkpoint = checkpoint
 
--- a/tests/test_two_waves.py
+++ b/tests/test_two_waves.py
@@ -167,6 +167,15 @@
     return Fleet(Platform(vms, waves))
 
 
+async def begin_with_lost_orders() -> Fleet:
+    """Return a fleet whose first orders are lost, as later ones are until told."""
+    fleet = make_fleet()
+    await fleet.begin()
+    fleet.platform.lose = lambda: "before"
+    await fleet.play(1.0)
+    return fleet
+
+
 class TestMaintenanceForAnotherWave:
     """Guards against review/10: a wave was said to be completed with VMs left."""
 
@@ -218,10 +227,7 @@
 class TestWithdrawnWave:
     def test_its_unanswered_orders_hold_up_no_other_wave(self) -> None:
         async def scenario() -> None:
-            fleet = make_fleet()
-            await fleet.begin()
-            fleet.platform.lose = lambda: "before"
-            await fleet.play(1.0)
+            fleet = await begin_with_lost_orders()
             fleet.platform.lose = lambda: ""
             del fleet.configured["wave/1"]
             await fleet.play(15.0)
@@ -232,10 +238,7 @@
 
     def test_one_that_is_written_again_has_its_vms_maintained(self) -> None:
         async def scenario() -> None:
-            fleet = make_fleet()
-            await fleet.begin()
-            fleet.platform.lose = lambda: "before"
-            await fleet.play(1.0)
+            fleet = await begin_with_lost_orders()
             wave = fleet.configured.pop("wave/1")
             await fleet.play(1.0)
             fleet.platform.lose = lambda: ""
@@ -249,10 +252,7 @@
 class TestWaveThatDoesNotHaveAVm:
     def test_its_refusal_ends_an_order_without_answer(self) -> None:
         async def scenario() -> None:
-            fleet = make_fleet()
-            await fleet.begin()
-            fleet.platform.lose = lambda: "before"
-            await fleet.play(1.0)
+            fleet = await begin_with_lost_orders()
             fleet.platform.lose = lambda: ""
 
             async def refuse(vm: str, number: int, epoch: int) -> VmOrderOutcome:
