Tell when another incarnation of a worker has answered an order

The clock of an answer is compared with the bounds that the known readings leave, and WORKER_CLOCK_FOREIGN tells order, task, the life that it was meant for, the life that answered if the answer tells it, and both clocks. It starts with WORKER_, so that chivetray trace shows it for a task. The stand-in model of workers can begin its clock anywhere. No logic is changed.

--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 
 from chivetray.cells.advice import drop_ticket, get_ticket
+from chivetray.cells.answers import log_if_foreign
 from chivetray.cells.copies import copy_tasks, resend_copy_stops
 from chivetray.cells.evacuation import may_send_stop
 from chivetray.cells.orders import Placement, StopOrder, StopReason
@@ -192,6 +193,17 @@
         now_s = boot_time_s()
         if self._cell_owner.lost:
             return True
+        log_if_foreign(
+            worker,
+            reply,
+            sent_at_s,
+            now_s,
+            placement.incarnation,
+            order="start",
+            task=str(TaskName(*placement.ref)),
+            attempt=placement.attempt,
+            epoch=self._cell_owner.epoch,
+        )
         # An earlier unanswered try may still be executed, whatever this reply says.
         if task.attempt == placement.attempt:
             task.start_unanswered = (
@@ -359,9 +371,21 @@
         if task is not None:
             task.stop_sent, task.stop_sent_at_s = True, boot_time_s()
         address = WorkerAddress(worker.worker_id, worker.address)
+        sent_at_s, incarnation = boot_time_s(), worker.incarnation
         reply = await self._workers.stop(
             address, self._cell_owner.epoch, order.name, order.attempt
         )
+        log_if_foreign(
+            worker,
+            reply,
+            sent_at_s,
+            boot_time_s(),
+            incarnation,
+            order="stop",
+            task=str(order.name),
+            attempt=order.attempt,
+            epoch=self._cell_owner.epoch,
+        )
         is_unsent = reply.verdict == Verdict.NOT_SENT and not sent_before
         if task is not None and task.attempt == order.attempt and is_unsent:
             task.stop_sent = False
--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -7,6 +7,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from chivetray.cells.answers import log_if_foreign
 from chivetray.cells.crashes import record_crash
 from chivetray.cells.isolation import settling_time_ms
 from chivetray.cells.pace import record_call
@@ -190,6 +191,17 @@
         ):
             return
         now_s = boot_time_s()
+        log_if_foreign(
+            worker,
+            reply,
+            sent_at_s,
+            now_s,
+            incarnation,
+            order="poll",
+            observed=observed,
+            granted_ms=deadline_ms,
+            epoch=self._cell_owner.epoch,
+        )
         if reply.verdict == Verdict.OK:
             self._record_reply(worker, reply, sent_at_s, now_s)
             record_call(self._state, worker, False, now_s)
--- a/src/chivetray/clocks.py
+++ b/src/chivetray/clocks.py
@@ -10,6 +10,9 @@
 # fast.
 CLOCK_DRIFT = 0.02
 
+# Error of the difference of two readings in whole ms.
+ROUNDING_MS = 2
+
 
 def boot_time_s() -> float:
     """Return the time since boot in seconds.
@@ -48,6 +51,24 @@
         self.received_at_s = received_at_s
         self.known = True
 
+    def bounds_ms(self, sent_at_s: float, received_at_s: float) -> tuple[int, int]:
+        """Return the least and the greatest reading that a reply may show.
+
+        A reply outside of them is of another clock. It may be older than the one that
+        was observed.
+
+        :param sent_at_s: local time at which the request was sent
+        :param received_at_s: local time at which its reply arrived
+        """
+        shortest_s = sent_at_s - self.received_at_s
+        longest_s = received_at_s - self.sent_at_s
+        least_s = shortest_s - CLOCK_DRIFT * abs(shortest_s)
+        greatest_s = longest_s + CLOCK_DRIFT * abs(longest_s)
+        return (
+            self.clock_ms + math.floor(least_s * 1000) - ROUNDING_MS,
+            self.clock_ms + math.ceil(greatest_s * 1000) + ROUNDING_MS,
+        )
+
     def lower_bound_ms(self, now_s: float) -> int:
         """Return a lower bound on the present time of the clock."""
         elapsed_s = (now_s - self.received_at_s) * (1 - CLOCK_DRIFT)
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -261,6 +261,10 @@
     WORKER_LISTED = (1660, "A worker has joined its cell.")
     WORKER_DRAINING = (1661, "A worker is draining and receives no new tasks.")
     WORKER_REBORN = (1662, "A worker has restarted.")
+    WORKER_CLOCK_FOREIGN = (
+        1698,
+        "The clock of an answer is not that of the incarnation that the call was for.",
+    )
     WORKER_LOST = (1663, "The tasks of a worker no longer run and are queued again.")
     WORKER_SILENT = (1664, "A worker does not answer.")
     WORKER_CRASHED = (
--- a/src/chivetray/platform/standins/worker.py
+++ b/src/chivetray/platform/standins/worker.py
@@ -75,6 +75,7 @@
     :ivar starts: task and number of every attempt that was started, for tests
     :ivar history: time, kind, task and attempt of each start, end and acknowledgement,
         in all incarnations, for tests; the kind of an end is how it came
+    :ivar clock_start_ms: value of the worker's clock at the start of this incarnation
     :ivar clock_rate: speed of the worker's clock; the platform allows an error of 2%
     :ivar read_time_s: returns the time from which the worker's clock is derived
     """
@@ -93,6 +94,7 @@
     starts: list[tuple[str, int]] = field(default_factory=list)
     history: list[tuple[float, str, str, int]] = field(default_factory=list)
     faults: WorkerFaults = field(default_factory=WorkerFaults)
+    clock_start_ms: int = 0
     clock_rate: float = 1.0
     read_time_s: Callable[[], float] = time.monotonic
     started_s: float = field(init=False)
@@ -101,12 +103,13 @@
         self.started_s = self.read_time_s()
 
     def clock_ms(self) -> int:
-        """Return the worker's monotonic clock in ms since its start."""
-        return int((self.read_time_s() - self.started_s) * self.clock_rate * 1000)
+        """Return the worker's monotonic clock, which begins anywhere."""
+        elapsed_s = (self.read_time_s() - self.started_s) * self.clock_rate
+        return self.clock_start_ms + int(elapsed_s * 1000)
 
-    def restart(self, incarnation_ms: int) -> None:
+    def restart(self, incarnation_ms: int, clock_start_ms: int = 0) -> None:
         """Begin a new incarnation, which knows nothing of the earlier ones."""
-        self.incarnation_ms = incarnation_ms
+        self.incarnation_ms, self.clock_start_ms = incarnation_ms, clock_start_ms
         self.started_s = self.read_time_s()
         self.fencing_token = self.deadline_ms = self.number = 0
         self.running.clear()
--- a/tests/test_log_fields.py
+++ b/tests/test_log_fields.py
@@ -14,6 +14,7 @@
 from chivetray.cells.reports import apply_poll_reply, confirm_start
 from chivetray.cells.state import CellState
 from chivetray.cells.workers import WorkerState
+from chivetray.clocks import RemoteClock
 from chivetray.events import Event
 from chivetray.jobs.model import JobState, Step, Task
 from chivetray.platform.calls import NoAnswer
@@ -72,6 +73,19 @@
     asyncio.run(main())
 
 
+class TestBoundsOfAClock:
+    @pytest.mark.parametrize("drift", [-0.02, 0.0, 0.02])
+    @pytest.mark.parametrize("later_s", [-30.0, -0.5, 0.0, 0.5, 30.0])
+    def test_the_same_clock_is_within_them(self, drift: float, later_s: float) -> None:
+        clock = RemoteClock()
+        clock.observe(500_000, 100.0, 100.4)
+        for read_s in (100.0, 100.2, 100.4):
+            at_s = 100.2 + later_s
+            reading_ms = 500_000 + int((at_s - read_s) * (1 + drift) * 1000)
+            least_ms, greatest_ms = clock.bounds_ms(at_s - 0.1, at_s + 0.1)
+            assert least_ms <= reading_ms <= greatest_ms
+
+
 class TestStarts:
     """Two runs of one task could not be traced to the starts that caused them."""
 
@@ -102,6 +116,24 @@
         lease_ms = confirmed["deadline_ms"] - confirmed["clock_ms"]
         assert 0 < lease_ms <= 4000
 
+    def test_an_answer_of_another_incarnation_is_told(self, logged) -> None:
+        world = World(workers=1)
+
+        async def scenario(owner) -> None:  # type: ignore[no-untyped-def]
+            worker = owner.state.workers["w0"]
+            await until(lambda: worker.clock.known and worker.tasks_known)
+            world.models["w0"].clock_start_ms = 900_000
+            owner.add_job(job(steps=(Step(1, 1000),)))
+            await until(lambda: logged.of(Event.WORKER_CLOCK_FOREIGN))
+
+        run_owner(world, scenario)
+        line = logged.of(Event.WORKER_CLOCK_FOREIGN)[0]
+        assert (line["order"], line["task"], line["attempt"]) == ("start", str(NAME), 1)
+        assert line["incarnation"] == world.models["w0"].incarnation_ms
+        assert line["born"] == 0
+        least_ms, greatest_ms = line["expected_clock_ms"]
+        assert least_ms <= greatest_ms < 900_000 <= line["clock_ms"]
+
     def test_a_start_that_is_accepted_at_once_has_no_line(self, logged) -> None:
         async def scenario(owner) -> None:  # type: ignore[no-untyped-def]
             owner.add_job(job(steps=(Step(3, 1000),)))
