Tell the next owner where a life may hold a lease that orders for the former one granted

Cause: a start that the next life of a worker carries out has its deadline on another clock and gets the longest lease, 10 s. The owner that hears of the restart waits for that. It stores that the attempt is in the new life; an owner that takes the cell over then finds an attempt in the listed life, and waits 7.6 s.

The attempt keeps a mark, foreign_lease, which is stored with the write that tells the new life, or with the placement of an attempt that begins there meanwhile, so that no write is added but one for each long-running task once that lease is over. A later owner treats such a worker like one whose restart it sees itself. Rows of earlier releases have no mark, and rows without it have not changed.

--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -81,6 +81,11 @@
             _stop_unexpected(state, worker, job, task, running)
             continue
         task.percent, task.listed_at_s = running.percent, sent_at_s
+        if task.foreign_lease and now_s >= worker.earlier_lease_until_s:
+            task.foreign_lease = False
+            if job.spec.steps[task.key[1]].long_running:
+                # Others end before a next owner could wait for that lease.
+                state.mark_changed(job.spec.job_id)
         task.level = running.level
         step = job.spec.steps[task.key[1]]
         if step.long_running and _proves_sound_worker(worker, job, task, sent_at_s):
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -492,6 +492,8 @@
                     )
                     outlived.setdefault(worker.worker_id, []).append(lost)
                     self._move_to_new_incarnation(worker, job, task)
+                elif task.foreign_lease:
+                    restarted.add(worker.worker_id)
                 elif 0 < worker.incarnation < task.incarnation:
                     # The list is old; another worker may answer at its address.
                     worker.address, worker.incarnation = task.address, task.incarnation
@@ -503,7 +505,7 @@
                     worker.isolated_since_s = now_s
                     self.isolated_worker_ids.add(worker.worker_id)
             for task in job.tasks.values():
-                self._adopt_copies(job, task)
+                restarted |= self._adopt_copies(job, task)
         for worker_id, attempts in outlived.items():
             worker = self.workers[worker_id]
             record_crash(self, worker, "list after a take-over", now_s, attempts)
@@ -706,6 +708,7 @@
     ) -> None:
         """Keep an attempt on a restarted worker, where it may still start."""
         task.incarnation = worker.incarnation
+        task.foreign_lease = True
         task.stopped_at_s = task.listed_at_s = 0.0
         task.settled = task.isolated = False
         if task.phase == Phase.RUNNING:
@@ -944,6 +947,7 @@
             if task.copy_incarnations.get(attempt, 0) >= worker.incarnation:
                 return
             task.copy_incarnations[attempt] = worker.incarnation
+            task.foreign_lease = True
             # A crash of the new incarnation is not its fault unless it begins there.
             task.settled_copies.add(attempt)
             task.stopping_copies.pop(attempt, None)
@@ -951,9 +955,14 @@
         worker.suspend(ref)
         self.mark_changed(ref[0])
 
-    def _adopt_copies(self, job: Job, task: Task) -> None:
-        """Allocate resources to older attempts that an earlier owner left running."""
+    def _adopt_copies(self, job: Job, task: Task) -> set[str]:
+        """Allocate resources to older attempts that an earlier owner left running.
+
+        :return: workers in which orders to an earlier incarnation may have granted
+            their lease
+        """
         step = job.spec.steps[task.key[1]]
+        restarted = set()
         for attempt, worker_id in task.copies.items():
             worker = self.workers.get(worker_id)
             if worker is None:
@@ -961,6 +970,10 @@
                 incarnation = task.copy_incarnations.get(attempt, 0)
                 worker = self._add_unlisted_worker(worker_id, "", incarnation)
             worker.allocate((job.spec.job_id, task.key), step)
+            placed_on = task.copy_incarnations.get(attempt, 0)
+            if task.foreign_lease or 0 < placed_on < worker.incarnation:
+                restarted.add(worker_id)
+        return restarted
 
     # Placement
 
@@ -1009,6 +1022,7 @@
         task.address = worker.address
         task.running_at_s = task.stopped_at_s = task.listed_at_s = 0.0
         task.start_unanswered = task.inherited = task.stop_sent = False
+        task.foreign_lease = worker.late_orders_until_s > now_s
         task.unanswered_starts = 0
         task.stop_sent_at_s = 0.0
         task.pace_percent, task.pace_known = 100, True
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -207,6 +207,7 @@
                     + [list(task.copies.items()), list(task.copy_incarnations.items())]
                     + [task.failed_attempt, task.crashes, task.lone_crashes]
                     + [int(task.suspect), int(task.isolated)]
+                    + ([1] if task.foreign_lease else [])
                 )
         state = int(self.state)
         content = bytes(
@@ -249,6 +250,7 @@
             if len(row) > 13:
                 task.crashes, task.lone_crashes = row[13], row[14]
                 task.suspect, task.isolated = bool(row[15]), bool(row[16])
+            task.foreign_lease = len(row) > 17
         self.state = self.stored_state = JobState(state)
         self.cancelled = bool(cancelled)
 
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -198,6 +198,8 @@
     :ivar overdue_attempt: newest attempt that has run for far longer than others
     :ivar inherited: whether an earlier owner placed the newest attempt, so that it is
         unknown whether its start requests were answered
+    :ivar foreign_lease: whether orders to an earlier incarnation of its worker may have
+        granted a lease in the one where the newest attempt is
     :ivar pace_percent: share of full speed at which a best-effort task may run
     :ivar pace_known: whether the worker is known to run the newest attempt at that
         share; an earlier owner may have set another one
@@ -242,6 +244,7 @@
     evacuations: int = 0
     overdue_attempt: int = 0
     inherited: bool = False
+    foreign_lease: bool = False
     not_before_s: float = 0.0
     away_since_s: float = 0.0
     avoided_workers: set[str] = field(default_factory=set)
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -9,12 +9,17 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import msgpack
 import pytest
+from cell_helpers import job
 from run_once_helpers import MANAGERS, SimulatedWorker, World
 from test_progress import set_draining, spec
+from test_worker_restart import KEY, Cell
 from virtual_loop import virtual_time
 
-from chivetray.jobs.model import Step
+from chivetray.jobs.job import Job
+from chivetray.jobs.model import Phase, Step
+from chivetray.jobs.progress import ProgressRows
 
 LASTING_STEP = Step(1, 500, long_running=True, max_unavailable=1)
 
@@ -53,6 +58,57 @@
         world.later(for_s, lambda lost=lost: lost.difference_update(pairs))
 
 
+class TestStoredMark:
+    """Guards against a next owner that reckons with the lease of the owner before.
+
+    It does not know of a restart that the owner before had stored already.
+    """
+
+    def test_it_ends_with_the_lease_that_it_tells_of(self) -> None:
+        cell = Cell(start_unanswered=True)
+        cell.restart()
+        assert cell.task.foreign_lease
+        cell.poll(2, 2.1, running=True)
+        assert cell.task.foreign_lease
+        cell.poll(2, cell.worker.earlier_lease_until_s, running=True)
+        assert not cell.task.foreign_lease
+
+    def test_a_task_that_is_placed_during_that_lease_has_it(self) -> None:
+        cell = Cell(start_unanswered=True)
+        cell.restart()
+        job_b = cell.state.add_job(job("00000000000000bb", (Step(1, 1000),)), 2.0)
+        (task,) = job_b.step_tasks(0, 0)
+        cell.state.assign(job_b, task, job_b.spec.steps[0], cell.worker, 2.2)
+        assert task.foreign_lease
+
+    @pytest.mark.parametrize("split", [False, True])
+    def test_it_is_read_again(self, split: bool) -> None:
+        spec = job(steps=(Step(2, 1000),), split_progress=split)
+        stored = Job(spec)
+        task, plain = stored.step_tasks(0, 0)
+        for started in (task, plain):
+            started.phase, started.attempt, started.worker = Phase.PLACED, 1, "w0"
+        task.foreign_lease = True
+        rows = dict(ProgressRows(stored).encode_changed())
+        read = Job(spec)
+        read.restore(rows.pop(0))
+        ProgressRows(read).restore(rows)
+        marks = [task.foreign_lease for task in read.step_tasks(0, 0)]
+        assert marks == [True, False]
+
+    def test_a_row_of_an_earlier_release_has_none(self) -> None:
+        stored = Job(job(steps=(Step(1, 1000),)))
+        (task,) = stored.step_tasks(0, 0)
+        task.phase, task.attempt, task.worker = Phase.PLACED, 1, "w0"
+        task.foreign_lease = True
+        values = msgpack.unpackb(stored.encode())
+        values[4] = [row[:17] for row in values[4]]
+        read = Job(stored.spec)
+        read.restore(msgpack.packb(values))
+        assert not read.tasks[KEY].foreign_lease
+        assert read.tasks[KEY].worker == "w0"
+
+
 async def start_in_the_next_life(world: World, is_seen: bool = True) -> SimulatedWorker:
     """Let a start reach the life of a worker after the one that it was meant for.
 
