Wait for a start without an answer as long as an unseen life may run it

Cause: a start that was sent while its worker was down is carried out by the next life, under the longest lease. If that life is cut off before an answer or the list of workers tells of it, the owner counts from its own deadline on the clock of the former life.

Only an attempt whose start got no answer waits for longer: 1 s for its delivery and the longest lease, counted from the last try. Attempts that have been answered cannot be in an unseen life and are given up with their own lease, so that long-running ones run again in time as before. The stored ends of leases and releases tell the longer wait to later owners.

MAX_DELIVERY_S covers an order whose connection has been closed. The random runs' processes now know the longest lease that their workers grant, as deployed ones do by their settings.

--- a/src/chivetray/cells/crashes.py
+++ b/src/chivetray/cells/crashes.py
@@ -77,6 +77,10 @@
 
 def remember_loss(state: CellState, worker: WorkerState, now_s: float) -> None:
     """Remember what ran on a silent worker, before its tasks are rescheduled."""
+    known = state.losses.get(worker.worker_id)
+    if known is not None and known.silent_since_s == worker.unbroken_silence_s:
+        # The rest of the tasks that are remembered already.
+        return
     state.losses[worker.worker_id] = Loss(
         worker.unbroken_silence_s or now_s,
         worker.address,
--- a/src/chivetray/cells/lease_ends.py
+++ b/src/chivetray/cells/lease_ends.py
@@ -165,7 +165,7 @@
         for worker_id, worker in self._state.workers.items():
             if not self._needs_entry(worker, confirmed_at_s):
                 continue
-            end_s = now_s + worker.remaining_lease_s(now_s)
+            end_s = now_s + self._state.remaining_lease_s(worker, now_s)
             known_ms = self._chosen_ms.get(worker_id)
             held_s = self._state.held_lease_ends_s.get(worker_id, 0.0)
             is_earlier = end_s < held_s - LOWERED_BY_S
--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -179,7 +179,7 @@
         worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
         worker.lease_sent_at_s = max(worker.lease_sent_at_s, sent_at_s)
         earlier_try_unanswered = task.start_unanswered
-        task.start_unanswered = True
+        task.start_unanswered, task.start_sent_at_s = True, sent_at_s
         reply = await self._workers.start(
             WorkerAddress(worker.worker_id, worker.address),
             self._cell_owner.epoch,
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import Any
 
 from chivetray.cells.backlog import BacklogMeter
@@ -31,6 +31,7 @@
 from chivetray.cells.timing import (
     LEASE_EXTENSION_WINDOW_S,
     LEASE_S,
+    MAX_DELIVERY_S,
     MAX_ORDER_DELAY_S,
     MAX_RELEASED_LEASE_S,
     UNANSWERED_STOP_PAUSE_S,
@@ -553,6 +554,28 @@
         if worker is not None:
             worker.lease_end_held = False
 
+    def remaining_lease_s(self, worker: WorkerState, now_s: float) -> float:
+        """Return the longest time for which a task may still run on a worker."""
+        late_run_s = max(
+            (self._late_run_until_s(worker, ref) for ref in worker.tasks), default=0.0
+        )
+        return max(worker.remaining_lease_s(now_s), late_run_s - now_s)
+
+    def _late_run_until_s(self, worker: WorkerState, ref: TaskRef) -> float:
+        """Return until when a task may run in a later incarnation that nobody has seen.
+
+        A start that got no answer may have reached it, and granted the longest lease.
+
+        :return: 0 if every start was answered
+        """
+        found = self.find_newest_attempt(worker, ref)
+        if found is None or not (found[1].start_unanswered and found[1].active):
+            return 0.0
+        sent_at_s = found[1].start_sent_at_s
+        return (
+            sent_at_s + MAX_DELIVERY_S + self._longest_lease_s() if sent_at_s else 0.0
+        )
+
     def remaining_leases(self, now_s: float) -> dict[str, float]:
         """Return how long leases may last on workers that are silent or not yet polled.
 
@@ -565,7 +588,7 @@
         for worker in self.workers.values():
             if not worker.tasks:
                 continue
-            lease_s = worker.remaining_lease_s(now_s)
+            lease_s = self.remaining_lease_s(worker, now_s)
             is_answering = worker.tasks_known and not worker.silent_since_s
             if not is_answering or lease_s > MAX_RELEASED_LEASE_S:
                 remaining[worker.worker_id] = lease_s
@@ -717,32 +740,45 @@
         self.mark_changed(job.spec.job_id)
 
     def reschedule_worker_tasks(
-        self, worker: WorkerState, now_s: float, reason: str
+        self,
+        worker: WorkerState,
+        now_s: float,
+        reason: str,
+        refs: Collection[TaskRef] | None = None,
     ) -> None:
-        """Reschedule all tasks of a worker, since none of them can run there."""
-        if not worker.tasks:
+        """Reschedule tasks of a worker, since they cannot run there.
+
+        :param refs: which ones, by default all
+        """
+        refs = list(worker.tasks if refs is None else refs)
+        if not refs:
             return
         log_event(
             Event.WORKER_LOST,
             worker=worker.worker_id,
             cell=self.name,
-            tasks=len(worker.tasks),
+            tasks=len(refs),
             reason=reason,
             epoch=self.epoch,
-            attempts=self._describe_attempts(worker),
+            attempts=self._describe_attempts(worker, refs),
             **worker.describe_lease(now_s),
         )
-        for ref in list(worker.tasks):
+        for ref in refs:
             found = self.find_newest_attempt(worker, ref)
             if found is None:
                 self.free_older_attempts(worker, ref, now_s, reason)
             else:
                 self.release_attempt(worker, *found, now_s, reason)
 
-    def _describe_attempts(self, worker: WorkerState) -> list[list[Any]]:
-        """Return task, attempt and phase of what may run on a worker, for the log."""
+    def _describe_attempts(
+        self, worker: WorkerState, refs: Collection[TaskRef] | None = None
+    ) -> list[list[Any]]:
+        """Return task, attempt and phase of what may run on a worker, for the log.
+
+        :param refs: which tasks, by default all
+        """
         rows: list[list[Any]] = []
-        for ref in worker.tasks:
+        for ref in worker.tasks if refs is None else refs:
             _, task = self.find_task(ref)
             if task is None:
                 continue
@@ -834,10 +870,16 @@
         for worker in self.workers.values():
             silent = worker.silent_since_s or not worker.address
             if worker.tasks and silent and worker.has_lease_expired(now_s):
+                ended = [
+                    ref
+                    for ref in worker.tasks
+                    if self._late_run_until_s(worker, ref) <= now_s
+                ]
+                if not ended:
+                    continue
                 remember_loss(self, worker, now_s)
-                self.reschedule_worker_tasks(
-                    worker, now_s, worker.describe_expiry(now_s)
-                )
+                reason = worker.describe_expiry(now_s)
+                self.reschedule_worker_tasks(worker, now_s, reason, ended)
 
     # Ended tasks
 
@@ -1024,6 +1066,7 @@
         task.start_unanswered = task.inherited = task.stop_sent = False
         task.foreign_lease = worker.late_orders_until_s > now_s
         task.unanswered_starts = 0
+        task.start_sent_at_s = 0.0
         task.stop_sent_at_s = 0.0
         task.pace_percent, task.pace_known = 100, True
         task.settled, task.isolated = False, bool(worker.isolated_for)
--- a/src/chivetray/cells/timing.py
+++ b/src/chivetray/cells/timing.py
@@ -31,6 +31,10 @@
 # attempts, and its clock has started anew, so that no deadline has passed.
 MAX_ORDER_DELAY_S = 12.0
 
+# Longest time after its sending at which an order that got no answer is delivered, once
+# its connection is closed: the timeout of an order, and a repetition of its packets.
+MAX_DELIVERY_S = 1.0
+
 # Pause of placements on a worker where an older attempt may still start, renewed until
 # its stop is answered.
 UNANSWERED_STOP_PAUSE_S = 0.3
--- a/src/chivetray/cells/waiting.py
+++ b/src/chivetray/cells/waiting.py
@@ -356,7 +356,7 @@
     if worker is None:
         return None
     workers = (worker.worker_id,)
-    lease_until_s = now_s + worker.remaining_lease_s(now_s)
+    lease_until_s = now_s + state.remaining_lease_s(worker, now_s)
     if _is_silent(worker):
         return Wait(_name_lease(worker, now_s), lease_until_s, workers)
     if task.phase == Phase.RUNNING:
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -190,6 +190,8 @@
         so that the worker may still carry it out
     :ivar unanswered_starts: number of start requests of the newest attempt that got no
         answer
+    :ivar start_sent_at_s: time at which a start request of the newest attempt was last
+        sent by this owner, 0 if it was not
     :ivar stop_sent: whether a stop of the newest attempt was sent, which the worker may
         still carry out
     :ivar stop_sent_at_s: time at which that stop was last sent
@@ -239,6 +241,7 @@
     stopped_at_s: float = 0.0
     start_unanswered: bool = False
     unanswered_starts: int = 0
+    start_sent_at_s: float = 0.0
     stop_sent: bool = False
     stop_sent_at_s: float = 0.0
     evacuations: int = 0
--- a/tests/run_once_helpers.py
+++ b/tests/run_once_helpers.py
@@ -39,7 +39,11 @@
 from chivetray.jobs.model import JobSpec, JobState, Phase, Step
 from chivetray.platform.calls import Answer, CallSession, NoAnswer, NotSent, Outcome
 from chivetray.platform.standins.store import StoreState
-from chivetray.platform.standins.worker import RunningAttempt, WorkerModel
+from chivetray.platform.standins.worker import (
+    MAX_LEASE_MS,
+    RunningAttempt,
+    WorkerModel,
+)
 from chivetray.platform.store import StoreUnavailableError
 from chivetray.platform.workers import WorkerClient
 
@@ -769,6 +773,7 @@
             service_of=self.world.service_of,
             concurrent_reads=reads,
         )
+        self.directory.longest_lease_s = MAX_LEASE_MS / 1000
 
     async def run(self) -> None:
         async with anyio.create_task_group() as self.tasks:
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -17,6 +17,8 @@
 from test_worker_restart import KEY, Cell
 from virtual_loop import virtual_time
 
+from chivetray.cells.reports import confirm_start
+from chivetray.cells.timing import MAX_DELIVERY_S
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import Phase, Step
 from chivetray.jobs.progress import ProgressRows
@@ -177,3 +179,41 @@
             cut_off(world, worker, 30.0)
 
         assert not play(script, 30.0)
+
+
+class TestStartWithoutAnswerOnASilentWorker:
+    """Guards against a second run beside one in a life that nobody has seen."""
+
+    @staticmethod
+    def cell(start_unanswered: bool) -> Cell:
+        cell = Cell(start_unanswered)
+        cell.state.longest_lease_s = 10.0
+        cell.task.start_sent_at_s = 1.0
+        cell.worker.deadline_ms = 5000
+        cell.worker.silent_since_s = 2.0
+        return cell
+
+    def test_it_is_waited_for_until_the_longest_lease_is_over(self) -> None:
+        cell = self.cell(start_unanswered=True)
+        cell.state.expire_leases(1.0 + MAX_DELIVERY_S + 10.0)
+        assert cell.task.active
+        left_s = cell.state.remaining_leases(5.0)[cell.worker.worker_id]
+        assert left_s >= 1.0 + MAX_DELIVERY_S + 10.0 - 5.0
+        cell.state.expire_leases(1.0 + MAX_DELIVERY_S + 10.3)
+        assert cell.task.phase == Phase.WAITING
+
+    def test_an_answered_one_beside_it_is_not(self) -> None:
+        """It has begun in the life that it was meant for, and ends with its lease."""
+        cell = self.cell(start_unanswered=True)
+        job_b = cell.state.add_job(job("00000000000000bb", (Step(1, 1000),)), 0.0)
+        (task,) = job_b.step_tasks(0, 0)
+        cell.state.assign(job_b, task, job_b.spec.steps[0], cell.worker, 0.5)
+        confirm_start(cell.state, ("00000000000000bb", KEY), 1, 0.6)
+        cell.state.expire_leases(5.0)
+        assert task.phase == Phase.WAITING
+        assert cell.task.phase == Phase.RUNNING
+
+    def test_with_an_answer_it_ends_with_its_lease(self) -> None:
+        cell = self.cell(start_unanswered=False)
+        cell.state.expire_leases(5.0)
+        assert cell.task.phase == Phase.WAITING
