Take the clock of another life for no reading of the known one

Cause: answers to starts name no life, and their clock overwrote the one that the owner knew. Its deadlines on the clock of the former life were then compared with the next life's clock: they had passed at once, or never passed. An answered start, and an answered stop, counted as done in the life that the owner believed in.

Evidence: TestAnswerOfAnotherLife. On the code before, the start was confirmed by the answer of another life (unanswered_starts stayed 0 until the test's limit of 5 s).

Clocks begin anywhere in each life, so that a reading outside of the bounds that the known ones leave proves another life. Deadlines on the former clock are dropped, and the longest lease is waited for from the answer, as it may have been granted by it. Should a clock jump in one life, the next poll names the same life, and all goes on.

--- a/src/chivetray/cells/answers.py
+++ b/src/chivetray/cells/answers.py
@@ -26,29 +26,34 @@
     return not least_ms <= reply.clock_ms <= greatest_ms
 
 
-def log_if_foreign(
+def reject_foreign(
     worker: WorkerState,
     reply: Reply,
     sent_at_s: float,
     now_s: float,
     incarnation: int,
     **fields: Any,
-) -> None:
-    """Log an answer of another incarnation than the one that its call was for.
+) -> bool:
+    """Return whether another incarnation has answered than the one a call was for.
+
+    Nothing is granted or started there before a list of attempts has named it.
 
     :param incarnation: incarnation that the call was for
     """
-    if worker.incarnation == incarnation and is_foreign(
+    if worker.incarnation != incarnation or not is_foreign(
         worker, reply, sent_at_s, now_s
     ):
-        log_event(
-            Event.WORKER_CLOCK_FOREIGN,
-            worker=worker.worker_id,
-            incarnation=incarnation,
-            born=reply.incarnation,
-            clock_ms=reply.clock_ms,
-            expected_clock_ms=list(worker.clock.bounds_ms(sent_at_s, now_s)),
-            deadline_ms=worker.deadline_ms,
-            verdict=reply.verdict.value,
-            **fields,
-        )
+        return False
+    log_event(
+        Event.WORKER_CLOCK_FOREIGN,
+        worker=worker.worker_id,
+        incarnation=incarnation,
+        born=reply.incarnation,
+        clock_ms=reply.clock_ms,
+        expected_clock_ms=list(worker.clock.bounds_ms(sent_at_s, now_s)),
+        deadline_ms=worker.deadline_ms,
+        verdict=reply.verdict.value,
+        **fields,
+    )
+    worker.doubt_incarnation(now_s)
+    return True
--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -9,7 +9,7 @@
 from anyio.abc import TaskGroup
 
 from chivetray.cells.advice import drop_ticket, get_ticket
-from chivetray.cells.answers import log_if_foreign
+from chivetray.cells.answers import reject_foreign
 from chivetray.cells.copies import copy_tasks, resend_copy_stops
 from chivetray.cells.evacuation import may_send_stop
 from chivetray.cells.orders import Placement, StopOrder, StopReason
@@ -193,7 +193,7 @@
         now_s = boot_time_s()
         if self._cell_owner.lost:
             return True
-        log_if_foreign(
+        is_foreign = reject_foreign(
             worker,
             reply,
             sent_at_s,
@@ -204,16 +204,15 @@
             attempt=placement.attempt,
             epoch=self._cell_owner.epoch,
         )
+        is_unanswered = is_foreign or reply.verdict == Verdict.NO_ANSWER
         # An earlier unanswered try may still be executed, whatever this reply says.
         if task.attempt == placement.attempt:
-            task.start_unanswered = (
-                earlier_try_unanswered or reply.verdict == Verdict.NO_ANSWER
-            )
-            task.unanswered_starts += reply.verdict == Verdict.NO_ANSWER
+            task.start_unanswered = earlier_try_unanswered or is_unanswered
+            task.unanswered_starts += is_unanswered
         self._log_start(placement, task, worker, reply, deadline_ms, sent_at_s)
         if reply.incarnation > worker.incarnation:
             self._state.handle_worker_restart(worker, reply.incarnation, now_s)
-        if worker.incarnation != placement.incarnation:
+        if is_foreign or worker.incarnation != placement.incarnation:
             # Which incarnation has answered is unknown; the start is sent again.
             self._poller.wake_worker(worker.worker_id)
             return True
@@ -375,7 +374,7 @@
         reply = await self._workers.stop(
             address, self._cell_owner.epoch, order.name, order.attempt
         )
-        log_if_foreign(
+        if reject_foreign(
             worker,
             reply,
             sent_at_s,
@@ -385,7 +384,8 @@
             task=str(order.name),
             attempt=order.attempt,
             epoch=self._cell_owner.epoch,
-        )
+        ):
+            reply = Reply(Verdict.OTHER_INCARNATION, detail="clock")
         is_unsent = reply.verdict == Verdict.NOT_SENT and not sent_before
         if task is not None and task.attempt == order.attempt and is_unsent:
             task.stop_sent = False
--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -7,7 +7,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from chivetray.cells.answers import log_if_foreign
+from chivetray.cells.answers import reject_foreign
 from chivetray.cells.crashes import record_crash
 from chivetray.cells.isolation import settling_time_ms
 from chivetray.cells.pace import record_call
@@ -191,7 +191,7 @@
         ):
             return
         now_s = boot_time_s()
-        log_if_foreign(
+        reject_foreign(
             worker,
             reply,
             sent_at_s,
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -326,6 +326,18 @@
             return math.inf
         return self.lease_sent_at_s + MAX_ORDER_DELAY_S + self.longest_lease_s
 
+    def doubt_incarnation(self, now_s: float) -> None:
+        """Record that an unknown incarnation has answered a call just now.
+
+        The former one has ended, and its deadlines with it. The call may have granted
+        the longest lease, as its deadline is on another clock.
+        """
+        self.clock.known = False
+        if self.deadline_ms:
+            self.deadline_ms = 0
+            lease_until_s = now_s + self.longest_lease_s
+            self.earlier_lease_until_s = max(self.earlier_lease_until_s, lease_until_s)
+
     def describe_lease(self, now_s: float) -> dict[str, Any]:
         """Return what is known of the lease, as fields for the log.
 
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -9,19 +9,26 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import anyio
 import msgpack
 import pytest
-from cell_helpers import job
+from cell_helpers import CELL, job, until
+from cell_helpers import World as CellWorld
 from run_once_helpers import MANAGERS, SimulatedWorker, World
 from test_progress import set_draining, spec
-from test_worker_restart import KEY, Cell
+from test_worker_restart import JOB, KEY, Cell, entry
 from virtual_loop import virtual_time
 
+from chivetray.cells.answers import reject_foreign
 from chivetray.cells.reports import confirm_start
+from chivetray.cells.state import CellState
 from chivetray.cells.timing import MAX_DELIVERY_S
+from chivetray.cells.workers import WorkerState
+from chivetray.clocks import boot_time_s
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import Phase, Step
 from chivetray.jobs.progress import ProgressRows
+from chivetray.platform.workers import Reply, Verdict
 
 LASTING_STEP = Step(1, 500, long_running=True, max_unavailable=1)
 
@@ -217,3 +224,58 @@
         cell = self.cell(start_unanswered=False)
         cell.state.expire_leases(5.0)
         assert cell.task.phase == Phase.WAITING
+
+
+class TestAnswerOfAnotherLife:
+    """Guards against deadlines of one life that are compared with another's clock.
+
+    They had passed at once there, or never passed (record of issue 68, case 1).
+    """
+
+    @staticmethod
+    def worker(deadline_ms: int) -> WorkerState:
+        state = CellState(CELL)
+        state.longest_lease_s = 10.0
+        state.update_workers([entry("w0")], 10.0)
+        worker = state.workers["w0"]
+        worker.clock.observe(770_000, 10.0, 10.0)
+        worker.deadline_ms, worker.lease_sent_at_s = deadline_ms, 10.0
+        return worker
+
+    @pytest.mark.parametrize("clock_ms", [4675, 9_000_000])
+    def test_the_longest_lease_is_waited_for_from_then(self, clock_ms: int) -> None:
+        worker = self.worker(774_536)
+        reply = Reply(Verdict.OK, clock_ms)
+        assert reject_foreign(worker, reply, 11.0, 11.1, worker.incarnation)
+        assert not worker.clock.known
+        worker.silent_since_s = 11.2
+        assert worker.remaining_lease_s(11.1) >= 10.0
+        assert not worker.has_lease_expired(21.1)
+        assert worker.has_lease_expired(21.4)
+
+    def test_the_life_that_was_meant_is_believed(self) -> None:
+        worker = self.worker(774_536)
+        reply = Reply(Verdict.OK, 771_050)
+        assert not reject_foreign(worker, reply, 11.0, 11.1, worker.incarnation)
+        assert worker.clock.known
+
+    def test_a_start_that_another_life_answers_is_not_confirmed(self) -> None:
+        async def main() -> None:
+            world = CellWorld(workers=1, work_s=30.0)
+            owner = await world.own()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(world.work)
+                tasks.start_soon(owner.run)
+                worker = owner.state.workers["w0"]
+                await until(lambda: worker.clock.known and worker.tasks_known)
+                world.models["w0"].clock_start_ms = 900_000
+                owner.add_job(job(steps=(Step(1, 1000),)))
+                await until(lambda: bool(world.starts()))
+                task = owner.state.jobs[JOB].tasks[KEY]
+                await until(lambda: task.unanswered_starts == 1)
+                assert task.start_unanswered
+                await until(lambda: task.phase == Phase.RUNNING)
+                assert worker.clock.lower_bound_ms(boot_time_s()) >= 900_000
+                tasks.cancel_scope.cancel()
+
+        asyncio.run(main())
