Let workers refuse the orders that were meant for their former life

Cause: a new life has seen no fencing token, and the owner's token stayed the same, so that an order for the former life was carried out however late it came, and the owner could only wait.

An owner raises its fencing token for a worker with each later life that it learns of, before it polls that life. From the first answered poll on the worker refuses what was meant for the lives before, and no lease of theirs is longer than the longest one from that moment. So the wait for late orders, 22 s from the last order, ends 10.2 s after that poll, and is left out where every order that granted a lease was answered in time.

Epochs of owners lie 1000 apart to make room for these tokens. A release stores the highest token as epoch, so that an owner of an earlier release, which adds 1, is above it; if the owner is killed instead, such an owner is refused by workers that had restarted more than once under it, until the next owner of this release or their next life.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -24,6 +24,7 @@
 from chivetray.cells.tables import (
     CANCEL_SUFFIX,
     EARLIER_RELEASE_LEASE_LIMIT_S,
+    EPOCH_STEP,
     JOB_TABLE,
     Ownership,
     lease_row,
@@ -817,7 +818,7 @@
     """Return an epoch above all earlier ones of a cell.
 
     Each epoch took a transaction of its own, so the version of a row that cannot be
-    decoded is at least as high as the epoch in it.
+    decoded is at least as high as the number of epochs before.
 
     :param row: owner row of the cell, if there is one
     :param current: its decoded content, if it can be decoded
@@ -826,5 +827,5 @@
         return 1
     if current is None:
         log_event(Event.ROW_DAMAGED, key=row.id.key, reason=f"owner row of {cell}")
-        return row.version + 1
-    return current.epoch + 1
+        return (row.version + 1) * EPOCH_STEP
+    return current.epoch + EPOCH_STEP
--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -178,11 +178,13 @@
         deadline_ms = worker.clock.lower_bound_ms(sent_at_s) + int(lease_s * 1000)
         worker.deadline_ms = max(worker.deadline_ms, deadline_ms)
         worker.lease_sent_at_s = max(worker.lease_sent_at_s, sent_at_s)
+        token = self._cell_owner.fencing_token(worker)
+        lease_order = worker.lease_orders.begin(sent_at_s)
         earlier_try_unanswered = task.start_unanswered
         task.start_unanswered, task.start_sent_at_s = True, sent_at_s
         reply = await self._workers.start(
             WorkerAddress(worker.worker_id, worker.address),
-            self._cell_owner.epoch,
+            token,
             TaskName(*placement.ref),
             placement.attempt,
             job.spec.payload,
@@ -205,6 +207,7 @@
             epoch=self._cell_owner.epoch,
         )
         is_unanswered = is_foreign or reply.verdict == Verdict.NO_ANSWER
+        worker.lease_orders.end(lease_order, not is_unanswered)
         # An earlier unanswered try may still be executed, whatever this reply says.
         if task.attempt == placement.attempt:
             task.start_unanswered = earlier_try_unanswered or is_unanswered
@@ -371,10 +374,9 @@
             task.stop_sent, task.stop_sent_at_s = True, boot_time_s()
         address = WorkerAddress(worker.worker_id, worker.address)
         sent_at_s, incarnation = boot_time_s(), worker.incarnation
-        reply = await self._workers.stop(
-            address, self._cell_owner.epoch, order.name, order.attempt
-        )
-        if reject_foreign(
+        token = self._cell_owner.fencing_token(worker)
+        reply = await self._workers.stop(address, token, order.name, order.attempt)
+        if token < self._cell_owner.fencing_token(worker) or reject_foreign(
             worker,
             reply,
             sent_at_s,
--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -52,6 +52,7 @@
     TICK_S,
 )
 from chivetray.cells.waiting import WAIT_CHECK_INTERVAL_S, OwnerStatus, WaitLog
+from chivetray.cells.workers import WorkerState
 from chivetray.clocks import boot_time_s, wall_time_ms
 from chivetray.defects import contain_errors, keep_running
 from chivetray.events import Event, log_event
@@ -163,9 +164,16 @@
 
     @property
     def epoch(self) -> int:
-        """Epoch of this owner, which is its fencing token."""
+        """Epoch of this owner, above that of all earlier ones."""
         return self.ownership.epoch
 
+    def fencing_token(self, worker: WorkerState) -> int:
+        """Return the token of orders to the present incarnation of a worker.
+
+        It is above that of all orders to earlier incarnations.
+        """
+        return self.epoch + worker.token_raises
+
     def may_grant_leases(self, now_s: float) -> bool:
         """Return whether the next owner would wait for a lease that is granted now.
 
@@ -545,6 +553,8 @@
         self.releasing = True
         released = replace(
             self.ownership,
+            # Above all tokens for an owner of an earlier release, which adds 1.
+            epoch=self.epoch + self.state.highest_token_raise,
             released=True,
             leases_s=self.get_remaining_leases(),
         )
--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -182,9 +182,10 @@
         if worker.runs_uncounted and not worker.tasks:
             wait_ms = UNCERTAIN_ATTEMPT_POLL_WAIT_MS
         observed, incarnation = _acknowledgeable_end(worker), worker.incarnation
-        reply = await self._workers.poll(
-            address, self._cell_owner.epoch, observed, deadline_ms, wait_ms
-        )
+        token = self._cell_owner.fencing_token(worker)
+        grants_lease = deadline_ms is not None
+        lease_order = worker.lease_orders.begin(sent_at_s) if grants_lease else 0
+        reply = await self._workers.poll(address, token, observed, deadline_ms, wait_ms)
         if (
             self._cell_owner.lost
             or self._state.workers.get(worker.worker_id) is not worker
@@ -212,6 +213,10 @@
                     worker.last_acknowledged_end, observed
                 )
             apply_poll_reply(self._state, worker, reply, sent_at_s, now_s)
+            is_same = reply.incarnation == incarnation == worker.incarnation
+            worker.lease_orders.end(lease_order, is_same)
+            if is_same:
+                worker.limit_earlier_lease(now_s)
             self._cell_owner.wake()
             await self._send_pace_orders(worker)
             await self._wait_until_ends_stored(worker)
@@ -219,6 +224,10 @@
             if self._may_gather_ends(worker):
                 await anyio.sleep(GATHER_S)
             return
+        worker.lease_orders.end(lease_order, reply.verdict != Verdict.NO_ANSWER)
+        if token < self._cell_owner.fencing_token(worker):
+            # The list has shown a later incarnation meanwhile, which is polled next.
+            return
         await self._handle_poll_failure(worker, reply, sent_at_s, now_s)
 
     def _may_run_tasks(self, worker: WorkerState) -> bool:
@@ -367,8 +376,9 @@
         """Adjust the pace of best-effort tasks to the latencies in the last reply."""
         address = WorkerAddress(worker.worker_id, worker.address)
         for ref, attempt, percent in find_pace_changes(self._state, worker):
+            token = self._cell_owner.fencing_token(worker)
             reply = await self._workers.pace(
-                address, self._cell_owner.epoch, TaskName(*ref), attempt, percent
+                address, token, TaskName(*ref), attempt, percent
             )
             if reply.verdict == Verdict.OK:
                 confirm_pace(self._state, worker, ref, attempt, percent)
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -28,6 +28,7 @@
     Ticket,
 )
 from chivetray.cells.places import log_place_freed
+from chivetray.cells.tables import EPOCH_STEP
 from chivetray.cells.timing import (
     LEASE_EXTENSION_WINDOW_S,
     LEASE_S,
@@ -124,6 +125,7 @@
     :ivar backlog_meter: digest of the work that waits
     :ivar row_limit_bytes: largest row that the store accepts
     :ivar held_job_ids: jobs whose progress the store refuses; nothing of them starts
+    :ivar highest_token_raise: highest ``token_raises`` of any worker so far
     :ivar predicted_s: time from its acceptance to its completion that was predicted
         when a job was added, by job id
     """
@@ -166,6 +168,7 @@
         self.row_limit_bytes = DEFAULT_ROW_BYTES
         self.held_job_ids: set[str] = set()
         self._early_cancellations: dict[JobName, None] = {}
+        self.highest_token_raise = 0
 
     # Jobs
 
@@ -622,6 +625,9 @@
         )
         record_crash(self, worker, source, now_s)
         worker.incarnation, worker.known_since_s = incarnation, now_s
+        # The worker refuses orders to earlier incarnations once it has seen this one.
+        worker.token_raises = min(worker.token_raises + 1, EPOCH_STEP - 1)
+        self.highest_token_raise = max(self.highest_token_raise, worker.token_raises)
         worker.tasks_known = worker.draining = False
         worker.last_applied_end = worker.last_stored_end = (
             worker.last_acknowledged_end
@@ -711,17 +717,32 @@
     def _expect_late_orders(self, worker: WorkerState) -> None:
         """Wait for leases by orders to an earlier incarnation of a restarted worker.
 
-        Their deadlines are on another clock, so they grant the longest lease.
+        Their deadlines are on another clock, so they grant the longest lease. One that
+        was answered before the restart is not carried out again.
         """
-        if not worker.lease_sent_at_s:
+        sent_at_s = worker.lease_orders.last_sent_s
+        if any(self._may_start_late(worker, ref) for ref in worker.tasks):
+            sent_at_s = max(sent_at_s, worker.lease_sent_at_s)
+        if not sent_at_s:
             return
         worker.late_orders_until_s = (
-            worker.lease_sent_at_s + MAX_ORDER_DELAY_S + self._longest_lease_s()
+            sent_at_s + MAX_ORDER_DELAY_S + self._longest_lease_s()
         )
         worker.earlier_lease_until_s = max(
             worker.earlier_lease_until_s, worker.late_orders_until_s
         )
 
+    def _may_start_late(self, worker: WorkerState, ref: TaskRef) -> bool:
+        """Return whether a start of a task on a worker may yet be carried out."""
+        _, task = self.find_task(ref)
+        if task is None:
+            return False
+        is_here = task.worker == worker.worker_id
+        return (is_here and task.may_start_late) or any(
+            task.copies.get(attempt) == worker.worker_id
+            for attempt in task.unanswered_copies
+        )
+
     def _longest_lease_s(self) -> float:
         """Return the longest lease of workers, on a clock that may be slow."""
         return self.longest_lease_s / (1 - CLOCK_DRIFT)
--- a/src/chivetray/cells/tables.py
+++ b/src/chivetray/cells/tables.py
@@ -22,6 +22,10 @@
 # their job alone, so that no two jobs of a cell may have the same.
 IDENTIFIER_TABLE = "identifiers"
 
+# Difference between the epochs of two owners in a row. An owner raises the fencing
+# token of a worker with each later incarnation, up to the epoch of the next owner.
+EPOCH_STEP = 1000
+
 # Owner, renewal and lease rows of the cells, and the progress of their jobs, with one
 # part for each cell.
 CELL_TABLE = "cells"
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from chivetray.cells.lease_orders import LeaseOrders
 from chivetray.cells.timing import MAX_ORDER_DELAY_S, MAX_RELEASED_LEASE_S
 from chivetray.clocks import CLOCK_DRIFT, RemoteClock
 from chivetray.jobs.model import Step, TaskKey
@@ -46,6 +47,9 @@
     :ivar longest_lease_s: longest lease that an order of any deadline grants here
     :ivar lease_end_held: whether no order may grant a lease, since the end of the
         leases here is stored for later owners
+    :ivar lease_orders: orders that grant a lease and have not been answered
+    :ivar token_raises: number of later incarnations that this owner has seen, by which
+        its fencing token for the worker is above its epoch
     :ivar late_orders_until_s: time until which a lease may last by an order to an
         earlier incarnation, 0 if there is none
     :ivar late_starts_until_s: by task and attempt, time until which a start of an ended
@@ -102,6 +106,8 @@
     earlier_lease_until_s: float = 0.0
     longest_lease_s: float = MAX_RELEASED_LEASE_S
     lease_end_held: bool = False
+    lease_orders: LeaseOrders = field(default_factory=LeaseOrders)
+    token_raises: int = 0
     late_orders_until_s: float = 0.0
     late_starts_until_s: dict[tuple[TaskRef, int], float] = field(default_factory=dict)
     silent_since_s: float = 0.0
@@ -326,6 +332,16 @@
             return math.inf
         return self.lease_sent_at_s + MAX_ORDER_DELAY_S + self.longest_lease_s
 
+    def limit_earlier_lease(self, now_s: float) -> None:
+        """Record that no order to an earlier incarnation is carried out from now on.
+
+        The worker has answered a poll with a higher fencing token than theirs. What
+        they have granted before is at most the longest lease.
+        """
+        until_s = now_s + self.longest_lease_s
+        self.earlier_lease_until_s = min(self.earlier_lease_until_s, until_s)
+        self.late_orders_until_s = min(self.late_orders_until_s, until_s)
+
     def doubt_incarnation(self, now_s: float) -> None:
         """Record that an unknown incarnation has answered a call just now.
 
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -20,9 +20,11 @@
 from virtual_loop import virtual_time
 
 from chivetray.cells.answers import reject_foreign
+from chivetray.cells.owner import CellOwner
 from chivetray.cells.reports import confirm_start
 from chivetray.cells.state import CellState
-from chivetray.cells.timing import MAX_DELIVERY_S
+from chivetray.cells.tables import EPOCH_STEP
+from chivetray.cells.timing import LEASE_S, MAX_DELIVERY_S, MAX_ORDER_DELAY_S
 from chivetray.cells.workers import WorkerState
 from chivetray.clocks import boot_time_s
 from chivetray.jobs.job import Job
@@ -279,3 +281,94 @@
                 tasks.cancel_scope.cancel()
 
         asyncio.run(main())
+
+
+class TestOrdersForAFormerLife:
+    """Guards against orders of the past that a later life carries out.
+
+    It knows neither what was stopped nor what has ended in the lives before.
+    """
+
+    @staticmethod
+    def run(check: Callable[[CellOwner, CellWorld], Awaitable[None]]) -> None:
+        async def main() -> None:
+            world = CellWorld(workers=1, work_s=30.0)
+            owner = await world.own()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(world.work)
+                tasks.start_soon(owner.run)
+                worker = owner.state.workers["w0"]
+                await until(lambda: worker.clock.known and worker.tasks_known)
+                await check(owner, world)
+                tasks.cancel_scope.cancel()
+
+        asyncio.run(main())
+
+    def test_they_are_refused_once_the_owner_knows_the_life(self) -> None:
+        async def check(owner: CellOwner, world: CellWorld) -> None:
+            worker, model = owner.state.workers["w0"], world.models["w0"]
+            former = owner.fencing_token(worker)
+            model.restart(model.incarnation_ms + 1000)
+            owner.update_workers(world.entries())
+            await until(lambda: worker.clock.known and worker.tasks_known)
+            name = "00000000000000cc.0.0.0"
+            far_ms = model.clock_ms() + 900_000
+            order = {"Task": name, "Attempt": 1, "FencingToken": former}
+            assert model.start(order | {"DeadlineMs": far_ms})["Reason"] == "fence"
+            observed = {"FencingToken": former, "Observed": 57, "DeadlineMs": far_ms}
+            assert model.hold(observed)["Reason"] == "fence"
+            assert model.deadline_ms == 0
+
+        self.run(check)
+
+    def test_a_next_owner_has_a_higher_token_than_any(self) -> None:
+        worker = Cell(start_unanswered=False).worker
+        state = CellState(CELL)
+        state.update_workers([entry(worker.worker_id)], 0.0)
+        for life in range(2, 5):
+            state.handle_worker_restart(state.workers["w0"], life, float(life))
+        (raised,) = [w.token_raises for w in state.workers.values()]
+        assert raised == state.highest_token_raise == 3 < EPOCH_STEP
+
+    def test_a_refused_poll_for_the_former_life_is_no_silence(self) -> None:
+        async def check(owner: CellOwner, world: CellWorld) -> None:
+            worker, model = owner.state.workers["w0"], world.models["w0"]
+            owner.add_job(job(steps=(Step(1, 1000),)))
+            await until(lambda: worker.deadline_ms > 0)
+            model.restart(model.incarnation_ms + 1000)
+            model.fencing_token = owner.fencing_token(worker) + 1
+            owner.update_workers(world.entries())
+            await until(lambda: worker.clock.known and worker.tasks_known)
+            assert not worker.last_silence_at_s
+
+        self.run(check)
+
+
+class TestLeaseOfANewLife:
+    """Guards against a wait of 19 s for orders that the worker refuses by now."""
+
+    def test_it_is_limited_once_a_poll_of_that_life_is_answered(self) -> None:
+        worker = Cell(start_unanswered=True).worker
+        worker.earlier_lease_until_s = worker.late_orders_until_s = 60.0
+        worker.limit_earlier_lease(20.0)
+        assert worker.earlier_lease_until_s == 20.0 + worker.longest_lease_s
+        worker.limit_earlier_lease(59.0)
+        assert worker.earlier_lease_until_s == 20.0 + worker.longest_lease_s
+
+    def test_answered_orders_are_not_waited_for(self) -> None:
+        cell = Cell(start_unanswered=False)
+        cell.poll(1, 1.5, running=True)
+        number = cell.worker.lease_orders.begin(1.6)
+        cell.worker.lease_orders.end(number, answered=True)
+        cell.restart()
+        assert cell.worker.earlier_lease_until_s == 0.0
+
+    @pytest.mark.parametrize("ends", [False, True])
+    def test_an_order_without_answer_is(self, ends: bool) -> None:
+        cell = Cell(start_unanswered=False)
+        cell.poll(1, 1.5, running=True)
+        number = cell.worker.lease_orders.begin(1.6)
+        if ends:
+            cell.worker.lease_orders.end(number, answered=False)
+        cell.restart()
+        assert cell.worker.earlier_lease_until_s >= 1.6 + MAX_ORDER_DELAY_S + LEASE_S
