--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -496,11 +496,11 @@
                     )
                     outlived.setdefault(worker.worker_id, []).append(lost)
                     self._move_to_new_incarnation(worker, job, task)
-                elif task.foreign_lease:
-                    restarted.add(worker.worker_id)
                 elif 0 < worker.incarnation < task.incarnation:
                     # The list is old; another worker may answer at its address.
                     worker.address, worker.incarnation = task.address, task.incarnation
+                if task.foreign_lease:
+                    restarted.add(worker.worker_id)
                 worker.allocate(
                     (job.spec.job_id, task.key), job.spec.steps[task.key[1]]
                 )
