Send no number of ends to a worker whose life is in doubt

The answer to a start had shown the clock of another life, and the next poll still acknowledged ends by the numbers of the former one, so that the new life forgot an end that nobody had read. No call is delayed for it.

TestAcknowledgedEndsOfTheFormerLife fails without the change (the task begins twice).

--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -395,9 +395,11 @@
 
     A worker that has restarted numbers its ends anew and would forget other ones, so a
     number is sent only while there are ends to acknowledge, and not to a worker that
-    may have restarted since its last answer.
+    may have restarted since its last answer, or has by the clock of an answer.
     """
-    if worker.silent_since_s or worker.last_stored_end <= worker.last_acknowledged_end:
+    if worker.silent_since_s or not worker.clock.known:
+        return 0
+    if worker.last_stored_end <= worker.last_acknowledged_end:
         return 0
     return worker.last_stored_end
 
