Tell a later life the share of full speed that its task may use

A task begins at full speed in each life, but the share that the former life had confirmed counted for the next one, and so did an answer to a pace order that came from, or after, another life. TestPaceInTheNextLife failed before and passes.

--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -377,10 +377,23 @@
         address = WorkerAddress(worker.worker_id, worker.address)
         for ref, attempt, percent in find_pace_changes(self._state, worker):
             token = self._cell_owner.fencing_token(worker)
+            sent_at_s, incarnation = boot_time_s(), worker.incarnation
             reply = await self._workers.pace(
                 address, token, TaskName(*ref), attempt, percent
             )
-            if reply.verdict == Verdict.OK:
+            is_foreign = reject_foreign(
+                worker,
+                reply,
+                sent_at_s,
+                boot_time_s(),
+                incarnation,
+                order="pace",
+                task=str(TaskName(*ref)),
+                attempt=attempt,
+                epoch=self._cell_owner.epoch,
+            )
+            is_same = worker.incarnation == incarnation and not is_foreign
+            if reply.verdict == Verdict.OK and is_same:
                 confirm_pace(self._state, worker, ref, attempt, percent)
             log_event(
                 Event.TASK_PACED,
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -754,7 +754,7 @@
         task.incarnation = worker.incarnation
         task.foreign_lease = True
         task.stopped_at_s = task.listed_at_s = 0.0
-        task.settled = task.isolated = False
+        task.settled = task.isolated = task.pace_known = False
         if task.phase == Phase.RUNNING:
             task.phase = Phase.PLACED
             task.percent, task.running_at_s = 0, 0.0
