Count a crash against no attempt that did not run in the life that ended

A start that the new life had answered counted as one of the life that had crashed; and what had lapsed on a silent worker counted for a later crash, although the same life had answered in between. Two tests of TestCrashesThatAreCounted (three cases) failed before and pass.

--- a/src/chivetray/cells/order_sender.py
+++ b/src/chivetray/cells/order_sender.py
@@ -212,6 +212,9 @@
         if task.attempt == placement.attempt:
             task.start_unanswered = earlier_try_unanswered or is_unanswered
             task.unanswered_starts += is_unanswered
+            if is_foreign and not earlier_try_unanswered:
+                # It cannot have crashed the former life, where it has not begun.
+                task.settled = True
         self._log_start(placement, task, worker, reply, deadline_ms, sent_at_s)
         if reply.incarnation > worker.incarnation:
             self._state.handle_worker_restart(worker, reply.incarnation, now_s)
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -43,6 +43,9 @@
         if reply.incarnation < worker.incarnation:
             return
         state.handle_worker_restart(worker, reply.incarnation, now_s)
+    elif reply.incarnation:
+        # It was only silent, and what was lost with it has not crashed it.
+        state.losses.pop(worker.worker_id, None)
     worker.tasks_known = True
     worker.answered_poll_sent_at_s = sent_at_s
     worker.runs_uncounted = False
