--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -1004,18 +1004,21 @@
         job, task = self.find_task(ref)
         if job is None or task is None:
             return
+        is_later = False
         for attempt, worker_id in task.copies.items():
             if worker_id != worker.worker_id:
                 continue
             if task.copy_incarnations.get(attempt, 0) >= worker.incarnation:
-                return
+                is_later = True
+                continue
             task.copy_incarnations[attempt] = worker.incarnation
             task.foreign_lease = True
             # A crash of the new incarnation is not its fault unless it begins there.
             task.settled_copies.add(attempt)
             task.stopping_copies.pop(attempt, None)
             self.stop_copy(job, task, attempt, StopReason.VANISHED_COPY)
-        worker.suspend(ref)
+        if not is_later:
+            worker.suspend(ref)
         self.mark_changed(ref[0])
 
     def _adopt_copies(self, job: Job, task: Task) -> set[str]:
--- a/tests/test_calls_of_former_lives.py
+++ b/tests/test_calls_of_former_lives.py
@@ -123,6 +123,25 @@
         assert (worker_id, 1) in stopped
 
 
+class TestOlderAttemptsOfTwoLives:
+    """Guards against an older attempt of a former life that is not stopped any more.
+
+    Another older attempt of its task is on the same worker, in the present life.
+    """
+
+    def test_the_one_of_the_former_life_is_stopped(self) -> None:
+        cell = Cell(start_unanswered=False)
+        task, worker_id = cell.task, cell.worker.worker_id
+        task.attempt, task.worker = 3, "w9"
+        task.copies = {1: worker_id, 2: worker_id}
+        task.copy_incarnations = {1: 2, 2: 1}
+        cell.restart()
+        stopped = [(o.worker_id, o.attempt) for o in cell.state.stop_orders]
+        assert (worker_id, 2) in stopped and (worker_id, 1) not in stopped
+        assert task.copy_incarnations == {1: 2, 2: 2}
+        assert task.foreign_lease and JOB in cell.state.changed_job_ids()
+
+
 class TestPaceInTheNextLife:
     """Guards against a share of full speed that the next life was never told.
 
