Stand-in workers: answers to orders name no life, and the clock of a life begins anywhere

On the platform only lists of runs and the worker's own entry name the life (`born`); the answers of the stand-in process to starts and stops named it too, so that a manager on it could tell more than one on the platform, and the clock of each of its lives began at 0, so that a deadline meant for a former life was never far ahead.

--- a/src/chivetray/platform/standins/worker.py
+++ b/src/chivetray/platform/standins/worker.py
@@ -21,6 +21,9 @@
 MAX_LEASE_MS = 10_000
 ENDS_PER_ANSWER = 500
 
+# Largest value with which the clock of a worker process begins.
+CLOCK_START_MAX_MS = 10_000_000
+
 # Time for which an unanswered call stays open; longer than any timeout.
 STALL_S = 3600.0
 
@@ -258,7 +261,7 @@
         if expected not in (None, model.worker_id):
             return Response(b"{}", 421, media_type="application/json")
         fields = await handle_order(model, body)
-        plain = {"ClockMs": model.clock_ms(), "born": model.incarnation_ms, **fields}
+        plain = {"ClockMs": model.clock_ms(), **fields}
         status = 409 if "Reason" in fields else 200
         return Response(orjson.dumps(plain), status, media_type="application/json")
 
@@ -285,7 +288,8 @@
     deadline_s = time.monotonic() + body.get("WaitMs", 0) / 1000
     while not model.ends and time.monotonic() < deadline_s:  # noqa: ASYNC110
         await asyncio.sleep(TICK_INTERVAL_S)
-    return model.list_attempts()
+    # Answers to other calls do not tell the incarnation.
+    return {"born": model.incarnation_ms, **model.list_attempts()}
 
 
 async def _ledger(request: Request) -> Response:
--- a/src/chivetray/standins/jobs.py
+++ b/src/chivetray/standins/jobs.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import random
 from pathlib import Path
 
 import anyio
@@ -15,6 +16,7 @@
 from chivetray.platform.calls import Answer, CallSession
 from chivetray.platform.standins.store import StoreState, create_store_app
 from chivetray.platform.standins.worker import (
+    CLOCK_START_MAX_MS,
     WORKER_HEARTBEAT_INTERVAL_S,
     WorkerModel,
     create_worker_app,
@@ -50,13 +52,15 @@
 ) -> None:
     """Run a worker stand-in that publishes its state in the store, until cancelled."""
     listener = bind_listener(address, port)
-    model = WorkerModel(worker_id, service)
+    clock_start_ms = random.randint(0, CLOCK_START_MAX_MS)
+    model = WorkerModel(worker_id, service, clock_start_ms=clock_start_ms)
     server = HttpServer.from_app(create_worker_app(model))
     print(f"worker {worker_id} listens on {address}:{port}", flush=True)
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(server.serve_on, listener)
-        tasks.start_soon(run_tasks, model)
-        tasks.start_soon(_publish_worker, model, f"{address}:{port}", store_address)
+    with listener:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.serve_on, listener)
+            tasks.start_soon(run_tasks, model)
+            tasks.start_soon(_publish_worker, model, f"{address}:{port}", store_address)
 
 
 async def _publish_worker(model: WorkerModel, address: str, store_address: str) -> None:
--- a/tests/test_worker_standin.py
+++ b/tests/test_worker_standin.py
@@ -2,12 +2,17 @@
 
 from typing import Any
 
+import anyio
 import pytest
+from helpers import claim_network
 
+from chivetray.platform.calls import Answer, CallSession
 from chivetray.platform.standins.worker import WorkerFaults, WorkerModel
+from chivetray.standins.jobs import serve_worker
 
 START: dict[str, Any] = {"Task": "j1.0.0.0", "Attempt": 1, "DeadlineMs": 5000}
 STOP: dict[str, Any] = {"Task": "j1.0.0.0", "Attempt": 1}
+CALLS = ("hold", "run-start", "run-stop")
 
 
 def started_worker(stop_s: float, work_s: float = 9.0) -> WorkerModel:
@@ -53,3 +58,41 @@
         worker = started_worker(stop_s=0.0)
         worker.stop(STOP)
         assert listed(worker) == ([], ["stopped"])
+
+
+async def answers_of_a_life() -> dict[str, dict[str, Any]]:
+    """Run a worker, without its store, for the time of one answer to each call."""
+    network, lock = claim_network()
+    address, session = f"{network}.3.1", CallSession.open()
+    answers: dict[str, dict[str, Any]] = {}
+    with lock, anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            store = f"{network}.1.1:18200"
+            tasks.start_soon(serve_worker, "w0", "pool-a", address, 18205, store)
+            while len(answers) < len(CALLS):
+                for call in CALLS:
+                    url = f"http://{address}:18205/chivetray/{call}"
+                    outcome = await session.call("POST", url, 2.0, START)
+                    if isinstance(outcome, Answer):
+                        answers[call] = outcome.body
+                await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+    await session.aclose()
+    return answers
+
+
+class TestLives:
+    """Guards against a stand-in that tells its lives apart better than the platform."""
+
+    def test_only_lists_of_runs_name_the_life(self) -> None:
+        answers = anyio.run(answers_of_a_life)
+        named = {call for call, answer in answers.items() if "born" in answer}
+        assert named == {"hold"}
+        assert all("ClockMs" in answer for answer in answers.values())
+
+    def test_the_clock_of_a_life_begins_anywhere(self) -> None:
+        lives = [anyio.run(answers_of_a_life) for _ in range(2)]
+        clocks_ms = [life["hold"]["ClockMs"] for life in lives]
+        # A clock that begins at 0 shows the age of the life.
+        assert max(clocks_ms) > 10_000
+        assert abs(clocks_ms[0] - clocks_ms[1]) > 100
