Soak: workers are killed, begin again under their id and are cut off soon after

The soak never ended a worker, no task in it worked for longer than a lease, and the list of runs was lost with the process.

Now workers are killed in a series that goes on beside the other faults: 0.2 to 1 s later the next life begins, answers for 0.05 to 2.5 s, and leaves all calls unanswered for 5 to 14 s while its runs and its heartbeats go on. The owner of its cell is killed as well in half of the cases. All lives share one listener, so that calls that come between two lives reach the later one. One job in twelve works for 12 to 15 s.

Each life appends what it runs to a file, and the soak notes there when it killed a life. The check compares runs by life, so that it sees the same attempt in two workers, and two runs of which one was killed later (TestRuns).

--- a/src/chivetray/cmdline.py
+++ b/src/chivetray/cmdline.py
@@ -272,6 +272,9 @@
     worker.add_argument("--name", required=True)
     worker.add_argument("--service", required=True)
     worker.add_argument("--store", required=True, metavar="HOST:PORT")
+    worker.add_argument("--history", default="", metavar="FILE")
+    worker.add_argument("--descriptor", type=int, metavar="LISTENER")
+    worker.add_argument("--standby", action="store_true")
     _add_address(worker, 8088)
     _add_command(
         commands,
--- a/src/chivetray/commands.py
+++ b/src/chivetray/commands.py
@@ -313,8 +313,12 @@
 
 
 def run_worker_standin(arguments: argparse.Namespace) -> int:
-    """Run a stand-in for a worker."""
+    """Run a stand-in for a worker; one on standby waits for a line on its input."""
     open_log()
+    if arguments.standby:
+        print(f"worker {arguments.name} is on standby", flush=True)
+        if not sys.stdin.readline():
+            return EXIT_OK
     anyio.run(
         jobs.serve_worker,
         arguments.name,
@@ -322,6 +326,8 @@
         arguments.address,
         arguments.port,
         arguments.store,
+        arguments.history,
+        arguments.descriptor,
     )
     return EXIT_OK
 
--- a/src/chivetray/platform/standins/worker.py
+++ b/src/chivetray/platform/standins/worker.py
@@ -48,7 +48,7 @@
 class WorkerFaults:
     """Faults to inject; the fields are set by name through ``/standin/faults``.
 
-    :ivar silent: accept calls and never answer them
+    :ivar silent: accept calls and never answer them, nor those that wait for an end
     :ivar late_s: delay after which an unanswered start is carried out
     :ivar late_starts: number of further starts that are delayed and not answered
     :ivar failing: let every task fail
@@ -78,6 +78,8 @@
     :ivar starts: task and number of every attempt that was started, for tests
     :ivar history: time, kind, task and attempt of each start, end and acknowledgement,
         in all incarnations, for tests; the kind of an end is how it came
+    :ivar history_file: file to which the history is also appended, or empty for none
+    :ivar lapsed_number: number of the last end that came before the lease expired
     :ivar clock_start_ms: value of the worker's clock at the start of this incarnation
     :ivar clock_rate: speed of the worker's clock; the platform allows an error of 2%
     :ivar read_time_s: returns the time from which the worker's clock is derived
@@ -96,6 +98,8 @@
     number: int = 0
     starts: list[tuple[str, int]] = field(default_factory=list)
     history: list[tuple[float, str, str, int]] = field(default_factory=list)
+    history_file: str = ""
+    lapsed_number: int = 0
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     clock_start_ms: int = 0
     clock_rate: float = 1.0
@@ -114,17 +118,14 @@
         """Begin a new incarnation, which knows nothing of the earlier ones."""
         self.incarnation_ms, self.clock_start_ms = incarnation_ms, clock_start_ms
         self.started_s = self.read_time_s()
-        self.fencing_token = self.deadline_ms = self.number = 0
+        self.fencing_token = self.deadline_ms = self.number = self.lapsed_number = 0
         self.running.clear()
         self.closed_attempts.clear()
         self.ends.clear()
 
     def tick(self, elapsed_s: float) -> None:
         """Advance the running attempts, or end them all when the lease has expired."""
-        if self.running and self.clock_ms() > self.deadline_ms:
-            for run in list(self.running.values()):
-                self.end(run, "lapsed")
-            return
+        self.check_lease()
         for run in list(self.running.values()):
             run.left_s -= elapsed_s
             run.stop_left_s -= elapsed_s
@@ -133,8 +134,25 @@
             elif run.left_s <= 0 and not run.runs_until_stopped:
                 self.end(run, "failed" if self.faults.failing else "done")
 
+    def check_lease(self) -> None:
+        """End all attempts once the lease has expired."""
+        if self.clock_ms() > self.deadline_ms:
+            for run in list(self.running.values()):
+                self.end(run, "lapsed")
+            self.lapsed_number = self.number
+
     def _record(self, kind: str, task: str, attempt: int) -> None:
-        self.history.append((time.monotonic(), kind, task, attempt))
+        at_s = time.monotonic()
+        if kind == "lapsed":
+            # A suspended process notices the end of its lease late.
+            over_ms = self.clock_ms() - self.deadline_ms
+            at_s -= over_ms / 1000 / self.clock_rate
+        entry = (at_s, kind, task, attempt)
+        self.history.append(entry)
+        if self.history_file:
+            # Unlike the history in memory, the file survives a kill of this process.
+            with open(self.history_file, "ab") as file:
+                file.write(orjson.dumps(entry) + b"\n")
 
     def end(self, run: RunningAttempt, how: str) -> None:
         """Record the end of an attempt."""
@@ -189,8 +207,10 @@
         if refused := self._check_fencing_token(body):
             return refused
         observed = body.get("Observed", 0)
-        for _, task, attempt, *_ in self.ends[: _count_up_to(self.ends, observed)]:
-            self._record("noted", task, attempt)
+        for number, task, attempt, *_ in self.ends:
+            # The rules do not count an end whose lease has expired before it was noted.
+            if self.lapsed_number < number <= observed:
+                self._record("noted", task, attempt)
         self.ends = [end for end in self.ends if end[0] > observed]
         self._extend_lease(body.get("DeadlineMs", 0))
         return {}
@@ -225,10 +245,6 @@
         self.deadline_ms = max(self.deadline_ms, min(deadline_ms, limit_ms))
 
 
-def _count_up_to(ends: list[list[Any]], number: int) -> int:
-    return sum(end[0] <= number for end in ends)
-
-
 def create_worker_app(model: WorkerModel) -> Starlette:
     """Create the HTTP application of a worker."""
     app = Starlette(
@@ -260,7 +276,10 @@
         expected = request.headers.get("chivetray-expect-instance")
         if expected not in (None, model.worker_id):
             return Response(b"{}", 421, media_type="application/json")
+        model.check_lease()
         fields = await handle_order(model, body)
+        if model.faults.silent:
+            await asyncio.sleep(STALL_S)
         plain = {"ClockMs": model.clock_ms(), **fields}
         status = 409 if "Reason" in fields else 200
         return Response(orjson.dumps(plain), status, media_type="application/json")
@@ -272,6 +291,7 @@
     if model.faults.late_starts > 0:
         model.faults.late_starts -= 1
         await asyncio.sleep(model.faults.late_s)
+        model.check_lease()
         model.start(body)
         await asyncio.sleep(STALL_S)
     return model.start(body)
--- a/src/chivetray/standins/jobs.py
+++ b/src/chivetray/standins/jobs.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import random
+import socket
 from pathlib import Path
 
 import anyio
@@ -48,12 +49,30 @@
 
 
 async def serve_worker(
-    worker_id: str, service: str, address: str, port: int, store_address: str
+    worker_id: str,
+    service: str,
+    address: str,
+    port: int,
+    store_address: str,
+    history_file: str = "",
+    descriptor: int | None = None,
 ) -> None:
-    """Run a worker stand-in that publishes its state in the store, until cancelled."""
-    listener = bind_listener(address, port)
+    """Run a worker stand-in that publishes its state in the store, until cancelled.
+
+    :param history_file: file to which all starts and ends are appended, empty for none
+    :param descriptor: listener of the parent process, ``None`` to open one
+    """
+    if descriptor is None:
+        listener = bind_listener(address, port)
+    else:
+        listener = socket.socket(fileno=descriptor)
     clock_start_ms = random.randint(0, CLOCK_START_MAX_MS)
-    model = WorkerModel(worker_id, service, clock_start_ms=clock_start_ms)
+    model = WorkerModel(
+        worker_id,
+        service,
+        clock_start_ms=clock_start_ms,
+        history_file=history_file,
+    )
     server = HttpServer.from_app(create_worker_app(model))
     print(f"worker {worker_id} listens on {address}:{port}", flush=True)
     with listener:
--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -6,11 +6,13 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
 import urllib.error
 import urllib.request
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -18,6 +20,7 @@
 import yaml
 from helpers import claim_network
 
+from chivetray.servers import bind_listener
 from chivetray.standins.jobs import (
     TRY_HOST,
     TRY_PREFIX,
@@ -52,6 +55,8 @@
         self.managers = [f"m{number}" for number in range(managers)]
         self.workers = [f"w{number}" for number in range(workers)]
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.listeners: dict[str, socket.socket] = {}
+        self.lives: Counter[str] = Counter()
         self.store = f"{self.network}.1.1:{STORE_PORT}"
 
     def start(self) -> None:
@@ -76,20 +81,38 @@
             process.kill()
         for process in self.processes.values():
             process.wait()
+        for listener in self.listeners.values():
+            listener.close()
         self._lock.close()
 
-    def run(self, name: str, *arguments: str) -> None:
+    def run(self, name: str, *arguments: str, **options: Any) -> None:
         """Start one process with its output in a file."""
         log = (self.folder / f"{name}.log").open("ab")
         command = [sys.executable, "-m", "chivetray", *arguments]
-        self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log)
+        self.processes[name] = subprocess.Popen(
+            command, stdout=log, stderr=log, **options
+        )
         log.close()
 
     def start_worker(self, name: str) -> None:
         """Start a worker."""
+        self.prepare_worker(name)
+        self.begin_worker(name)
+
+    def prepare_worker(self, name: str) -> None:
+        """Start the process of a worker's next life, which begins when it is told to.
+
+        All lives share one listener, so that calls that come between two of them reach
+        the later one.
+        """
         address = self.worker_address(name)
+        if name not in self.listeners:
+            self.listeners[name] = bind_listener(address, WORKER_PORT)
+        descriptor = self.listeners[name].fileno()
+        self.lives[name] += 1
+        self.history_file(name).touch()
         self.run(
-            name,
+            f"{name}-next",
             "standin",
             "worker",
             "--name",
@@ -102,8 +125,43 @@
             address,
             "--port",
             str(WORKER_PORT),
+            "--history",
+            str(self.history_file(name)),
+            "--descriptor",
+            str(descriptor),
+            "--standby",
+            pass_fds=[descriptor],
+            stdin=subprocess.PIPE,
         )
 
+    def await_standby(self, name: str) -> None:
+        """Wait until the life of a worker that was prepared can begin at once."""
+        log = self.folder / f"{name}-next.log"
+        wait_for(lambda: log.read_text().count("is on standby") == self.lives[name])
+
+    def begin_worker(self, name: str) -> None:
+        """Let the life of a worker begin that was prepared."""
+        process = self.processes.pop(f"{name}-next")
+        assert process.stdin is not None
+        process.stdin.write(b"\n")
+        process.stdin.close()
+        self.processes[name] = process
+
+    def history_file(self, name: str) -> Path:
+        """Return the file to which the lives of a worker append what they run."""
+        return self.folder / f"{name}.history"
+
+    def history(self, name: str) -> list[tuple[float, str, str, int]]:
+        """Return what all lives of a worker have run."""
+        lines = self.history_file(name).read_bytes().splitlines()
+        return [tuple(json.loads(line)) for line in lines]
+
+    def kill_worker(self, name: str) -> None:
+        """End the life of a worker, and note that in its history."""
+        self.kill(name)
+        with self.history_file(name).open("a") as file:
+            file.write(json.dumps((time.monotonic(), "killed", "", 0)) + "\n")
+
     def start_manager(self, name: str) -> None:
         """Start a manager with a settings file of its own."""
         address = self.manager_address(name)
@@ -219,14 +277,13 @@
         lines = (self.folder / f"{name}.log").read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
 
-    def owner(self) -> str:
-        """Return the manager that took the cell of the workers last."""
+    def owner(self, cell: str = TRY_SERVICE) -> str:
+        """Return the manager that took a cell last."""
         taken = [
             (event["epoch"], name)
             for name in self.managers
             for event in self.log(name)
-            if event.get("message_type") == "CELL_TAKEN"
-            and event["cell"] == TRY_SERVICE
+            if event.get("message_type") == "CELL_TAKEN" and event["cell"] == cell
         ]
         return max(taken)[1]
 
--- a/tests/job_soak.py
+++ b/tests/job_soak.py
@@ -1,8 +1,9 @@
 """A soak of managers, workers and a store as processes, with random faults.
 
 Clients hand jobs in and ask for them over connections that they keep until a process
-is gone. Faults come in series and overlap, all from one seed. The checks use what
-clients and workers have seen.
+is gone. Faults come in series and overlap, all from one seed. Workers are killed, begin
+again under their id and are cut off soon after. The checks use what clients and all
+lives of the workers have seen.
 """
 
 from __future__ import annotations
@@ -16,10 +17,9 @@
 import signal
 import threading
 import time
-import urllib.request
 from collections import defaultdict
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 
 from job_fleet import CALLERS_PORT, WORKER_PORT, JobFleet, job_body, wait_for
 from test_odd_entries import UNUSABLE_ADDRESSES, nested
@@ -35,6 +35,9 @@
 SMALL_TASKS, LARGE_TASKS = (1, 6), (260, 1600)
 LARGE_SHARE = 0.04
 
+# Tasks that work for longer than the longest lease.
+LASTING_SHARE, LASTING_WORK_S = 0.08, (12.0, 15.0)
+
 # Limits of a step's tasks on one worker, of which half may have copies, run times of
 # tasks that may, and times that workers take for a stop.
 LIMITS = (0, 0, 1, 2)
@@ -46,10 +49,30 @@
 MORE_ROUTES = (0, 0, 40, 1400, 2800)
 CONFIG_LIMIT_S = 3.0
 
+# Times between kills of workers, from a kill to the next life, from there to the cut
+# and for which it lasts, and the share of lives in which the owner is killed as well.
+KILL_GAPS_S = (0.3, 6.0)
+DOWN_S, ANSWERS_S, CUT_S = (0.2, 1.0), (0.05, 2.5), (5.0, 14.0)
+OWNER_KILL_SHARE = 0.5
+
 # Time after its start within which SIGTERM may end a manager before it handles signals.
 SIGNALS_HANDLED_AFTER_S = 5.0
 
 
+# Time, kind, task and attempt of each event.
+History = list[tuple[float, str, str, int]]
+
+
+class Run(NamedTuple):
+    """A run of a task in one life of a worker."""
+
+    attempt: int
+    life: str
+
+
+Event = tuple[float, str, Run]
+
+
 @dataclass
 class Outcome:
     """What a run has shown."""
@@ -78,6 +101,24 @@
     ]
 
 
+def split_lives(history: History) -> list[History]:
+    """Split what a worker has run at its kills, which end all that runs."""
+    lives: list[History] = [[]]
+    running: set[tuple[str, int]] = set()
+    for at_s, kind, task, attempt in history:
+        if kind == "killed":
+            lives[-1] += [(at_s, kind, *run) for run in sorted(running)]
+            lives.append([])
+            running.clear()
+            continue
+        lives[-1].append((at_s, kind, task, attempt))
+        if kind == "start":
+            running.add((task, attempt))
+        elif kind != "noted":
+            running.discard((task, attempt))
+    return lives
+
+
 def is_closed(connection: http.client.HTTPConnection) -> bool:
     """Return whether the server has closed an idle connection."""
     sock = connection.sock
@@ -98,6 +139,13 @@
         self._started_at_s = dict.fromkeys(fleet.managers, time.monotonic())
         self._ending = {name: threading.Lock() for name in fleet.managers}
         self._stop_s = {name: self._rng.choice(STOP_TIMES_S) for name in fleet.workers}
+        self._calm = threading.Event()
+        # Held while a worker has faults: one that ends would take back all of them.
+        self._broken = {name: threading.Lock() for name in fleet.workers}
+        # Held while a process is suspended, which cannot note that a lease expires.
+        self._suspended = {
+            name: threading.Lock() for name in fleet.managers + fleet.workers
+        }
 
     def run(self, duration_s: float) -> Outcome:
         self._put_config()
@@ -143,7 +191,10 @@
                 is_large = rng.random() < LARGE_SHARE
                 count = rng.randint(*(LARGE_TASKS if is_large else SMALL_TASKS))
                 work_s = 0.05 if is_large else rng.choice([0.05, 0.2, 1.0])
-                limit = 0 if is_large else rng.choice(LIMITS)
+                is_lasting = not is_large and rng.random() < LASTING_SHARE
+                if is_lasting:
+                    work_s = round(rng.uniform(*LASTING_WORK_S), 3)
+                limit = 0 if is_large or is_lasting else rng.choice(LIMITS)
                 is_copied = bool(limit) and rng.random() < 0.5
                 step: dict[str, Any] = {"Cpu": 100 if is_large else 500}
                 if limit:
@@ -212,6 +263,8 @@
         faults += [self._write_odd_entry, self._write_odd_entry]
         faults += [self._break_store, self._break_store, self._break_worker]
         ends_at_s = time.monotonic() + duration_s
+        restarts = threading.Thread(target=self._restart_workers)
+        restarts.start()
         while time.monotonic() < ends_at_s:
             chosen = self._rng.sample(faults, self._rng.choice([1, 1, 2, 3]))
             threads = [threading.Thread(target=fault) for fault in chosen]
@@ -221,6 +274,8 @@
             for thread in threads:
                 thread.join()
             time.sleep(self._rng.uniform(0.1, 1.0))
+        self._calm.set()
+        restarts.join()
         self._set_faults(self.fleet.store, {})
         for name in self.fleet.workers:
             self._set_worker_faults(name, {})
@@ -288,12 +343,13 @@
 
     def _pause(self) -> None:
         name = self._rng.choice(self.fleet.managers + self.fleet.workers)
-        process = self.fleet.processes[name]
-        self._log(f"SIGSTOP {name}")
-        self._stopped_at_s[f"{name} SIGSTOP"].append(time.monotonic())
-        process.send_signal(signal.SIGSTOP)
-        time.sleep(self._rng.uniform(0.3, 4.0))
-        process.send_signal(signal.SIGCONT)
+        with self._suspended[name]:
+            process = self.fleet.processes[name]
+            self._log(f"SIGSTOP {name}")
+            self._stopped_at_s[f"{name} SIGSTOP"].append(time.monotonic())
+            process.send_signal(signal.SIGSTOP)
+            time.sleep(self._rng.uniform(0.3, 4.0))
+            process.send_signal(signal.SIGCONT)
 
     def _change_route(self) -> None:
         prefix = self._rng.choice(PREFIXES)
@@ -356,15 +412,59 @@
         self._set_faults(self.fleet.store, {})
 
     def _break_worker(self) -> None:
-        name = self._rng.choice(self.fleet.workers)
+        left = [name for name, lock in self._broken.items() if not lock.locked()]
+        name = self._rng.choice(left or self.fleet.workers)
         late_s = self._rng.uniform(1.0, 6.0)
         fault: dict[str, Any] = self._rng.choice(
             [{"silent": True}, {"late_starts": 20, "late_s": late_s}]
         )
-        self._log(f"{name} {fault}")
-        self._set_worker_faults(name, fault)
-        time.sleep(self._rng.uniform(0.5, 4.0))
-        self._set_worker_faults(name, {})
+        with self._broken[name]:
+            self._log(f"{name} {fault}")
+            self._set_worker_faults(name, fault)
+            time.sleep(self._rng.uniform(0.5, 4.0))
+            self._set_worker_faults(name, {})
+
+    def _restart_workers(self) -> None:
+        """Kill workers in a series; what follows for one overlaps with the others."""
+        threads = []
+        while not self._calm.wait(self._rng.uniform(*KILL_GAPS_S)):
+            name = self._rng.choice(self.fleet.workers)
+            threads.append(threading.Thread(target=self._restart_worker, args=(name,)))
+            threads[-1].start()
+        for thread in threads:
+            thread.join()
+
+    def _restart_worker(self, name: str) -> None:
+        """Kill a worker, let it begin again, and cut it off from all managers."""
+        if not self._broken[name].acquire(blocking=False):
+            return
+        try:
+            self.fleet.prepare_worker(name)
+            self.fleet.await_standby(name)
+            with self._suspended[name]:
+                self._log(f"SIGKILL {name}")
+                self.fleet.kill_worker(name)
+                time.sleep(self._rng.uniform(*DOWN_S))
+                self.fleet.begin_worker(name)
+            self._log(f"{name} begins again")
+            self._set_worker_faults(name, {})
+            delay_s = self._rng.uniform(0.0, ANSWERS_S[1])
+            owner_kill = threading.Timer(delay_s, self._kill_owner, (name,))
+            owner_kill.start()
+            time.sleep(self._rng.uniform(*ANSWERS_S))
+            self._log(f"{name} is cut off")
+            self._set_worker_faults(name, {"silent": True})
+            self._calm.wait(self._rng.uniform(*CUT_S))
+            self._set_worker_faults(name, {})
+            self._log(f"{name} is no longer cut off")
+            owner_kill.join()
+        finally:
+            self._broken[name].release()
+
+    def _kill_owner(self, worker: str) -> None:
+        if self._rng.random() < OWNER_KILL_SHARE:
+            service = SERVICES[int(worker[1:]) % len(SERVICES)]
+            self._end(self.fleet.owner(service), signal.SIGKILL)
 
     # Checks
 
@@ -431,41 +531,41 @@
         """No task runs twice at a time, or again after an end that was noted.
 
         Tasks that may have copies may do so. No worker runs more tasks of a step than
-        its limit allows.
+        its limit allows. All that a worker runs ends when its life does.
         """
-        events: dict[str, list[tuple[float, str, int]]] = defaultdict(list)
+        events: dict[str, list[Event]] = defaultdict(list)
         for name in self.fleet.workers:
-            url = f"http://{self._worker_address(name)}/standin/ledger"
-            with urllib.request.urlopen(url, timeout=5) as answer:
-                history = json.loads(answer.read())["history"]
-            self._check_limits(name, history)
-            for at_s, kind, task, attempt in history:
-                events[task].append((at_s, kind, attempt))
+            for number, history in enumerate(split_lives(self.fleet.history(name))):
+                self._check_limits(name, history)
+                for at_s, kind, task, attempt in history:
+                    run = Run(attempt, f"{name} life {number}")
+                    events[task].append((at_s, kind, run))
         done: dict[str, set[str]] = defaultdict(set)
         for task, found in events.items():
-            running: set[int] = set()
-            done_attempts: set[int] = set()
-            noted = {attempt for _, kind, attempt in found if kind == "noted"}
+            running: set[Run] = set()
+            done_runs: set[Run] = set()
+            noted = {run for _, kind, run in found if kind == "noted"}
             is_copied = task.split(".")[0] in self.outcome.copied
-            for _, kind, attempt in sorted(found):
+            for at_s, kind, run in sorted(found):
                 if kind == "start" and not is_copied:
                     if running:
-                        self._report(f"{task} runs twice: {running} and {attempt}")
-                    if done_attempts & noted:
-                        self._report(f"{task} runs again after its end: {attempt}")
-                    running.add(attempt)
+                        self._report(f"{task} runs twice: {running}, {at_s:.3f} {run}")
+                    if done_runs & noted:
+                        self._report(
+                            f"{task} runs again after its end: {done_runs & noted}, "
+                            f"{at_s:.3f} {run}"
+                        )
+                    running.add(run)
                 elif kind not in ("start", "noted"):
-                    running.discard(attempt)
+                    running.discard(run)
                     if kind == "done":
-                        done_attempts.add(attempt)
+                        done_runs.add(run)
                         done[task.split(".")[0]].add(task)
         for job_id, count in self.outcome.accepted.items():
             if len(done[job_id]) != count:
                 self._report(f"{job_id}: {len(done[job_id])} of {count} tasks are done")
 
-    def _check_limits(
-        self, worker: str, history: list[tuple[float, str, str, int]]
-    ) -> None:
+    def _check_limits(self, worker: str, history: History) -> None:
         """Compare each start with the others of its step that run on the worker."""
         running: dict[str, int] = {}
         for at_s, kind, task, attempt in history:
--- a/tests/test_worker_standin.py
+++ b/tests/test_worker_standin.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import json
+import time
 from typing import Any
 
 import anyio
@@ -96,3 +98,31 @@
         # A clock that begins at 0 shows the age of the life.
         assert max(clocks_ms) > 10_000
         assert abs(clocks_ms[0] - clocks_ms[1]) > 100
+
+
+class TestLeases:
+    """Guards against a stand-in whose history keeps a run alive beyond its lease."""
+
+    def test_a_lapse_that_is_noticed_late_has_its_own_time(self, tmp_path) -> None:
+        worker = started_worker(stop_s=0.0)
+        worker.history_file = str(tmp_path / "history")
+        lease_s = (worker.deadline_ms - worker.clock_ms()) / 1000
+        noticed_s = time.monotonic() + 0.001
+        worker.read_time_s = lambda: lease_s + 2.0
+        worker.check_lease()
+        (line,) = (tmp_path / "history").read_text().splitlines()
+        at_s, kind, *_ = json.loads(line)
+        assert kind == "lapsed"
+        assert at_s < noticed_s - 1.9
+
+    @pytest.mark.parametrize(("read_s", "kinds"), [(1.0, ["noted"]), (60.0, [])])
+    def test_ends_are_noted_while_the_lease_lasts(
+        self, read_s: float, kinds: list[str]
+    ) -> None:
+        worker = started_worker(stop_s=0.0, work_s=0.1)
+        worker.tick(0.2)
+        worker.read_time_s = lambda: read_s
+        worker.check_lease()
+        worker.hold({"Observed": 1})
+        assert [kind for _, kind, *_ in worker.history[2:]] == kinds
+        assert worker.ends == []
