Doubt a life until a later poll names one, and carry tokens and late orders over

- a worker that left the list after a restart and came back got the owner's first token again and refused each call (LOST): new entries begin with the highest token in use;
- of two starts that another life answered, the second was confirmed, and an old answer of the former life ended the doubt, so that its numbers of ends were sent again (TWICE): a doubt lasts until a poll that was sent after it names a life, and no order is believed meanwhile;
- orders of earlier owners did not count as unanswered for tasks that were placed after a restart, and a doubt hid the orders that were under way (TWICE): both count now;

--- a/src/chivetray/cells/answers.py
+++ b/src/chivetray/cells/answers.py
@@ -20,7 +20,12 @@
 
     :param sent_at_s: send time of the call
     """
-    if reply.clock_ms is None or not worker.clock.known:
+    if reply.clock_ms is None:
+        return False
+    if worker.doubted_at_s and not reply.incarnation:
+        # Nothing tells which one has answered.
+        return True
+    if not worker.clock.known:
         return False
     least_ms, greatest_ms = worker.clock.bounds_ms(sent_at_s, now_s)
     return not least_ms <= reply.clock_ms <= greatest_ms
@@ -55,5 +60,6 @@
         verdict=reply.verdict.value,
         **fields,
     )
-    worker.doubt_incarnation(now_s)
+    if not worker.doubted_at_s:
+        worker.doubt_incarnation(now_s)
     return True
--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -359,8 +359,10 @@
         same_incarnation = (
             not reply.incarnation or reply.incarnation == worker.incarnation
         )
-        if reply.clock_ms is not None and same_incarnation:
+        is_old = 0 < sent_at_s <= worker.doubted_at_s
+        if reply.clock_ms is not None and same_incarnation and not is_old:
             worker.clock.observe(reply.clock_ms, sent_at_s, now_s)
+            worker.doubted_at_s = 0.0
         if worker.silent_since_s:
             log_event(
                 Event.WORKER_ANSWERS,
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -40,7 +40,7 @@
     :param now_s: receive time of the reply
     """
     if reply.incarnation and reply.incarnation != worker.incarnation:
-        if reply.incarnation < worker.incarnation:
+        if _is_outdated(worker, reply, sent_at_s):
             return
         state.handle_worker_restart(worker, reply.incarnation, now_s)
     elif reply.incarnation:
@@ -119,6 +119,17 @@
         _release_missing_attempts(state, worker, listed, sent_at_s, now_s)
 
 
+def _is_outdated(worker: WorkerState, reply: Reply, sent_at_s: float) -> bool:
+    """Return whether a reply may be of an incarnation before the known one.
+
+    One that is not known is the present one, also if its time of day was set back.
+    """
+    if reply.incarnation > worker.incarnation:
+        return False
+    is_former = reply.incarnation in worker.former_incarnations
+    return is_former or sent_at_s <= worker.known_since_s
+
+
 def _proves_sound_worker(
     worker: WorkerState, job: Job, task: Task, sent_at_s: float
 ) -> bool:
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -20,6 +20,7 @@
     record_crash,
     remember_loss,
 )
+from chivetray.cells.lease_orders import LeaseOrders
 from chivetray.cells.orders import (
     Placement,
     StepRef,
@@ -125,7 +126,9 @@
     :ivar backlog_meter: digest of the work that waits
     :ivar row_limit_bytes: largest row that the store accepts
     :ivar held_job_ids: jobs whose progress the store refuses; nothing of them starts
-    :ivar highest_token_raise: highest ``token_raises`` of any worker so far
+    :ivar highest_token_raise: highest ``token_raises`` of any worker so far; a worker
+        that is listed again after it was forgotten may have seen it
+    :ivar orders_until_s: time until which earlier owners may have sent orders
     :ivar predicted_s: time from its acceptance to its completion that was predicted
         when a job was added, by job id
     """
@@ -169,6 +172,7 @@
         self.held_job_ids: set[str] = set()
         self._early_cancellations: dict[JobName, None] = {}
         self.highest_token_raise = 0
+        self.orders_until_s = 0.0
 
     # Jobs
 
@@ -388,13 +392,16 @@
         for entry in entries:
             seen.add(entry.worker_id)
             worker = self.workers.get(entry.worker_id)
+            if worker is not None and (
+                entry.incarnation < worker.incarnation
+                or entry.incarnation in worker.former_incarnations
+            ):
+                # The worker itself has already reported a newer incarnation.
+                continue
             if worker is not None and entry.incarnation > worker.incarnation:
                 self.handle_worker_restart(
                     worker, entry.incarnation, now_s, source="list"
                 )
-            elif worker is not None and entry.incarnation < worker.incarnation:
-                # The worker itself has already reported a newer incarnation.
-                continue
             if worker is None:
                 worker = self._add_worker(entry, now_s)
             worker.address, worker.zone = entry.address, entry.zone
@@ -433,6 +440,8 @@
             idle_since_s=now_s,
             known_since_s=now_s,
             longest_lease_s=self._longest_lease_s(),
+            lease_orders=LeaseOrders(unanswered_sent_s=self.orders_until_s),
+            token_raises=self.highest_token_raise,
             lease_end_held=entry.worker_id in self.held_lease_ends_s,
             changed_ids=self.changed_worker_ids,
         )
@@ -469,6 +478,7 @@
         if orders_until_s is None:
             is_first = earlier_lease_s == 0
             orders_until_s = 0.0 if is_first else now_s + LEASE_EXTENSION_WINDOW_S
+        self.orders_until_s = orders_until_s
         restarted: set[str] = set()
         outlived: dict[str, list[LostAttempt]] = {}
         for job in list(self.active.values()):
@@ -518,6 +528,7 @@
             lease_s = remaining_s.get(worker.worker_id, earlier_lease_s)
             worker.earlier_lease_until_s = now_s + lease_s
             worker.lease_sent_at_s = orders_until_s
+            worker.lease_orders.unanswered_sent_s = orders_until_s
             if worker.worker_id in restarted:
                 self._expect_late_orders(worker)
 
@@ -537,6 +548,7 @@
             0,
             listed=False,
             longest_lease_s=self._longest_lease_s(),
+            token_raises=self.highest_token_raise,
             lease_end_held=worker_id in self.held_lease_ends_s,
             changed_ids=self.changed_worker_ids,
         )
@@ -624,6 +636,7 @@
             lease=worker.describe_lease(now_s),
         )
         record_crash(self, worker, source, now_s)
+        worker.former_incarnations.add(worker.incarnation)
         worker.incarnation, worker.known_since_s = incarnation, now_s
         # The worker refuses orders to earlier incarnations once it has seen this one.
         worker.token_raises = min(worker.token_raises + 1, EPOCH_STEP - 1)
@@ -632,11 +645,8 @@
         worker.last_applied_end = worker.last_stored_end = (
             worker.last_acknowledged_end
         ) = 0
-        if worker.deadline_ms or any(
-            self._is_of_earlier_incarnation(worker, ref) for ref in worker.tasks
-        ):
-            self._expect_late_orders(worker)
-        worker.deadline_ms = 0
+        self._expect_late_orders(worker)
+        worker.deadline_ms, worker.doubted_at_s = 0, 0.0
         worker.clock.known = False
         worker.failing_jobs.clear()
         worker.pace = WorkerPace()
@@ -700,20 +710,6 @@
                 order = StopOrder(TaskName(*ref), attempt, worker.worker_id, reason)
                 self.stop_orders.append(order)
 
-    def _is_of_earlier_incarnation(self, worker: WorkerState, ref: TaskRef) -> bool:
-        """Return whether a worker had a task before its present incarnation."""
-        _, task = self.find_task(ref)
-        if task is None:
-            return False
-        incarnations = [
-            task.copy_incarnations.get(attempt, 0)
-            for attempt, worker_id in task.copies.items()
-            if worker_id == worker.worker_id
-        ]
-        if task.worker == worker.worker_id:
-            incarnations.append(task.incarnation)
-        return any(incarnation < worker.incarnation for incarnation in incarnations)
-
     def _expect_late_orders(self, worker: WorkerState) -> None:
         """Wait for leases by orders to an earlier incarnation of a restarted worker.
 
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -50,6 +50,9 @@
     :ivar lease_orders: orders that grant a lease and have not been answered
     :ivar token_raises: number of later incarnations that this owner has seen, by which
         its fencing token for the worker is above its epoch
+    :ivar doubted_at_s: time at which the clock of an answer has shown an unknown
+        incarnation, 0 if a poll that was sent later has named it
+    :ivar former_incarnations: earlier incarnations that were known here
     :ivar late_orders_until_s: time until which a lease may last by an order to an
         earlier incarnation, 0 if there is none
     :ivar late_starts_until_s: by task and attempt, time until which a start of an ended
@@ -108,6 +111,8 @@
     lease_end_held: bool = False
     lease_orders: LeaseOrders = field(default_factory=LeaseOrders)
     token_raises: int = 0
+    doubted_at_s: float = 0.0
+    former_incarnations: set[int] = field(default_factory=set)
     late_orders_until_s: float = 0.0
     late_starts_until_s: dict[tuple[TaskRef, int], float] = field(default_factory=dict)
     silent_since_s: float = 0.0
@@ -348,7 +353,7 @@
         The former one has ended, and its deadlines with it. The call may have granted
         the longest lease, as its deadline is on another clock.
         """
-        self.clock.known = False
+        self.clock.known, self.doubted_at_s = False, now_s
         if self.deadline_ms:
             self.deadline_ms = 0
             lease_until_s = now_s + self.longest_lease_s
