Tell the next owner when the lease of a former life's orders ends, and wait less for tasks that last

The mark foreign_lease holds the end of that lease on the store's clock, once the worker refuses late orders, so that the next owner waits until then and not for orders of 12 s. It is stored with the placement, and by one write more for long-running tasks.

A long-running task whose start got no answer is waited for by its ordinary lease again. The longer wait keeps TWICE in a life that nobody has seen, but breaks LOST whenever a worker is lost for good within the second or two in which its owner does not know and places such a task there, which needs no restart and no cut.

--- a/src/chivetray/cells/owner.py
+++ b/src/chivetray/cells/owner.py
@@ -144,6 +144,7 @@
         self.shares = ShareKeeper(state, ownership.epoch, store, register, self.wake)
         state.cap_room = self.shares
         self._store = store
+        state.store_clock = store.clock
         self._wait_log = WaitLog(state)
         self._storing_job_ids: frozenset[str] = frozenset()
         self._storing_since_s = 0.0
--- a/src/chivetray/cells/polling.py
+++ b/src/chivetray/cells/polling.py
@@ -216,7 +216,7 @@
             is_same = reply.incarnation == incarnation == worker.incarnation
             worker.lease_orders.end(lease_order, is_same)
             if is_same:
-                worker.limit_earlier_lease(now_s)
+                self._state.refuse_late_orders(worker, now_s)
             self._cell_owner.wake()
             await self._send_pace_orders(worker)
             await self._wait_until_ends_stored(worker)
--- a/src/chivetray/cells/reports.py
+++ b/src/chivetray/cells/reports.py
@@ -85,7 +85,7 @@
             continue
         task.percent, task.listed_at_s = running.percent, sent_at_s
         if task.foreign_lease and now_s >= worker.earlier_lease_until_s:
-            task.foreign_lease = False
+            task.foreign_lease = 0
             if job.spec.steps[task.key[1]].long_running:
                 # Others end before a next owner could wait for that lease.
                 state.mark_changed(job.spec.job_id)
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -40,10 +40,11 @@
 )
 from chivetray.cells.turns import JobTurns
 from chivetray.cells.workers import TaskRef, WorkerState
-from chivetray.clocks import CLOCK_DRIFT
+from chivetray.clocks import CLOCK_DRIFT, RemoteClock
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import Job
 from chivetray.jobs.model import (
+    UNKNOWN_LEASE_END,
     JobName,
     JobSpec,
     JobState,
@@ -128,6 +129,7 @@
     :ivar held_job_ids: jobs whose progress the store refuses; nothing of them starts
     :ivar highest_token_raise: highest ``token_raises`` of any worker so far; a worker
         that is listed again after it was forgotten may have seen it
+    :ivar store_clock: clock of the store
     :ivar orders_until_s: time until which earlier owners may have sent orders
     :ivar predicted_s: time from its acceptance to its completion that was predicted
         when a job was added, by job id
@@ -173,6 +175,7 @@
         self._early_cancellations: dict[JobName, None] = {}
         self.highest_token_raise = 0
         self.orders_until_s = 0.0
+        self.store_clock = RemoteClock()
 
     # Jobs
 
@@ -510,7 +513,7 @@
                     # The list is old; another worker may answer at its address.
                     worker.address, worker.incarnation = task.address, task.incarnation
                 if task.foreign_lease:
-                    restarted.add(worker.worker_id)
+                    self._inherit_foreign_lease(worker, task, now_s, restarted)
                 worker.allocate(
                     (job.spec.job_id, task.key), job.spec.steps[task.key[1]]
                 )
@@ -526,12 +529,56 @@
             self._stop_suspects(lost.ref for lost in attempts)
         for worker in self.workers.values():
             lease_s = remaining_s.get(worker.worker_id, earlier_lease_s)
-            worker.earlier_lease_until_s = now_s + lease_s
+            worker.earlier_lease_until_s = max(
+                now_s + lease_s, worker.late_orders_until_s
+            )
             worker.lease_sent_at_s = orders_until_s
             worker.lease_orders.unanswered_sent_s = orders_until_s
             if worker.worker_id in restarted:
                 self._expect_late_orders(worker)
 
+    def _find_foreign_lease(self, worker: WorkerState, now_s: float) -> int:
+        """Return the mark for an attempt in the present life of a worker."""
+        until_s = worker.late_orders_until_s
+        if until_s <= now_s:
+            return 0
+        if not (worker.refuses_late_orders and self.store_clock.known):
+            return UNKNOWN_LEASE_END
+        return self.store_clock.upper_bound_ms(until_s)
+
+    def _inherit_foreign_lease(
+        self, worker: WorkerState, task: Task, now_s: float, restarted: set[str]
+    ) -> None:
+        """Wait for the lease that the mark of an attempt tells of.
+
+        :param restarted: receives the worker if late orders may still grant one
+        """
+        if task.foreign_lease == UNKNOWN_LEASE_END or not self.store_clock.known:
+            restarted.add(worker.worker_id)
+            return
+        left_ms = task.foreign_lease - self.store_clock.lower_bound_ms(now_s)
+        until_s = now_s + left_ms / 1000 / (1 - CLOCK_DRIFT)
+        worker.late_orders_until_s = max(worker.late_orders_until_s, until_s)
+
+    def refuse_late_orders(self, worker: WorkerState, now_s: float) -> None:
+        """Record that a worker refuses all orders to its earlier incarnations.
+
+        It has answered a poll with a higher fencing token than theirs.
+        """
+        worker.limit_earlier_lease(now_s)
+        if worker.refuses_late_orders or worker.late_orders_until_s <= now_s:
+            return
+        worker.refuses_late_orders = True
+        for ref in worker.tasks:
+            found = self.find_newest_attempt(worker, ref)
+            if found is None or found[1].foreign_lease != UNKNOWN_LEASE_END:
+                continue
+            job, task = found
+            task.foreign_lease = self._find_foreign_lease(worker, now_s)
+            if job.spec.steps[task.key[1]].long_running:
+                # Others end before a next owner could wait for that lease.
+                self.mark_changed(ref[0])
+
     def _add_unlisted_worker(
         self, worker_id: str, address: str, incarnation: int
     ) -> WorkerState:
@@ -586,6 +633,9 @@
         found = self.find_newest_attempt(worker, ref)
         if found is None or not (found[1].start_unanswered and found[1].active):
             return 0.0
+        if worker.tasks[ref].long_running:
+            # It has to run again within 9 s if the worker is lost for good.
+            return 0.0
         sent_at_s = found[1].start_sent_at_s
         return (
             sent_at_s + MAX_DELIVERY_S + self._longest_lease_s() if sent_at_s else 0.0
@@ -637,6 +687,7 @@
         )
         record_crash(self, worker, source, now_s)
         worker.former_incarnations.add(worker.incarnation)
+        worker.refuses_late_orders = False
         worker.incarnation, worker.known_since_s = incarnation, now_s
         # The worker refuses orders to earlier incarnations once it has seen this one.
         worker.token_raises = min(worker.token_raises + 1, EPOCH_STEP - 1)
@@ -748,7 +799,7 @@
     ) -> None:
         """Keep an attempt on a restarted worker, where it may still start."""
         task.incarnation = worker.incarnation
-        task.foreign_lease = True
+        task.foreign_lease = UNKNOWN_LEASE_END
         task.stopped_at_s = task.listed_at_s = 0.0
         task.settled = task.isolated = task.pace_known = False
         if task.phase == Phase.RUNNING:
@@ -1008,7 +1059,7 @@
                 is_later = True
                 continue
             task.copy_incarnations[attempt] = worker.incarnation
-            task.foreign_lease = True
+            task.foreign_lease = UNKNOWN_LEASE_END
             # A crash of the new incarnation is not its fault unless it begins there.
             task.settled_copies.add(attempt)
             task.stopping_copies.pop(attempt, None)
@@ -1084,7 +1135,7 @@
         task.address = worker.address
         task.running_at_s = task.stopped_at_s = task.listed_at_s = 0.0
         task.start_unanswered = task.inherited = task.stop_sent = False
-        task.foreign_lease = worker.late_orders_until_s > now_s
+        task.foreign_lease = self._find_foreign_lease(worker, now_s)
         task.unanswered_starts = 0
         task.start_sent_at_s = 0.0
         task.stop_sent_at_s = 0.0
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -50,6 +50,8 @@
     :ivar lease_orders: orders that grant a lease and have not been answered
     :ivar token_raises: number of later incarnations that this owner has seen, by which
         its fencing token for the worker is above its epoch
+    :ivar refuses_late_orders: whether it refuses orders to earlier incarnations, which
+        may have granted leases until ``late_orders_until_s``
     :ivar doubted_at_s: time at which the clock of an answer has shown an unknown
         incarnation, 0 if a poll that was sent later has named it
     :ivar former_incarnations: earlier incarnations that were known here
@@ -111,6 +113,7 @@
     lease_end_held: bool = False
     lease_orders: LeaseOrders = field(default_factory=LeaseOrders)
     token_raises: int = 0
+    refuses_late_orders: bool = False
     doubted_at_s: float = 0.0
     former_incarnations: set[int] = field(default_factory=set)
     late_orders_until_s: float = 0.0
--- a/src/chivetray/jobs/job.py
+++ b/src/chivetray/jobs/job.py
@@ -207,7 +207,7 @@
                     + [list(task.copies.items()), list(task.copy_incarnations.items())]
                     + [task.failed_attempt, task.crashes, task.lone_crashes]
                     + [int(task.suspect), int(task.isolated)]
-                    + ([1] if task.foreign_lease else [])
+                    + ([task.foreign_lease] if task.foreign_lease else [])
                 )
         state = int(self.state)
         content = bytes(
@@ -250,7 +250,7 @@
             if len(row) > 13:
                 task.crashes, task.lone_crashes = row[13], row[14]
                 task.suspect, task.isolated = bool(row[15]), bool(row[16])
-            task.foreign_lease = len(row) > 17
+            task.foreign_lease = int(row[17]) if len(row) > 17 else 0
         self.state = self.stored_state = JobState(state)
         self.cancelled = bool(cancelled)
 
--- a/src/chivetray/jobs/model.py
+++ b/src/chivetray/jobs/model.py
@@ -157,6 +157,9 @@
     DONE = 4
 
 
+# Stands for the end of a lease that orders which are under way may grant.
+UNKNOWN_LEASE_END = 1
+
 # Phases in which the newest attempt runs or is about to run.
 STARTED_PHASES = (Phase.PLACED, Phase.RUNNING)
 
@@ -200,8 +203,10 @@
     :ivar overdue_attempt: newest attempt that has run for far longer than others
     :ivar inherited: whether an earlier owner placed the newest attempt, so that it is
         unknown whether its start requests were answered
-    :ivar foreign_lease: whether orders to an earlier incarnation of its worker may have
-        granted a lease in the one where the newest attempt is
+    :ivar foreign_lease: end of the lease that orders to an earlier incarnation of its
+        worker may have granted in the one where the newest attempt is, in ms on the
+        store's clock; ``UNKNOWN_LEASE_END`` while they may still be carried out, 0 if
+        there is none
     :ivar pace_percent: share of full speed at which a best-effort task may run
     :ivar pace_known: whether the worker is known to run the newest attempt at that
         share; an earlier owner may have set another one
@@ -247,7 +252,7 @@
     evacuations: int = 0
     overdue_attempt: int = 0
     inherited: bool = False
-    foreign_lease: bool = False
+    foreign_lease: int = 0
     not_before_s: float = 0.0
     away_since_s: float = 0.0
     avoided_workers: set[str] = field(default_factory=set)
--- a/src/chivetray/jobs/progress.py
+++ b/src/chivetray/jobs/progress.py
@@ -188,7 +188,7 @@
     values += [task.failures, task.checkpoint, task.failed_attempt]
     values += [task.crashes, task.lone_crashes, int(task.suspect), int(task.isolated)]
     values += [list(task.copies.items()), list(task.copy_incarnations.items())]
-    values.append(int(task.foreign_lease))
+    values.append(task.foreign_lease)
     while len(values) > _FIRST_OPTIONAL_FIELD and not values[-1]:
         values.pop()
     return values
@@ -205,7 +205,7 @@
     task.crashes, task.lone_crashes = optional[3:5]
     task.suspect, task.isolated = bool(optional[5]), bool(optional[6])
     task.copies, task.copy_incarnations = dict(optional[7]), dict(optional[8])
-    task.foreign_lease = bool(optional[9])
+    task.foreign_lease = int(optional[9])
     task.unanswered_copies = set(task.copies)
 
 
