--- a/src/chivetray/cells/answers.py
+++ b/src/chivetray/cells/answers.py
@@ -60,6 +60,5 @@
         verdict=reply.verdict.value,
         **fields,
     )
-    if not worker.doubted_at_s:
-        worker.doubt_incarnation(now_s)
+    worker.doubt_incarnation(now_s)
     return True
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -707,7 +707,10 @@
             if found is None:
                 self._stop_copies_after_restart(worker, ref)
                 worker.pause(now_s + UNANSWERED_STOP_PAUSE_S)
-            elif found[1].incarnation >= incarnation:
+            elif (
+                found[1].incarnation >= incarnation
+                and found[1].incarnation not in worker.former_incarnations
+            ):
                 continue
             elif found[1].may_run_after_restart:
                 task = found[1]
--- a/src/chivetray/cells/workers.py
+++ b/src/chivetray/cells/workers.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from chivetray.cells.lease_orders import LeaseOrders
+from chivetray.cells.tables import EPOCH_STEP
 from chivetray.cells.timing import MAX_ORDER_DELAY_S, MAX_RELEASED_LEASE_S
 from chivetray.clocks import CLOCK_DRIFT, RemoteClock
 from chivetray.jobs.model import Step, TaskKey
@@ -346,6 +347,9 @@
         The worker has answered a poll with a higher fencing token than theirs. What
         they have granted before is at most the longest lease.
         """
+        if self.token_raises >= EPOCH_STEP - 1:
+            # No token is left above those of the orders before.
+            return
         until_s = now_s + self.longest_lease_s
         self.earlier_lease_until_s = min(self.earlier_lease_until_s, until_s)
         self.late_orders_until_s = min(self.late_orders_until_s, until_s)
@@ -357,10 +361,9 @@
         the longest lease, as its deadline is on another clock.
         """
         self.clock.known, self.doubted_at_s = False, now_s
-        if self.deadline_ms:
-            self.deadline_ms = 0
-            lease_until_s = now_s + self.longest_lease_s
-            self.earlier_lease_until_s = max(self.earlier_lease_until_s, lease_until_s)
+        self.deadline_ms = 0
+        lease_until_s = now_s + self.longest_lease_s
+        self.earlier_lease_until_s = max(self.earlier_lease_until_s, lease_until_s)
 
     def describe_lease(self, now_s: float) -> dict[str, Any]:
         """Return what is known of the lease, as fields for the log.
--- a/tests/test_review_30.py
+++ b/tests/test_review_30.py
@@ -13,13 +13,18 @@
 from test_progress import change_owner, play, set_draining, spec
 from test_worker_lives import play as play_idle
 from test_worker_lives import start_in_the_next_life
-from test_worker_restart import entry
+from test_worker_restart import KEY, Cell, entry
 
+from chivetray.cells.answers import reject_foreign
+from chivetray.cells.orders import StopReason
 from chivetray.cells.owner import CellOwner
+from chivetray.cells.reports import confirm_stop
 from chivetray.cells.state import UNLISTED_WORKER_TTL_S, CellState
+from chivetray.cells.tables import EPOCH_STEP
+from chivetray.cells.timing import MAX_ORDER_DELAY_S
 from chivetray.clocks import boot_time_s
 from chivetray.jobs.model import Phase, Step
-from chivetray.platform.workers import Verdict
+from chivetray.platform.workers import Reply, Verdict
 
 JOB = "00000000000000aa"
 OTHER_JOB = "00000000000000bb"
@@ -260,3 +265,65 @@
             await change_owner(world)
 
         assert not play_idle(script, 40.0)
+
+
+class TestSecondAnswerOfAnotherLife:
+    """Guards against a lease that a later of several foreign answers tells of."""
+
+    # TWICE: an order that another life carries out after the first foreign answer
+    # extends the lease of all that runs there.
+    def test_the_longest_lease_is_waited_for_from_the_last_one(self) -> None:
+        state = CellState(CELL)
+        state.longest_lease_s = 10.0
+        state.update_workers([entry("w0")], 10.0)
+        worker = state.workers["w0"]
+        worker.clock.observe(770_000, 10.0, 10.0)
+        worker.deadline_ms, worker.lease_sent_at_s = 774_536, 10.0
+        for now_s in (11.0, 11.5):
+            reply = Reply(Verdict.OK, 4000 + int(1000 * now_s))
+            assert reject_foreign(worker, reply, 10.9, now_s, worker.incarnation)
+        assert worker.remaining_lease_s(11.5) >= 10.0
+
+
+class TestTokensThatAreUsedUp:
+    """Guards against a lease that is taken for limited although no token is left."""
+
+    # TWICE: the worker does not refuse orders to its former life, whose token is the
+    # same, and what they grant lasts for longer.
+    def test_late_orders_are_waited_for(self) -> None:
+        state = CellState(CELL)
+        state.longest_lease_s = 10.0
+        state.update_workers([entry("w0")], 0.0)
+        worker = state.workers["w0"]
+        worker.token_raises = EPOCH_STEP - 1
+        worker.deadline_ms, worker.lease_sent_at_s = 9000, 5.0
+        worker.lease_orders.begin(5.0)
+        state.handle_worker_restart(worker, 2, 6.0)
+        worker.limit_earlier_lease(6.1)
+        assert worker.remaining_lease_s(6.1) >= 5.0 + MAX_ORDER_DELAY_S + 10.0 - 6.1
+
+
+class TestTasksOfALifeThatWasBornBefore:
+    """Guards against tasks that a life with a lower ``born`` takes for its own."""
+
+    # TWICE: the start may have granted the longest lease there, of which neither the
+    # mark nor the stored life tells a later owner.
+    def test_they_are_moved_to_it(self) -> None:
+        cell = Cell(start_unanswered=True)
+        cell.worker.incarnation = cell.task.incarnation = 5
+        cell.poll(3, 2.1, running=True)
+        assert cell.worker.incarnation == 3
+        assert cell.task.incarnation == 3
+        assert cell.task.foreign_lease
+
+    # TWICE: the answer to a stop is of the former life; the new one was told nothing,
+    # and may carry a start out late.
+    def test_a_stop_that_the_former_life_answered_is_sent_again(self) -> None:
+        cell = Cell(start_unanswered=True)
+        cell.worker.incarnation = cell.task.incarnation = 5
+        cell.state.stop_attempt(cell.job, KEY, StopReason.EVACUATION)
+        (order,) = cell.state.stop_orders
+        confirm_stop(cell.state, order, 5, 1.5)
+        cell.poll(3, 2.1)
+        assert cell.task.phase == Phase.STOPPING
+        assert cell.task.stopped_at_s == 0.0
