Store the end of a foreign lease for every task, and stop copies of a life that was born later

It is one write more for each restart with orders under way. And, by reading: older attempts of a former life with a higher born were not stopped.

The third case of that class is listed (KNOWN-RED 48): a job waits 11.2 s if its worker is lost for good while a start got no answer. That wait is what keeps TWICE in a life that nobody has seen.

--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -573,11 +573,8 @@
             found = self.find_newest_attempt(worker, ref)
             if found is None or found[1].foreign_lease != UNKNOWN_LEASE_END:
                 continue
-            job, task = found
-            task.foreign_lease = self._find_foreign_lease(worker, now_s)
-            if job.spec.steps[task.key[1]].long_running:
-                # Others end before a next owner could wait for that lease.
-                self.mark_changed(ref[0])
+            found[1].foreign_lease = self._find_foreign_lease(worker, now_s)
+            self.mark_changed(ref[0])
 
     def _add_unlisted_worker(
         self, worker_id: str, address: str, incarnation: int
@@ -1058,7 +1055,9 @@
         for attempt, worker_id in task.copies.items():
             if worker_id != worker.worker_id:
                 continue
-            if task.copy_incarnations.get(attempt, 0) >= worker.incarnation:
+            placed_on = task.copy_incarnations.get(attempt, 0)
+            is_former = placed_on in worker.former_incarnations
+            if placed_on >= worker.incarnation and not is_former:
                 is_later = True
                 continue
             task.copy_incarnations[attempt] = worker.incarnation
--- a/tests/test_review_30.py
+++ b/tests/test_review_30.py
@@ -327,3 +327,38 @@
         cell.poll(3, 2.1)
         assert cell.task.phase == Phase.STOPPING
         assert cell.task.stopped_at_s == 0.0
+
+
+class TestOtherTaskOfAWorkerThatIsLost:
+    """Guards against a job that has nothing running for more than 10 s after a loss.
+
+    Its only task is no long-running one; the project reads LOST for it, too.
+    """
+
+    # LOST: the task waits 11.2 s from its last start, which got no answer.
+    def test_a_start_got_no_answer(self) -> None:
+        async def script(world: World) -> None:
+            worker, *others = world.workers.values()
+            set_draining(world, others, True)
+            await asyncio.sleep(3.0)
+            worker.crash("lost")
+            worker.is_dark = True
+            world.expire(worker)
+            world.hand_in(spec(1, "more", Step(1, 500)))
+            await asyncio.sleep(0.05)
+            set_draining(world, others, False)
+
+        assert not play(script, 20.0)
+
+    # LOST: the stored mark still tells of late orders after they are refused.
+    @pytest.mark.parametrize("after_s", [1.0, 4.0])
+    def test_its_owner_is_lost_too(self, after_s: float) -> None:
+        async def script(world: World) -> None:
+            worker = await start_in_the_next_life(world, step=Step(1, 500))
+            await asyncio.sleep(after_s)
+            worker.crash("lost")
+            worker.is_dark = True
+            world.expire(worker)
+            await change_owner(world)
+
+        assert not play_idle(script, 40.0)
