Let a mark of a foreign lease not prolong an end that an earlier owner has stored

Callers could see (LOST): tasks of a silent worker waited for late orders anew with each change of owner, as the mark was counted from the last orders of the owner before, although that one had stored until when tasks may run there, with the mark reckoned in.

--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -483,6 +483,7 @@
             orders_until_s = 0.0 if is_first else now_s + LEASE_EXTENSION_WINDOW_S
         self.orders_until_s = orders_until_s
         restarted: set[str] = set()
+        marked: set[str] = set()
         outlived: dict[str, list[LostAttempt]] = {}
         for job in list(self.active.values()):
             for task in job.active_tasks():
@@ -513,7 +514,7 @@
                     # The list is old; another worker may answer at its address.
                     worker.address, worker.incarnation = task.address, task.incarnation
                 if task.foreign_lease:
-                    self._inherit_foreign_lease(worker, task, now_s, restarted)
+                    self._inherit_foreign_lease(worker, task, now_s, marked)
                 worker.allocate(
                     (job.spec.job_id, task.key), job.spec.steps[task.key[1]]
                 )
@@ -522,7 +523,7 @@
                     worker.isolated_since_s = now_s
                     self.isolated_worker_ids.add(worker.worker_id)
             for task in job.tasks.values():
-                restarted |= self._adopt_copies(job, task)
+                marked |= self._adopt_copies(job, task)
         for worker_id, attempts in outlived.items():
             worker = self.workers[worker_id]
             record_crash(self, worker, "list after a take-over", now_s, attempts)
@@ -534,7 +535,9 @@
             )
             worker.lease_sent_at_s = orders_until_s
             worker.lease_orders.unanswered_sent_s = orders_until_s
-            if worker.worker_id in restarted:
+            # An earlier owner has reckoned with the mark in the end that it stored.
+            is_marked = worker.worker_id in marked - remaining_s.keys()
+            if worker.worker_id in restarted or is_marked:
                 self._expect_late_orders(worker)
 
     def _find_foreign_lease(self, worker: WorkerState, now_s: float) -> int:
@@ -547,14 +550,14 @@
         return self.store_clock.upper_bound_ms(until_s)
 
     def _inherit_foreign_lease(
-        self, worker: WorkerState, task: Task, now_s: float, restarted: set[str]
+        self, worker: WorkerState, task: Task, now_s: float, marked: set[str]
     ) -> None:
         """Wait for the lease that the mark of an attempt tells of.
 
-        :param restarted: receives the worker if late orders may still grant one
+        :param marked: receives the worker if late orders may still grant one
         """
         if task.foreign_lease == UNKNOWN_LEASE_END or not self.store_clock.known:
-            restarted.add(worker.worker_id)
+            marked.add(worker.worker_id)
             return
         left_ms = task.foreign_lease - self.store_clock.lower_bound_ms(now_s)
         until_s = now_s + left_ms / 1000 / (1 - CLOCK_DRIFT)
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -96,6 +96,17 @@
         cell.state.assign(job_b, task, job_b.spec.steps[0], cell.worker, 2.2)
         assert task.foreign_lease
 
+    def test_it_does_not_prolong_an_end_that_an_owner_has_stored(self) -> None:
+        """Each owner began the wait for late orders anew (LOST, deadly_tasks+kills)."""
+        cell = Cell(start_unanswered=True)
+        cell.restart()
+        later = CellState(CELL)
+        later.update_workers([entry("w0", 2), entry("w1", 2)], 3.0)
+        later.restore_job(cell.job.spec, cell.job.encode(), 1, 3.0)
+        worker_id = cell.worker.worker_id
+        later.attach_restored_tasks(3.0, 5.0, {worker_id: 2.0})
+        assert later.workers[worker_id].remaining_lease_s(3.0) == 2.0
+
     @pytest.mark.parametrize("split", [False, True])
     def test_it_is_read_again(self, split: bool) -> None:
         spec = job(steps=(Step(2, 1000),), split_progress=split)
