--- a/tests/test_review_30.py
+++ b/tests/test_review_30.py
@@ -11,8 +11,8 @@
 from cell_helpers import World as CellWorld
 from run_once_helpers import MANAGERS, World
 from test_progress import change_owner, play, set_draining, spec
+from test_worker_lives import check_beside_owner, start_in_the_next_life
 from test_worker_lives import play as play_idle
-from test_worker_lives import start_in_the_next_life
 from test_worker_restart import KEY, Cell, entry
 
 from chivetray.cells.answers import reject_foreign
@@ -31,22 +31,8 @@
 
 
 def run(check: Callable[[CellOwner, CellWorld], Awaitable[None]]) -> None:
-    """Run a check beside an owner with one worker that it has polled."""
-
-    async def main() -> None:
-        world = CellWorld(workers=1, work_s=30.0)
-        # The clock of the next life begins behind that of the first one.
-        world.models["w0"].started_s -= 5000.0
-        owner = await world.own()
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(world.work)
-            tasks.start_soon(owner.run)
-            worker = owner.state.workers["w0"]
-            await until(lambda: worker.clock.known and worker.tasks_known)
-            await check(owner, world)
-            tasks.cancel_scope.cancel()
-
-    asyncio.run(main())
+    """Run a check; the clock of the next life begins behind that of the first one."""
+    check_beside_owner(check, started_ago_s=5000.0)
 
 
 class TestTokenOfAWorkerThatIsForgotten:
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -9,14 +9,13 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-import anyio
 import msgpack
 import pytest
 from cell_helpers import CELL, job, until
 from cell_helpers import World as CellWorld
 from run_once_helpers import MANAGERS, SimulatedWorker, World
 from test_progress import set_draining, spec
-from test_worker_restart import JOB, KEY, Cell, entry
+from test_worker_restart import JOB, KEY, Cell, entry, run_owner
 from virtual_loop import virtual_time
 
 from chivetray.cells.answers import reject_foreign
@@ -248,6 +247,29 @@
         assert cell.task.phase == Phase.WAITING
 
 
+def check_beside_owner(
+    check: Callable[[CellOwner, CellWorld], Awaitable[None]], started_ago_s: float = 0.0
+) -> None:
+    """Run a check beside an owner with one worker that it has polled.
+
+    :param started_ago_s: age of the worker's clock
+    """
+
+    async def main() -> None:
+        world = CellWorld(workers=1, work_s=30.0)
+        world.models["w0"].started_s -= started_ago_s
+        owner = await world.own()
+
+        async def steps() -> None:
+            worker = owner.state.workers["w0"]
+            await until(lambda: worker.clock.known and worker.tasks_known)
+            await check(owner, world)
+
+        await run_owner(world, owner, steps)
+
+    asyncio.run(main())
+
+
 class TestAnswerOfAnotherLife:
     """Guards against deadlines of one life that are compared with another's clock.
 
@@ -282,25 +304,18 @@
         assert worker.clock.known
 
     def test_a_start_that_another_life_answers_is_not_confirmed(self) -> None:
-        async def main() -> None:
-            world = CellWorld(workers=1, work_s=30.0)
-            owner = await world.own()
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(world.work)
-                tasks.start_soon(owner.run)
-                worker = owner.state.workers["w0"]
-                await until(lambda: worker.clock.known and worker.tasks_known)
-                world.models["w0"].clock_start_ms = 900_000
-                owner.add_job(job(steps=(Step(1, 1000),)))
-                await until(lambda: bool(world.starts()))
-                task = owner.state.jobs[JOB].tasks[KEY]
-                await until(lambda: task.unanswered_starts == 1)
-                assert task.start_unanswered
-                await until(lambda: task.phase == Phase.RUNNING)
-                assert worker.clock.lower_bound_ms(boot_time_s()) >= 900_000
-                tasks.cancel_scope.cancel()
-
-        asyncio.run(main())
+        async def check(owner: CellOwner, world: CellWorld) -> None:
+            worker = owner.state.workers["w0"]
+            world.models["w0"].clock_start_ms = 900_000
+            owner.add_job(job(steps=(Step(1, 1000),)))
+            await until(lambda: bool(world.starts()))
+            task = owner.state.jobs[JOB].tasks[KEY]
+            await until(lambda: task.unanswered_starts == 1)
+            assert task.start_unanswered
+            await until(lambda: task.phase == Phase.RUNNING)
+            assert worker.clock.lower_bound_ms(boot_time_s()) >= 900_000
+
+        check_beside_owner(check)
 
 
 class TestOrdersForAFormerLife:
@@ -309,21 +324,6 @@
     It knows neither what was stopped nor what has ended in the lives before.
     """
 
-    @staticmethod
-    def run(check: Callable[[CellOwner, CellWorld], Awaitable[None]]) -> None:
-        async def main() -> None:
-            world = CellWorld(workers=1, work_s=30.0)
-            owner = await world.own()
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(world.work)
-                tasks.start_soon(owner.run)
-                worker = owner.state.workers["w0"]
-                await until(lambda: worker.clock.known and worker.tasks_known)
-                await check(owner, world)
-                tasks.cancel_scope.cancel()
-
-        asyncio.run(main())
-
     def test_they_are_refused_once_the_owner_knows_the_life(self) -> None:
         async def check(owner: CellOwner, world: CellWorld) -> None:
             worker, model = owner.state.workers["w0"], world.models["w0"]
@@ -339,7 +339,7 @@
             assert model.hold(observed)["Reason"] == "fence"
             assert model.deadline_ms == 0
 
-        self.run(check)
+        check_beside_owner(check)
 
     def test_a_next_owner_has_a_higher_token_than_any(self) -> None:
         worker = Cell(start_unanswered=False).worker
@@ -361,7 +361,7 @@
             await until(lambda: worker.clock.known and worker.tasks_known)
             assert not worker.last_silence_at_s
 
-        self.run(check)
+        check_beside_owner(check)
 
 
 class TestLeaseOfANewLife:
