--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -94,9 +94,17 @@
         self._record.flush()
 
     async def start(
-        self, managers: int, workers: int, cpu: int = 32000, mem_mb: int = 65536
+        self,
+        managers: int,
+        workers: int,
+        cpu: int = 32000,
+        mem_mb: int = 65536,
+        ids: Callable[[int], str] = "srv-{:02}".format,
     ) -> None:
-        """Start everything, and wait until every manager serves the queue."""
+        """Start everything, and wait until every manager serves the queue.
+
+        :param ids: returns the id of a worker
+        """
         self.store_port = net.free_port()
         await net.serve(self.store_port, self.store.handle)
         self.store.machines = lambda: [w.machine() for w in self.site.workers.values()]
@@ -115,7 +123,7 @@
         config = {"Version": 3, "Routes": [route], "Services": services, "Limits": {}}
         self.store.put("op", "config", config)
         for number in range(workers):
-            name, port, rack = f"srv-{number:02}", net.free_port(), f"r{number // 4}"
+            name, port, rack = ids(number), net.free_port(), f"r{number // 4}"
             worker = Worker(self.site, name, SERVICE, port, cpu, mem_mb, rack)
             await net.serve(port, worker.handle)
             self._tasks.append(asyncio.create_task(worker.live()))
