--- a/review/lib3/net.py
+++ b/review/lib3/net.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 import socket
 import urllib.parse
 from collections.abc import Awaitable, Callable
@@ -29,11 +30,24 @@
 Handler = Callable[[Call], Awaitable[Answer]]
 
 
+# Ports that the kernel does not give to outgoing channels.
+_PORTS = range(15000, 29000)
+_given: set[int] = set()
+
+
 def free_port() -> int:
-    """Return a port of 127.0.0.1 that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a port of 127.0.0.1 that is free now, and that was not given before."""
+    while True:
+        port = random.choice(_PORTS)
+        if port in _given:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given.add(port)
+        return port
 
 
 async def _read_message(
