--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -13,6 +13,7 @@
 import tempfile
 import time
 import tomllib
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -23,8 +24,6 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 HOST = "jobs.example"
-PREFIX = "/work/"
-SERVICE = "pool-a"
 START_LIMIT_S = 20.0
 BOUNDS = {
     "GraceS": 6,
@@ -49,6 +48,27 @@
     """The case cannot run on this machine."""
 
 
+def prefix(service: int) -> str:
+    """Return the path prefix of the queue of a service."""
+    return f"/work{service or ''}/"
+
+
+def service_name(number: int) -> str:
+    """Return the name of a service."""
+    return f"pool-{'abcdefgh'[number]}"
+
+
+def memory_mb(process: int) -> float:
+    """Return the memory that a process holds."""
+    try:
+        text = Path(f"/proc/{process}/status").read_text(encoding="ascii")
+    except OSError:
+        return 0.0
+    lines = [line.split() for line in text.splitlines()]
+    found = [int(line[1]) / 1024 for line in lines if line[0] == "VmRSS:"]
+    return found[0] if found else 0.0
+
+
 def fill_template(text: str, fields: dict[str, Any]) -> str:
     """Fill the placeholders of a settings file."""
 
@@ -100,38 +120,55 @@
         cpu: int = 32000,
         mem_mb: int = 65536,
         ids: Callable[[int], str] = "srv-{:02}".format,
+        services: int = 1,
     ) -> None:
-        """Start everything, and wait until every manager serves the queue.
+        """Start everything, and wait until every manager serves the queues.
 
+        :param workers: number of each service
         :param ids: returns the id of a worker
         """
         self.store_port = net.free_port()
         await net.serve(self.store_port, self.store.handle)
         self.store.machines = lambda: [w.machine() for w in self.site.workers.values()]
-        route = {
-            "Name": "work",
-            "Host": HOST,
-            "PathPrefix": PREFIX,
-            "Service": SERVICE,
-            "Priority": 0,
-            "MaxAttempts": 4,
-            "Stretch": 1.6,
-            "TargetLatencyMs": 600,
-            "TimeoutMs": 3000,
-        }
-        services = [{"Name": SERVICE, "AdmissionCheck": True, "HealthPath": "/health"}]
-        config = {"Version": 3, "Routes": [route], "Services": services, "Limits": {}}
+        names = [service_name(number) for number in range(services)]
+        routes = [
+            {
+                "Name": f"work-{number}",
+                "Host": HOST,
+                "PathPrefix": prefix(number),
+                "Service": name,
+                "Priority": 0,
+                "MaxAttempts": 4,
+                "Stretch": 1.6,
+                "TargetLatencyMs": 600,
+                "TimeoutMs": 3000,
+            }
+            for number, name in enumerate(names)
+        ]
+        pools = [
+            {"Name": name, "AdmissionCheck": True, "HealthPath": "/health"}
+            for name in names
+        ]
+        config = {"Version": 3, "Routes": routes, "Services": pools, "Limits": {}}
         self.store.put("op", "config", config)
-        for number in range(workers):
+        for number in range(workers * services):
             name, port, rack = ids(number), net.free_port(), f"r{number // 4}"
-            worker = Worker(self.site, name, SERVICE, port, cpu, mem_mb, rack)
+            service = names[number // workers]
+            worker = Worker(self.site, name, service, port, cpu, mem_mb, rack)
             await net.serve(port, worker.handle)
             self._tasks.append(asyncio.create_task(worker.live()))
         for number in range(managers):
             self.start_manager(f"front-{number}")
         for name in self.ports:
-            await self.wait_for(lambda name=name: self._serves(name), START_LIMIT_S)
-        self.note("started", managers=managers, workers=workers)
+            await self.wait_until_served(name, services)
+        self.note("started", managers=managers, workers=workers, services=services)
+
+    async def wait_until_served(self, name: str, services: int = 1) -> None:
+        """Wait until a manager knows an owner of each cell."""
+        for number in range(services):
+            await self.wait_for(
+                lambda number=number: self._serves(name, number), START_LIMIT_S
+            )
 
     def start_manager(self, name: str) -> None:
         """Start a manager with the command of the deploy file."""
@@ -178,8 +215,8 @@
             )
         self.note("manager started", name=name, process=self.processes[name].pid)
 
-    async def _serves(self, name: str) -> bool:
-        status, _ = await self.ask(name, "GET", "", quiet=True)
+    async def _serves(self, name: str, service: int) -> bool:
+        status, _ = await self.ask(name, "GET", "", quiet=True, service=service)
         return status == 200
 
     async def wait_for(
@@ -200,13 +237,14 @@
         body: dict[str, Any] | None = None,
         timeout_s: float = 3.0,
         quiet: bool = False,
+        service: int = 0,
     ) -> tuple[int, dict[str, Any]]:
         """Make a call as a requester that waits for a time."""
         headers = {"Chivetray-Deadline-Ms": str(int(timeout_s * 1000))}
         sent_s = round(self.now_s, 3)
         port = self.ports[manager]["callers"]
         status, answer = await net.call(
-            port, method, PREFIX + job, HOST, body, timeout_s, headers
+            port, method, prefix(service) + job, HOST, body, timeout_s, headers
         )
         if not quiet:
             self.note(
@@ -214,12 +252,33 @@
                 sent_s=sent_s,
                 manager=manager,
                 method=method,
-                job=job,
+                job=prefix(service) + job,
                 status=status,
                 answer=answer,
             )
         return status, answer
 
+    async def limit_memory(self, ends: Counter[str], restart_s: float = 1.0) -> None:
+        """End processes over the memory of their machine, as the machine does.
+
+        They are started again after a delay.
+
+        :param ends: receives the number of ends by manager
+        """
+        limit_mb = float(LIMITS["MemoryMb"])
+        while True:
+            for name, process in list(self.processes.items()):
+                used_mb = memory_mb(process.pid)
+                if process.poll() is None and used_mb > limit_mb:
+                    ends[name] += 1
+                    self.note("over its memory", name=name, used_mb=round(used_mb))
+                    process.kill()
+                    process.wait()
+                    asyncio.get_running_loop().call_later(
+                        restart_s, self.start_manager, name
+                    )
+            await asyncio.sleep(0.02)
+
     def close(self) -> None:
         """End all processes that the test has started."""
         for process in self.processes.values():
