Store a tombstone for the cancellation of a job that is not stored

Cause: the cancellation answered 410 when one read found no row and left nothing behind. The transaction that stores the job had no answer and was carried out seconds later. A read proves nothing about a write under way.

Now the cancellation writes a tombstone on condition that the job does not exist, and a job is stored on condition that there is no tombstone. The store carries out one of them, whoever sent them and in whatever order they arrive. A submission that finds a tombstone gets 409 (result 132).

A cancellation of an absent job costs one write more.

--- a/src/chivetray/cells/acceptance.py
+++ b/src/chivetray/cells/acceptance.py
@@ -29,10 +29,6 @@
 # Pause before a transaction without an answer is retried.
 RETRY_PAUSE_S = 0.05
 
-# Each row counts twice towards the limit of a transaction, as a precondition and as a
-# write.
-JOB_ROWS_PER_TRANSACTION = TRANSACTION_ENTRIES_LIMIT // 2
-
 # Time within which a call without an answer has been carried out, if it ever is. The
 # store carries out late calls some seconds later.
 SETTLE_S = 10.0
@@ -52,6 +48,7 @@
     STORED_BEFORE = "stored before"
     STORED_BY_ANOTHER = "stored by another organisation"
     IDENTIFIER_TAKEN = "identifier of another queue's job"
+    EXCLUDED = "excluded by another row"
     REFUSED = "refused"
     UNKNOWN = "unknown"
 
@@ -78,6 +75,7 @@
     """A row that waits to be created.
 
     :ivar judge: outcome for a row that was stored before, by its value
+    :ivar excluded_by: row whose existence prevents this one from being created
     :ivar is_sent_alone: whether the row is sent in a transaction of its own
     :ivar unknown: whether an earlier transaction with the row had no answer, so that
         the row may exist
@@ -87,12 +85,18 @@
     value: bytes
     deadline_s: float
     judge: Callable[[bytes], Acceptance]
+    excluded_by: RowId | None = None
     is_sent_alone: bool = False
     unknown: bool = False
     reason: str = ""
     outcome: Acceptance | None = None
     done: anyio.Event = field(default_factory=anyio.Event)
 
+    @property
+    def absent_rows(self) -> list[RowId]:
+        """Rows that must not exist for the row to be created."""
+        return [self.row] if self.excluded_by is None else [self.row, self.excluded_by]
+
     def finish(self, outcome: Acceptance, reason: str = "") -> None:
         self.outcome, self.reason = outcome, reason
         self.done.set()
@@ -122,14 +126,18 @@
         timeout_s: float,
         judge: Callable[[bytes], Acceptance] = lambda _value: Acceptance.STORED_BEFORE,
         reservation: Reservation | None = None,
+        excluded_by: RowId | None = None,
     ) -> tuple[Acceptance, str]:
         """Create a row unless it exists; return the outcome and the reason.
 
         After ``REFUSED`` the row does not exist and will not be created later, and
-        after ``IDENTIFIER_TAKEN`` only an earlier call may have created it.
+        after ``IDENTIFIER_TAKEN`` only an earlier call may have created it. After
+        ``EXCLUDED`` no call that names the same excluding row can create it, as long
+        as that row exists.
 
         :param judge: returns the outcome for a row that was stored before, by its value
         :param reservation: row that is created first, if it does not exist
+        :param excluded_by: row of the same part whose existence prevents the creation
         """
         deadline_s = boot_time_s() + timeout_s
         self._pending_rows[row] += 1
@@ -146,7 +154,9 @@
                     # Unless an earlier call has stored it, the job is not stored.
                     return reserved, reason
                 timeout_s = max(0.0, deadline_s - boot_time_s())
-            return await self._create(task_group, row, value, timeout_s, judge)
+            return await self._create(
+                task_group, row, value, timeout_s, judge, excluded_by
+            )
         finally:
             self._pending_rows[row] -= 1
             if not self._pending_rows[row]:
@@ -169,8 +179,10 @@
         value: bytes,
         timeout_s: float,
         judge: Callable[[bytes], Acceptance],
+        excluded_by: RowId | None = None,
     ) -> tuple[Acceptance, str]:
-        pending = _PendingRow(row, value, boot_time_s() + timeout_s, judge)
+        deadline_s = boot_time_s() + timeout_s
+        pending = _PendingRow(row, value, deadline_s, judge, excluded_by)
         self._waiting.setdefault(row.part, []).append(pending)
         if self._running_transactions.get(row.part, 0) < TRANSACTIONS_PER_QUEUE:
             self._running_transactions[row.part] = (
@@ -210,6 +222,8 @@
             for row, pending in rows.items():
                 if row in outcome.rows:
                     pending.finish(pending.judge(outcome.rows[row].value))
+                elif pending.excluded_by in outcome.rows:
+                    pending.finish(Acceptance.EXCLUDED)
                 else:
                     to_retry.append(pending)
         elif isinstance(outcome, Refused) and outcome.is_final and len(rows) > 1:
@@ -242,8 +256,9 @@
         number = next(self._call_numbers)
         self._open_calls[number] = boot_time_s()
         try:
+            absent = (row for p in rows.values() for row in p.absent_rows)
             return await self._store.transact(
-                dict.fromkeys(rows, ABSENT), {row: p.value for row, p in rows.items()}
+                dict.fromkeys(absent, ABSENT), {row: p.value for row, p in rows.items()}
             )
         finally:
             del self._open_calls[number]
@@ -252,12 +267,25 @@
 def _pop_batch(waiting: list[_PendingRow]) -> list[_PendingRow]:
     """Remove and return as many rows as one transaction may contain."""
     batch: list[_PendingRow] = []
-    size_bytes = 0
-    while waiting and len(batch) < JOB_ROWS_PER_TRANSACTION:
-        size_bytes += len(waiting[0].value) * 4 // 3 + ROW_OVERHEAD_BYTES
-        if batch and size_bytes > TRANSACTION_BYTES_LIMIT:
-            break
-        if batch and (batch[0].is_sent_alone or waiting[0].is_sent_alone):
+    written: set[RowId] = set()
+    absent: set[RowId] = set()
+    entries = size_bytes = 0
+    while waiting:
+        first = waiting[0]
+        # The preconditions and the write.
+        entries += len(first.absent_rows) + 1
+        size_bytes += len(first.value) * 4 // 3 + ROW_OVERHEAD_BYTES
+        if batch and (
+            entries > TRANSACTION_ENTRIES_LIMIT
+            or size_bytes > TRANSACTION_BYTES_LIMIT
+            or batch[0].is_sent_alone
+            or first.is_sent_alone
+            # One transaction would create both of two rows that exclude each other.
+            or (first.excluded_by in written)
+            or (first.row in absent - written)
+        ):
             break
+        written.add(first.row)
+        absent.update(first.absent_rows)
         batch.append(waiting.pop(0))
     return batch
--- a/src/chivetray/cells/job_answers.py
+++ b/src/chivetray/cells/job_answers.py
@@ -74,6 +74,12 @@
     return JobAnswer(ResultCode.JOB_ID_TAKEN, message, refusal=TAKEN_REFUSAL)
 
 
+def answer_cancelled_before() -> JobAnswer:
+    """Return the answer to a submission that was cancelled before it was stored."""
+    message = "the job was cancelled before it was stored; use a new identifier"
+    return JobAnswer(ResultCode.CANCELLED_BEFORE_STORED, message)
+
+
 def answer_hidden(job_id: str, organisation: str, during: str) -> JobAnswer:
     """Return the answer about a job of another organisation, as about an absent one."""
     log_event(Event.JOB_HIDDEN, job=job_id, organisation=organisation, during=during)
--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -21,6 +21,7 @@
     STORE_RETRY_AFTER_S,
     UNREADABLE_ROW,
     JobAnswer,
+    answer_cancelled_before,
     answer_hidden,
     answer_repeated,
     answer_taken,
@@ -32,7 +33,14 @@
 from chivetray.cells.peer_formats import PeerFormats
 from chivetray.cells.state import DEFAULT_ROW_BYTES
 from chivetray.cells.store_access import StoreAccess
-from chivetray.cells.tables import cancel_row, identifier_row, job_row
+from chivetray.cells.tables import (
+    CANCELLED,
+    TOMBSTONE,
+    cancel_row,
+    identifier_row,
+    job_row,
+    tombstone_row,
+)
 from chivetray.cells.waiting import WAIT_CHECK_INTERVAL_S, NoticeLog
 from chivetray.clocks import boot_time_s, wall_time_ms
 from chivetray.events import Event, log_event
@@ -224,6 +232,7 @@
             Reservation(
                 identifier_row(spec.cell, spec.job_id), spec.name.queue.encode()
             ),
+            tombstone_row(spec.queue, spec.job_id, spec.organisation),
         )
         if acceptance == Acceptance.IDENTIFIER_TAKEN:
             left_s = max(0.0, deadline_s - boot_time_s())
@@ -232,6 +241,8 @@
             return JobAnswer(ResultCode.OK)
         if acceptance == Acceptance.REFUSED:
             return JobAnswer(ResultCode.STORE_AWAY, reason, STORE_RETRY_AFTER_S)
+        if acceptance == Acceptance.EXCLUDED:
+            return answer_cancelled_before()
         return answer_repeated(acceptance, reason)
 
     # State
@@ -254,42 +265,79 @@
     async def cancel(
         self, queue: Queue, job_id: str, timeout_s: float, organisation: str = ""
     ) -> JobAnswer:
-        """Store the cancellation of a job.
+        """Store the cancellation of a job, also of one that is not stored.
 
         :param organisation: organisation of the caller, empty for none
         """
         row = job_row(queue.key, job_id)
         deadline_s = boot_time_s() + timeout_s
         while True:
-            reason = ""
             try:
                 found = await self._store.read_row(row)
                 if found is None:
-                    return JobAnswer(ResultCode.NO_JOB, "no such job")
-                stored = judge_stored(found.value, organisation)
-                if stored == Acceptance.STORED_BY_ANOTHER:
-                    return answer_hidden(job_id, organisation, "cancellation")
-                if stored == Acceptance.UNKNOWN:
-                    return JobAnswer(ResultCode.STATE_UNREADABLE, UNREADABLE_ROW)
-                marker_row = cancel_row(queue.key, job_id)
-                outcome = await self._store.transact(
-                    {marker_row: ABSENT}, {marker_row: b"1"}
-                )
-                if isinstance(outcome, Committed | Conflict):
-                    log_event(Event.JOB_CANCELLED, job=job_id, queue=queue.key)
-                    name = JobName.of(queue.key, job_id)
-                    self._cancellations_to_notify[name] = _cell_of(found, queue)
-                    self._notify_event.set()
-                    return JobAnswer(ResultCode.OK)
-                reason = outcome.reason
+                    result = await self._store_tombstone(
+                        row, queue, organisation, deadline_s
+                    )
+                else:
+                    result = await self._store_cancellation(found, queue, organisation)
             except StoreUnavailableError as error:
-                reason = str(error)
+                result = str(error)
+            if isinstance(result, JobAnswer):
+                return result
             if boot_time_s() + RETRY_PAUSE_S >= deadline_s:
                 return JobAnswer(
-                    ResultCode.STATE_UNREADABLE, reason, STORE_RETRY_AFTER_S
+                    ResultCode.STATE_UNREADABLE, result, STORE_RETRY_AFTER_S
                 )
             await anyio.sleep(RETRY_PAUSE_S)
 
+    async def _store_cancellation(
+        self, found: Row, queue: Queue, organisation: str
+    ) -> JobAnswer | str:
+        """Cancel a stored job; return the answer, or why to try again."""
+        job_id = found.id.key
+        stored = judge_stored(found.value, organisation)
+        if stored == Acceptance.STORED_BY_ANOTHER:
+            return answer_hidden(job_id, organisation, "cancellation")
+        if stored == Acceptance.UNKNOWN:
+            return JobAnswer(ResultCode.STATE_UNREADABLE, UNREADABLE_ROW)
+        marker_row = cancel_row(queue.key, job_id)
+        outcome = await self._store.transact(
+            {marker_row: ABSENT}, {marker_row: CANCELLED}
+        )
+        if not isinstance(outcome, Committed | Conflict):
+            return outcome.reason
+        log_event(Event.JOB_CANCELLED, job=job_id, queue=queue.key)
+        name = JobName.of(queue.key, job_id)
+        self._cancellations_to_notify[name] = _cell_of(found, queue)
+        self._notify_event.set()
+        return JobAnswer(ResultCode.OK)
+
+    async def _store_tombstone(
+        self, row: RowId, queue: Queue, organisation: str, deadline_s: float
+    ) -> JobAnswer | str:
+        """Prevent a job from being stored by a call that is still under way.
+
+        :param row: row of the job, which was not found
+        :return: the answer, or why to try again
+        """
+        if self._task_group is None:
+            message = "the process has just started"
+            return JobAnswer(ResultCode.STATE_UNREADABLE, message, 1.0)
+        acceptance, reason = await self.acceptor.create(
+            self._task_group,
+            tombstone_row(queue.key, row.key, organisation),
+            TOMBSTONE,
+            max(0.0, deadline_s - boot_time_s()),
+            _judge_mark,
+            excluded_by=row,
+        )
+        if acceptance == Acceptance.EXCLUDED:
+            return "the job has just been stored"
+        if acceptance in (Acceptance.STORED, Acceptance.STORED_BEFORE):
+            log_event(Event.JOB_TOMBSTONE_STORED, job=row.key, queue=queue.key)
+            return JobAnswer(ResultCode.NO_JOB, "no such job")
+        return JobAnswer(ResultCode.STATE_UNREADABLE, reason, STORE_RETRY_AFTER_S)
+
     # Pending jobs
 
     def count_pending(self, queue: Queue) -> JobAnswer:
@@ -487,6 +535,14 @@
     return list(batch.values())
 
 
+def _judge_mark(value: bytes) -> Acceptance:
+    """Return the outcome for a tombstone whose row exists with a content.
+
+    The mark of a job that was stored has the same row, so the job exists.
+    """
+    return Acceptance.STORED_BEFORE if value == TOMBSTONE else Acceptance.EXCLUDED
+
+
 def _cell_of(row: Row, queue: Queue) -> str:
     """Return the cell of a stored job; that of its queue if the row is damaged."""
     try:
--- a/src/chivetray/cells/tables.py
+++ b/src/chivetray/cells/tables.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import zlib
 from dataclasses import dataclass, field
 
@@ -18,6 +19,13 @@
 CANCEL_SUFFIX = ".cancel"
 PARTS_PER_QUEUE = 4
 
+# Contents of a mark whose job existed, and of one that was written instead of its job.
+CANCELLED = b"1"
+TOMBSTONE = b"0"
+
+# Length of the digest of an organisation in the key of a tombstone, in bytes.
+ORGANISATION_DIGEST_BYTES = 8
+
 # Which queue's job has an identifier in a cell. Workers know tasks by the identifier of
 # their job alone, so that no two jobs of a cell may have the same.
 IDENTIFIER_TABLE = "identifiers"
@@ -55,6 +63,26 @@
     return RowId(JOB_TABLE, _job_part(queue, job_id), job_id + CANCEL_SUFFIX)
 
 
+def tombstone_row(queue: str, job_id: str, organisation: str) -> RowId:
+    """Return the row whose existence prevents a cancelled job from being stored.
+
+    Each organisation has its own, so that none can block the jobs of another one.
+
+    :param organisation: organisation of the caller, empty for none
+    """
+    key = tombstone_name(JobName.of(queue, job_id), organisation).job_id
+    return RowId(JOB_TABLE, _job_part(queue, job_id), key + CANCEL_SUFFIX)
+
+
+def tombstone_name(name: JobName, organisation: str) -> JobName:
+    """Return the name that :func:`name_of_row` reads from a tombstone of a job."""
+    if not organisation:
+        return name
+    digest = hashlib.sha256(organisation.encode()).hexdigest()
+    job_id = f"{name.job_id}.{digest[: 2 * ORGANISATION_DIGEST_BYTES]}"
+    return JobName(name.queue, job_id)
+
+
 def identifier_row(cell: str, job_id: str) -> RowId:
     """Return the row that names the queue whose job has an identifier in a cell."""
     return RowId(IDENTIFIER_TABLE, _job_part(cell, job_id), job_id)
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -179,6 +179,10 @@
     )
     JOB_HOLD_ENDED = (1639, "The progress of a held job is stored; its tasks go on.")
     JOB_CANCELLED = (1643, "The cancellation of a job was stored.")
+    JOB_TOMBSTONE_STORED = (
+        1699,
+        "A job that is not stored was cancelled; it cannot be stored any more.",
+    )
     CALL_REFUSED = (1648, "A call presents no valid key of an organisation.")
     JOB_HIDDEN = (
         1649,
--- a/src/chivetray/results.py
+++ b/src/chivetray/results.py
@@ -79,6 +79,12 @@
         Ran.NO,
         "A newer configuration is known that this process does not have yet.",
     )
+    CANCELLED_BEFORE_STORED = (
+        132,
+        409,
+        Ran.NO,
+        "The job was cancelled before it was stored; its identifier stays unusable.",
+    )
     BODY_TOO_LARGE = (104, 413, Ran.NO, "The request body is larger than the limit.")
     BUFFERS_FULL = (105, 503, Ran.NO, "The memory for request bodies is in use.")
     QUEUE_FULL = (106, 503, Ran.NO, "The queue of the service is full.")
