End jobs that managers of the release before store beside a tombstone

What callers would see: while releases change, a manager of the release before carries a submission out that was cancelled with 410, and it runs.

Cause: it stores jobs without the condition on the tombstone, and owners of this release ignored tombstones of jobs that they did not know.

Evidence: by reading; the four tests that fail before play that write.

A scan shows a tombstone before a job that is stored later. Only tombstones are remembered, told from marks by their value, so that usual cancellations cost no memory.

Before: 4 of 7 tests of TestEarlierReleases failed on (without an organisation a load ended the job already). After: all pass.

--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -17,6 +17,7 @@
     CONCURRENT_READS,
     JobLoader,
     add_job_from_row,
+    apply_mark,
 )
 from chivetray.cells.owner import RENEWAL_INTERVAL_S, CellOwner
 from chivetray.cells.ranking import Candidate, rank_candidates
@@ -28,7 +29,6 @@
     JOB_TABLE,
     Ownership,
     lease_row,
-    name_of_row,
     owner_row,
     renewal_row,
 )
@@ -766,7 +766,7 @@
                 if row.removed:
                     continue
                 if row.id.key.endswith(CANCEL_SUFFIX):
-                    cell_owner.cancel(name_of_row(row.id))
+                    apply_mark(row, cell_owner.cancel, cell_owner.state)
                 else:
                     cell = add_job_from_row(cell_owner.state, row, {}, now_s)
                     if cell:
--- a/src/chivetray/cells/loading.py
+++ b/src/chivetray/cells/loading.py
@@ -18,6 +18,7 @@
     CANCEL_SUFFIX,
     JOB_TABLE,
     PROGRESS_TABLE,
+    TOMBSTONE,
     name_of_row,
     parse_progress_key,
     queue_of_part,
@@ -25,6 +26,7 @@
 from chivetray.clocks import boot_time_s, wall_time_ms
 from chivetray.events import Event, log_event
 from chivetray.jobs.job import decode_spec, job_age_s
+from chivetray.jobs.model import JobName
 from chivetray.jobs.progress import MAIN_ROW, has_ended
 from chivetray.platform.store import Row, Store, StoreUnavailableError
 
@@ -156,7 +158,7 @@
                 self._note_job(cell, row.version)
         for row in rows:
             if row.id.key.endswith(CANCEL_SUFFIX):
-                state.cancel(name_of_row(row.id))
+                apply_mark(row, state.cancel, state)
 
     async def _list_parts(self, cell: str) -> list[str]:
         retry = _Retry(cell, self._is_wanted)
@@ -242,6 +244,18 @@
         )
 
 
+def apply_mark(row: Row, cancel: Callable[[JobName], bool], state: CellState) -> None:
+    """Cancel the job of a cancellation mark or tombstone.
+
+    :param cancel: cancels a job of the cell
+    """
+    name = name_of_row(row.id)
+    if row.value == TOMBSTONE:
+        state.apply_tombstone(name)
+    else:
+        cancel(name)
+
+
 def add_job_from_row(
     state: CellState,
     row: Row,
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -29,7 +29,7 @@
     Ticket,
 )
 from chivetray.cells.places import log_place_freed
-from chivetray.cells.tables import EPOCH_STEP
+from chivetray.cells.tables import EPOCH_STEP, tombstone_name
 from chivetray.cells.timing import (
     LEASE_EXTENSION_WINDOW_S,
     LEASE_S,
@@ -213,8 +213,8 @@
             is_arrival = is_new and not job.long_running and not spec.repeats
             if is_arrival and may_use_more(self, spec):
                 self.arrivals.record(now_s, work_core_s(spec, self.times))
-            if is_new and spec.name in self._early_cancellations:
-                self.cancel(spec.name)
+            if is_new:
+                self._cancel_early(spec)
         return job
 
     def _add_namesake(self, spec: JobSpec, now_s: float, known: Job) -> Job:
@@ -230,8 +230,7 @@
                 running_queue=known.spec.queue,
                 epoch=self.epoch,
             )
-            if spec.name in self._early_cancellations:
-                self.cancel(spec.name)
+            self._cancel_early(spec)
         return namesake
 
     def find_job(self, name: JobName) -> Job | None:
@@ -325,6 +324,27 @@
             del self._early_cancellations[next(iter(self._early_cancellations))]
         self._early_cancellations[name] = None
 
+    def apply_tombstone(self, name: JobName) -> None:
+        """Cancel a job beside which there is a tombstone, now or once it is added.
+
+        Managers of earlier releases store such jobs.
+
+        :param name: name that the tombstone tells, see ``tables.tombstone_name``
+        """
+        job = self.find_job(JobName(name.queue, name.job_id.partition(".")[0]))
+        if job is None:
+            self.remember_cancellation(name)
+        elif tombstone_name(job.spec.name, job.spec.organisation) == name:
+            self.cancel(job.spec.name)
+
+    def _cancel_early(self, spec: JobSpec) -> None:
+        """Cancel a job that has been added if its cancellation is remembered."""
+        if not self._early_cancellations:
+            return
+        names = (spec.name, tombstone_name(spec.name, spec.organisation))
+        if any(name in self._early_cancellations for name in names):
+            self.cancel(spec.name)
+
     def end_job(self, job: Job, state: JobState) -> None:
         """Set the final state of a job and stop its tasks and their copies."""
         job.state = state
--- a/tests/test_tombstones.py
+++ b/tests/test_tombstones.py
@@ -23,11 +23,13 @@
 from chivetray.cells.loading import JobLoader
 from chivetray.cells.state import CellState
 from chivetray.cells.tables import job_row, tombstone_row
+from chivetray.jobs.job import encode_spec
 from chivetray.jobs.model import JobState
 from chivetray.platform.calls import Answer, NoAnswer, Outcome
 from chivetray.platform.standins.store import StoreState
 from chivetray.platform.store import RowId
 from chivetray.platform.stored_records import Queue
+from chivetray.platform.submissions import decode_submission
 from chivetray.results import ResultCode
 
 JOB = "00000000000000aa"
@@ -367,3 +369,48 @@
     async def cancel(self, managers: Managers, manager: int, told: Promises) -> None:
         told.cancel_sent = True
         told.cancelled |= (await managers.cancel(manager)).code in DONE
+
+
+class TestEarlierReleases:
+    """Managers of the release before store a job beside its tombstone."""
+
+    async def store_as_before(self, managers: Managers, organisation: str) -> None:
+        spec = decode_submission(JOB, QUEUE, BODY, 0, organisation)
+        row = job_row(QUEUE.key, JOB)
+        async with anyio.create_task_group() as tasks:
+            acceptor = JobAcceptor(managers.stores[0])
+            await acceptor.create(tasks, row, encode_spec(spec), TIMEOUT_S)
+
+    @pytest.mark.parametrize("organisation", ["", "a"])
+    @pytest.mark.parametrize("learns_by", ["load", "scan", "both rows in one scan"])
+    def test_the_owner_does_not_run_it(self, organisation: str, learns_by: str) -> None:
+        async def scenario(managers: Managers) -> None:
+            directory, state = managers.directories[1], CellState(CELL)
+            owner: Any = SimpleNamespace(
+                state=state,
+                wake=lambda: None,
+                cancel=state.cancel,
+                cancellations=SimpleNamespace(record_scan=lambda _: None),
+            )
+            if learns_by != "load":
+                directory.owned_cells[CELL] = owner
+            answer = await managers.cancel(1, organisation)
+            assert answer.code == ResultCode.NO_JOB
+            if learns_by == "scan":
+                await directory.scan()
+            await self.store_as_before(managers, organisation)
+            if learns_by == "load":
+                state = await managers.load()
+            else:
+                await directory.scan()
+            assert state.jobs[JOB].state == JobState.CANCELLED
+
+        play(scenario)
+
+    def test_a_tombstone_of_another_organisation_cancels_nothing(self) -> None:
+        async def scenario(managers: Managers) -> None:
+            assert (await managers.cancel(1, "b")).code == ResultCode.NO_JOB
+            await self.store_as_before(managers, "a")
+            assert await managers.would_run()
+
+        play(scenario)
