Count waiting jobs only while each cell that may hold some tells a count

What callers saw: a queue had moved to another service while 19 of its jobs waited in the earlier one's cell.

Cause: the count was the sum over the claims that happened to be known, and only the cell of the present service had to have a loaded owner. A cell without an owner, or one that had not read the jobs of queues of other services yet, counted as empty; a manager that joins had never heard of it.

Each manager now keeps the last count of each cell with its age and epoch, adds up those of at most 1.5 s (a count may be 2 s old), and answers 503 if a cell without one may hold jobs of the queue: by its last count, by a recent move of the queue, or because nothing was ever heard of it. Nothing starts in a cell without an owner, so its last count stays right meanwhile. Claims tell by an empty queue name that jobs of other services' queues are unread; earlier releases do not look it up. The register checks at its first list which cells have ended, so that they refuse no counts.

test_cell_register.py: a register that is followed now finds the stored end itself; the test asserts both that and the explicit look-up, and the names before and after. test_job_service.py tells claims as heartbeats do.

--- a/src/chivetray/cells/cell_register.py
+++ b/src/chivetray/cells/cell_register.py
@@ -13,7 +13,7 @@
 import anyio
 import msgpack
 
-from chivetray.cells.tables import CELL_TABLE, ended_row
+from chivetray.cells.tables import CELL_TABLE, ended_row, owner_row
 from chivetray.events import Event, log_event
 from chivetray.platform.store import Row, Store, StoreUnavailableError
 
@@ -34,6 +34,7 @@
     :param wanted: returns the cells whose owner has to be notified of a job
     :param count_peers: returns the number of peers
     :param ignored: parts of the table of cells that are no cells of workers
+    :ivar is_complete: whether the cells in the store have been listed
     """
 
     def __init__(
@@ -51,7 +52,9 @@
         self._wanted = wanted
         self._count_peers = count_peers
         self._ignored = frozenset(ignored)
+        self.is_complete = False
         self._found: set[str] = set()
+        self._checked: set[str] = set()
         self._logged: set[str] = set()
         self._ended_versions: dict[str, int] = {}
         self._job_versions: dict[str, int] = {}
@@ -131,15 +134,33 @@
         while True:
             try:
                 parts = await self._store.parts(CELL_TABLE)
+                for cell in parts:
+                    await self._check(cell)
             except StoreUnavailableError as error:
                 log_event(Event.STORE_LOST, reason=str(error), during="cells")
                 await anyio.sleep(LIST_RETRY_S)
                 continue
             for cell in parts:
                 self._add(cell)
+            if self._services() is None:
+                # Without a configuration it is not known which cells may have ended.
+                await anyio.sleep(LIST_RETRY_S)
+                continue
+            self.is_complete = True
             managers = self._count_peers() + 1
             await anyio.sleep(max(LIST_INTERVAL_S, managers / LISTS_PER_SECOND))
 
+    async def _check(self, cell: str) -> None:
+        """Find out once whether a cell without a route had ended before the start.
+
+        :raises StoreUnavailableError: when the store gives no usable answer
+        """
+        if cell in self._checked or not self.may_end(cell):
+            return
+        guard = await self._store.read_row(owner_row(cell))
+        await self.find_end(cell, guard)
+        self._checked.add(cell)
+
 
 def encode_end(scanned_version: int) -> bytes:
     """Return the content of the row that tells the end of a cell.
--- a/src/chivetray/cells/directory.py
+++ b/src/chivetray/cells/directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -20,6 +20,7 @@
     apply_mark,
 )
 from chivetray.cells.owner import RENEWAL_INTERVAL_S, CellOwner
+from chivetray.cells.pending_counts import UNREAD_QUEUES
 from chivetray.cells.ranking import Candidate, rank_candidates
 from chivetray.cells.state import DEFAULT_ROW_BYTES, CellState
 from chivetray.cells.tables import (
@@ -211,7 +212,7 @@
             CellClaim(
                 cell,
                 owner.epoch,
-                owner.state.count_queued_jobs(),
+                _count_pending(owner.state),
                 loaded,
                 self._describe_backlog(owner.state) if loaded else [],
             )
@@ -222,6 +223,12 @@
             for cell, owner in owners.items()
         ]
 
+    def job_cells(self) -> Collection[str] | None:
+        """Return the cells that may hold jobs, ``None`` if not all are known."""
+        if self.register is None:
+            return list(self._cells())
+        return self.register.names() if self.register.is_complete else None
+
     def _describe_backlog(self, state: CellState) -> list[int]:
         if not self.tells_backlog:
             return []
@@ -794,6 +801,12 @@
             self.scanned_version = min(versions)
 
 
+def _count_pending(state: CellState) -> dict[str, int]:
+    """Return the number of jobs in each queue of which no task has started."""
+    counts = state.count_queued_jobs()
+    return {**counts, UNREAD_QUEUES: 1} if state.has_unread_parts else counts
+
+
 def _inherit_lease_limit_s(row: Row | None, current: Ownership | None) -> float:
     """Return the lease limit that a new owner has to tell the one after it.
 
--- a/src/chivetray/cells/job_service.py
+++ b/src/chivetray/cells/job_service.py
@@ -12,7 +12,6 @@
 
 from chivetray.cells.acceptance import Acceptance, JobAcceptor, Reservation
 from chivetray.cells.cancel_notices import choose_names, decode_notice, encode_notice
-from chivetray.cells.claims import newest_claims
 from chivetray.cells.configuration import Configuration
 from chivetray.cells.directory import CellDirectory
 from chivetray.cells.job_answers import (
@@ -31,6 +30,7 @@
 from chivetray.cells.job_states import JobStates
 from chivetray.cells.late_jobs import LateJobGate
 from chivetray.cells.peer_formats import PeerFormats
+from chivetray.cells.pending_counts import CountUnknownError, PendingCounts
 from chivetray.cells.state import DEFAULT_ROW_BYTES
 from chivetray.cells.store_access import StoreAccess
 from chivetray.cells.tables import (
@@ -73,6 +73,9 @@
 # one owned the cell already. Claims come with the first heartbeat of a new stream.
 OWNER_CHANGE_S = 3.0
 
+# Delay after which a caller may ask again for a count that no owner tells.
+COUNT_RETRY_AFTER_S = 1.0
+
 SUBMIT_CALL = "submitted"
 CANCEL_CALL = "cancelled"
 
@@ -94,6 +97,7 @@
     """Accepts and cancels jobs and reports their state for callers of this process.
 
     :ivar row_limit_bytes: largest row that the store accepts
+    :ivar pending_counts: number of jobs that wait, as the owners of cells tell it
     :ivar late_jobs: refuses jobs that would end too late, ``None`` if none is refused
     """
 
@@ -116,6 +120,9 @@
         self._notify_event = anyio.Event()
         self.acceptor = JobAcceptor(store)
         self._formats = PeerFormats(mesh)
+        self.pending_counts = PendingCounts(
+            lambda: directory.claims(), lambda: directory.job_cells()
+        )
         self._task_group: TaskGroup | None = None
         self.late_jobs: LateJobGate | None = None
         mesh.handlers[SUBMIT_CALL] = self._handle_submitted
@@ -342,16 +349,17 @@
 
     def count_pending(self, queue: Queue) -> JobAnswer:
         """Count the jobs of a queue of which no task has started."""
-        newest = newest_claims(self._directory.claims(), self._mesh.peers.values())
-        if queue.service not in newest or not newest[queue.service].claim.loaded:
-            message = "the queue's cell has no owner at the moment"
-            return JobAnswer(ResultCode.STATE_UNREADABLE, message, 1.0)
+        try:
+            stored = self.pending_counts.count(queue)
+        except CountUnknownError as error:
+            log_event(Event.COUNT_UNKNOWN, queue=queue.key, reason=str(error))
+            return JobAnswer(
+                ResultCode.STATE_UNREADABLE, str(error), COUNT_RETRY_AFTER_S
+            )
         not_notified = (
             spec.queue == queue.key for spec in self._jobs_to_notify.values()
         )
-        stored = sum(n.claim.pending.get(queue.key, 0) for n in newest.values())
-        count = stored + sum(not_notified)
-        return JobAnswer(ResultCode.OK, pending=count)
+        return JobAnswer(ResultCode.OK, pending=stored + sum(not_notified))
 
     # Notifications of owners
 
--- a/src/chivetray/cells/loading.py
+++ b/src/chivetray/cells/loading.py
@@ -110,6 +110,7 @@
             await self._load_parts(state, others, progress, guard_version)
             others = []
         self._other_parts[state.name] = _OtherParts(others, progress)
+        state.has_unread_parts = bool(others)
         return first_version
 
     async def load_other_parts(self, state: CellState, guard_version: int) -> bool:
@@ -121,6 +122,7 @@
         count = len(state.jobs)
         for part in others.parts:
             await self._load_parts(state, [part], others.progress, guard_version)
+        state.has_unread_parts = False
         return len(state.jobs) > count
 
     def _is_own(self, part: str, cell: str) -> bool:
--- a/src/chivetray/cells/state.py
+++ b/src/chivetray/cells/state.py
@@ -125,6 +125,8 @@
     :ivar arriving_vms: number of VMs on their way to the cell, as the holder of VM
         orders has told, and the time at which it did
     :ivar backlog_meter: digest of the work that waits
+    :ivar has_unread_parts: whether jobs of queues that other services run now may be
+        stored and not known yet
     :ivar row_limit_bytes: largest row that the store accepts
     :ivar held_job_ids: jobs whose progress the store refuses; nothing of them starts
     :ivar highest_token_raise: highest ``token_raises`` of any worker so far; a worker
@@ -170,6 +172,7 @@
         self.backlog_meter = BacklogMeter()
         self.predicted_s: dict[str, float] = {}
         self._progress_rows: dict[str, ProgressRows] = {}
+        self.has_unread_parts = False
         self.row_limit_bytes = DEFAULT_ROW_BYTES
         self.held_job_ids: set[str] = set()
         self._early_cancellations: dict[JobName, None] = {}
--- a/src/chivetray/events.py
+++ b/src/chivetray/events.py
@@ -179,6 +179,10 @@
     )
     JOB_HOLD_ENDED = (1639, "The progress of a held job is stored; its tasks go on.")
     JOB_CANCELLED = (1643, "The cancellation of a job was stored.")
+    COUNT_UNKNOWN = (
+        1700,
+        "The number of waiting jobs of a queue is not known at the moment.",
+    )
     JOB_TOMBSTONE_STORED = (
         1699,
         "A job that is not stored was cancelled; it cannot be stored any more.",
@@ -366,6 +370,7 @@
         Event.CLIENT_CLOSED,
         Event.COMMIT_FAILED,
         Event.CONFIG_SILENT,
+        Event.COUNT_UNKNOWN,
         Event.CONFIG_TRANSFER,
         Event.JOB_HIDDEN,
         Event.LOOP_FAILED,
--- a/src/chivetray/manager.py
+++ b/src/chivetray/manager.py
@@ -162,6 +162,7 @@
             self._mesh, self._store, self._directory, self._configuration
         )
         self._job_service.row_limit_bytes = row_limit_bytes
+        self._mesh.on_claims = self._job_service.pending_counts.note_claims
         self._directory.weight_of = self._configuration.weight_of
         self._late_jobs: LateJobGate | None = None
         if settings.refuse_late_jobs or expect_shortage(settings.terms):
@@ -367,6 +368,9 @@
                 yield claim.cell
 
     def _on_config_change(self) -> None:
+        config = self._configuration.current
+        if config is not None:
+            self._job_service.pending_counts.note_services(config.queues)
         self._mesh.request_announcement()
         self._directory.wake()
 
--- a/src/chivetray/peers/mesh.py
+++ b/src/chivetray/peers/mesh.py
@@ -146,6 +146,7 @@
         configuration version, leaving flag or store access it reports have changed
     :ivar last_loss_at_s: time at which a peer was last lost
     :ivar pool: all streams, and the limits on them
+    :ivar on_claims: called with the claims of each heartbeat
     """
 
     def __init__(
@@ -165,6 +166,7 @@
         self.handlers: dict[str, CallHandler] = {}
         self.last_loss_at_s = -math.inf
         self.pool = ConnectionPool()
+        self.on_claims: Callable[[list[CellClaim]], None] = lambda _claims: None
         self._make_heartbeat = make_heartbeat
         self._on_change = on_change
         self._known: dict[str, str] = {}
@@ -375,6 +377,7 @@
     def _handle_message(self, peer: Peer, message: PeerMessage) -> None:
         if isinstance(message, NodeHeartbeat):
             previous, peer.heartbeat_at_s = peer.heartbeat, boot_time_s()
+            self.on_claims(message.claims)
             if message is previous:
                 return
             peer.heartbeat = message
--- a/tests/run_once_helpers.py
+++ b/tests/run_once_helpers.py
@@ -624,6 +624,7 @@
         self.name, self.incarnation = manager.name, manager.incarnation
         self.peers: dict[str, SimulatedPeer] = {}
         self.handlers: dict[str, Callable[[str, Any], Awaitable[Any]]] = {}
+        self.on_claims: Callable[[list[CellClaim]], None] = lambda _claims: None
         self._manager = manager
         self._requested = anyio.Event()
 
@@ -664,6 +665,7 @@
         self, name: str, content: tuple[str, bool, bool], claims: list[CellClaim]
     ) -> None:
         incarnation, leaving, reached = content
+        self.on_claims(claims)
         self.peers[name] = SimulatedPeer(
             name, incarnation, boot_time_s(), leaving, reached, claims
         )
--- a/tests/test_cell_register.py
+++ b/tests/test_cell_register.py
@@ -222,11 +222,14 @@
             world = World(workers=0)
             world.store = ListedStore(world.state)
             assert await self._end(world, await world.own())
-            later = make_register(world.store)
-            await follow(later)
+            later = make_register(world.store, claimed=[CELL])
             assert later.names() == [CELL, OTHER]
             guard = await world.store.read_row(owner_row(CELL))
             assert await later.find_end(CELL, guard)
+            later = make_register(world.store)
+            assert not later.is_complete
+            await follow(later)
+            assert later.is_complete
             assert later.names() == [OTHER]
             # A route that names the service again brings the cell back.
             again = make_register(world.store, services=frozenset({CELL}))
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -57,7 +57,10 @@
     mesh = SimpleNamespace(name="m1", handlers={}, peers=peers)
     directory = CellDirectory(mesh, store, None, list, list, 1000)  # type: ignore
     directory.owned_cells = {cell.state.name: cell for cell in owned}
-    return JobService(mesh, store, directory, None)  # type: ignore[arg-type]
+    service = JobService(mesh, store, directory, None)  # type: ignore[arg-type]
+    for claim in claims:
+        service.pending_counts.note_claims([claim])
+    return service
 
 
 def make_queue() -> Queue:
