Soak: a client cancels submissions without waiting for their answers

It repeats the cancellation at any manager until one answers. What was answered 410 may not have run at the end; what was answered 200 has ended. The faults were there before: lost answers that are carried out late, kills, pauses and changes of routes.

--- a/tests/job_soak.py
+++ b/tests/job_soak.py
@@ -29,6 +29,10 @@
 SERVICES = (TRY_SERVICE, "other")
 PREFIXES = ("/a/", "/b/")
 CLIENTS = 4
+
+# For how long a client waits for the answer to a submission that it cancels then.
+PATIENCE_S = (0.02, 0.3, 1.0, 3.0)
+
 SETTLE_LIMIT_S = 60.0
 
 # Tasks of a job: its progress has one row, or several.
@@ -86,6 +90,8 @@
     problems: list[str] = field(default_factory=list)
     requests: int = 0
     cuts: list[tuple[str, float, float]] = field(default_factory=list)
+    cancelled: dict[str, str] = field(default_factory=dict)
+    absent: set[str] = field(default_factory=set)
 
 
 def _more_routes(rng: random.Random, count: int) -> list[dict[str, Any]]:
@@ -157,6 +163,7 @@
             threading.Thread(target=self._submit_jobs, args=(n,))
             for n in range(CLIENTS)
         ]
+        clients.append(threading.Thread(target=self._give_up_jobs))
         for client in clients:
             client.start()
         self._disturb(duration_s)
@@ -167,6 +174,7 @@
         self._check_jobs()
         self._check_versions()
         self._check_runs()
+        self._check_cancelled()
         return self.outcome
 
     # Clients
@@ -223,8 +231,39 @@
             time.sleep(0.1)
         return False
 
+    def _give_up_jobs(self) -> None:
+        """Cancel jobs whose submission is hardly waited for, at any manager."""
+        rng = random.Random(f"{self.outcome.seed}/give up")
+        for number in itertools.count():
+            job_id = f"{self.outcome.seed:04x}ffff{number:08x}"
+            path = rng.choice(PREFIXES) + job_id
+            body = job_body(rng.randint(1, 3), 0.2, Cpu=500)
+            patience_s = rng.choice(PATIENCE_S)
+            self._call(
+                {}, rng.choice(self.fleet.managers), "POST", path, body, patience_s
+            )
+            status = 0
+            while status not in (200, 410):
+                if self._stop.is_set():
+                    return
+                time.sleep(0.05)
+                status, _ = self._call(
+                    {}, rng.choice(self.fleet.managers), "DELETE", path
+                )
+            if status == 410:
+                self.outcome.absent.add(job_id)
+            else:
+                self.outcome.cancelled[job_id] = path
+            time.sleep(rng.uniform(0.05, 0.4))
+
     def _call(
-        self, connections: Any, manager: str, method: str, path: str, body: Any = None
+        self,
+        connections: Any,
+        manager: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        timeout_s: float = 5.0,
     ) -> tuple[int, bytes]:
         """Make a request on the client's connection to a manager; 0 for no answer."""
         connection = connections.get(manager)
@@ -234,7 +273,9 @@
         try:
             if connection is None:
                 address = self.fleet.manager_address(manager)
-                connection = http.client.HTTPConnection(address, CALLERS_PORT, 5)
+                connection = http.client.HTTPConnection(
+                    address, CALLERS_PORT, timeout=timeout_s
+                )
                 connection.connect()
                 connections[manager] = connection
             content = None if body is None else json.dumps(body)
@@ -565,6 +606,21 @@
             if len(done[job_id]) != count:
                 self._report(f"{job_id}: {len(done[job_id])} of {count} tasks are done")
 
+    def _check_cancelled(self) -> None:
+        """What was cancelled has ended, and never runs if it was said not to exist."""
+        started = {
+            task.split(".")[0]
+            for name in self.fleet.workers
+            for _, kind, task, _ in self.fleet.history(name)
+            if kind == "start"
+        }
+        for job_id in sorted(self.outcome.absent & started):
+            self._report(f"{job_id} ran, and its cancellation was answered 410")
+        for path in self.outcome.cancelled.values():
+            found = wait_for(lambda p=path: self._get("m0", p)[1])
+            if b"cancelled" not in found and b"completed" not in found:
+                self._report(f"{path} was cancelled: {found!r}")
+
     def _check_limits(self, worker: str, history: History) -> None:
         """Compare each start with the others of its step that run on the worker."""
         running: dict[str, int] = {}
--- a/tests/test_job_soak.py
+++ b/tests/test_job_soak.py
@@ -30,6 +30,7 @@
         finally:
             fleet.close()
         print(f"seed {seed}: {len(outcome.accepted)} jobs, {outcome.requests} requests")
+        print(f"{len(outcome.cancelled)} cancelled, {len(outcome.absent)} not stored")
         print("\n".join(outcome.faults))
         assert outcome.problems == [], outcome.faults
         assert len(outcome.accepted) > 10
--- a/tests/test_tombstones.py
+++ b/tests/test_tombstones.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from types import SimpleNamespace
 from typing import Any
 
@@ -90,9 +90,11 @@
             self.directories.append(directory)
             self.services.append(JobService(mesh, store, directory, None))  # type: ignore[arg-type]
 
-    async def submit(self, manager: int, organisation: str = "") -> JobAnswer:
+    async def submit(
+        self, manager: int, organisation: str = "", queue: Queue = QUEUE
+    ) -> JobAnswer:
         service = self.services[manager]
-        return await service.submit(QUEUE, JOB, BODY, TIMEOUT_S, organisation)
+        return await service.submit(queue, JOB, BODY, TIMEOUT_S, organisation)
 
     async def cancel(self, manager: int, organisation: str = "") -> JobAnswer:
         service = self.services[manager]
@@ -205,6 +207,37 @@
     return answer
 
 
+class TestIdentifierOfAnotherQueue:
+    """A submission was refused for good by one read, and a late call stored it."""
+
+    def test_no_earlier_call_stores_the_job_after_the_refusal(self) -> None:
+        async def scenario(managers: Managers) -> None:
+            await submit_with_lost_row(managers)
+            # The queue moves to a service where another queue has the identifier.
+            other = replace(QUEUE, key="host/other/", service="pool-b")
+            answer = await managers.submit(1, queue=other)
+            assert answer.code == ResultCode.OK
+            moved = replace(QUEUE, service="pool-b")
+            answer = await managers.submit(1, queue=moved)
+            assert answer.code == ResultCode.JOB_ID_TAKEN
+            managers.carry_out_all()
+            assert not await managers.would_run()
+
+        play(scenario)
+
+    def test_a_job_that_is_stored_after_all_is_not_refused(self) -> None:
+        async def scenario(managers: Managers) -> None:
+            await submit_with_lost_row(managers)
+            other = replace(QUEUE, key="host/other/", service="pool-b")
+            await managers.submit(1, queue=other)
+            managers.carry_out_all()
+            answer = await managers.submit(1, queue=replace(QUEUE, service="pool-b"))
+            assert answer.code == ResultCode.OK
+            assert await managers.would_run()
+
+        play(scenario)
+
+
 class TestOrganisations:
     """A cancellation by one organisation must not block the jobs of another one."""
 
