Random changes of owners, routes and managers against counts of waiting jobs

Kills, pauses, cut managers, releases, moves of the queue and managers that join, in series and at once, in virtual time; no manager that was calm for 3 s may tell fewer jobs than those that were stored 5 s before and wait.

--- a/tests/test_pending_counts.py
+++ b/tests/test_pending_counts.py
@@ -4,7 +4,12 @@
 
 import asyncio
 import base64
+import os
+import random
+from collections import Counter
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from functools import partial
 from typing import Any
 
 import pytest
@@ -30,6 +35,14 @@
 THIRD = "pool-c"
 KEY = "host/queue/"
 
+# Time after which stored jobs have to be counted, and after a disturbance of a manager
+# in which it need not count them.
+VISIBLE_S = 5.0
+CONTACT_S = 3.0
+
+# Seeds of a run by hand, such as CHIVETRAY_SEEDS=1-50.
+FIRST, _, LAST = os.environ.get("CHIVETRAY_SEEDS", "1-6").partition("-")
+
 
 def queue(service: str, key: str = KEY) -> Queue:
     return Queue(key, "q", "host", "/queue/", service)
@@ -212,6 +225,8 @@
     def __init__(self, loop: VirtualLoop, seed: int, kinds: tuple[str, ...] = ()):
         super().__init__(loop, seed, kinds)
         self.services: dict[str, JobService] = {}
+        self.submitted_at_s: dict[str, float] = {}
+        self.disturbed_until_s: dict[str, float] = {}
 
     def service_of(self, queue: str) -> str | None:
         return self.service
@@ -226,14 +241,15 @@
         service.pending_counts.note_services([queue(self.service)])
         self.services[manager.name] = service
 
-    def submit_all(self) -> None:
-        """Store jobs of which each task takes a whole worker."""
-        for number in range(self.jobs):
-            spec = job(f"{number:016x}", steps=(Step(2, 4000),))
-            self.ledger.add_job(spec)
-            row = job_row(spec.queue, spec.job_id)
-            value = base64.b64encode(encode_spec(spec)).decode()
-            self.state.put(row.table, row.part, row.key, value)
+    def submit(self, number: int) -> None:
+        """Store a job of which each task takes a whole worker."""
+        spec = job(f"{number:016x}", steps=(Step(2, 4000),))
+        spec = replace(spec, cell=self.service)
+        self.ledger.add_job(spec)
+        row = job_row(spec.queue, spec.job_id)
+        value = base64.b64encode(encode_spec(spec)).decode()
+        self.state.put(row.table, row.part, row.key, value)
+        self.submitted_at_s[spec.job_id] = self.now_s()
 
     def move_queue(self, service: str) -> None:
         self.service = service
@@ -241,8 +257,19 @@
             found.pending_counts.note_services([queue(service)])
 
     def count_waiting(self) -> int:
+        """Return the number of jobs that were stored some time ago and wait."""
         tasks = [task for w in self.workers.values() for task, _ in w.starts]
-        return self.jobs - len({task.split(".")[0] for task in tasks})
+        begun = {task.split(".")[0] for task in tasks}
+        before_s = self.now_s() - VISIBLE_S
+        stored = [j for j, at_s in self.submitted_at_s.items() if at_s < before_s]
+        return len(set(stored) - begun)
+
+    def disturb(self, name: str, for_s: float) -> None:
+        """Take note of a disturbance of a manager, which begins now."""
+        until_s = self.now_s() + for_s + CONTACT_S
+        self.disturbed_until_s[name] = max(
+            until_s, self.disturbed_until_s.get(name, 0.0)
+        )
 
     def owner_of(self, cell: str) -> Manager:
         return next(
@@ -253,18 +280,19 @@
 
     async def check(self, for_s: float) -> float:
         """Compare the counts of all managers; return for how long one had none."""
-        unknown = dict.fromkeys(self.services, 0)
+        unknown: Counter[str] = Counter()
         for _ in range(int(for_s / 0.05)):
             for name, service in self.services.items():
                 process = self.managers[name].process
-                if process.dead or process.frozen:
+                is_calm = self.disturbed_until_s.get(name, 0.0) < self.now_s()
+                if process.dead or process.frozen or not is_calm:
                     continue
                 answer = service.count_pending(queue(self.service))
                 unknown[name] += answer.pending is None
                 if answer.pending is not None:
                     assert answer.pending >= self.count_waiting(), name
             await asyncio.sleep(0.05)
-        return 0.05 * max(unknown.values())
+        return 0.05 * max(unknown.values(), default=0)
 
 
 def run_fleet(scenario: Callable[[MovedQueueWorld], Awaitable[None]]) -> None:
@@ -274,8 +302,9 @@
         for manager in world.managers.values():
             world.watch(manager)
         await asyncio.sleep(3.0)
-        world.submit_all()
-        await asyncio.sleep(5.0)
+        for number in range(world.jobs):
+            world.submit(number)
+        await asyncio.sleep(VISIBLE_S + 1.0)
         assert 0 < world.count_waiting() < world.jobs
         await scenario(world)
         assert not loop.failures
@@ -334,3 +363,59 @@
             assert await world.check(1.0) == 0
 
         run_fleet(scenario)
+
+
+class TestRandomChanges:
+    """Owners, routes and managers change in series and at once."""
+
+    CHANGES = ("kill", "freeze", "isolate", "release", "move", "submit", "join")
+    SERVICES = (CELL, OTHER, THIRD)
+
+    @pytest.mark.parametrize("seed", range(int(FIRST), int(LAST or FIRST) + 1))
+    def test_no_count_is_too_low(self, seed: int) -> None:
+        async def scenario(world: MovedQueueWorld) -> None:
+            rng = random.Random(seed)
+            world.cells = self.SERVICES
+            checking = asyncio.ensure_future(world.check(60.0))
+            for number in range(40):
+                self.change(world, rng, number)
+                await asyncio.sleep(rng.choice([0.1, 0.5, 1.0, 3.0]))
+            await checking
+            world.isolated.clear()
+            await asyncio.sleep(10.0)
+            assert await world.check(1.0) == 0
+
+        run_fleet(scenario)
+
+    def change(self, world: MovedQueueWorld, rng: random.Random, number: int) -> None:
+        kind = rng.choice(self.CHANGES)
+        manager = world.managers[rng.choice(sorted(world.managers))]
+        name = manager.name
+        calm_s = rng.uniform(0.5, 6.0)
+        if kind == "kill" or (kind == "release" and not manager.process.frozen):
+            if kind == "release":
+                manager.release_cells()
+            else:
+                manager.process.kill()
+            world.disturb(name, calm_s)
+            world.later(calm_s, partial(self.restart, world, name))
+        elif kind == "freeze":
+            manager.process.freeze()
+            world.disturb(name, calm_s)
+            world.later(calm_s, manager.process.thaw)
+        elif kind == "isolate":
+            world.isolated.add(name)
+            world.disturb(name, calm_s)
+            world.later(calm_s, partial(world.isolated.discard, name))
+        elif kind == "move":
+            world.move_queue(rng.choice(self.SERVICES))
+        elif kind == "join" and len(world.managers) < 6:
+            world.watch(world.add_manager(f"m{len(world.managers) + 1}"))
+        elif kind == "submit":
+            for more in range(3):
+                world.submit(1000 + 10 * number + more)
+
+    @staticmethod
+    def restart(world: MovedQueueWorld, name: str) -> None:
+        world.managers[name].process.kill()
+        world.watch(world.add_manager(name))
