List the cells once there is a configuration, and check their ends afterwards

What callers would see: while a fleet starts again, each manager lists the cells twice a second until it has a configuration, and a slow store delays the cells that have jobs by two reads for each one that has ended.

It now makes no call before there is a configuration, and adds all cells that it has listed before it looks for their ends. The condition for a full batch of submissions is written with one set less.

--- a/src/chivetray/cells/acceptance.py
+++ b/src/chivetray/cells/acceptance.py
@@ -268,7 +268,7 @@
     """Remove and return as many rows as one transaction may contain."""
     batch: list[_PendingRow] = []
     written: set[RowId] = set()
-    absent: set[RowId] = set()
+    excluding: set[RowId | None] = set()
     entries = size_bytes = 0
     while waiting:
         first = waiting[0]
@@ -281,11 +281,11 @@
             or batch[0].is_sent_alone
             or first.is_sent_alone
             # One transaction would create both of two rows that exclude each other.
-            or (first.excluded_by in written)
-            or (first.row in absent - written)
+            or first.excluded_by in written
+            or first.row in excluding
         ):
             break
         written.add(first.row)
-        absent.update(first.absent_rows)
+        excluding.add(first.excluded_by)
         batch.append(waiting.pop(0))
     return batch
--- a/src/chivetray/cells/cell_register.py
+++ b/src/chivetray/cells/cell_register.py
@@ -24,6 +24,9 @@
 
 LIST_RETRY_S = 0.5
 
+# Interval between checks whether the first configuration has come.
+CONFIG_CHECK_INTERVAL_S = 0.1
+
 
 class CellRegister:
     """The cells that this process knows to exist.
@@ -132,21 +135,21 @@
     async def run(self) -> None:
         """List the cells in the store from time to time, until cancelled."""
         while True:
+            if self._services() is None:
+                # Without a configuration it is not known which cells may have ended.
+                await anyio.sleep(CONFIG_CHECK_INTERVAL_S)
+                continue
             try:
                 parts = await self._store.parts(CELL_TABLE)
+                for cell in parts:
+                    self._add(cell)
+                self.is_complete = True
                 for cell in parts:
                     await self._check(cell)
             except StoreUnavailableError as error:
                 log_event(Event.STORE_LOST, reason=str(error), during="cells")
                 await anyio.sleep(LIST_RETRY_S)
                 continue
-            for cell in parts:
-                self._add(cell)
-            if self._services() is None:
-                # Without a configuration it is not known which cells may have ended.
-                await anyio.sleep(LIST_RETRY_S)
-                continue
-            self.is_complete = True
             managers = self._count_peers() + 1
             await anyio.sleep(max(LIST_INTERVAL_S, managers / LISTS_PER_SECOND))
 
--- a/tests/test_cell_register.py
+++ b/tests/test_cell_register.py
@@ -112,6 +112,19 @@
 
         asyncio.run(scenario())
 
+    def test_the_store_is_not_asked_before_there_is_a_configuration(self) -> None:
+        """All managers of a fleet that starts would list the cells again and again."""
+
+        async def scenario() -> None:
+            store = ListedStore(StoreState())
+            store.away = 100
+            register = make_register(store, services=None)
+            await follow(register, 0.3)
+            assert store.away == 100
+            assert not register.is_complete
+
+        asyncio.run(scenario())
+
     def test_a_configuration_without_any_route_leaves_it(self) -> None:
         async def scenario() -> None:
             state = StoreState()
