Soak: a client that gives up is not cut by its manager

Time-outs shorter than those of the other clients are no cuts now; the other clients, their time-out and the check are as before.

--- a/tests/job_soak.py
+++ b/tests/job_soak.py
@@ -30,6 +30,9 @@
 PREFIXES = ("/a/", "/b/")
 CLIENTS = 4
 
+# For how long clients wait for an answer, unless they give up sooner.
+CALL_TIMEOUT_S = 5.0
+
 # For how long a client waits for the answer to a submission that it cancels then.
 PATIENCE_S = (0.02, 0.3, 1.0, 3.0)
 
@@ -263,7 +266,7 @@
         method: str,
         path: str,
         body: Any = None,
-        timeout_s: float = 5.0,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> tuple[int, bytes]:
         """Make a request on the client's connection to a manager; 0 for no answer."""
         connection = connections.get(manager)
@@ -283,8 +286,9 @@
             answer = connection.getresponse()
             self.outcome.requests += 1
             return answer.status, answer.read()
-        except (OSError, http.client.HTTPException):
-            if connections.pop(manager, None) is not None:
+        except (OSError, http.client.HTTPException) as error:
+            gave_up = isinstance(error, TimeoutError) and timeout_s < CALL_TIMEOUT_S
+            if connections.pop(manager, None) is not None and not gave_up:
                 cut = (manager, sent_at_s, time.monotonic())
                 self.outcome.cuts.append(cut)
             return 0, b""
