--- a/tests/run_once_helpers.py
+++ b/tests/run_once_helpers.py
@@ -1651,6 +1651,28 @@
         return RunOutcome(ledger.problems, ledger.trace, begun, list(loop.failures))
 
 
+def run_fleet(
+    scenario: Callable[[Any], Awaitable[None]],
+    make_world: Callable[[VirtualLoop], World] = lambda loop: World(loop, 1, ()),
+) -> None:
+    """Run a scenario with managers, a store and workers in virtual time."""
+
+    async def main(loop: VirtualLoop) -> None:
+        world = make_world(loop)
+        working = asyncio.ensure_future(world.work())
+        await asyncio.sleep(3.0)
+        await scenario(world)
+        assert not working.done()
+        assert not loop.failures
+        for manager in world.managers.values():
+            manager.process.kill()
+        working.cancel()
+        await asyncio.sleep(0.1)
+
+    with virtual_time() as loop:
+        loop.run_until_complete(main(loop))
+
+
 async def _set_up(loop: VirtualLoop, seed: int, kinds: tuple[str, ...]) -> World:
     return World(loop, seed, kinds)
 
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -12,7 +12,7 @@
 import pytest
 from cell_helpers import World as CellWorld
 from cell_helpers import job, until
-from run_once_helpers import CELL, MANAGERS, World
+from run_once_helpers import CELL, MANAGERS, World, run_fleet
 from virtual_loop import START_S, virtual_time
 
 from chivetray.cells.cancellations import (
@@ -23,10 +23,9 @@
 from chivetray.cells.directory import CellDirectory
 from chivetray.cells.owner import CellOwner
 from chivetray.cells.state import CellState
-from chivetray.cells.tables import cancel_row, job_row
+from chivetray.cells.tables import cancel_row
 from chivetray.clocks import boot_time_s
 from chivetray.events import Event
-from chivetray.jobs.job import encode_spec
 from chivetray.jobs.model import JobName, JobSpec, JobState
 from chivetray.manager import Manager
 from chivetray.platform.calls import Answer
@@ -43,14 +42,6 @@
 STORE_AWAY_S = 10.0
 
 
-def put_job(world: World, spec: JobSpec) -> None:
-    """Store a job of which nobody notifies its owner."""
-    world.ledger.add_job(spec)
-    row = job_row(spec.queue, spec.job_id)
-    value = base64.b64encode(encode_spec(spec)).decode()
-    world.state.put(row.table, row.part, row.key, value)
-
-
 def put_cancellation(world: World, spec: JobSpec) -> None:
     row = cancel_row(spec.queue, spec.job_id)
     world.state.put(row.table, row.part, row.key, base64.b64encode(b"1").decode())
@@ -61,25 +52,6 @@
     return sum(name.startswith(spec.job_id) for name in names)
 
 
-def run_fleet(scenario: Callable[[World], Awaitable[None]]) -> None:
-    """Run a scenario with managers, a store and workers in virtual time."""
-
-    async def main(loop: Any) -> None:
-        world = World(loop, 1, ())
-        working = asyncio.ensure_future(world.work())
-        await asyncio.sleep(3.0)
-        await scenario(world)
-        assert not working.done()
-        assert not loop.failures
-        for manager in world.managers.values():
-            manager.process.kill()
-        working.cancel()
-        await asyncio.sleep(0.1)
-
-    with virtual_time() as loop:
-        loop.run_until_complete(main(loop))
-
-
 def find_owner(world: World) -> CellOwner:
     manager = world.owner()
     assert manager is not None
@@ -96,9 +68,9 @@
         async def scenario(world: World) -> None:
             for name in MANAGERS:
                 world.cut_store(name, how, STORE_AWAY_S)
-            put_job(world, SPEC)
+            world.hand_in(SPEC)
             put_cancellation(world, SPEC)
-            put_job(world, OTHER)
+            world.hand_in(OTHER)
             await asyncio.sleep(1.0)
             # Whoever notifies the owner has read the job before it was cancelled.
             owner = find_owner(world)
@@ -327,7 +299,7 @@
             world.read_store = read  # type: ignore[method-assign]
             for number in range(2 * PAGE_ROWS):
                 put_cancellation(world, job(f"{number:016x}"))
-            put_job(world, SPEC)
+            world.hand_in(SPEC)
             put_cancellation(world, SPEC)
             owner = find_owner(world)
             sent_at_s = boot_time_s()
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -58,8 +58,7 @@
     directory = CellDirectory(mesh, store, None, list, list, 1000)  # type: ignore
     directory.owned_cells = {cell.state.name: cell for cell in owned}
     service = JobService(mesh, store, directory, None)  # type: ignore[arg-type]
-    for claim in claims:
-        service.pending_counts.note_claims([claim])
+    service.pending_counts.note_claims(claims)
     return service
 
 
--- a/tests/test_pending_counts.py
+++ b/tests/test_pending_counts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import os
 import random
 from collections import Counter
@@ -14,7 +13,7 @@
 
 import pytest
 from cell_helpers import job
-from run_once_helpers import CELL, MANAGERS, Manager, World
+from run_once_helpers import CELL, MANAGERS, Manager, World, run_fleet
 from virtual_loop import VirtualLoop, virtual_time
 
 from chivetray.cells.job_service import JobService
@@ -25,9 +24,7 @@
     CountUnknownError,
     PendingCounts,
 )
-from chivetray.cells.tables import job_row
 from chivetray.generated.messages import CellClaim
-from chivetray.jobs.job import encode_spec
 from chivetray.jobs.model import Step
 from chivetray.platform.stored_records import Queue
 
@@ -222,11 +219,13 @@
     service = CELL
     jobs = 12
 
-    def __init__(self, loop: VirtualLoop, seed: int, kinds: tuple[str, ...] = ()):
-        super().__init__(loop, seed, kinds)
+    def __init__(self, loop: VirtualLoop):
+        super().__init__(loop, 1, ())
         self.services: dict[str, JobService] = {}
         self.submitted_at_s: dict[str, float] = {}
         self.disturbed_until_s: dict[str, float] = {}
+        for manager in self.managers.values():
+            self.watch(manager)
 
     def service_of(self, queue: str) -> str | None:
         return self.service
@@ -245,10 +244,7 @@
         """Store a job of which each task takes a whole worker."""
         spec = job(f"{number:016x}", steps=(Step(2, 4000),))
         spec = replace(spec, cell=self.service)
-        self.ledger.add_job(spec)
-        row = job_row(spec.queue, spec.job_id)
-        value = base64.b64encode(encode_spec(spec)).decode()
-        self.state.put(row.table, row.part, row.key, value)
+        self.hand_in(spec)
         self.submitted_at_s[spec.job_id] = self.now_s()
 
     def move_queue(self, service: str) -> None:
@@ -261,8 +257,8 @@
         tasks = [task for w in self.workers.values() for task, _ in w.starts]
         begun = {task.split(".")[0] for task in tasks}
         before_s = self.now_s() - VISIBLE_S
-        stored = [j for j, at_s in self.submitted_at_s.items() if at_s < before_s]
-        return len(set(stored) - begun)
+        stored = {j for j, at_s in self.submitted_at_s.items() if at_s < before_s}
+        return len(stored - begun)
 
     def disturb(self, name: str, for_s: float) -> None:
         """Take note of a disturbance of a manager, which begins now."""
@@ -295,26 +291,17 @@
         return 0.05 * max(unknown.values(), default=0)
 
 
-def run_fleet(scenario: Callable[[MovedQueueWorld], Awaitable[None]]) -> None:
-    async def main(loop: VirtualLoop) -> None:
-        world = MovedQueueWorld(loop, 1)
-        working = asyncio.ensure_future(world.work())
-        for manager in world.managers.values():
-            world.watch(manager)
-        await asyncio.sleep(3.0)
+def run_moved(scenario: Callable[[MovedQueueWorld], Awaitable[None]]) -> None:
+    """Run a scenario in which some jobs wait and others run."""
+
+    async def begin(world: MovedQueueWorld) -> None:
         for number in range(world.jobs):
             world.submit(number)
         await asyncio.sleep(VISIBLE_S + 1.0)
         assert 0 < world.count_waiting() < world.jobs
         await scenario(world)
-        assert not loop.failures
-        for manager in world.managers.values():
-            manager.process.kill()
-        working.cancel()
-        await asyncio.sleep(0.1)
 
-    with virtual_time() as loop:
-        loop.run_until_complete(main(loop))
+    run_fleet(begin, MovedQueueWorld)
 
 
 class TestQueueThatHasMoved:
@@ -336,7 +323,7 @@
             owner.process.thaw()
             assert await world.check(1.0) <= 0.1
 
-        run_fleet(scenario)
+        run_moved(scenario)
 
     def test_a_manager_that_joins_meanwhile_knows_no_count(self) -> None:
         async def scenario(world: MovedQueueWorld) -> None:
@@ -348,7 +335,7 @@
             await world.check(8.0)
             assert await world.check(1.0) == 0
 
-        run_fleet(scenario)
+        run_moved(scenario)
 
     def test_all_managers_restart(self) -> None:
         async def scenario(world: MovedQueueWorld) -> None:
@@ -362,7 +349,7 @@
             await world.check(10.0)
             assert await world.check(1.0) == 0
 
-        run_fleet(scenario)
+        run_moved(scenario)
 
 
 class TestRandomChanges:
@@ -385,7 +372,7 @@
             await asyncio.sleep(10.0)
             assert await world.check(1.0) == 0
 
-        run_fleet(scenario)
+        run_moved(scenario)
 
     def change(self, world: MovedQueueWorld, rng: random.Random, number: int) -> None:
         kind = rng.choice(self.CHANGES)
--- a/tests/test_released_leases.py
+++ b/tests/test_released_leases.py
@@ -4,8 +4,14 @@
 from collections.abc import Callable
 
 from cell_helpers import job
-from run_once_helpers import CELL, MANAGERS, Manager, SimulatedWorker, World
-from test_cancellations import put_job, run_fleet
+from run_once_helpers import (
+    CELL,
+    MANAGERS,
+    Manager,
+    SimulatedWorker,
+    World,
+    run_fleet,
+)
 
 from chivetray.jobs.model import Step
 
@@ -48,7 +54,7 @@
         """A task ran twice: an end told before these leases counted for its worker."""
 
         async def scenario(world: World) -> None:
-            put_job(world, SPEC)
+            world.hand_in(SPEC)
             await asyncio.sleep(3.0)
             worker = worker_with_the_task(world)
             first = owner_of(world)
--- a/tests/test_run_cancelled.py
+++ b/tests/test_run_cancelled.py
@@ -18,8 +18,7 @@
 from virtual_loop import VirtualLoop, virtual_time
 
 from chivetray.cells.cancellations import CANCELLATION_LIMIT_S
-from chivetray.cells.tables import cancel_row, job_row
-from chivetray.jobs.job import encode_spec
+from chivetray.cells.tables import cancel_row
 from chivetray.jobs.model import JobSpec, JobState, Step
 from chivetray.manager import Manager
 
@@ -60,10 +59,7 @@
         f"{number:016x}", "q", CELL, "", steps, max_attempts=50, target_ms=600
     )
     await asyncio.sleep(rng.uniform(0.2, FAULTS_S))
-    world.ledger.add_job(spec)
-    row = job_row(spec.queue, spec.job_id)
-    value = base64.b64encode(encode_spec(spec)).decode()
-    world.state.put(row.table, row.part, row.key, value)
+    world.hand_in(spec)
     if rng.random() < 0.3:
         return
     notified_after_s = rng.choice((0.0, rng.uniform(0.0, 14.0)))
--- a/tests/test_tombstones.py
+++ b/tests/test_tombstones.py
@@ -88,7 +88,8 @@
             mesh: Any = SimpleNamespace(name=f"m{number}", handlers={}, peers={})
             directory = CellDirectory(mesh, store, None, list, list, 1000)  # type: ignore[arg-type]
             self.directories.append(directory)
-            self.services.append(JobService(mesh, store, directory, None))  # type: ignore[arg-type]
+            config: Any = SimpleNamespace(current=None)
+            self.services.append(JobService(mesh, store, directory, config))  # type: ignore[arg-type]
 
     async def submit(
         self, manager: int, organisation: str = "", queue: Queue = QUEUE
@@ -122,8 +123,6 @@
 
     async def main() -> None:
         managers = Managers()
-        for service in managers.services:
-            service._configuration = SimpleNamespace(current=None)  # type: ignore[assignment]
         running = [asyncio.ensure_future(s.run()) for s in managers.services]
         await asyncio.sleep(0.01)
         await scenario(managers)
@@ -299,9 +298,8 @@
             async with anyio.create_task_group() as tasks:
                 # The first two take the transactions that may run at a time.
                 for number in range(2):
-                    other = job_row(QUEUE.key, JOB)
-                    other = RowId(other.table, other.part, f"{number}")
-                    tasks.start_soon(create, other, RowId("jobs", other.part, "none"))
+                    other = RowId(row.table, row.part, f"{number}")
+                    tasks.start_soon(create, other, RowId(row.table, row.part, "none"))
                 tasks.start_soon(create, row, tombstone)
                 tasks.start_soon(create, tombstone, row)
             return [outcomes[row.key], outcomes[tombstone.key]]
